--- /dev/null
+++ b/mulberryhitch/backend_servers/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers: what they announce, and who may use their slots."""
--- /dev/null
+++ b/mulberryhitch/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command line."""
--- /dev/null
+++ b/mulberryhitch/cli/client.py
@@ -0,0 +1,119 @@
+"""Calls an entry over HTTP, and turns its problems into failures again."""
+
+import json
+import os
+from dataclasses import dataclass
+from typing import Any
+
+import httpcore
+
+from mulberryhitch.errors import (
+    ConnectionLostError,
+    Problem,
+    ProtocolError,
+    UnreachableError,
+    error_of,
+)
+
+_PROBLEM = b'application/problem+json'
+_DEFAULT_ENTRY = '127.0.0.1:8700'
+_DEMO_TOKEN = 'demo-operator'
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """An answer as it came."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def content(self) -> Any:
+        """The body as JSON."""
+        return json.loads(self.body)
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Whom the command line calls, and as whom.
+
+    Attributes:
+        entry: An entry's IP number and port.
+        tenant: On whose behalf; empty for the token's own tenant.
+    """
+
+    entry: str
+    token: str
+    tenant: str
+
+    @classmethod
+    def from_environment(
+        cls, entry: str = '', token: str = '', tenant: str = ''
+    ) -> 'Target':
+        """Options first, then the environment, then the local demo."""
+        return cls(
+            entry or os.environ.get('MULBERRYHITCH_ENTRY', _DEFAULT_ENTRY),
+            token or os.environ.get('MULBERRYHITCH_TOKEN', _DEMO_TOKEN),
+            tenant or os.environ.get('MULBERRYHITCH_TENANT', ''),
+        )
+
+
+def call(
+    target: Target,
+    method: str,
+    path: str,
+    body: bytes = b'',
+    headers: dict[str, str] | None = None,
+    timeout_seconds: float = 70,
+) -> Answer:
+    """Calls the entry.
+
+    Raises:
+        UnreachableError: No connection; nothing was sent.
+        ConnectionLostError: No whole answer came.
+        MulberryhitchError: The problem that the entry told of.
+    """
+    sent = {'Authorization': f'Bearer {target.token}'}
+    if target.tenant:
+        sent['Mulberryhitch-Tenant'] = target.tenant
+    sent.update(headers or {})
+    try:
+        response = httpcore.request(
+            method,
+            f'http://{target.entry}{path}',
+            headers=list(sent.items()),
+            content=body,
+            extensions={'timeout': {'read': timeout_seconds, 'connect': 3}},
+        )
+    except (httpcore.ConnectError, httpcore.ConnectTimeout) as refused:
+        raise UnreachableError(
+            'no entry answers there', where=target.entry
+        ) from refused
+    except (
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+        httpcore.TimeoutException,
+    ) as lost:
+        raise ConnectionLostError(repr(lost), where=target.entry) from lost
+    answer = Answer(
+        response.status,
+        {
+            name.decode('latin-1').lower(): value.decode('latin-1')
+            for name, value in response.headers
+        },
+        response.content,
+    )
+    if answer.headers.get('content-type', '').encode() == _PROBLEM:
+        raise _failure(answer)
+    return answer
+
+
+def _failure(answer: Answer) -> Exception:
+    try:
+        content = answer.content
+        return error_of(
+            Problem(content['code'], content['detail'], content['where'])
+        )
+    except (ValueError, KeyError) as error:
+        return ProtocolError(f'an unreadable problem: {error!r}')
--- /dev/null
+++ b/mulberryhitch/cli/output.py
@@ -0,0 +1,44 @@
+"""Tables for people, JSON for programs."""
+
+import json
+import sys
+from collections.abc import Sequence
+from typing import Any
+
+from mulberryhitch.errors import MulberryhitchError
+
+
+def show_json(content: Any) -> None:
+    """Prints JSON."""
+    print(json.dumps(content, indent=2))
+
+
+def show_table(columns: Sequence[str], rows: Sequence[dict[str, Any]]) -> None:
+    """Prints the named members of the rows as aligned columns."""
+    cells = [[_text(row.get(name)) for name in columns] for row in rows]
+    header = [name.replace('_', ' ').upper() for name in columns]
+    widths = [
+        max(len(line[place]) for line in (header, *cells))
+        for place in range(len(columns))
+    ]
+    for line in (header, *cells):
+        padded = (
+            text.ljust(width) for text, width in zip(line, widths, strict=True)
+        )
+        print('  '.join(padded).rstrip())
+
+
+def show_failure(error: MulberryhitchError) -> None:
+    """Prints what was wrong, where, and what to do next."""
+    place = f' ({error.where})' if error.where else ''
+    print(f'{error.code}: {error.what}{place}', file=sys.stderr)
+    print(f'outcome: {error.outcome.value}', file=sys.stderr)
+    print(f'next: {error.advice}', file=sys.stderr)
+
+
+def _text(value: Any) -> str:
+    if isinstance(value, float):
+        return f'{value:.4f}'
+    if isinstance(value, list):
+        return ', '.join(str(one) for one in value)
+    return '' if value is None else str(value)
--- /dev/null
+++ b/mulberryhitch/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of processes, and the configuration that operators change."""
--- /dev/null
+++ b/mulberryhitch/configuration/settings.py
@@ -0,0 +1,191 @@
+"""A process's own settings: one base file, an overlay for each data centre."""
+
+from pathlib import Path
+
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    IPvAnyAddress,
+    ValidationError,
+)
+
+from mulberryhitch.configuration.models import CellDocument
+from mulberryhitch.configuration.overlays import merged, parsed, path_of
+from mulberryhitch.constants import DRAIN_SECONDS
+from mulberryhitch.errors import InvalidInputError, InvalidSettingsError
+
+_PORT_LIMIT = 65_536
+_THIRD = 3
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+class VmSettings(_Model):
+    """One of our own VMs.
+
+    Attributes:
+        disk: Whether it keeps replicas of logs.
+        http_port: Overrides the cell's port; so do the other ports.
+    """
+
+    address: IPvAnyAddress
+    disk: bool = False
+    http_port: int | None = Field(default=None, gt=0, lt=_PORT_LIMIT)
+    entry_port: int | None = Field(default=None, gt=0, lt=_PORT_LIMIT)
+    scheduler_port: int | None = Field(default=None, gt=0, lt=_PORT_LIMIT)
+
+
+class DataCentreSettings(_Model):
+    """One data centre's own VMs, by name."""
+
+    vms: dict[str, VmSettings] = Field(min_length=1)
+
+
+class StatsdSettings(_Model):
+    """Where metrics are sent."""
+
+    address: IPvAnyAddress
+    port: int = Field(default=8125, gt=0, lt=_PORT_LIMIT)
+
+
+class TlsSettings(_Model):
+    """Key files; they are read again when they change.
+
+    Attributes:
+        authority: The certificates that peers' certificates must chain to.
+        callers: Whether callers' HTTP is served over TLS too.
+    """
+
+    certificate: str
+    key: str
+    authority: str
+    callers: bool = False
+
+
+class Settings(_Model):
+    """All that a process must know before it starts."""
+
+    cell: str = 'cell'
+    data_centres: dict[str, DataCentreSettings] = Field(min_length=1)
+    http_port: int = Field(default=8700, gt=0, lt=_PORT_LIMIT)
+    entry_port: int = Field(default=8701, gt=0, lt=_PORT_LIMIT)
+    scheduler_port: int = Field(default=8702, gt=0, lt=_PORT_LIMIT)
+    data_folder: str = 'data'
+    statsd: StatsdSettings | None = None
+    tls: TlsSettings | None = None
+    worker_token: str = ''
+    drain_seconds: float = Field(default=DRAIN_SECONDS, ge=0)
+    configuration: CellDocument = Field(default_factory=CellDocument)
+
+    @property
+    def data_centre_names(self) -> list[str]:
+        """All data centres, in the order of the file."""
+        return list(self.data_centres)
+
+    def vm(self, name: str) -> VmSettings:
+        """The settings of one VM.
+
+        Raises:
+            InvalidSettingsError: There is no such VM.
+        """
+        for data_centre in self.data_centres.values():
+            if name in data_centre.vms:
+                return data_centre.vms[name]
+        raise InvalidSettingsError(f'no VM named {name}', where='data_centres')
+
+    def data_centre_of(self, vm: str) -> str:
+        """The data centre of a VM.
+
+        Raises:
+            InvalidSettingsError: There is no such VM.
+        """
+        for name, data_centre in self.data_centres.items():
+            if vm in data_centre.vms:
+                return name
+        raise InvalidSettingsError(f'no VM named {vm}', where='data_centres')
+
+    def vm_names(self) -> list[str]:
+        """All VMs, data centre by data centre."""
+        return [
+            vm
+            for data_centre in self.data_centres.values()
+            for vm in data_centre.vms
+        ]
+
+    def disk_vms(self, data_centre: str) -> list[str]:
+        """The VMs of a data centre that keep replicas."""
+        vms = self.data_centres[data_centre].vms
+        return [name for name, vm in vms.items() if vm.disk]
+
+    def cell_voters(self) -> tuple[str, ...]:
+        """The VMs that begin the cell's log: an odd number, spread."""
+        firsts = [
+            self.disk_vms(name)[0]
+            for name in self.data_centres
+            if self.disk_vms(name)
+        ]
+        return tuple(firsts[: (len(firsts) - 1) // 2 * 2 + 1])
+
+    def data_centre_voters(self, data_centre: str) -> tuple[str, ...]:
+        """The VMs that begin a data centre's log.
+
+        Its own disk VMs; two are joined by one of the next data centre.
+        """
+        own = self.disk_vms(data_centre)[:_THIRD]
+        if len(own) != 2:
+            return tuple(own[:1] if len(own) < 2 else own)
+        names = self.data_centre_names
+        start = names.index(data_centre)
+        for other in names[start + 1 :] + names[:start]:
+            if self.disk_vms(other):
+                return (*own, self.disk_vms(other)[0])
+        return tuple(own[:1])
+
+
+def load_settings(folder: Path, data_centre: str = '') -> Settings:
+    """Reads ``base.json`` and the overlay ``DATA_CENTRE.json`` of a folder.
+
+    Raises:
+        InvalidSettingsError: A file is missing or does not fit.
+    """
+    base_path = folder / 'base.json'
+    document = _read(base_path)
+    source = str(base_path)
+    overlay_path = folder / f'{data_centre}.json'
+    if data_centre and overlay_path.exists():
+        document = merged(document, _read(overlay_path))
+        source = f'{base_path} with {overlay_path.name}'
+    try:
+        settings = Settings.model_validate(document)
+        settings.configuration.check(settings.data_centre_names)
+    except ValidationError as error:
+        first = error.errors()[0]
+        raise InvalidSettingsError(
+            first['msg'], where=f'{source}: {path_of(first["loc"])}'
+        ) from error
+    except InvalidInputError as invalid:
+        raise InvalidSettingsError(
+            invalid.what, where=f'{source}: {invalid.where}'
+        ) from invalid
+    if data_centre and data_centre not in settings.data_centres:
+        raise InvalidSettingsError(
+            f'no data centre named {data_centre}', where=source
+        )
+    return settings
+
+
+def _read(path: Path) -> object:
+    try:
+        text = path.read_bytes()
+    except OSError as error:
+        raise InvalidSettingsError(str(error), where=str(path)) from error
+    try:
+        document: object = parsed(text, str(path))
+    except InvalidInputError as invalid:
+        raise InvalidSettingsError(
+            invalid.what, where=invalid.where
+        ) from invalid
+    return document
--- /dev/null
+++ b/mulberryhitch/core.py
@@ -0,0 +1,152 @@
+"""The programs: each is one plain function that returns an exit status."""
+
+import random
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Annotated, Any
+
+import anyio
+import typer
+
+from mulberryhitch.errors import InvalidSettingsError, MulberryhitchError
+from mulberryhitch.exits import ExitStatus, status_of
+
+_SETTINGS = Annotated[
+    Path, typer.Option(help='The folder of base.json and its overlays.')
+]
+_VM = Annotated[str, typer.Option(help='This VM, as the settings name it.')]
+_ADDRESS = Annotated[str, typer.Option(help='IP number and port.')]
+
+
+def operator() -> int:
+    """The program ``mulberryhitch``."""
+    from mulberryhitch.cli.app import app
+
+    return main(app)
+
+
+def entry() -> int:
+    """The program ``mulberryhitch-entry``."""
+    return main(_program(_run_entry))
+
+
+def scheduler() -> int:
+    """The program ``mulberryhitch-scheduler``."""
+    return main(_program(_run_scheduler))
+
+
+def inspect() -> int:
+    """The program ``mulberryhitch-inspect``."""
+    from mulberryhitch.cli.inspect import app
+
+    return main(app)
+
+
+def local() -> int:
+    """The program ``mulberryhitch-local``."""
+    from mulberryhitch.local import app
+
+    return main(app)
+
+
+def standin() -> int:
+    """The program ``mulberryhitch-standin``."""
+    from mulberryhitch.standins.app import app
+
+    return main(app)
+
+
+def main(app: typer.Typer) -> int:
+    """Runs a command line and returns its exit status."""
+    from mulberryhitch.cli.output import show_failure
+
+    try:
+        status = app(standalone_mode=False)
+    except MulberryhitchError as error:
+        show_failure(error)
+        return status_of(error)
+    except BaseExceptionGroup as group:
+        found = first_failure(group)
+        if found is None:
+            raise
+        show_failure(found)
+        return status_of(found)
+    except Exception as error:
+        if not hasattr(error, 'format_message'):
+            raise
+        print(error.format_message(), file=sys.stderr)  # noqa: WPS421
+        return ExitStatus.usage
+    return status if isinstance(status, int) else ExitStatus.ok
+
+
+def first_failure(group: BaseExceptionGroup[Any]) -> MulberryhitchError | None:
+    """The first failure of ours among several."""
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            nested = first_failure(error)
+            if nested is not None:
+                return nested
+        elif isinstance(error, MulberryhitchError):
+            return error
+    return None
+
+
+async def watch_signals(stop: anyio.Event) -> None:
+    """Sets the event at the first signal; the second ends the process.
+
+    Raises:
+        SystemExit: A second signal came.
+    """
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            if stop.is_set():
+                sys.exit(int(ExitStatus.cut_off))
+            stop.set()
+
+
+def _program(
+    run: Callable[[Path, str], Awaitable[None]],
+) -> typer.Typer:
+    app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+    @app.command()
+    def start(settings: _SETTINGS, vm: _VM) -> None:
+        from mulberryhitch.observability.log import (
+            start_logs,
+        )
+
+        start_logs()
+        anyio.run(run, settings, vm)
+
+    return app
+
+
+async def _run_entry(folder: Path, vm: str) -> None:
+    from mulberryhitch.composition import EntryProcess
+
+    await _run(EntryProcess, folder, vm)
+
+
+async def _run_scheduler(folder: Path, vm: str) -> None:
+    from mulberryhitch.composition import SchedulerProcess
+
+    await _run(SchedulerProcess, folder, vm)
+
+
+async def _run(process: Any, folder: Path, vm: str) -> None:
+    from mulberryhitch.composition import Environment
+    from mulberryhitch.configuration.settings import (
+        load_settings,
+    )
+
+    data_centre = load_settings(folder).data_centre_of(vm)
+    settings = load_settings(folder, data_centre)
+    if not settings.vm(vm).disk and process.__name__ == 'SchedulerProcess':
+        raise InvalidSettingsError('this VM has no disk', where=vm)
+    environment = Environment(settings, vm, anyio.Event(), random.Random())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watch_signals, environment.stop)
+        await process(environment).run()
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/mulberryhitch/http/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for callers, operators, workers, backend servers."""
--- /dev/null
+++ b/mulberryhitch/http/announcements.py
@@ -0,0 +1,155 @@
+"""Endpoints at which workers and backend servers announce themselves."""
+
+from pydantic import BaseModel, ConfigDict, Field, field_validator
+from starlette.requests import Request
+from starlette.responses import Response
+
+from mulberryhitch.backend_servers.directory import ServerState
+from mulberryhitch.backend_servers.ownership import (
+    OwnershipOffer,
+    preferred_owner,
+)
+from mulberryhitch.configuration.addresses import check_address
+from mulberryhitch.constants import (
+    ANNOUNCEMENT_INTERVAL_SECONDS,
+    CONNECTIONS_PER_BACKEND_SERVER,
+    SLOTS_PER_BACKEND_SERVER,
+)
+from mulberryhitch.errors import InvalidInputError
+from mulberryhitch.http.entry import Entry
+from mulberryhitch.http.routes import (
+    json_answer,
+    json_body,
+    principal_of,
+    route,
+)
+from mulberryhitch.http.workloads import group_of
+from mulberryhitch.membership.members import MemberRole, MemberState
+from mulberryhitch.rpc.messages import Announcement, Heartbeat
+from mulberryhitch.scheduler import operations as ops
+from mulberryhitch.tenants.access import PrincipalRole
+from mulberryhitch.workers.leases import Worker
+from mulberryhitch.workers.protocol import WorkerAnnouncement
+from mulberryhitch.workloads.model import Size
+
+_OPERATION_SECONDS = 3.0
+
+
+class BackendServerBody(BaseModel):
+    """What a backend server says of itself, again and again.
+
+    Attributes:
+        busy: How many requests it is working on.
+        owner: The owner that it keeps to; empty for none.
+        owner_anchor: The anchor of that owner's newest lease.
+        incarnation: Grows with each start of the server.
+        sequence: Grows with each announcement of an incarnation.
+    """
+
+    model_config = ConfigDict(extra='forbid')
+
+    service: str
+    data_centre: str
+    address: str
+    state: ServerState = ServerState.ready
+    slots: int = Field(default=SLOTS_PER_BACKEND_SERVER, ge=1)
+    connections: int = Field(default=CONNECTIONS_PER_BACKEND_SERVER, ge=1)
+    busy: int = Field(default=0, ge=0)
+    owner: str = ''
+    owner_anchor: float = 0
+    incarnation: int = Field(ge=0)
+    sequence: int = Field(ge=0)
+
+    @field_validator('address')
+    @classmethod
+    def _check_address(cls, address: str) -> str:
+        return check_address(address)
+
+
+@route('/v1/workers/{worker_id}', 'PUT')
+async def announce_worker(entry: Entry, request: Request) -> Response:
+    """Takes a worker's announcement to its data centre's leader."""
+    principal_of(entry, request).require(PrincipalRole.worker)
+    body = await json_body(request, WorkerAnnouncement)
+    _check_data_centre(entry, body.data_centre)
+    check_address(body.address)
+    worker = Worker(
+        request.path_params['worker_id'],
+        body.address,
+        body.data_centre,
+        body.rack,
+        Size(
+            body.size.millicores,
+            body.size.memory_mebibytes,
+            body.size.accelerators,
+        ),
+        body.incarnation,
+    )
+    await entry.leaders.execute(
+        group_of(body.data_centre),
+        ops.AnnounceWorker(worker, body.leaving),
+        ops.Done,
+        _OPERATION_SECONDS,
+    )
+    return json_answer({'again_seconds': 2 * ANNOUNCEMENT_INTERVAL_SECONDS})
+
+
+@route('/v1/backend-servers/{backend_server_id}', 'PUT')
+async def announce_backend_server(entry: Entry, request: Request) -> Response:
+    """Takes a backend server's announcement and offers it an owner."""
+    principal_of(entry, request).require(PrincipalRole.backend_server)
+    body = await json_body(request, BackendServerBody)
+    _check_data_centre(entry, body.data_centre)
+    announcement = Announcement(
+        request.path_params['backend_server_id'],
+        body.service,
+        body.data_centre,
+        body.address,
+        body.state.value,
+        body.slots,
+        body.connections,
+        body.busy,
+        body.owner,
+        body.owner_anchor,
+        body.incarnation,
+        body.sequence,
+    )
+    if entry.directory.announce(announcement):
+        entry.exchange.tell()
+    offer = offer_for(entry, announcement)
+    return json_answer(
+        {
+            'owner': offer.owner,
+            'owner_anchor': offer.anchor,
+            'lease_seconds': offer.lease_seconds,
+            'again_seconds': ANNOUNCEMENT_INTERVAL_SECONDS,
+        }
+    )
+
+
+def offer_for(entry: Entry, announcement: Announcement) -> OwnershipOffer:
+    """The owner that a backend server should have, with a fresh lease.
+
+    The present owner stays while it is alive and wanted, or stopping is the
+    only thing against it.
+    """
+    candidates = _candidates(entry, announcement.data_centre)
+    owner = preferred_owner(announcement.backend_server_id, candidates)
+    return OwnershipOffer(owner, candidates[owner].clock if owner else 0)
+
+
+def _candidates(entry: Entry, data_centre: str) -> dict[str, Heartbeat]:
+    live = [
+        beat
+        for beat in (*entry.members.live(MemberRole.entry), entry.heartbeat())
+        if beat.state == MemberState.ready.value
+    ]
+    near = [beat for beat in live if beat.data_centre == data_centre]
+    return {beat.member_id: beat for beat in near or live}
+
+
+def _check_data_centre(entry: Entry, name: str) -> None:
+    if name not in entry.settings.data_centres:
+        raise InvalidInputError(
+            f'no data centre named {name}', where='body: /data_centre'
+        )
--- /dev/null
+++ b/mulberryhitch/http/app.py
@@ -0,0 +1,111 @@
+"""The ASGI application of an entry."""
+
+import functools
+import re
+import uuid
+from typing import Any
+
+from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import Response
+from starlette.routing import Route
+from starlette.types import ASGIApp, Message, Receive, Scope, Send
+
+from mulberryhitch.errors import (
+    InvalidInputError,
+    MulberryhitchError,
+    NotFoundError,
+    OutcomeUnknownError,
+)
+from mulberryhitch.http import announcements, operators, services, workloads
+from mulberryhitch.http.entry import Entry
+from mulberryhitch.http.routes import (
+    REQUEST_ID,
+    Endpoint,
+    all_routes,
+    problem_answer,
+)
+
+_MODULES = (announcements, operators, services, workloads)
+_REQUEST_ID = re.compile('[A-Za-z0-9_-]{8,64}')
+
+
+def make_app(entry: Entry) -> ASGIApp:
+    """Builds the application from the registry of routes."""
+    app = Starlette(
+        routes=[
+            Route(
+                one.path,
+                _guarded(entry, one.endpoint),
+                methods=list(one.methods),
+            )
+            for one in all_routes()
+        ],
+        exception_handlers={HTTPException: _not_routed},
+    )
+    return _WithRequestId(app)
+
+
+def _guarded(entry: Entry, endpoint: Endpoint) -> Any:
+    @functools.wraps(endpoint)
+    async def guarded(request: Request) -> Response:
+        try:
+            return await endpoint(entry, request)
+        except MulberryhitchError as error:
+            entry.metrics.count(f'errors.{error.code}')
+            return problem_answer(error)
+        except ClientDisconnect:
+            return problem_answer(InvalidInputError('the caller went away'))
+        except Exception as defect:  # noqa: BLE001
+            entry.log.defect('http.request', defect)
+            return problem_answer(
+                OutcomeUnknownError(
+                    'a defect: the log of this VM has its stack',
+                    where=entry.member_id,
+                ),
+            )
+
+    return guarded
+
+
+async def _not_routed(request: Request, error: Exception) -> Response:
+    return problem_answer(
+        NotFoundError(
+            f'{request.method} {request.url.path} is not served',
+            where='path',
+        ),
+    )
+
+
+class _WithRequestId:
+    """Gives every request an id and every answer its header."""
+
+    def __init__(self, app: ASGIApp) -> None:
+        self._app = app
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        if scope['type'] != 'http':
+            await self._app(scope, receive, send)
+            return
+        request_id = _told_id(scope) or uuid.uuid4().hex
+        scope.setdefault('state', {})['request_id'] = request_id
+
+        async def send_with_id(message: Message) -> None:
+            if message['type'] == 'http.response.start':
+                header = (REQUEST_ID.lower().encode(), request_id.encode())
+                message['headers'] = [*message.get('headers', []), header]
+            await send(message)
+
+        await self._app(scope, receive, send_with_id)
+
+
+def _told_id(scope: Scope) -> str:
+    """The id of a request that another member passed on."""
+    headers = dict(scope['headers'])
+    if b'mulberryhitch-hop' not in headers:
+        return ''
+    told = headers.get(b'mulberryhitch-request-id', b'').decode('latin-1')
+    return told if _REQUEST_ID.fullmatch(told) else ''
--- /dev/null
+++ b/mulberryhitch/http/entry.py
@@ -0,0 +1,48 @@
+"""All that the endpoints of an entry work with."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mulberryhitch.backend_servers.directory import Directory
+from mulberryhitch.configuration.holder import ConfigurationHolder
+from mulberryhitch.configuration.settings import Settings
+from mulberryhitch.membership.exchange import Exchange
+from mulberryhitch.membership.leaders import Leaders
+from mulberryhitch.membership.members import MemberList
+from mulberryhitch.observability.histograms import Histograms
+from mulberryhitch.observability.log import Log
+from mulberryhitch.observability.metrics import Metrics
+from mulberryhitch.requests.router import Router
+from mulberryhitch.rpc.messages import Heartbeat
+from mulberryhitch.tenants.access import Access
+
+
+@dataclass(slots=True)
+class Entry:
+    """The parts of one entry.
+
+    Attributes:
+        heartbeat: Makes this process's heartbeat.
+        stopping: Whether it takes nothing new any more.
+    """
+
+    member_id: str
+    data_centre: str
+    settings: Settings
+    configuration: ConfigurationHolder
+    access: Access
+    members: MemberList
+    exchange: Exchange
+    directory: Directory
+    leaders: Leaders
+    router: Router
+    histograms: Histograms
+    metrics: Metrics
+    log: Log
+    heartbeat: Callable[[], Heartbeat]
+    stopping: bool = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+        return not self.stopping and self.configuration.version > 0
--- /dev/null
+++ b/mulberryhitch/membership/node.py
@@ -0,0 +1,214 @@
+"""What every process of ours has: an identity, peers, a configuration."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+
+from mulberryhitch.configuration.holder import ConfigurationHolder
+from mulberryhitch.constants import MILLISECONDS_PER_SECOND
+from mulberryhitch.errors import MulberryhitchError, UnreachableError
+from mulberryhitch.membership.exchange import Exchange
+from mulberryhitch.membership.members import (
+    MemberList,
+    MemberRole,
+    MemberState,
+)
+from mulberryhitch.observability.log import Log
+from mulberryhitch.rpc.client import PeerConnection
+from mulberryhitch.rpc.messages import (
+    Announcement,
+    Capacity,
+    ConfigurationReply,
+    ConfigurationRequest,
+    GroupView,
+    Heartbeat,
+    Reply,
+    Request,
+    ServiceLoad,
+)
+from mulberryhitch.rpc.server import RpcServer
+
+_FETCH_SECONDS = 1.0
+_FETCH_PAUSE_SECONDS = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who a process is."""
+
+    member_id: str
+    role: MemberRole
+    data_centre: str
+    vm: str
+    rpc_address: str
+    http_address: str
+    incarnation: int = field(
+        default_factory=lambda: int(time.time() * MILLISECONDS_PER_SECOND)
+    )
+
+
+@dataclass(slots=True)
+class Tellings:
+    """What else a process tells in its heartbeats."""
+
+    state: Callable[[], MemberState] = lambda: MemberState.ready
+    groups: Callable[[], list[GroupView]] = list
+    announcements: Callable[[], list[Announcement]] = list
+    loads: Callable[[], list[ServiceLoad]] = list
+    capacities: Callable[[], list[Capacity]] = list
+
+
+class Node:
+    """One process among the others.
+
+    Args:
+        identity: Who it is.
+        configuration: What is in force here.
+        peers: The connections to the other processes, by member id.
+        server: Answers the others' calls.
+        log: Where events are written.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        configuration: ConfigurationHolder,
+        peers: dict[str, PeerConnection],
+        server: RpcServer,
+        log: Log,
+    ) -> None:
+        """Wires heartbeats and the configuration's spread."""
+        self.identity = identity
+        self.configuration = configuration
+        self.members = MemberList(identity.member_id)
+        self.tellings = Tellings()
+        self.exchange = Exchange(
+            self.members, self.heartbeat, list(peers.values())
+        )
+        self.server = server
+        self.log = log
+        self._peers = peers
+        self._newer = anyio.Event()
+        self._newer_at = ''
+        self.members.listen(self._notice_version)
+        server.register('exchange', self.exchange.answer)
+        server.register('fetch_configuration', self._give_configuration)
+
+    async def run(self) -> None:
+        """Keeps in touch with the others until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            for peer in self._peers.values():
+                tasks.start_soon(peer.run)
+            tasks.start_soon(self.exchange.run)
+            tasks.start_soon(self._follow_configuration)
+
+    def heartbeat(self) -> Heartbeat:
+        """What this process tells the others now."""
+        identity = self.identity
+        return Heartbeat(
+            identity.member_id,
+            identity.incarnation,
+            identity.role.value,
+            identity.data_centre,
+            identity.vm,
+            identity.rpc_address,
+            identity.http_address,
+            self.tellings.state().value,
+            self.configuration.version,
+            self.tellings.groups(),
+            self.tellings.announcements(),
+            self.tellings.loads(),
+            self.tellings.capacities(),
+            anyio.current_time(),
+        )
+
+    def offer_configuration(self, version: int, document: str) -> None:
+        """Puts a configuration in force and tells the others at once."""
+        if self.configuration.offer(version, document):
+            self.log.event('configuration.in_force', version=version)
+            self.exchange.tell()
+
+    def _notice_version(self, heartbeat: Heartbeat) -> None:
+        if heartbeat.configuration_version > self.configuration.version:
+            self._newer_at = heartbeat.member_id
+            self._newer.set()
+
+    async def _give_configuration(
+        self, request: ConfigurationRequest
+    ) -> ConfigurationReply:
+        document = self.configuration.document.encode()
+        if request.known_version >= self.configuration.version:
+            document = b''
+        return ConfigurationReply(self.configuration.version, document)
+
+    async def _follow_configuration(self) -> None:
+        while True:
+            await self._newer.wait()
+            self._newer = anyio.Event()
+            try:
+                await self._fetch_from(self._newer_at)
+            except MulberryhitchError as error:
+                self.log.problem('configuration.fetch', error.problem)
+                await anyio.sleep(_FETCH_PAUSE_SECONDS)
+
+    async def _fetch_from(self, member_id: str) -> None:
+        peer = self._peers.get(member_id)
+        if peer is None:
+            return
+        reply = await peer.call(
+            'fetch_configuration',
+            ConfigurationRequest(self.configuration.version),
+            _FETCH_SECONDS,
+        )
+        if isinstance(reply, ConfigurationReply) and reply.document:
+            self.offer_configuration(reply.version, reply.document.decode())
+
+
+class Schedulers:
+    """Reaches the schedulers by their VMs' names.
+
+    Args:
+        connections: The connections by VM.
+        members: Tells who leads.
+        voters: The VMs that may lead each group.
+    """
+
+    def __init__(
+        self,
+        connections: dict[str, PeerConnection],
+        members: MemberList,
+        voters: dict[str, tuple[str, ...]],
+    ) -> None:
+        """Calls nobody yet."""
+        self._connections = connections
+        self._members = members
+        self._voters = voters
+
+    async def run(self) -> None:
+        """Serves calls until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            for connection in self._connections.values():
+                tasks.start_soon(connection.run)
+
+    async def call(
+        self, vm: str, method: str, request: Request, timeout_seconds: float
+    ) -> Reply:
+        """Calls the scheduler of a VM.
+
+        Raises:
+            UnreachableError: There is no such scheduler.
+        """
+        connection = self._connections.get(vm)
+        if connection is None:
+            raise UnreachableError('no such scheduler', where=vm)
+        return await connection.call(method, request, timeout_seconds)
+
+    def leader_of(self, group: str) -> str:
+        """The VM that is thought to lead a group; may be empty."""
+        return self._members.leader(group)
+
+    def voters_of(self, group: str) -> tuple[str, ...]:
+        """The VMs that may lead a group."""
+        return self._voters[group]
--- /dev/null
+++ b/mulberryhitch/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and histograms."""
--- /dev/null
+++ b/mulberryhitch/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which task starts where, and in which order: importable by itself."""
--- /dev/null
+++ b/mulberryhitch/replication/__init__.py
@@ -0,0 +1,4 @@
+"""Replicated logs: election, agreement, files, membership.
+
+Usable by itself; ``docs/EMBEDDING.md`` shows how.
+"""
--- /dev/null
+++ b/mulberryhitch/replication/audit.py
@@ -0,0 +1,70 @@
+"""Reads a replica's folder without opening it for writing."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from mulberryhitch.errors import DamagedFileError
+from mulberryhitch.replication.files import read_checked, read_log_records
+from mulberryhitch.replication.members import Members
+from mulberryhitch.replication.storage import Snapshot
+from mulberryhitch.rpc.codec import decode_record
+from mulberryhitch.rpc.messages import (
+    IdentityRecord,
+    LogEntry,
+    SnapshotRecord,
+    VoteRecord,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class FolderReport:
+    """What a replica's folder holds."""
+
+    replica_id: str
+    term: int
+    voted_for: str
+    snapshot: Snapshot | None
+    entries: list[LogEntry]
+
+    @property
+    def last_index(self) -> int:
+        """The index of the last entry or of the snapshot."""
+        if self.entries:
+            return self.entries[-1].index
+        return self.snapshot.last_index if self.snapshot else 0
+
+
+def read_folder(folder: Path) -> FolderReport:
+    """Reads and checks a replica's folder.
+
+    Raises:
+        DamagedFileError: A checksum does not match.
+    """
+    log_path = folder / 'log'
+    records = read_log_records(log_path.read_bytes(), str(log_path))
+    snapshot = _read_snapshot(folder)
+    floor = snapshot.last_index if snapshot else 0
+    entries = [placed.entry for placed in records if placed.entry.index > floor]
+    identity = read_checked(folder / 'identity')
+    if identity is None:
+        raise DamagedFileError('no identity', where=str(folder))
+    vote_bytes = read_checked(folder / 'vote')
+    vote = VoteRecord(0, '')
+    if vote_bytes is not None:
+        vote = decode_record(VoteRecord, vote_bytes)
+    return FolderReport(
+        decode_record(IdentityRecord, identity).replica_id,
+        vote.term,
+        vote.voted_for,
+        snapshot,
+        entries,
+    )
+
+
+def _read_snapshot(folder: Path) -> Snapshot | None:
+    content = read_checked(folder / 'snapshot')
+    if content is None:
+        return None
+    record = decode_record(SnapshotRecord, content)
+    members = Members(tuple(record.voters), tuple(record.learners))
+    return Snapshot(record.last_index, record.last_term, members, record.state)
--- /dev/null
+++ b/mulberryhitch/replication/joining.py
@@ -0,0 +1,94 @@
+"""How an empty replica begins a group with others, or joins one."""
+
+from collections.abc import Callable
+
+import anyio
+
+from mulberryhitch.errors import MulberryhitchError
+from mulberryhitch.replication.machine import Transport
+from mulberryhitch.replication.members import Members
+from mulberryhitch.replication.options import ReplicationOptions
+from mulberryhitch.replication.state import ReplicaState
+from mulberryhitch.rpc.messages import HelloReply, HelloRequest
+
+
+class Joining:
+    """Says hello to the initial VMs until this replica is a member.
+
+    A group begins once, when the replicas of all initial VMs have met and
+    none of them has a log. A replica whose folder was lost has a new id, so
+    it finds a group that does not count it in, and waits as an applicant.
+
+    Args:
+        state: The replica's state.
+        transport: Reaches the other replicas.
+        initial_vms: The VMs whose replicas begin the group together.
+        options: Timings.
+    """
+
+    def __init__(
+        self,
+        state: ReplicaState,
+        transport: Transport,
+        initial_vms: tuple[str, ...],
+        options: ReplicationOptions,
+    ) -> None:
+        """Has met nobody."""
+        self._state = state
+        self._transport = transport
+        self._initial_vms = initial_vms
+        self._options = options
+        self._own_vm = state.replica_id.partition('#')[0]
+
+    async def run(self, is_forgotten: Callable[[], bool]) -> None:
+        """Says hello while the group does not count this replica in."""
+        while True:
+            if not self._state.configured:
+                await self._greet()
+            elif is_forgotten():
+                await self._ask_everyone()
+            await anyio.sleep(self._options.election_seconds / 2)
+
+    def met(self, request: HelloRequest) -> None:
+        """Notes a hello; kept for symmetry of embedding transports."""
+
+    async def _greet(self) -> None:
+        replies = await self._ask_everyone()
+        if self._own_vm not in self._initial_vms:
+            return
+        for reply in replies:
+            counted = self._state.replica_id in reply.voters
+            if reply.configured and counted:
+                await self._begin(tuple(reply.voters))
+                return
+        if any(reply.configured for reply in replies):
+            return
+        if len(replies) == len(self._initial_vms) - 1:
+            ids = [reply.replica_id for reply in replies]
+            await self._begin((*ids, self._state.replica_id))
+
+    async def _begin(self, voters: tuple[str, ...]) -> None:
+        async with self._state.lock:
+            if not self._state.configured:
+                await self._state.begin(Members(tuple(sorted(voters))))
+
+    async def _ask_everyone(self) -> list[HelloReply]:
+        replies: list[HelloReply] = []
+        async with anyio.create_task_group() as tasks:
+            for vm in self._initial_vms:
+                if vm != self._own_vm:
+                    tasks.start_soon(self._ask, vm, replies)
+        return replies
+
+    async def _ask(self, vm: str, replies: list[HelloReply]) -> None:
+        request = HelloRequest(
+            self._state.group, self._state.replica_id, self._state.configured
+        )
+        try:
+            reply = await self._transport.call(
+                vm, 'hello', request, self._options.election_seconds
+            )
+        except MulberryhitchError:
+            return
+        if isinstance(reply, HelloReply):
+            replies.append(reply)
--- /dev/null
+++ b/mulberryhitch/replication/leadership.py
@@ -0,0 +1,440 @@
+"""One leader's term: proposals, a replicating task for each peer, authority.
+
+The leader's authority is a lease: it lasts one election time, less the
+clocks' drift, from the sending of the last appends that a majority answered.
+No other leader can be elected before that, since a majority refuses its vote
+to others for an election time after each append.
+"""
+
+from collections import deque
+from typing import Any
+
+import anyio
+from anyio import lowlevel
+from anyio.abc import TaskGroup
+
+from mulberryhitch.errors import (
+    ConflictError,
+    LostAuthorityError,
+    MulberryhitchError,
+    NotLeaderError,
+    OutcomeUnknownError,
+    OverloadedError,
+    StorageError,
+)
+from mulberryhitch.replication.machine import Transport
+from mulberryhitch.replication.members import MEMBERS_KIND, Members, vm_of
+from mulberryhitch.replication.options import ReplicationOptions
+from mulberryhitch.replication.progress import Progress
+from mulberryhitch.replication.state import NOOP_KIND, ReplicaState
+from mulberryhitch.rpc.messages import (
+    AppendReply,
+    AppendRequest,
+    LogEntry,
+    SnapshotReply,
+    SnapshotRequest,
+)
+
+_MAXIMUM_PROPOSALS = 20_000
+
+
+class Proposal:
+    """An entry that waits to be committed and applied."""
+
+    def __init__(self, kind: str, body: bytes) -> None:
+        """Makes a proposal that nobody has decided."""
+        self.kind = kind
+        self.body = body
+        self.result: Any = None
+        self.failed: MulberryhitchError | None = None
+        self._decided = anyio.Event()
+
+    def decide(self, result: Any, failed: MulberryhitchError | None) -> None:
+        """Tells the proposer."""
+        self.result = result
+        self.failed = failed
+        self._decided.set()
+
+    async def wait(self) -> Any:
+        """Waits for the decision.
+
+        Raises:
+            MulberryhitchError: What the proposal failed with.
+        """
+        await self._decided.wait()
+        if self.failed is not None:
+            raise self.failed
+        return self.result
+
+
+class Leadership:
+    """What a replica does while it leads, in one term.
+
+    Args:
+        state: The replica's state.
+        transport: Reaches the other replicas.
+        options: Timings and sizes.
+    """
+
+    def __init__(
+        self,
+        state: ReplicaState,
+        transport: Transport,
+        options: ReplicationOptions,
+    ) -> None:
+        """Starts with no peer known to match."""
+        self.term = state.term
+        self._state = state
+        self._transport = transport
+        self._options = options
+        self._peers: dict[str, Progress] = {}
+        self._queue: deque[Proposal] = deque()
+        self._waiting: dict[int, Proposal] = {}
+        self._written = anyio.Event()
+        self._ended = anyio.Event()
+        self._ready = anyio.Event()
+        self._tasks: TaskGroup | None = None
+        self._own_match = 0
+        self._began = anyio.current_time()
+        self._handing_over = False
+
+    @property
+    def authority_until(self) -> float:
+        """When the leader's lease runs out, on the local clock, seconds."""
+        if self._handing_over or self._ended.is_set():
+            return 0
+        lease = self._options.election_seconds - self._options.drift_seconds
+        return self._quorum_contact() + lease
+
+    @property
+    def has_authority(self) -> bool:
+        """Whether the leader may act now."""
+        return anyio.current_time() < self.authority_until
+
+    @property
+    def ready(self) -> bool:
+        """Whether an entry of this term is committed."""
+        return self._ready.is_set()
+
+    @property
+    def peers(self) -> dict[str, Progress]:
+        """How far each peer is."""
+        return self._peers
+
+    async def run(self) -> None:
+        """Leads until stepping down.
+
+        Raises:
+            StorageError: The disk can't be synced: the replica must stop.
+        """
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                self._queue.appendleft(Proposal(NOOP_KIND, b''))
+                self._written.set()
+                self._meet_peers()
+                tasks.start_soon(self._write)
+                tasks.start_soon(self._check_quorum)
+                await self._ended.wait()
+                tasks.cancel_scope.cancel()
+        finally:
+            self._ended.set()
+            self._fail_all()
+
+    def step_down(self) -> None:
+        """Ends the leadership."""
+        self._ended.set()
+
+    async def propose(self, kind: str, body: bytes) -> Any:
+        """Commits an entry and returns what its application returned.
+
+        Raises:
+            NotLeaderError: Not begun; nothing was written.
+            OverloadedError: Too many proposals; nothing was written.
+            StorageError: The disk is full; nothing was written.
+            OutcomeUnknownError: The leadership ended; it may be committed.
+        """
+        if self._ended.is_set() or self._handing_over:
+            raise NotLeaderError('no longer the leader')
+        if len(self._queue) >= _MAXIMUM_PROPOSALS:
+            raise OverloadedError('too many proposals')
+        proposal = Proposal(kind, body)
+        self._queue.append(proposal)
+        self._written.set()
+        return await proposal.wait()
+
+    async def change_members(self, members: Members) -> None:
+        """Commits new members.
+
+        Raises:
+            ConflictError: The change before is not yet committed.
+        """
+        if not self._state.members_settled or not self.ready:
+            raise ConflictError('a change of members is on its way')
+        await self.propose(MEMBERS_KIND, members.encode())
+
+    async def confirm(self) -> None:
+        """Waits until a majority is known to follow still.
+
+        Raises:
+            LostAuthorityError: It does not.
+        """
+        with anyio.move_on_after(self._options.election_seconds):
+            await self._ready.wait()
+            while not self.has_authority:
+                if self._ended.is_set():
+                    break
+                await anyio.sleep(self._options.heartbeat_seconds)
+        if not self.ready or not self.has_authority:
+            raise LostAuthorityError('no majority follows')
+
+    async def hand_over(self) -> str | None:
+        """Gives up authority and names the voter that is furthest."""
+        self._handing_over = True
+        voters = set(self._state.members.voters)
+        ahead = [
+            (peer.match_index, name)
+            for name, peer in self._peers.items()
+            if name in voters
+        ]
+        with anyio.move_on_after(self._options.election_seconds):
+            while self._waiting or self._queue:
+                await anyio.sleep(self._options.heartbeat_seconds / 2)
+        return max(ahead)[1] if ahead else None
+
+    def applied(self, entry: LogEntry, result: Any, failed: Any) -> None:
+        """Tells the proposer that its entry was applied."""
+        if entry.term == self.term:
+            self._ready.set()
+        proposal = self._waiting.pop(entry.index, None)
+        if proposal is not None:
+            proposal.decide(result, failed)
+
+    def _quorum_contact(self) -> float:
+        now = anyio.current_time()
+        contacts = [
+            now if name == self._state.replica_id else self._contact(name)
+            for name in self._state.members.voters
+        ]
+        contacts.sort(reverse=True)
+        return contacts[self._state.members.quorum - 1]
+
+    def _contact(self, name: str) -> float:
+        peer = self._peers.get(name)
+        return peer.contact if peer else 0
+
+    def _meet_peers(self) -> None:
+        wanted = set(self._state.members.everyone) - {self._state.replica_id}
+        for name in set(self._peers) - wanted:
+            self._peers.pop(name).scope.cancel()
+        for name in sorted(wanted - set(self._peers)):
+            peer = Progress(name, self._state.last_index + 1)
+            self._peers[name] = peer
+            if self._tasks is not None:
+                self._tasks.start_soon(self._replicate, peer)
+
+    async def _write(self) -> None:
+        while True:
+            await self._written.wait()
+            self._written = anyio.Event()
+            async with self._state.lock:
+                if self._state.term != self.term:
+                    self.step_down()
+                    return
+                last_index = self._write_batch()
+            for peer in self._peers.values():
+                peer.wake()
+            await self._state.storage.sync()
+            self._own_match = max(self._own_match, last_index)
+            self._advance()
+
+    def _write_batch(self) -> int:
+        batch = list(self._queue)
+        self._queue.clear()
+        entries = [
+            LogEntry(
+                self._state.last_index + place,
+                self.term,
+                proposal.kind,
+                proposal.body,
+            )
+            for place, proposal in enumerate(batch, start=1)
+        ]
+        try:
+            self._state.write(entries)
+        except StorageError as error:
+            for refused in batch:
+                refused.decide(None, error)
+            return self._own_match
+        for entry, proposal in zip(entries, batch, strict=True):
+            self._waiting[entry.index] = proposal
+        if any(entry.kind == MEMBERS_KIND for entry in entries):
+            self._meet_peers()
+        return self._state.last_index
+
+    def _advance(self) -> None:
+        members = self._state.members
+        matches = [
+            self._own_match
+            if name == self._state.replica_id
+            else self._match(name)
+            for name in members.voters
+        ]
+        matches.sort(reverse=True)
+        index = matches[members.quorum - 1]
+        if index <= self._state.commit_index:
+            return
+        if self._state.term_at(index) != self.term or self._ended.is_set():
+            return
+        self._state.commit(index)
+        for peer in self._peers.values():
+            peer.wake()
+        voters = self._state.members.voters
+        if self._state.members_settled and self._state.replica_id not in voters:
+            self.step_down()
+
+    def _match(self, name: str) -> int:
+        peer = self._peers.get(name)
+        return peer.match_index if peer else 0
+
+    async def _check_quorum(self) -> None:
+        patience = self._options.election_seconds
+        while True:
+            await anyio.sleep(self._options.heartbeat_seconds)
+            now = anyio.current_time()
+            silent_since = max(self._quorum_contact(), self._began)
+            if now - silent_since > patience:
+                self.step_down()
+
+    async def _replicate(self, peer: Progress) -> None:
+        with peer.scope:
+            async with anyio.create_task_group() as sends:
+                while True:
+                    wait = self._seconds_to_send(peer)
+                    if wait > 0:
+                        with anyio.move_on_after(wait):
+                            await peer.woken()
+                    else:
+                        await self._send_next(peer, sends)
+                        await lowlevel.checkpoint()
+
+    def _seconds_to_send(self, peer: Progress) -> float:
+        interval = self._options.heartbeat_seconds
+        if not peer.may_send(self._options.window):
+            return interval
+        behind = peer.next_index <= self._state.last_index
+        uninformed = peer.sent_commit < self._state.commit_index
+        if (behind or uninformed) and not peer.unreachable:
+            return 0
+        return peer.last_sent + interval - anyio.current_time()
+
+    async def _send_next(self, peer: Progress, sends: TaskGroup) -> None:
+        if peer.next_index <= self._state.snapshot_index:
+            await self._send_snapshot(peer)
+            return
+        previous = peer.next_index - 1
+        limit = self._options.batch_entries
+        entries = self._state.entries_from(peer.next_index, limit)
+        request = AppendRequest(
+            self._state.group,
+            peer.name,
+            self.term,
+            self._state.replica_id,
+            previous,
+            self._state.term_at(previous) or 0,
+            self._state.commit_index,
+            entries,
+        )
+        peer.sending(len(entries), self._state.commit_index)
+        sends.start_soon(self._send, peer, request)
+
+    async def _send(self, peer: Progress, request: AppendRequest) -> None:
+        sent_at = anyio.current_time()
+        try:
+            reply = await self._transport.call(
+                vm_of(peer.name),
+                'append',
+                request,
+                self._options.election_seconds,
+            )
+        except MulberryhitchError:
+            peer.lost()
+            return
+        finally:
+            peer.in_flight -= 1
+        if isinstance(reply, AppendReply):
+            self._take_reply(peer, request, reply, sent_at)
+
+    def _take_reply(
+        self,
+        peer: Progress,
+        request: AppendRequest,
+        reply: AppendReply,
+        sent_at: float,
+    ) -> None:
+        if reply.term > self.term:
+            self.step_down()
+            return
+        peer.contact = max(peer.contact, sent_at)
+        if reply.success:
+            matched = request.previous_index + len(request.entries)
+            peer.matched(min(matched, reply.last_index))
+            self._advance()
+        else:
+            peer.rejected(reply.last_index)
+        peer.wake()
+
+    async def _send_snapshot(self, peer: Progress) -> None:
+        snapshot = self._state.snapshot
+        if snapshot is None:
+            return
+        offset = 0
+        peer.sending(0, 0)
+        peer.in_flight -= 1
+        while True:
+            end = offset + self._options.chunk_bytes
+            done = end >= len(snapshot.state)
+            request = SnapshotRequest(
+                self._state.group,
+                peer.name,
+                self.term,
+                self._state.replica_id,
+                snapshot.last_index,
+                snapshot.last_term,
+                list(snapshot.members.voters),
+                list(snapshot.members.learners),
+                snapshot.state[offset:end],
+                offset,
+                done,
+            )
+            sent_at = anyio.current_time()
+            try:
+                reply = await self._transport.call(
+                    vm_of(peer.name),
+                    'install_snapshot',
+                    request,
+                    self._options.call_seconds,
+                )
+            except MulberryhitchError:
+                peer.lost()
+                return
+            if not isinstance(reply, SnapshotReply):
+                return
+            if reply.term > self.term:
+                self.step_down()
+                return
+            peer.contact = max(peer.contact, sent_at)
+            if done and reply.next_offset >= len(snapshot.state):
+                peer.matched(snapshot.last_index)
+                return
+            offset = reply.next_offset
+
+    def _fail_all(self) -> None:
+        for unwritten in self._queue:
+            unwritten.decide(None, NotLeaderError('no longer the leader'))
+        for proposal in self._waiting.values():
+            proposal.decide(
+                None, OutcomeUnknownError('the leadership ended first')
+            )
+        self._queue.clear()
+        self._waiting.clear()
--- /dev/null
+++ b/mulberryhitch/replication/options.py
@@ -0,0 +1,31 @@
+"""The timings and sizes of a replicated log."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicationOptions:
+    """Timings in seconds and sizes in entries or bytes.
+
+    Attributes:
+        heartbeat_seconds: The longest silence of a leader.
+        election_seconds: How long a follower believes in a silent leader;
+            a candidate waits between once and twice as long.
+        drift_seconds: How much clocks may differ over one election time.
+        call_seconds: How long a call to a peer may take.
+        batch_entries: The most entries of one append.
+        window: The most appends on their way to one peer.
+        compact_entries: A snapshot is taken after so many entries.
+        chunk_bytes: The size of a part of a snapshot on its way.
+        repair_seconds: A voter silent for so long is replaced by a spare.
+    """
+
+    heartbeat_seconds: float = 0.15
+    election_seconds: float = 0.8
+    drift_seconds: float = 0.1
+    call_seconds: float = 2.0
+    batch_entries: int = 256
+    window: int = 4
+    compact_entries: int = 20_000
+    chunk_bytes: int = 1_048_576
+    repair_seconds: float = 60.0
--- /dev/null
+++ b/mulberryhitch/replication/replica.py
@@ -0,0 +1,545 @@
+"""One replica of a group: follows, stands for election, leads."""
+
+import random
+from enum import Enum
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from mulberryhitch.errors import (
+    ConflictError,
+    InvariantError,
+    LostAuthorityError,
+    MulberryhitchError,
+    NotLeaderError,
+    StorageError,
+)
+from mulberryhitch.observability.log import Log
+from mulberryhitch.replication.joining import Joining
+from mulberryhitch.replication.keeper import MembersKeeper
+from mulberryhitch.replication.leadership import Leadership
+from mulberryhitch.replication.machine import Transport
+from mulberryhitch.replication.members import Members, vm_of
+from mulberryhitch.replication.options import ReplicationOptions
+from mulberryhitch.replication.state import ReplicaState
+from mulberryhitch.replication.storage import Snapshot
+from mulberryhitch.rpc.messages import (
+    AppendReply,
+    AppendRequest,
+    HelloReply,
+    HelloRequest,
+    LogEntry,
+    SnapshotReply,
+    SnapshotRequest,
+    TakeOverReply,
+    TakeOverRequest,
+    VoteReply,
+    VoteRequest,
+)
+
+
+class Role(str, Enum):  # noqa: WPS600
+    """What a replica is at the moment."""
+
+    follower = 'follower'
+    candidate = 'candidate'
+    leader = 'leader'
+
+
+class Replica:
+    """One replica of a replicated log.
+
+    Args:
+        state: Its state, loaded.
+        transport: Reaches the other replicas.
+        initial_vms: The VMs whose replicas begin the group together.
+        options: Timings and sizes.
+        log: Where its turns are written.
+        chance: Spreads the election times.
+    """
+
+    def __init__(
+        self,
+        state: ReplicaState,
+        transport: Transport,
+        initial_vms: tuple[str, ...],
+        options: ReplicationOptions,
+        log: Log,
+        chance: random.Random,
+    ) -> None:
+        """Starts as a follower that was not begun."""
+        self._state = state
+        self._transport = transport
+        self._options = options
+        self._log = log
+        self._chance = chance
+        self._role = Role.follower
+        self._leader_id = ''
+        self._leadership: Leadership | None = None
+        self._last_contact = float()
+        self._fatal: StorageError | None = None
+        self._failed = anyio.Event()
+        self._kicked = anyio.Event()
+        self._incoming = bytearray()
+        self._tasks: TaskGroup | None = None
+        self._target_voters = len(initial_vms)
+        self._joining = Joining(state, transport, initial_vms, options)
+        self._applicants: dict[str, float] = {}
+        state.when_applied(self._applied)
+
+    @property
+    def group(self) -> str:
+        """The group's name."""
+        return self._state.group
+
+    @property
+    def replica_id(self) -> str:
+        """This replica's id."""
+        return self._state.replica_id
+
+    @property
+    def role(self) -> Role:
+        """What the replica is now."""
+        return self._role
+
+    @property
+    def term(self) -> int:
+        """The newest term it knows."""
+        return self._state.term
+
+    @property
+    def leader_id(self) -> str:
+        """The leader of the term, or nothing."""
+        return self._leader_id
+
+    @property
+    def members(self) -> Members:
+        """The newest members it knows."""
+        return self._state.members
+
+    @property
+    def state(self) -> ReplicaState:
+        """The state, for reading."""
+        return self._state
+
+    @property
+    def has_authority(self) -> bool:
+        """Whether it leads, has a valid lease and a settled log."""
+        leadership = self._leadership
+        return (
+            leadership is not None
+            and leadership.ready
+            and leadership.has_authority
+        )
+
+    def require_authority(self) -> None:
+        """Refuses an action that the leader's lease does not cover.
+
+        Raises:
+            LostAuthorityError: The lease has run out, or never began.
+        """
+        if not self.has_authority:
+            raise LostAuthorityError(
+                'no authority to act', where=self._state.group
+            )
+
+    async def run(self) -> None:
+        """Takes part until cancelled.
+
+        Raises:
+            StorageError: The disk failed; the process must stop.
+        """
+        self._last_contact = anyio.current_time()
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            tasks.start_soon(self._elect)
+            tasks.start_soon(self._joining.run, self._is_forgotten)
+            tasks.start_soon(self._compact)
+            await self._failed.wait()
+            tasks.cancel_scope.cancel()
+        if self._fatal is not None:
+            raise self._fatal
+
+    async def propose(self, kind: str, body: bytes) -> Any:
+        """Commits an entry and returns what its application returned.
+
+        Raises:
+            NotLeaderError: This replica does not lead; nothing was written.
+            OutcomeUnknownError: It may or may not be committed.
+        """
+        return await self._leading().propose(kind, body)
+
+    async def read_barrier(self) -> None:
+        """Waits until reads here see all that was committed before.
+
+        Raises:
+            NotLeaderError: This replica does not lead.
+            LostAuthorityError: No majority follows.
+        """
+        await self._leading().confirm()
+
+    async def hand_over(self) -> None:
+        """Gives the leadership to another voter, if it leads."""
+        leadership = self._leadership
+        if leadership is None:
+            return
+        successor = await leadership.hand_over()
+        if successor is not None:
+            request = TakeOverRequest(self.group, successor, self.term)
+            try:
+                await self._call(successor, 'take_over', request)
+            except MulberryhitchError as error:
+                self._log.problem('replica.hand_over', error.problem)
+        leadership.step_down()
+
+    async def replace_voter(self, old_id: str) -> None:
+        """Removes a voter that will not come back.
+
+        Raises:
+            ConflictError: A change is on its way, or it is no member.
+        """
+        members = self._state.members.without(old_id)
+        await self._leading().change_members(members)
+
+    async def hello(self, request: HelloRequest) -> HelloReply:
+        """Tells identity and members; notes who would like to join."""
+        if request.replica_id not in self._state.members.everyone:
+            self._applicants[request.replica_id] = anyio.current_time()
+        self._joining.met(request)
+        return HelloReply(
+            self.replica_id,
+            self._state.configured,
+            list(self._state.members.voters),
+            list(self._state.members.learners),
+            self._state.last_index,
+        )
+
+    async def vote(self, request: VoteRequest) -> VoteReply:
+        """Answers a candidate."""
+        self._check_target(request.target)
+        if not self._state.configured or self._believes_in_leader(request):
+            return VoteReply(self._state.term, granted=False)
+        if request.pre_vote:
+            return VoteReply(self._state.term, self._would_vote(request))
+        async with self._state.lock:
+            return await self._vote_locked(request)
+
+    async def append(self, request: AppendRequest) -> AppendReply:
+        """Takes entries or a heartbeat from a leader."""
+        self._check_target(request.target)
+        async with self._state.lock:
+            if request.term < self._state.term:
+                return AppendReply(self._state.term, False, 0)
+            await self._follow(request.term, request.leader)
+            with self._fail_stop():
+                return await self._append_locked(request)
+
+    async def install_snapshot(self, request: SnapshotRequest) -> SnapshotReply:
+        """Takes a part of a snapshot from a leader."""
+        self._check_target(request.target)
+        async with self._state.lock:
+            if request.term < self._state.term:
+                return SnapshotReply(self._state.term, 0)
+            await self._follow(request.term, request.leader)
+            if request.offset != len(self._incoming):
+                self._incoming.clear()
+                return SnapshotReply(self._state.term, 0)
+            self._incoming.extend(request.state)
+            offset = len(self._incoming)
+            if request.done:
+                with self._fail_stop():
+                    await self._install_locked(request)
+            return SnapshotReply(self._state.term, offset)
+
+    async def take_over(self, request: TakeOverRequest) -> TakeOverReply:
+        """Stands for election at once, as the leader asked."""
+        self._check_target(request.target)
+        if request.term != self._state.term or self._tasks is None:
+            return TakeOverReply(accepted=False)
+        self._tasks.start_soon(self._campaign, True)
+        return TakeOverReply(accepted=True)
+
+    def _leading(self) -> Leadership:
+        if self._leadership is None:
+            raise NotLeaderError(
+                f'{self.replica_id} does not lead {self.group}',
+                where=self._leader_id,
+            )
+        return self._leadership
+
+    def _applied(self, entry: LogEntry, result: Any, failed: Any) -> None:
+        if self._leadership is not None:
+            self._leadership.applied(entry, result, failed)
+
+    def _check_target(self, target: str) -> None:
+        if self._fatal is not None:
+            raise self._fatal
+        if target != self.replica_id:
+            raise ConflictError('that replica is gone', where=self.replica_id)
+
+    def _fail_stop(self) -> '_FailStop':
+        return _FailStop(self)
+
+    def _fail(self, error: StorageError) -> None:
+        self._fatal = error
+        self._failed.set()
+
+    def _believes_in_leader(self, request: VoteRequest) -> bool:
+        if request.transfer:
+            return False
+        if self._leadership is not None and self._leadership.has_authority:
+            return True
+        silence = anyio.current_time() - self._last_contact
+        return silence < self._options.election_seconds
+
+    def _is_forgotten(self) -> bool:
+        silence = anyio.current_time() - self._last_contact
+        member = self.replica_id in self._state.members.everyone
+        return not member or silence > self._options.election_seconds * 4
+
+    def _would_vote(self, request: VoteRequest) -> bool:
+        newer = request.term > self._state.term
+        return newer and self._state.is_behind(
+            request.last_term, request.last_index
+        )
+
+    async def _vote_locked(self, request: VoteRequest) -> VoteReply:
+        if request.term < self._state.term:
+            return VoteReply(self._state.term, granted=False)
+        with self._fail_stop():
+            await self._enter_term(request.term)
+            fits = self._state.is_behind(request.last_term, request.last_index)
+            if not fits or self._state.voted_for not in {
+                '',
+                request.candidate,
+            }:
+                return VoteReply(self._state.term, granted=False)
+            await self._state.save_term(request.term, request.candidate)
+        self._last_contact = anyio.current_time()
+        return VoteReply(self._state.term, granted=True)
+
+    async def _enter_term(self, term: int) -> None:
+        if term <= self._state.term:
+            return
+        self._resign()
+        self._leader_id = ''
+        await self._state.save_term(term, '')
+
+    async def _follow(self, term: int, leader: str) -> None:
+        with self._fail_stop():
+            await self._enter_term(term)
+        if self._leadership is not None:
+            raise InvariantError(f'two leaders in term {term}')
+        if self._leader_id not in {'', leader}:
+            raise InvariantError(f'two leaders in term {term}')
+        self._role = Role.follower
+        self._leader_id = leader
+        self._last_contact = anyio.current_time()
+
+    def _resign(self) -> None:
+        self._role = Role.follower
+        if self._leadership is not None:
+            self._leadership.step_down()
+            self._leadership = None
+
+    async def _append_locked(self, request: AppendRequest) -> AppendReply:
+        known_term = self._state.term_at(request.previous_index)
+        covered = request.previous_index < self._state.snapshot_index
+        if not covered and known_term != request.previous_term:
+            hint = min(self._state.last_index, request.previous_index - 1)
+            hint = max(hint, self._state.commit_index)
+            return AppendReply(self._state.term, False, hint)
+        await self._take_entries(request.entries)
+        last = request.previous_index + len(request.entries)
+        last = min(max(last, self._state.commit_index), self._state.last_index)
+        commit = min(request.commit_index, last)
+        if commit > self._state.commit_index:
+            self._state.commit(commit)
+        return AppendReply(self._state.term, True, last)
+
+    async def _take_entries(self, entries: list[LogEntry]) -> None:
+        for place, entry in enumerate(entries):
+            if entry.index <= self._state.commit_index:
+                continue
+            known_term = self._state.term_at(entry.index)
+            if known_term == entry.term:
+                continue
+            if known_term is not None:
+                await self._state.truncate(entry.index)
+            self._state.write(entries[place:])
+            await self._state.storage.sync()
+            return
+
+    async def _install_locked(self, request: SnapshotRequest) -> None:
+        state = bytes(self._incoming)
+        self._incoming.clear()
+        if request.last_index <= self._state.commit_index:
+            return
+        members = Members(tuple(request.voters), tuple(request.learners))
+        await self._state.install(
+            Snapshot(request.last_index, request.last_term, members, state)
+        )
+
+    async def _elect(self) -> None:
+        while True:
+            patience = self._options.election_seconds
+            patience *= 1 + self._chance.random()
+            silence = anyio.current_time() - self._last_contact
+            if self._leadership is not None or silence < patience:
+                await anyio.sleep(max(patience - silence, patience / 4))
+            elif self.replica_id in self._state.members.voters:
+                await self._campaign(transfer=False)
+                await anyio.sleep(patience / 4)
+            else:
+                await anyio.sleep(patience)
+
+    async def _campaign(self, transfer: bool) -> None:
+        if self._leadership is not None:
+            return
+        if not transfer and not await self._ask_for_votes(
+            self._state.term + 1, pre_vote=True, transfer=False
+        ):
+            return
+        async with self._state.lock:
+            if self._leadership is not None:
+                return
+            with self._fail_stop():
+                term = self._state.term + 1
+                await self._state.save_term(term, self.replica_id)
+            self._role = Role.candidate
+            self._leader_id = ''
+        won = await self._ask_for_votes(term, pre_vote=False, transfer=transfer)
+        if won and self._state.term == term and self._role is Role.candidate:
+            self._lead()
+
+    async def _ask_for_votes(
+        self, term: int, *, pre_vote: bool, transfer: bool
+    ) -> bool:
+        request = VoteRequest(
+            self.group,
+            '',
+            term,
+            self.replica_id,
+            self._state.last_index,
+            self._state.last_term,
+            pre_vote,
+            transfer,
+        )
+        members = self._state.members
+        granted = {self.replica_id}
+        with anyio.move_on_after(self._options.election_seconds):
+            async with anyio.create_task_group() as tasks:
+                for voter in members.voters:
+                    if voter != self.replica_id:
+                        tasks.start_soon(
+                            self._ask_for_vote,
+                            voter,
+                            request,
+                            granted,
+                            tasks,
+                        )
+                if members.has_quorum(granted):
+                    tasks.cancel_scope.cancel()
+        return members.has_quorum(granted)
+
+    async def _ask_for_vote(
+        self,
+        voter: str,
+        request: VoteRequest,
+        granted: set[str],
+        tasks: TaskGroup,
+    ) -> None:
+        asked = VoteRequest(
+            request.group,
+            voter,
+            request.term,
+            request.candidate,
+            request.last_index,
+            request.last_term,
+            request.pre_vote,
+            request.transfer,
+        )
+        try:
+            reply = await self._call(voter, 'vote', asked)
+        except MulberryhitchError:
+            return
+        if not isinstance(reply, VoteReply):
+            return
+        if reply.granted:
+            granted.add(voter)
+        if self._state.members.has_quorum(granted):
+            tasks.cancel_scope.cancel()
+        if reply.term > self._state.term and not reply.granted:
+            async with self._state.lock:
+                with self._fail_stop():
+                    await self._enter_term(reply.term)
+
+    def _lead(self) -> None:
+        if self._tasks is None:
+            return
+        self._role = Role.leader
+        self._leader_id = self.replica_id
+        leadership = Leadership(self._state, self._transport, self._options)
+        self._leadership = leadership
+        self._log.event('replica.leads', group=self.group, term=self.term)
+        self._tasks.start_soon(self._serve_term, leadership)
+
+    async def _serve_term(self, leadership: Leadership) -> None:
+        keeper = MembersKeeper(
+            self._state,
+            leadership,
+            self._options,
+            self._applicants,
+            self._target_voters,
+        )
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(keeper.run)
+                with self._fail_stop():
+                    await leadership.run()
+                tasks.cancel_scope.cancel()
+        finally:
+            self._last_contact = anyio.current_time()
+            self._ended_leading(leadership)
+
+    def _ended_leading(self, leadership: Leadership) -> None:
+        if self._leadership is leadership:
+            self._leadership = None
+            self._leader_id = ''
+            self._role = Role.follower
+        self._log.event(
+            'replica.leads_no_more', group=self.group, term=leadership.term
+        )
+
+    async def _compact(self) -> None:
+        while True:
+            await anyio.sleep(self._options.election_seconds)
+            applied = self._state.commit_index - self._state.snapshot_index
+            if applied < self._options.compact_entries:
+                continue
+            async with self._state.lock:
+                with self._fail_stop():
+                    await self._state.compact()
+
+    async def _call(self, replica_id: str, method: str, request: Any) -> Any:
+        return await self._transport.call(
+            vm_of(replica_id),
+            method,
+            request,
+            self._options.election_seconds,
+        )
+
+
+class _FailStop:
+    """Stops the replica when a sync fails inside the block."""
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+
+    def __enter__(self) -> None:
+        """Begins the block."""
+
+    def __exit__(self, kind: object, error: object, trace: object) -> None:
+        if isinstance(error, StorageError):
+            self._replica._fail(error)  # noqa: SLF001, WPS437
--- /dev/null
+++ b/mulberryhitch/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests to backend servers: queues, slots, retries, the ledger."""
--- /dev/null
+++ b/mulberryhitch/requests/slots.py
@@ -0,0 +1,93 @@
+"""The slots of one backend server, as its owner counts them."""
+
+from dataclasses import dataclass
+
+import anyio
+
+from mulberryhitch.backend_servers.ownership import authority_ends_at
+from mulberryhitch.errors import InvariantError, LostAuthorityError
+from mulberryhitch.rpc.messages import Announcement
+
+_ANNOUNCEMENTS_TO_BELIEVE = 2
+
+
+@dataclass(slots=True)
+class ServerSlots:
+    """One owned backend server.
+
+    Attributes:
+        in_flight: Requests that this process has sent and not seen end.
+        foreign: At most so many others still run there: a former owner's,
+            and those that this process gave up.
+        ends_at: When the ownership ends, on the local clock.
+    """
+
+    backend_server_id: str
+    service: str
+    address: str
+    slots: int
+    connections: int
+    in_flight: int = 0
+    foreign: int = 0
+    ends_at: float = 0
+    ready: bool = False
+    sequence: int = 0
+    incarnation: int = 0
+    lower_foreign_from: int = 0
+
+    @property
+    def free(self) -> int:
+        """How many more requests may be sent now."""
+        if not self.ready or anyio.current_time() >= self.ends_at:
+            return 0
+        return max(self.slots - self.in_flight - self.foreign, 0)
+
+    def heard(self, announcement: Announcement) -> None:
+        """Takes an announcement that names this process as the owner."""
+        if announcement.incarnation != self.incarnation:
+            self.incarnation = announcement.incarnation
+            self.sequence = 0
+            self.lower_foreign_from = 0
+            self.foreign = announcement.busy
+        self.address = announcement.address
+        self.sequence = announcement.sequence
+        self.ends_at = max(
+            self.ends_at, authority_ends_at(announcement.owner_anchor)
+        )
+        if announcement.sequence >= self.lower_foreign_from:
+            self.foreign = min(self.foreign, announcement.busy)
+
+    def take(self) -> None:
+        """Uses a slot.
+
+        Raises:
+            LostAuthorityError: The ownership has ended.
+            InvariantError: No slot is free.
+        """
+        if anyio.current_time() >= self.ends_at:
+            raise LostAuthorityError(
+                'the ownership has ended', where=self.backend_server_id
+            )
+        if self.in_flight + self.foreign >= self.slots:
+            raise InvariantError(
+                'more requests than slots', where=self.backend_server_id
+            )
+        self.in_flight += 1
+
+    def give(self) -> None:
+        """Frees a slot whose request has ended.
+
+        Raises:
+            InvariantError: None was taken.
+        """
+        if self.in_flight <= 0:
+            raise InvariantError(
+                'a slot freed twice', where=self.backend_server_id
+            )
+        self.in_flight -= 1
+
+    def abandon(self) -> None:
+        """Frees a slot whose request may still be running there."""
+        self.give()
+        self.foreign += 1
+        self.lower_foreign_from = self.sequence + _ANNOUNCEMENTS_TO_BELIEVE
--- /dev/null
+++ b/mulberryhitch/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Calls between our own processes: Thrift over TCP."""
--- /dev/null
+++ b/mulberryhitch/rpc/codec.py
@@ -0,0 +1,247 @@
+"""Encodes calls and answers as Thrift's binary protocol does.
+
+The IDL is read at run time. Data classes are copied to and from Thrift's
+structs field by field, along a plan that is made once for each class.
+"""
+
+import dataclasses
+import functools
+import typing
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import thriftpy2
+from thriftpy2.protocol import cybin
+from thriftpy2.thrift import TMessageType
+from thriftpy2.transport import memory
+
+from mulberryhitch.errors import Problem, ProtocolError
+from mulberryhitch.rpc import messages
+
+_binary_protocol: Any = cybin.TCyBinaryProtocol  # type: ignore
+_memory_buffer: Any = memory.TCyMemoryBuffer  # type: ignore
+
+RecordType = typing.TypeVar('RecordType')
+
+_IDL_PATH = Path(__file__).with_name('mulberryhitch.thrift')
+_idl: Any = thriftpy2.load(str(_IDL_PATH), module_name='mulberryhitch_thrift')
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A request with its method and sequence id."""
+
+    method: str
+    sequence_id: int
+    header: messages.CallHeader
+    request: messages.Request
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The answer to the call of the same sequence id: one of the two."""
+
+    method: str
+    sequence_id: int
+    reply: messages.Reply | None
+    problem: Problem | None
+
+
+@dataclass(frozen=True, slots=True)
+class _FieldPlan:
+    name: str
+    struct: type | None
+    is_list: bool
+    is_bytes: bool
+    is_real: bool
+
+
+@functools.cache
+def _plan(data_class: Any) -> tuple[_FieldPlan, ...]:
+    hints = typing.get_type_hints(data_class)
+    plans = []
+    for each in dataclasses.fields(data_class):
+        hint = hints[each.name]
+        is_list = typing.get_origin(hint) is list
+        inner = typing.get_args(hint)[0] if is_list else hint
+        struct = inner if dataclasses.is_dataclass(inner) else None
+        plans.append(
+            _FieldPlan(
+                each.name,
+                typing.cast('type | None', struct),
+                is_list,
+                is_bytes=inner is bytes,
+                is_real=inner is float,
+            ),
+        )
+    return tuple(plans)
+
+
+def _to_struct(source: Any) -> Any:
+    struct = getattr(_idl, type(source).__name__)()
+    for plan in _plan(source.__class__):
+        value = getattr(source, plan.name)
+        if plan.struct is not None:
+            if plan.is_list:
+                value = [_to_struct(each) for each in value]
+            else:
+                value = _to_struct(value)
+        setattr(struct, plan.name, value)
+    return struct
+
+
+def _from_struct(data_class: type, struct: Any) -> Any:
+    values = []
+    for plan in _plan(data_class):
+        value = getattr(struct, plan.name, None)
+        if value is None:
+            raise ProtocolError(
+                'a field is missing',
+                where=f'{data_class.__name__}.{plan.name}',
+            )
+        values.append(_from_field(plan, value))
+    return data_class(*values)
+
+
+def _from_field(plan: _FieldPlan, value: Any) -> Any:
+    if plan.struct is None:
+        if plan.is_bytes and isinstance(value, str):
+            return value.encode()
+        return value
+    if plan.is_list:
+        return [_from_struct(plan.struct, each) for each in value]
+    return _from_struct(plan.struct, value)
+
+
+@functools.cache
+def _classes(method: str) -> tuple[Any, Any, type, type]:
+    if method not in _idl.Node.thrift_services:
+        raise ProtocolError('no such method', where=method)
+    args_type = getattr(_idl.Node, f'{method}_args')
+    result_type = getattr(_idl.Node, f'{method}_result')
+    request_name = args_type.thrift_spec[2][2].__name__
+    reply_name = result_type.thrift_spec[0][2].__name__
+    return (
+        args_type,
+        result_type,
+        getattr(messages, request_name),
+        getattr(messages, reply_name),
+    )
+
+
+def methods() -> tuple[str, ...]:
+    """The names of all calls."""
+    return tuple(_idl.Node.thrift_services)
+
+
+def encode_call(call: Call) -> bytes:
+    """Encodes a call, without its frame."""
+    args = _classes(call.method)[0]()
+    args.header = _to_struct(call.header)
+    args.request = _to_struct(call.request)
+    return _encode(call.method, TMessageType.CALL, call.sequence_id, args)
+
+
+def encode_answer(answer: Answer) -> bytes:
+    """Encodes an answer, without its frame."""
+    result = _classes(answer.method)[1]()
+    if answer.problem is None:
+        result.success = _to_struct(answer.reply)
+    else:
+        result.failed = _idl.Failed(problem=_to_struct(answer.problem))
+    return _encode(
+        answer.method, TMessageType.REPLY, answer.sequence_id, result
+    )
+
+
+def _encode(method: str, kind: int, sequence_id: int, struct: Any) -> bytes:
+    buffer = _memory_buffer()
+    protocol = _binary_protocol(buffer)
+    protocol.write_message_begin(method, kind, sequence_id)
+    protocol.write_struct(struct)
+    protocol.write_message_end()
+    return typing.cast('bytes', buffer.getvalue())
+
+
+def encode_record(record: object) -> bytes:
+    """Encodes one data class by itself, as files hold it."""
+    buffer = _memory_buffer()
+    _binary_protocol(buffer).write_struct(_to_struct(record))
+    return typing.cast('bytes', buffer.getvalue())
+
+
+def decode_record(record_type: type[RecordType], content: bytes) -> RecordType:
+    """Decodes one data class.
+
+    Raises:
+        ProtocolError: The bytes are no such record.
+    """
+    struct = getattr(_idl, record_type.__name__)()
+    try:
+        _binary_protocol(_memory_buffer(content)).read_struct(struct)
+    except Exception as error:
+        raise ProtocolError(f'unreadable record: {error!r}') from error
+    return typing.cast('RecordType', _from_struct(record_type, struct))
+
+
+def decode_call(frame: bytes) -> Call:
+    """Decodes a call.
+
+    Raises:
+        ProtocolError: The frame is no call that this version knows.
+    """
+    return _decode(frame, _read_call)
+
+
+def decode_answer(frame: bytes) -> Answer:
+    """Decodes an answer.
+
+    Raises:
+        ProtocolError: The frame is no answer that this version knows.
+    """
+    return _decode(frame, _read_answer)
+
+
+_Decoded = typing.TypeVar('_Decoded', Call, Answer)
+
+
+def _decode(
+    frame: bytes, read: Callable[[str, int, Any], _Decoded]
+) -> _Decoded:
+    protocol = _binary_protocol(_memory_buffer(frame))
+    try:
+        method, _, sequence_id = protocol.read_message_begin()
+        return read(method, sequence_id, protocol)
+    except ProtocolError:
+        raise
+    except Exception as error:
+        raise ProtocolError(f'unreadable frame: {error!r}') from error
+
+
+def _read_call(method: str, sequence_id: int, protocol: Any) -> Call:
+    args_type, _, request_type, _ = _classes(method)
+    args = args_type()
+    protocol.read_struct(args)
+    if args.header is None or args.request is None:
+        raise ProtocolError('a call without its parts', where=method)
+    return Call(
+        method,
+        sequence_id,
+        _from_struct(messages.CallHeader, args.header),
+        _from_struct(request_type, args.request),
+    )
+
+
+def _read_answer(method: str, sequence_id: int, protocol: Any) -> Answer:
+    _, result_type, _, reply_type = _classes(method)
+    result = result_type()
+    protocol.read_struct(result)
+    if result.failed is not None:
+        problem = _from_struct(Problem, result.failed.problem)
+        return Answer(method, sequence_id, None, problem)
+    if result.success is None:
+        raise ProtocolError('an answer without its parts', where=method)
+    reply = _from_struct(reply_type, result.success)
+    return Answer(method, sequence_id, reply, None)
--- /dev/null
+++ b/mulberryhitch/rpc/records.py
@@ -0,0 +1,69 @@
+"""Data classes as JSON: log entries, operations and their replies.
+
+Each is checked when it is read, by its own type's hints.
+"""
+
+import functools
+from collections.abc import Callable
+from typing import Any, TypeVar, cast
+
+from pydantic import TypeAdapter, ValidationError
+
+from mulberryhitch.errors import ProtocolError
+
+RecordType = TypeVar('RecordType')
+_DataClass = TypeVar('_DataClass', bound=type)
+
+_kinds: dict[str, type] = {}
+_names: dict[type, str] = {}
+
+
+def record(kind: str) -> Callable[[_DataClass], _DataClass]:
+    """Registers a data class under the kind that names it."""
+
+    def register(data_class: _DataClass) -> _DataClass:
+        _kinds[kind] = data_class
+        _names[data_class] = kind
+        return data_class
+
+    return register
+
+
+def kind_of(instance: object) -> str:
+    """The kind of a registered data class's instance."""
+    return _names[instance.__class__]
+
+
+@functools.cache
+def _adapter(data_class: Any) -> TypeAdapter[Any]:
+    return TypeAdapter(data_class)
+
+
+def encode(instance: Any) -> bytes:
+    """An instance as JSON."""
+    return _adapter(instance.__class__).dump_json(instance)
+
+
+def decode(kind: str, body: bytes) -> Any:
+    """Reads an instance of the named kind.
+
+    Raises:
+        ProtocolError: No such kind, or the body does not fit it.
+    """
+    data_class = _kinds.get(kind)
+    if data_class is None:
+        raise ProtocolError('no such kind', where=kind)
+    return decode_as(data_class, body)
+
+
+def decode_as(data_class: type[RecordType], body: bytes) -> RecordType:
+    """Reads an instance of a class.
+
+    Raises:
+        ProtocolError: The body does not fit it.
+    """
+    try:
+        instance = _adapter(cast('Any', data_class)).validate_json(body)
+    except ValidationError as error:
+        raise ProtocolError(str(error), where=data_class.__name__) from error
+    return cast('RecordType', instance)
--- /dev/null
+++ b/mulberryhitch/rpc/server.py
@@ -0,0 +1,144 @@
+"""The answering side: one task for each connection and each call."""
+
+import ssl
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeAlias
+
+import anyio
+from anyio.abc import ByteStream, TaskGroup
+from anyio.streams.tls import TLSStream
+
+from mulberryhitch.constants import RPC_MAXIMUM_PENDING_CALLS
+from mulberryhitch.errors import (
+    MulberryhitchError,
+    NotFoundError,
+    OutcomeUnknownError,
+    OverloadedError,
+    Problem,
+)
+from mulberryhitch.observability.log import Log
+from mulberryhitch.rpc.client import TlsContext
+from mulberryhitch.rpc.codec import Answer, Call, decode_call, encode_answer
+from mulberryhitch.rpc.frames import FrameStream
+
+Handler: TypeAlias = Callable[[Any], Awaitable[Any]]
+
+_CONNECTION_ERRORS = (
+    OSError,
+    ssl.SSLError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    anyio.IncompleteRead,
+)
+
+
+class RpcServer:
+    """Answers the calls of other members.
+
+    Args:
+        log: Where failures are written.
+        tls_context: Gives the current TLS context, or nothing.
+    """
+
+    def __init__(
+        self, log: Log, tls_context: TlsContext = lambda: None
+    ) -> None:
+        """Starts with no handlers."""
+        self._log = log
+        self._tls_context = tls_context
+        self._handlers: dict[str, Handler] = {}
+        self._calls = 0
+
+    def register(self, method: str, handler: Handler) -> None:
+        """Names the handler of a method."""
+        self._handlers[method] = handler
+
+    async def serve(self, host: str, port: int) -> None:
+        """Listens until cancelled."""
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=port, reuse_port=False
+        )
+        async with listener:
+            await listener.serve(self._connection)
+
+    async def _connection(self, stream: ByteStream) -> None:
+        try:
+            async with stream:
+                await self._serve_stream(await self._secured(stream))
+        except _CONNECTION_ERRORS:
+            return
+        except MulberryhitchError as error:
+            self._log.problem('rpc.connection', error.problem)
+
+    async def _secured(self, stream: ByteStream) -> ByteStream:
+        context = self._tls_context()
+        if context is None:
+            return stream
+        return await TLSStream.wrap(
+            stream,
+            server_side=True,
+            ssl_context=context,
+            standard_compatible=False,
+        )
+
+    async def _serve_stream(self, stream: ByteStream) -> None:
+        frames = FrameStream(stream)
+        sending = anyio.Lock()
+        async with anyio.create_task_group() as tasks:
+            try:
+                await self._read_calls(frames, sending, tasks)
+            finally:
+                tasks.cancel_scope.cancel()
+
+    async def _read_calls(
+        self, frames: FrameStream, sending: anyio.Lock, tasks: TaskGroup
+    ) -> None:
+        while True:
+            try:
+                call = decode_call(await frames.receive())
+            except _CONNECTION_ERRORS:
+                return
+            tasks.start_soon(self._answer, frames, sending, call)
+
+    async def _answer(
+        self, frames: FrameStream, sending: anyio.Lock, call: Call
+    ) -> None:
+        answer = await self._carry_out(call)
+        try:
+            async with sending:
+                await frames.send(encode_answer(answer))
+        except _CONNECTION_ERRORS:
+            return
+
+    async def _carry_out(self, call: Call) -> Answer:
+        try:
+            reply = await self._dispatch(call)
+        except MulberryhitchError as error:
+            return self._failed(call, error.problem)
+        except Exception as defect:  # noqa: BLE001
+            self._log.defect('rpc.call', defect)
+            return self._failed(
+                call, Problem('outcome_unknown', repr(defect), call.method)
+            )
+        return Answer(call.method, call.sequence_id, reply, None)
+
+    async def _dispatch(self, call: Call) -> Any:
+        handler = self._handlers.get(call.method)
+        if handler is None:
+            raise NotFoundError('not served here', where=call.method)
+        if self._calls >= RPC_MAXIMUM_PENDING_CALLS:
+            raise OverloadedError('too many calls')
+        self._calls += 1
+        try:
+            with anyio.fail_after(call.header.timeout_seconds):
+                return await handler(call.request)
+        except TimeoutError as error:
+            raise OutcomeUnknownError(
+                'the deadline passed during the call', where=call.method
+            ) from error
+        finally:
+            self._calls -= 1
+
+    def _failed(self, call: Call, problem: Problem) -> Answer:
+        return Answer(call.method, call.sequence_id, None, problem)
--- /dev/null
+++ b/mulberryhitch/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""A data centre's scheduler: its replicated state, and its leader's work."""
--- /dev/null
+++ b/mulberryhitch/scheduler/service.py
@@ -0,0 +1,271 @@
+"""A data centre's log on one VM: its replica, and its leader's term."""
+
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+
+from mulberryhitch.errors import (
+    ImpossibleError,
+    NotFoundError,
+    NotLeaderError,
+    OverQuotaError,
+)
+from mulberryhitch.observability.histograms import Histograms
+from mulberryhitch.observability.log import Log
+from mulberryhitch.observability.metrics import Metrics
+from mulberryhitch.placement.orders import Totals
+from mulberryhitch.placement.placement import Placement, PlacementOptions
+from mulberryhitch.replication.replica import Replica
+from mulberryhitch.rpc.messages import Capacity
+from mulberryhitch.scheduler import commands
+from mulberryhitch.scheduler import operations as ops
+from mulberryhitch.rpc.records import encode, kind_of
+from mulberryhitch.scheduler.state import DataCentreState
+from mulberryhitch.scheduler.term import LeaderTerm
+from mulberryhitch.workers.gateway import WorkerGateway
+from mulberryhitch.workloads.model import Workload
+
+_WATCH_SECONDS = 0.05
+_POLL_SECONDS = 0.05
+_LONGEST_WAIT_SECONDS = 60.0
+_RETRY_AFTER_SECONDS = 5.0
+_BYTES_PER_MEBIBYTE = 1024 * 1024
+
+
+class DataCentreService:
+    """Carries out operations on a data centre's workloads.
+
+    Args:
+        replica: This VM's replica of the data centre's log.
+        state: The state that the replica drives.
+        gateway: Reaches the workers.
+        totals: The tenants' and classes' shares, kept up to date outside.
+        queue_limit: Gives the most open tasks of a tenant.
+        log: Where events are written.
+        metrics: Where counts and times go.
+        histograms: Where waits are kept.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        state: DataCentreState,
+        gateway: WorkerGateway,
+        totals: Totals,
+        queue_limit: Callable[[str], int],
+        log: Log,
+        metrics: Metrics,
+        histograms: Histograms,
+    ) -> None:
+        """Leads nothing yet."""
+        self.replica = replica
+        self.state = state
+        self._gateway = gateway
+        self._totals = totals
+        self._queue_limit = queue_limit
+        self._log = log
+        self._metrics = metrics
+        self._histograms = histograms
+        self._term: LeaderTerm | None = None
+        self._open_tasks: dict[str, int] = {}
+
+    @property
+    def term(self) -> LeaderTerm | None:
+        """The term in which this VM leads, if it does."""
+        return self._term
+
+    async def run(self) -> None:
+        """Takes part, and leads whenever elected, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._lead_forever)
+            await self.replica.run()
+
+    async def execute(self, request: Any) -> Any:
+        """Carries out one operation.
+
+        Raises:
+            NotLeaderError: This VM does not lead; nothing was done.
+        """
+        handler = _OPERATIONS.get(request.__class__)
+        if handler is None:
+            raise NotFoundError('no such operation', where=repr(request))
+        if self._term is None or not self.replica.has_authority:
+            raise NotLeaderError('does not lead', where=self.replica.leader_id)
+        return await handler(self, request)
+
+    def capacity(self) -> Capacity | None:
+        """What is free, if this VM leads."""
+        if self._term is None:
+            return None
+        free = self._term.placement.pool.free
+        return Capacity(
+            float(free.millicores),
+            float(free.memory_mebibytes),
+            float(free.accelerators),
+            self._term.placement.queued,
+        )
+
+    async def _lead_forever(self) -> None:
+        while True:
+            await anyio.sleep(_WATCH_SECONDS)
+            if self.replica.has_authority:
+                await self._lead()
+
+    async def _lead(self) -> None:
+        term = LeaderTerm(
+            self.replica,
+            self.state,
+            Placement(PlacementOptions(), self._totals),
+            self._gateway,
+            self._log,
+            self._metrics,
+            self._histograms,
+        )
+        self._term = term
+        try:
+            await term.run()
+        finally:
+            self._term = None
+
+    async def _propose(self, command: Any) -> Any:
+        return await self.replica.propose(kind_of(command), encode(command))
+
+    async def _submit(self, request: ops.Submit) -> ops.Submitted:
+        term = self._leading_term()
+        spec = request.spec
+        pool = term.placement.pool
+        if any(pool) and not pool.could_carry(spec.size):
+            raise ImpossibleError(
+                'no worker is large enough for one task', where='size'
+            )
+        held = term.placement.queued_of(spec.tenant)
+        limit = self._queue_limit(spec.tenant)
+        if held + spec.task_count > limit:
+            raise OverQuotaError(
+                f'{held} of {limit} tasks wait already',
+                where=spec.tenant,
+                retry_after_seconds=_RETRY_AFTER_SECONDS,
+            )
+        workload_id = await self._propose(commands.WorkloadAccepted(spec))
+        return ops.Submitted(workload_id)
+
+    async def _describe(self, request: ops.Describe) -> ops.WorkloadView:
+        await self.replica.read_barrier()
+        wait = min(request.wait_seconds, _LONGEST_WAIT_SECONDS)
+        workload = self.state.workload(request.workload_id)
+        with anyio.move_on_after(wait):
+            while wait > 0 and not workload.ended:
+                await anyio.sleep(_POLL_SECONDS)
+                self.replica.require_authority()
+                workload = self.state.workload(request.workload_id)
+        return self._view(workload)
+
+    def _view(self, workload: Workload) -> ops.WorkloadView:
+        term = self._leading_term()
+        return ops.WorkloadView(
+            workload.spec,
+            tuple(workload.tasks),
+            workload.cancelled,
+            workload.ended,
+            term.waiting_reason(workload),
+        )
+
+    async def _cancel(self, request: ops.Cancel) -> ops.Done:
+        await self.replica.read_barrier()
+        if not self.state.workload(request.workload_id).ended:
+            await self._propose(
+                commands.WorkloadCancelled(request.workload_id, time.time())
+            )
+        return ops.Done()
+
+    async def _list(self, request: ops.ListWorkloads) -> ops.WorkloadPage:
+        await self.replica.read_barrier()
+        found = sorted(
+            (
+                one
+                for one in self.state.of_tenant(request.tenant)
+                if one.spec.workload_id > request.after
+            ),
+            key=lambda one: one.spec.workload_id,
+        )
+        page = tuple(_summary(one) for one in found[: request.limit])
+        return ops.WorkloadPage(page, len(found) > request.limit)
+
+    async def _announce(self, request: ops.AnnounceWorker) -> ops.Done:
+        term = self._leading_term()
+        worker = request.worker
+        known = self.state.leases.workers.get(worker.worker_id)
+        if known is None or known.incarnation < worker.incarnation:
+            await self._propose(commands.WorkerRegistered(worker))
+        elif known != worker and known.incarnation == worker.incarnation:
+            await self._propose(commands.WorkerRegistered(worker))
+        term.note_leaving(worker.worker_id, request.leaving)
+        return ops.Done()
+
+    async def _begin(self, request: ops.BeginRequest) -> Any:
+        return await self._propose(commands.RequestBegun(request.entry))
+
+    async def _finish(self, request: ops.FinishRequest) -> ops.Done:
+        await self._propose(
+            commands.RequestFinished(
+                request.tenant,
+                request.key,
+                request.request_id,
+                request.answer,
+            ),
+        )
+        return ops.Done()
+
+    async def _release(self, request: ops.ReleaseRequest) -> ops.Done:
+        await self._propose(
+            commands.RequestReleased(
+                request.tenant, request.key, request.request_id
+            ),
+        )
+        return ops.Done()
+
+    async def _give_up(self, request: ops.GiveUpRequest) -> ops.Done:
+        await self._propose(
+            commands.RequestGivenUp(
+                request.tenant, request.key, request.request_id
+            ),
+        )
+        return ops.Done()
+
+    async def _replace_voter(self, request: ops.ReplaceVoter) -> ops.Done:
+        await self.replica.replace_voter(request.replica_id)
+        return ops.Done()
+
+    def _leading_term(self) -> LeaderTerm:
+        if self._term is None:
+            raise NotLeaderError('does not lead', where=self.replica.leader_id)
+        return self._term
+
+
+def _summary(workload: Workload) -> ops.WorkloadSummary:
+    spec = workload.spec
+    return ops.WorkloadSummary(
+        spec.workload_id,
+        spec.kind.value,
+        spec.urgency.value,
+        spec.task_count,
+        workload.open_tasks,
+        workload.cancelled,
+    )
+
+
+_Operation = Callable[[DataCentreService, Any], Awaitable[Any]]
+_OPERATIONS: dict[type, _Operation] = {
+    ops.Submit: DataCentreService._submit,  # noqa: WPS437
+    ops.Describe: DataCentreService._describe,  # noqa: WPS437
+    ops.Cancel: DataCentreService._cancel,  # noqa: WPS437
+    ops.ListWorkloads: DataCentreService._list,  # noqa: WPS437
+    ops.AnnounceWorker: DataCentreService._announce,  # noqa: WPS437
+    ops.BeginRequest: DataCentreService._begin,  # noqa: WPS437
+    ops.FinishRequest: DataCentreService._finish,  # noqa: WPS437
+    ops.ReleaseRequest: DataCentreService._release,  # noqa: WPS437
+    ops.GiveUpRequest: DataCentreService._give_up,  # noqa: WPS437
+    ops.ReplaceVoter: DataCentreService._replace_voter,  # noqa: WPS437
+}
--- /dev/null
+++ b/mulberryhitch/scheduler/sessions.py
@@ -0,0 +1,339 @@
+"""One task for each worker: renews its leases, starts and stops its tasks.
+
+Leases are anchored to the worker's own clock, as it stood in the last answer
+that was heard. So a message that arrives late extends nothing: every lease
+ends no later than one lease time after that answer was heard here.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import anyio
+
+from mulberryhitch.constants import (
+    CLOCK_DRIFT_SECONDS,
+    TASK_LEASE_RENEWAL_SECONDS,
+    TASK_LEASE_SECONDS,
+)
+from mulberryhitch.errors import LostAuthorityError, MulberryhitchError
+from mulberryhitch.scheduler.commands import AttemptEnd
+from mulberryhitch.scheduler.state import DataCentreState
+from mulberryhitch.workers.gateway import WorkerGateway
+from mulberryhitch.workers.leases import Lease, TaskKey, Worker
+from mulberryhitch.workers.protocol import (
+    AttemptName,
+    AttemptReport,
+    AttemptState,
+    LeaseMessage,
+    LeaseReply,
+    SizeModel,
+    StopMode,
+    TaskStart,
+    TaskStop,
+    TaskThrottle,
+)
+from mulberryhitch.workloads.model import Size, TaskState, WorkloadSpec
+
+_SOON_SECONDS = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class SessionEvents:
+    """Whom a session tells.
+
+    Attributes:
+        ended: Commits ended attempts.
+        reachable: Hears whether the worker answers.
+        used: Hears of what a running attempt uses.
+        require_authority: Refuses to act without the leader's lease.
+    """
+
+    ended: Callable[[list[AttemptEnd]], Awaitable[None]]
+    reachable: Callable[[str, bool], None]
+    used: Callable[[str, AttemptReport, Lease], None]
+    require_authority: Callable[[], None]
+
+
+def lost_attempt(spec: WorkloadSpec, lease: Lease, reason: str) -> AttemptEnd:
+    """How an attempt ends of which nobody knows how far it came."""
+    state = TaskState.queued if spec.preemptible else TaskState.unknown
+    return AttemptEnd(lease.task, lease.attempt, state, reason)
+
+
+class WorkerSession:
+    """What a leader in one term does with one worker.
+
+    Args:
+        worker: The worker as it announced itself.
+        term: The leader's term.
+        leader: The leader's replica id.
+        state: The data centre's state.
+        gateway: Reaches the worker.
+        events: Whom the session tells.
+    """
+
+    def __init__(
+        self,
+        worker: Worker,
+        term: int,
+        leader: str,
+        state: DataCentreState,
+        gateway: WorkerGateway,
+        events: SessionEvents,
+    ) -> None:
+        """Knows nothing of the worker's tasks yet."""
+        self.worker = worker
+        self._term = term
+        self._leader = leader
+        self._state = state
+        self._gateway = gateway
+        self._events = events
+        self._sequence = 0
+        self._anchor: float | None = None
+        self._anchor_heard_at = float()
+        self._leases_end_at = (
+            anyio.current_time() + TASK_LEASE_SECONDS + CLOCK_DRIFT_SECONDS
+        )
+        self._held: dict[AttemptName, AttemptReport] = {}
+        self._stops: dict[TaskKey, StopMode] = {}
+        self._throttles: set[TaskKey] = set()
+        self._acknowledged: list[AttemptName] = []
+        self._woken = anyio.Event()
+
+    @property
+    def confirmed(self) -> bool:
+        """Whether the worker's own list was heard."""
+        return self._anchor is not None
+
+    def wake(self) -> None:
+        """Sends the next message soon."""
+        self._woken.set()
+
+    def stop_task(self, task: TaskKey, mode: StopMode) -> None:
+        """Asks the worker to stop a task."""
+        self._stops[task] = mode
+        self.wake()
+
+    def throttle_task(self, task: TaskKey) -> None:
+        """Asks the worker to keep a task to its size."""
+        self._throttles.add(task)
+
+    async def run(self) -> None:
+        """Exchanges messages until cancelled.
+
+        Raises:
+            LostAuthorityError: The leader's lease has run out.
+        """
+        while True:
+            self._events.require_authority()
+            self._woken = anyio.Event()
+            try:
+                await self._exchange()
+            except LostAuthorityError:
+                raise
+            except MulberryhitchError:
+                self._events.reachable(self.worker.worker_id, False)
+                await self._expire()
+                await anyio.sleep(TASK_LEASE_RENEWAL_SECONDS)
+                continue
+            with anyio.move_on_after(self._pause_seconds()):
+                await self._woken.wait()
+                await anyio.sleep(_SOON_SECONDS)
+
+    def _pause_seconds(self) -> float:
+        if self._acknowledged or len(self._held) < len(self._leases()):
+            return _SOON_SECONDS
+        return TASK_LEASE_RENEWAL_SECONDS
+
+    def _leases(self) -> tuple[Lease, ...]:
+        return self._state.leases.of_worker(self.worker.worker_id)
+
+    async def _exchange(self) -> None:
+        message = self._compose()
+        if self._anchor is not None:
+            self._leases_end_at = max(
+                self._leases_end_at,
+                self._anchor_heard_at
+                + TASK_LEASE_SECONDS
+                + CLOCK_DRIFT_SECONDS,
+            )
+        reply = await self._gateway.exchange(
+            self.worker.address, message, TASK_LEASE_RENEWAL_SECONDS
+        )
+        if reply.term > self._term:
+            raise LostAuthorityError(
+                f'the worker follows term {reply.term}', where=str(self._term)
+            )
+        heard_at = anyio.current_time()
+        if not reply.accepted:
+            return
+        await self._take(message, reply)
+        self._anchor = reply.clock
+        self._anchor_heard_at = heard_at
+        self._events.reachable(self.worker.worker_id, True)
+
+    def _compose(self) -> LeaseMessage:
+        self._sequence += 1
+        leases = {_name(lease): lease for lease in self._leases()}
+        renew: list[AttemptName] = []
+        start: list[TaskStart] = []
+        if self._anchor is not None:
+            renew = [name for name in leases if name in self._held]
+            start = [
+                self._start(lease)
+                for name, lease in leases.items()
+                if name not in self._held
+                and lease.incarnation == self.worker.incarnation
+                and lease.task not in self._stops
+            ]
+        acknowledged = self._acknowledged
+        self._acknowledged = []
+        return LeaseMessage(
+            term=self._term,
+            sequence=self._sequence,
+            leader=self._leader,
+            lease_seconds=TASK_LEASE_SECONDS,
+            anchor=self._anchor,
+            renew=renew,
+            start=start,
+            stop=self._wanted_stops(leases),
+            throttle=[
+                TaskThrottle(**name.model_dump())
+                for name, lease in leases.items()
+                if lease.task in self._throttles
+            ],
+            acknowledged=acknowledged,
+        )
+
+    def _wanted_stops(self, leases: dict[AttemptName, Lease]) -> list[TaskStop]:
+        stops = []
+        for name in self._held:
+            lease = leases.get(name)
+            if lease is None:
+                stops.append(TaskStop(**name.model_dump()))
+            elif lease.task in self._stops:
+                mode = self._stops[lease.task]
+                stops.append(TaskStop(**name.model_dump(), mode=mode))
+        return stops
+
+    def _start(self, lease: Lease) -> TaskStart:
+        spec = self._state.workload(lease.task.workload_id).spec
+        return TaskStart(
+            workload_id=lease.task.workload_id,
+            task=lease.task.number,
+            attempt=lease.attempt,
+            size=_size_model(lease.size),
+            run_seconds=spec.run_seconds,
+            program=spec.program,
+        )
+
+    async def _take(self, message: LeaseMessage, reply: LeaseReply) -> None:
+        leases = {_name(lease): lease for lease in self._leases()}
+        reports = {_plain(report): report for report in reply.attempts}
+        self._held = {
+            name: report
+            for name, report in reports.items()
+            if report.state is AttemptState.running
+        }
+        ends = [
+            self._end_of(lease, reports[name])
+            for name, lease in leases.items()
+            if name in reports
+            and reports[name].state is not AttemptState.running
+        ]
+        ends.extend(self._lost(message, leases, reports, reply))
+        if ends:
+            await self._events.ended(ends)
+        self._acknowledged = [
+            name
+            for name, report in reports.items()
+            if report.state is not AttemptState.running
+        ]
+        for name, running in self._held.items():
+            if name in leases:
+                self._events.used(self.worker.worker_id, running, leases[name])
+
+    def _lost(
+        self,
+        message: LeaseMessage,
+        leases: dict[AttemptName, Lease],
+        reports: dict[AttemptName, AttemptReport],
+        reply: LeaseReply,
+    ) -> list[AttemptEnd]:
+        """Attempts that the worker does not hold and never will again."""
+        renewed = set(message.renew)
+        started = {_plain(start) for start in message.start}
+        ends = []
+        for name, lease in leases.items():
+            if name in reports or name in started:
+                continue
+            spec = self._state.workload(lease.task.workload_id).spec
+            if lease.incarnation != reply.incarnation or name in renewed:
+                ends.append(lost_attempt(spec, lease, 'the worker lost it'))
+            elif lease.task in self._stops:
+                ends.append(
+                    AttemptEnd(
+                        lease.task,
+                        lease.attempt,
+                        TaskState.queued,
+                        'stopped before it began',
+                    ),
+                )
+        return ends
+
+    def _end_of(self, lease: Lease, report: AttemptReport) -> AttemptEnd:
+        workload = self._state.workload(lease.task.workload_id)
+        self._stops.pop(lease.task, None)
+        self._throttles.discard(lease.task)
+        if report.state is AttemptState.completed:
+            state = TaskState.completed
+        elif workload.cancelled:
+            state = TaskState.cancelled
+        elif report.state is AttemptState.failed:
+            return AttemptEnd(
+                lease.task,
+                lease.attempt,
+                TaskState.failed,
+                report.reason or 'failed',
+                blames_worker=True,
+            )
+        else:
+            return lost_attempt(workload.spec, lease, report.reason)
+        return AttemptEnd(lease.task, lease.attempt, state, report.reason)
+
+    async def _expire(self) -> None:
+        """Ends the leases of a worker that was silent for long enough."""
+        leases = self._leases()
+        if not leases or anyio.current_time() <= self._leases_end_at:
+            return
+        self._events.require_authority()
+        self._anchor = None
+        self._held = {}
+        ends = []
+        for lease in leases:
+            workload = self._state.workload(lease.task.workload_id)
+            end = lost_attempt(workload.spec, lease, 'the worker fell silent')
+            ends.append(end)
+        await self._events.ended(ends)
+
+
+def _name(lease: Lease) -> AttemptName:
+    return AttemptName(
+        workload_id=lease.task.workload_id,
+        task=lease.task.number,
+        attempt=lease.attempt,
+    )
+
+
+def _plain(name: AttemptName) -> AttemptName:
+    return AttemptName(
+        workload_id=name.workload_id, task=name.task, attempt=name.attempt
+    )
+
+
+def _size_model(size: Size) -> SizeModel:
+    return SizeModel(
+        millicores=size.millicores,
+        memory_mebibytes=size.memory_mebibytes,
+        accelerators=size.accelerators,
+    )
--- /dev/null
+++ b/mulberryhitch/scheduler/state.py
@@ -0,0 +1,303 @@
+"""A data centre's replicated state: workloads, leases and the ledger."""
+
+import functools
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from mulberryhitch.constants import (
+    LEDGER_MAXIMUM_ENTRIES,
+    LEDGER_RETENTION_SECONDS,
+)
+from mulberryhitch.errors import ConflictError, NotFoundError
+from mulberryhitch.requests.ledger import Ledger, LedgerEntry
+from mulberryhitch.rpc.messages import LogEntry
+from mulberryhitch.scheduler import commands
+from mulberryhitch.rpc.records import decode, decode_as, encode
+from mulberryhitch.workers.leases import Lease, LeaseTable, Worker
+from mulberryhitch.workloads.model import TaskState, Workload
+
+
+@dataclass(frozen=True, slots=True)
+class _Image:
+    """The whole state, as a snapshot holds it."""
+
+    workloads: list[Workload]
+    workers: list[Worker]
+    leases: list[Lease]
+    requests: list[LedgerEntry]
+
+
+class DataCentreState:
+    """The state machine of a data centre's log."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.workloads: dict[str, Workload] = {}
+        self.leases = LeaseTable()
+        self.ledger = self._new_ledger()
+        self._keys: dict[tuple[str, str], str] = {}
+        self._listeners: list[Callable[[Any], None]] = []
+
+    def listen(self, listener: Callable[[Any], None]) -> Callable[[], None]:
+        """Calls the listener after each command; returns how to stop."""
+        self._listeners.append(listener)
+        return functools.partial(self._listeners.remove, listener)
+
+    def workload(self, workload_id: str) -> Workload:
+        """One workload.
+
+        Raises:
+            NotFoundError: It is not kept here, or no more.
+        """
+        found = self.workloads.get(workload_id)
+        if found is None:
+            raise NotFoundError('no such workload', where=workload_id)
+        return found
+
+    def of_tenant(self, tenant: str) -> Iterator[Workload]:
+        """A tenant's workloads, the oldest first."""
+        return (
+            workload
+            for workload in self.workloads.values()
+            if workload.spec.tenant == tenant
+        )
+
+    def apply(self, entry: LogEntry) -> Any:
+        """Applies one committed command.
+
+        Raises:
+            MulberryhitchError: The command is refused and changed nothing.
+        """
+        command = decode(entry.kind, entry.body)
+        result = _apply(command, self, entry.term)
+        for listener in tuple(self._listeners):
+            listener(command)
+        return result
+
+    def snapshot(self) -> bytes:
+        """The whole state as JSON."""
+        return encode(
+            _Image(
+                list(self.workloads.values()),
+                list(self.leases.workers.values()),
+                list(self.leases),
+                list(self.ledger),
+            ),
+        )
+
+    def restore(self, state: bytes) -> None:
+        """Takes over a whole state."""
+        image = decode_as(_Image, state)
+        self.workloads = {one.spec.workload_id: one for one in image.workloads}
+        self._keys = {
+            (one.spec.tenant, one.spec.key): one.spec.workload_id
+            for one in image.workloads
+            if one.spec.key
+        }
+        self.leases = LeaseTable()
+        for worker in image.workers:
+            self.leases.register(worker)
+        for lease in image.leases:
+            self.leases.grant(lease)
+        self.ledger = self._new_ledger()
+        for request in image.requests:
+            self.ledger.begin(request)
+
+    def accept(self, workload: Workload) -> str:
+        """Keeps a workload; a resend gets the first one's id."""
+        spec = workload.spec
+        if spec.workload_id in self.workloads:
+            return spec.workload_id
+        if spec.key:
+            first = self._keys.setdefault(
+                (spec.tenant, spec.key), spec.workload_id
+            )
+            if first != spec.workload_id:
+                return self._same_request(first, workload)
+        self.workloads[spec.workload_id] = workload
+        return spec.workload_id
+
+    def forget(self, workload: Workload) -> None:
+        """Drops an ended workload."""
+        spec = workload.spec
+        self.workloads.pop(spec.workload_id)
+        self._keys.pop((spec.tenant, spec.key), None)
+
+    def _same_request(self, first: str, workload: Workload) -> str:
+        known = self.workload(first).spec
+        asked = workload.spec
+        if (known.kind, known.task_count, known.size, known.program) != (
+            asked.kind,
+            asked.task_count,
+            asked.size,
+            asked.program,
+        ):
+            raise ConflictError(
+                'this key was used for another workload',
+                where='Idempotency-Key',
+            )
+        return first
+
+    def _new_ledger(self) -> Ledger:
+        return Ledger(LEDGER_RETENTION_SECONDS, LEDGER_MAXIMUM_ENTRIES)
+
+
+@functools.singledispatch
+def _apply(command: Any, state: DataCentreState, term: int) -> Any:
+    raise NotFoundError('no such command', where=repr(command))
+
+
+@_apply.register
+def _accept(
+    command: commands.WorkloadAccepted, state: DataCentreState, term: int
+) -> str:
+    return state.accept(Workload.accept(command.spec))
+
+
+@_apply.register
+def _cancel(
+    command: commands.WorkloadCancelled, state: DataCentreState, term: int
+) -> None:
+    workload = state.workload(command.workload_id)
+    workload.cancelled = True
+    for task in tuple(workload.queued()):
+        workload.end(task.number, TaskState.cancelled, 'cancelled', command.at)
+
+
+@_apply.register
+def _register_worker(
+    command: commands.WorkerRegistered, state: DataCentreState, term: int
+) -> None:
+    state.leases.register(command.worker)
+
+
+@_apply.register
+def _remove_worker(
+    command: commands.WorkerRemoved, state: DataCentreState, term: int
+) -> None:
+    state.leases.forget(command.worker_id)
+
+
+@_apply.register
+def _grant(
+    command: commands.LeasesGranted, state: DataCentreState, term: int
+) -> None:
+    granted: list[commands.Grant] = []
+    try:
+        for grant in command.grants:
+            workload = state.workload(grant.task.workload_id)
+            _grant_one(state, workload, grant, term)
+            granted.append(grant)
+    except Exception:
+        _undo(state, granted)
+        raise
+
+
+def _grant_one(
+    state: DataCentreState, workload: Workload, grant: commands.Grant, term: int
+) -> None:
+    lease = Lease(
+        grant.task,
+        grant.attempt,
+        grant.worker_id,
+        grant.incarnation,
+        term,
+        workload.spec.size,
+    )
+    state.leases.grant(lease)
+    try:
+        workload.lease(grant.task.number, grant.attempt, grant.worker_id)
+    except Exception:
+        state.leases.close(grant.task, grant.attempt)
+        raise
+
+
+def _undo(state: DataCentreState, granted: list[commands.Grant]) -> None:
+    for grant in granted:
+        state.leases.close(grant.task, grant.attempt)
+        task = state.workload(grant.task.workload_id).task(grant.task.number)
+        task.state = TaskState.queued
+        task.attempt -= 1
+
+
+@_apply.register
+def _end_attempts(
+    command: commands.AttemptsEnded, state: DataCentreState, term: int
+) -> None:
+    for end in command.ends:
+        lease = state.leases.get(end.task)
+        if lease is not None and lease.attempt == end.attempt:
+            state.leases.close(end.task, end.attempt)
+            _end_one(state, end, command.at)
+
+
+def _end_one(
+    state: DataCentreState, end: commands.AttemptEnd, at: float
+) -> None:
+    workload = state.workload(end.task.workload_id)
+    task = workload.task(end.task.number)
+    if end.blames_worker:
+        task.failures += 1
+        task.failed_workers.append(task.worker_id)
+    if end.state is not TaskState.queued:
+        workload.end(end.task.number, end.state, end.reason, at)
+    elif workload.cancelled:
+        workload.end(end.task.number, TaskState.cancelled, end.reason, at)
+    else:
+        workload.requeue(end.task.number, end.reason)
+
+
+@_apply.register
+def _give_up(
+    command: commands.TasksGivenUp, state: DataCentreState, term: int
+) -> None:
+    for key in command.tasks:
+        workload = state.workload(key.workload_id)
+        if workload.task(key.number).state is TaskState.queued:
+            workload.end(
+                key.number, TaskState.cancelled, command.reason, command.at
+            )
+
+
+@_apply.register
+def _begin_request(
+    command: commands.RequestBegun, state: DataCentreState, term: int
+) -> LedgerEntry:
+    return state.ledger.begin(command.entry)
+
+
+@_apply.register
+def _finish_request(
+    command: commands.RequestFinished, state: DataCentreState, term: int
+) -> None:
+    state.ledger.finish(
+        command.tenant, command.key, command.request_id, command.answer
+    )
+
+
+@_apply.register
+def _release_request(
+    command: commands.RequestReleased, state: DataCentreState, term: int
+) -> None:
+    state.ledger.release(command.tenant, command.key, command.request_id)
+
+
+@_apply.register
+def _give_up_request(
+    command: commands.RequestGivenUp, state: DataCentreState, term: int
+) -> None:
+    state.ledger.give_up(command.tenant, command.key, command.request_id)
+
+
+@_apply.register
+def _prune(
+    command: commands.HistoryPruned, state: DataCentreState, term: int
+) -> None:
+    old = [
+        workload
+        for workload in state.workloads.values()
+        if workload.ended and workload.ended_at < command.ended_before
+    ]
+    for workload in old:
+        state.forget(workload)
--- /dev/null
+++ b/mulberryhitch/scheduler/term.py
@@ -0,0 +1,406 @@
+"""One leader's term over a data centre: it places tasks and holds leases."""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from mulberryhitch.errors import (
+    LostAuthorityError,
+    MulberryhitchError,
+    NotLeaderError,
+    OutcomeUnknownError,
+)
+from mulberryhitch.observability.histograms import Histograms
+from mulberryhitch.observability.log import Log
+from mulberryhitch.observability.metrics import Metrics
+from mulberryhitch.placement.placement import Placement
+from mulberryhitch.placement.waiting import Decision, Placed
+from mulberryhitch.replication.replica import Replica
+from mulberryhitch.scheduler import commands
+from mulberryhitch.rpc.records import encode, kind_of
+from mulberryhitch.scheduler.sessions import SessionEvents, WorkerSession
+from mulberryhitch.scheduler.state import DataCentreState
+from mulberryhitch.scheduler.usage import UsageWatch
+from mulberryhitch.workers.gateway import WorkerGateway
+from mulberryhitch.workers.health import WorkerHealth, fails_everywhere
+from mulberryhitch.workers.leases import Lease, TaskKey, Worker
+from mulberryhitch.workers.protocol import AttemptReport, StopMode
+from mulberryhitch.workloads.model import TaskState, Workload, WorkloadSpec
+
+_ROUND_LIMIT = 128
+_TICK_SECONDS = 0.25
+_HISTORY_SECONDS = 86_400.0
+_PRUNE_INTERVAL_SECONDS = 600.0
+
+
+class LeaderTerm:
+    """What the leader of a data centre's log does in one term.
+
+    Args:
+        replica: The leading replica.
+        state: The data centre's state.
+        placement: An empty placement, to be filled from the state.
+        gateway: Reaches the workers.
+        log: Where events are written.
+        metrics: Where counts and times go.
+        histograms: Where waits are kept.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        state: DataCentreState,
+        placement: Placement,
+        gateway: WorkerGateway,
+        log: Log,
+        metrics: Metrics,
+        histograms: Histograms,
+    ) -> None:
+        """Takes the state over as it stands."""
+        self.placement = placement
+        self._replica = replica
+        self._state = state
+        self._gateway = gateway
+        self._log = log
+        self._metrics = metrics
+        self._histograms = histograms
+        self._health = WorkerHealth()
+        self._usage = UsageWatch()
+        self._sessions: dict[str, WorkerSession] = {}
+        self._reachable: dict[str, bool] = {}
+        self._leaving: set[str] = set()
+        self._woken = anyio.Event()
+        self._tasks: TaskGroup | None = None
+        self._term = replica.term
+
+    async def run(self) -> None:
+        """Leads until the authority is lost."""
+        stop_listening = self._state.listen(self._applied)
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                self._adopt_state()
+                tasks.start_soon(self._place_forever)
+                tasks.start_soon(self._prune_forever)
+                await self._watch_authority()
+                tasks.cancel_scope.cancel()
+        except* (LostAuthorityError, NotLeaderError, OutcomeUnknownError):
+            self._log.event('term.lost_authority', term=self._term)
+        finally:
+            stop_listening()
+
+    def note_leaving(self, worker_id: str, leaving: bool) -> None:
+        """Notes whether a worker wants no more tasks."""
+        if leaving:
+            self._leaving.add(worker_id)
+        else:
+            self._leaving.discard(worker_id)
+        self._refresh_worker(worker_id)
+
+    def waiting_reason(self, workload: Workload) -> str:
+        """Why tasks of a workload wait."""
+        if not self.placement.is_waiting(workload.spec.workload_id):
+            return ''
+        if not self._sessions:
+            return 'no worker has announced itself'
+        if not any(self._reachable.values()):
+            return 'no worker answers'
+        spec = workload.spec
+        if not self.placement.pool.could_carry(spec.size):
+            return 'no worker known now is large enough'
+        return self.placement.explain(spec)
+
+    async def _watch_authority(self) -> None:
+        while self._replica.has_authority and self._replica.term == self._term:
+            await anyio.sleep(_TICK_SECONDS / 2)
+
+    def _adopt_state(self) -> None:
+        for worker in self._state.leases.workers.values():
+            self._add_worker(worker)
+        for lease in self._state.leases:
+            spec = self._state.workload(lease.task.workload_id).spec
+            self.placement.adopt(lease.task, lease.worker_id, spec)
+        for workload in self._state.workloads.values():
+            if not workload.ended:
+                self._enqueue(workload)
+
+    def _enqueue(self, workload: Workload) -> None:
+        queued = [task.number for task in workload.queued()]
+        if queued:
+            self.placement.enqueue(workload.spec, queued, anyio.current_time())
+
+    def _add_worker(self, worker: Worker) -> None:
+        self.placement.add_worker(worker.worker_id, worker.rack, worker.size)
+        session = self._sessions.get(worker.worker_id)
+        if session is not None:
+            session.worker = worker
+            session.wake()
+            return
+        session = WorkerSession(
+            worker,
+            self._term,
+            self._replica.replica_id,
+            self._state,
+            self._gateway,
+            SessionEvents(
+                self._end_attempts,
+                self._set_reachable,
+                self._see_usage,
+                self._replica.require_authority,
+            ),
+        )
+        self._sessions[worker.worker_id] = session
+        self.placement.open_worker(worker.worker_id, is_open=False)
+        if self._tasks is not None:
+            self._tasks.start_soon(session.run)
+
+    def _set_reachable(self, worker_id: str, reachable: bool) -> None:
+        if self._reachable.get(worker_id) != reachable:
+            self._reachable[worker_id] = reachable
+            self._log.event(
+                'worker.reachable', worker=worker_id, reachable=reachable
+            )
+        self._refresh_worker(worker_id)
+
+    def _refresh_worker(self, worker_id: str) -> None:
+        session = self._sessions.get(worker_id)
+        if session is None:
+            return
+        now = anyio.current_time()
+        usable = (
+            self._reachable.get(worker_id, False)
+            and session.confirmed
+            and worker_id not in self._leaving
+            and not self._health.is_quarantined(worker_id, now)
+            and not self._health.is_probing(worker_id)
+        )
+        self.placement.open_worker(worker_id, usable)
+        self._woken.set()
+
+    async def _end_attempts(self, ends: list[commands.AttemptEnd]) -> None:
+        judged = [self._judge(end) for end in ends]
+        await self._propose(commands.AttemptsEnded(tuple(judged), time.time()))
+
+    def _judge(self, end: commands.AttemptEnd) -> commands.AttemptEnd:
+        """Decides whether a failed task is tried on another worker."""
+        workload = self._state.workload(end.task.workload_id)
+        task = workload.task(end.task.number)
+        if end.state is TaskState.completed:
+            self._health.succeeded(task.worker_id)
+        if not end.blames_worker:
+            return end
+        now = anyio.current_time()
+        if self._health.failed(task.worker_id, end.task.workload_id, now):
+            self._log.event('worker.quarantined', worker=task.worker_id)
+        failed_workers = [*task.failed_workers, task.worker_id]
+        hopeless = fails_everywhere(failed_workers, len(self._sessions))
+        if hopeless or not workload.spec.preemptible:
+            return end
+        return commands.AttemptEnd(
+            end.task, end.attempt, TaskState.queued, end.reason, True
+        )
+
+    def _see_usage(
+        self, worker_id: str, report: AttemptReport, lease: Lease
+    ) -> None:
+        spec = self._state.workload(lease.task.workload_id).spec
+        session = self._sessions[worker_id]
+        now = anyio.current_time()
+        verdict = self._usage.see(lease, spec, report, now)
+        if verdict.throttle:
+            session.throttle_task(lease.task)
+        if verdict.stop:
+            session.stop_task(lease.task, _stop_mode(spec))
+        workload = self._state.workload(lease.task.workload_id)
+        if workload.cancelled:
+            session.stop_task(lease.task, StopMode.stop)
+
+    async def _place_forever(self) -> None:
+        while True:
+            with anyio.move_on_after(_TICK_SECONDS):
+                await self._woken.wait()
+            self._woken = anyio.Event()
+            self._probe_quarantined()
+            while await self._place_round():
+                self._replica.require_authority()
+
+    def _probe_quarantined(self) -> None:
+        now = anyio.current_time()
+        for worker_id in self._sessions:
+            if self._health.may_probe(worker_id, now):
+                self._refresh_worker(worker_id)
+
+    async def _place_round(self) -> bool:
+        self._replica.require_authority()
+        started = time.perf_counter()
+        decisions = self.placement.decide(_ROUND_LIMIT, anyio.current_time())
+        if not decisions:
+            return False
+        self._metrics.timing('placement.round', time.perf_counter() - started)
+        placed = [one for one in decisions if isinstance(one, Placed)]
+        for decision in decisions:
+            self._preempt(decision)
+        if placed:
+            await self._grant(placed)
+        return bool(placed)
+
+    def _preempt(self, decision: Decision) -> None:
+        if isinstance(decision, Placed):
+            return
+        running = self.placement.running[decision.task]
+        session = self._sessions[decision.worker_id]
+        session.stop_task(decision.task, _stop_mode(running.spec))
+
+    async def _grant(self, placed: list[Placed]) -> None:
+        grants = tuple(
+            self._make_grant(task, worker_id)
+            for one in placed
+            for task, worker_id in one.tasks
+        )
+        try:
+            await self._propose(commands.LeasesGranted(grants))
+        except (LostAuthorityError, NotLeaderError, OutcomeUnknownError):
+            raise
+        except MulberryhitchError as error:
+            self._log.problem('term.grant_refused', error.problem)
+            self._take_back(grants)
+            return
+        for grant in grants:
+            spec = self._state.workload(grant.task.workload_id).spec
+            self._histograms.record(
+                'task_wait',
+                spec.tenant,
+                spec.urgency.value,
+                time.time() - spec.accepted_at,
+            )
+            if self._health.may_probe(grant.worker_id, anyio.current_time()):
+                self._health.begin_probe(grant.worker_id)
+                self._refresh_worker(grant.worker_id)
+            self._sessions[grant.worker_id].wake()
+
+    def _make_grant(self, task: TaskKey, worker_id: str) -> commands.Grant:
+        workload = self._state.workloads.get(task.workload_id)
+        attempt = workload.task(task.number).attempt + 1 if workload else 0
+        worker = self._sessions[worker_id].worker
+        return commands.Grant(task, attempt, worker_id, worker.incarnation)
+
+    def _take_back(self, grants: tuple[commands.Grant, ...]) -> None:
+        for grant in grants:
+            self.placement.release(grant.task)
+            workload = self._state.workloads.get(grant.task.workload_id)
+            if workload is None:
+                continue
+            if workload.task(grant.task.number).state is TaskState.queued:
+                self.placement.enqueue(
+                    workload.spec, [grant.task.number], anyio.current_time()
+                )
+
+    def _applied(self, command: Any) -> None:
+        handler = _HANDLERS.get(command.__class__)
+        if handler is not None:
+            handler(self, command)
+        self._woken.set()
+
+    def _on_accepted(self, command: commands.WorkloadAccepted) -> None:
+        workload = self._state.workloads.get(command.spec.workload_id)
+        fresh = not self.placement.is_waiting(command.spec.workload_id)
+        if workload is not None and fresh:
+            self._enqueue_fresh(workload)
+
+    def _enqueue_fresh(self, workload: Workload) -> None:
+        if not any(task.attempt for task in workload.tasks):
+            self._enqueue(workload)
+
+    def _on_cancelled(self, command: commands.WorkloadCancelled) -> None:
+        self.placement.withdraw(command.workload_id)
+        workload = self._state.workload(command.workload_id)
+        for task in workload.tasks:
+            if task.state is TaskState.leased:
+                key = TaskKey(command.workload_id, task.number)
+                session = self._sessions.get(task.worker_id)
+                if session is not None:
+                    session.stop_task(key, StopMode.stop)
+
+    def _on_registered(self, command: commands.WorkerRegistered) -> None:
+        self._add_worker(command.worker)
+
+    def _on_removed(self, command: commands.WorkerRemoved) -> None:
+        self.placement.remove_worker(command.worker_id)
+        self._sessions.pop(command.worker_id, None)
+
+    def _on_ended(self, command: commands.AttemptsEnded) -> None:
+        for end in command.ends:
+            if end.task not in self.placement.running:
+                continue
+            if self._state.leases.get(end.task) is not None:
+                continue
+            self.placement.release(end.task)
+            self._usage.forget(end.task)
+            workload = self._state.workload(end.task.workload_id)
+            task = workload.task(end.task.number)
+            if task.state is TaskState.queued:
+                self.placement.enqueue(
+                    workload.spec,
+                    [task.number],
+                    anyio.current_time(),
+                    task.failed_workers,
+                )
+
+    def _on_given_up(self, command: commands.TasksGivenUp) -> None:
+        for task in command.tasks:
+            self.placement.withdraw(task.workload_id)
+
+    async def _prune_forever(self) -> None:
+        while True:
+            await anyio.sleep(_TICK_SECONDS * 4)
+            await self._give_up_late()
+            if anyio.current_time() % _PRUNE_INTERVAL_SECONDS < 1:
+                before = time.time() - _HISTORY_SECONDS
+                await self._propose(commands.HistoryPruned(before))
+
+    async def _give_up_late(self) -> None:
+        now = time.time()
+        late = [
+            TaskKey(workload.spec.workload_id, task.number)
+            for workload in self._late_workloads(now)
+            for task in workload.queued()
+        ]
+        if late:
+            await self._propose(
+                commands.TasksGivenUp(
+                    tuple(late), 'not started before its deadline', now
+                ),
+            )
+
+    def _late_workloads(self, now: float) -> list[Workload]:
+        return [
+            workload
+            for workload in self._state.workloads.values()
+            if not workload.ended and _is_late(workload.spec, now)
+        ]
+
+    async def _propose(self, command: Any) -> Any:
+        self._replica.require_authority()
+        return await self._replica.propose(kind_of(command), encode(command))
+
+
+def _is_late(spec: WorkloadSpec, now: float) -> bool:
+    allowed = spec.start_within_seconds
+    return allowed > 0 and now > spec.accepted_at + allowed
+
+
+def _stop_mode(spec: WorkloadSpec) -> StopMode:
+    return StopMode.checkpoint if spec.checkpointable else StopMode.stop
+
+
+_HANDLERS: dict[type, Callable[[LeaderTerm, Any], None]] = {
+    commands.WorkloadAccepted: LeaderTerm._on_accepted,  # noqa: WPS437
+    commands.WorkloadCancelled: LeaderTerm._on_cancelled,  # noqa: WPS437
+    commands.WorkerRegistered: LeaderTerm._on_registered,  # noqa: WPS437
+    commands.WorkerRemoved: LeaderTerm._on_removed,  # noqa: WPS437
+    commands.AttemptsEnded: LeaderTerm._on_ended,  # noqa: WPS437
+    commands.TasksGivenUp: LeaderTerm._on_given_up,  # noqa: WPS437
+}
--- /dev/null
+++ b/mulberryhitch/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for what is outside: workers and backend servers."""
--- /dev/null
+++ b/mulberryhitch/standins/backend_server.py
@@ -0,0 +1,131 @@
+"""A stand-in backend server: slots, an owner it keeps to, and answers."""
+
+import anyio
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+
+from mulberryhitch.backend_servers.directory import ServerState
+from mulberryhitch.constants import OWNERSHIP_GUARD_SECONDS
+from mulberryhitch.errors import InvariantError
+from mulberryhitch.http.announcements import BackendServerBody
+
+
+class StandinBackendServer:
+    """Follows the published protocol as a backend server does.
+
+    It answers ``?sleep=SECONDS`` after a while, ``?size=BYTES`` at length,
+    and tells how often it has run each idempotency key.
+
+    Args:
+        server_id: Its name.
+        service: The service that it is of.
+        data_centre: Where it stands.
+        address: Where it listens.
+        slots: How many requests it works on at once.
+    """
+
+    def __init__(
+        self,
+        server_id: str,
+        service: str,
+        data_centre: str,
+        address: str,
+        incarnation: int,
+        slots: int = 8,
+    ) -> None:
+        """Has no owner yet."""
+        self.server_id = server_id
+        self.busy = 0
+        self.most_busy = 0
+        self.served = 0
+        self.runs_by_key: dict[str, int] = {}
+        self.leaving = False
+        self._service = service
+        self._data_centre = data_centre
+        self._address = address
+        self._incarnation = incarnation
+        self._slots = slots
+        self._sequence = 0
+        self._owner = ''
+        self._owner_anchor = float()
+        self._owner_until = float()
+
+    @property
+    def owner(self) -> str:
+        """The owner that it keeps to."""
+        return self._owner
+
+    def announcement(self) -> BackendServerBody:
+        """What it says of itself next."""
+        self._sequence += 1
+        return BackendServerBody(
+            service=self._service,
+            data_centre=self._data_centre,
+            address=self._address,
+            state=ServerState.leaving if self.leaving else ServerState.ready,
+            slots=self._slots,
+            busy=self.busy,
+            owner=self._owner,
+            owner_anchor=self._owner_anchor,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+        )
+
+    def take_offer(
+        self, owner: str, anchor: float, lease_seconds: float
+    ) -> None:
+        """Keeps to the present owner until its lease has run out."""
+        if not owner:
+            return
+        now = anyio.current_time()
+        if owner != self._owner:
+            if now < self._owner_until + OWNERSHIP_GUARD_SECONDS:
+                return
+            self._owner = owner
+            self._owner_anchor = anchor
+        self._owner_anchor = max(self._owner_anchor, anchor)
+        self._owner_until = now + lease_seconds
+
+    async def serve(self, request: Request) -> Response:
+        """Answers one request, or refuses it before any work."""
+        told_owner = request.headers.get('mulberryhitch-owner', '')
+        if told_owner not in {'', self._owner}:
+            return _refusal('another owner')
+        if self.busy >= self._slots:
+            return _refusal('no slot is free')
+        self.busy += 1
+        self.most_busy = max(self.most_busy, self.busy)
+        if self.busy > self._slots:
+            raise InvariantError('more requests than slots')
+        try:
+            return await self._answer(request)
+        finally:
+            self.busy -= 1
+
+    async def _answer(self, request: Request) -> Response:
+        body = await request.body()
+        key = request.headers.get('idempotency-key', '')
+        if key:
+            self.runs_by_key[key] = self.runs_by_key.get(key, 0) + 1
+        await anyio.sleep(float(request.query_params.get('sleep', '0')))
+        self.served += 1
+        size = int(request.query_params.get('size', '0'))
+        if size:
+            return Response(b'x' * size)
+        return JSONResponse(
+            {
+                'server': self.server_id,
+                'service': self._service,
+                'method': request.method,
+                'path': request.url.path,
+                'body_bytes': len(body),
+                'tenant': request.headers.get('mulberryhitch-tenant', ''),
+                'runs': self.runs_by_key.get(key, 0),
+            }
+        )
+
+
+def _refusal(why: str) -> Response:
+    return JSONResponse(
+        {'refused': why}, 503, headers={'Mulberryhitch-Refused': why}
+    )
--- /dev/null
+++ b/mulberryhitch/tenants/__init__.py
@@ -0,0 +1,1 @@
+"""Tenants: who they are and what they may do."""
--- /dev/null
+++ b/mulberryhitch/tls.py
@@ -0,0 +1,60 @@
+"""TLS contexts that follow their key files without a restart."""
+
+import ssl
+from pathlib import Path
+
+from mulberryhitch.configuration.settings import TlsSettings
+from mulberryhitch.errors import InvalidSettingsError
+
+
+class TlsFiles:
+    """Makes contexts for mutual TLS, anew whenever a file has changed.
+
+    Args:
+        settings: The files; nothing for plain TCP.
+    """
+
+    def __init__(self, settings: TlsSettings | None) -> None:
+        """Reads nothing yet."""
+        self._settings = settings
+        self._made_for: tuple[int, ...] = ()
+        self._server: ssl.SSLContext | None = None
+        self._client: ssl.SSLContext | None = None
+
+    def server(self) -> ssl.SSLContext | None:
+        """The context for accepting members' connections."""
+        self._refresh()
+        return self._server
+
+    def client(self) -> ssl.SSLContext | None:
+        """The context for connecting to members."""
+        self._refresh()
+        return self._client
+
+    def _refresh(self) -> None:
+        if self._settings is None:
+            return
+        paths = (
+            self._settings.certificate,
+            self._settings.key,
+            self._settings.authority,
+        )
+        try:
+            changed = tuple(Path(path).stat().st_mtime_ns for path in paths)
+            if changed != self._made_for:
+                self._server = self._make(self._settings, server=True)
+                self._client = self._make(self._settings, server=False)
+                self._made_for = changed
+        except (OSError, ssl.SSLError) as error:
+            if self._server is None:
+                raise InvalidSettingsError(str(error), where='tls') from error
+
+    def _make(self, settings: TlsSettings, *, server: bool) -> ssl.SSLContext:
+        context = ssl.SSLContext(
+            ssl.PROTOCOL_TLS_SERVER if server else ssl.PROTOCOL_TLS_CLIENT
+        )
+        context.minimum_version = ssl.TLSVersion.TLSv1_3
+        context.load_cert_chain(settings.certificate, settings.key)
+        context.load_verify_locations(settings.authority)
+        context.verify_mode = ssl.CERT_REQUIRED
+        return context
--- /dev/null
+++ b/mulberryhitch/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Workers, and the leases under which they run tasks."""
--- /dev/null
+++ b/mulberryhitch/workloads/__init__.py
@@ -0,0 +1,1 @@
+"""Workloads and their tasks: an aggregate with its own rules."""
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,154 @@
+"""Small fakes at the interfaces: a disk, a network, a state machine."""
+
+import random
+from dataclasses import replace
+from typing import Any
+
+import anyio
+import orjson
+
+from mulberryhitch.errors import (
+    OutcomeUnknownError,
+    StorageError,
+    UnreachableError,
+)
+from mulberryhitch.replication.storage import Snapshot, StoredState
+from mulberryhitch.rpc.messages import LogEntry
+
+SYNC_SECONDS = 0.002
+
+
+class FakeDisk:
+    """A disk that forgets what was not synced when its VM is killed."""
+
+    def __init__(self, vm: str) -> None:
+        self.vm = vm
+        self.generation = 0
+        self.fails = ''
+        self._stored = StoredState(f'{vm}#0')
+        self._written = list(self._stored.entries)
+
+    def lose(self) -> None:
+        """The disk is replaced by an empty one."""
+        self.generation += 1
+        self._stored = StoredState(f'{self.vm}#{self.generation}')
+        self.crash()
+
+    def crash(self) -> None:
+        """Only what was synced is left."""
+        self._written = list(self._stored.entries)
+
+    def load(self) -> StoredState:
+        return replace(self._stored, entries=list(self._stored.entries))
+
+    def write(self, entries: list[LogEntry]) -> None:
+        if self.fails == 'write':
+            raise StorageError('no space left', where=self.vm)
+        self._written.extend(entries)
+
+    async def sync(self) -> None:
+        syncing = list(self._written)
+        await anyio.sleep(SYNC_SECONDS)
+        if self.fails == 'sync':
+            raise StorageError('fsync failed', where=self.vm)
+        self._stored.entries = syncing
+
+    async def truncate(self, index: int) -> None:
+        self._written = [one for one in self._written if one.index < index]
+        await self.sync()
+
+    async def save_vote(self, term: int, voted_for: str) -> None:
+        await anyio.sleep(SYNC_SECONDS)
+        if self.fails == 'sync':
+            raise StorageError('fsync failed', where=self.vm)
+        self._stored.term = term
+        self._stored.voted_for = voted_for
+
+    async def save_snapshot(
+        self, snapshot: Snapshot, entries: list[LogEntry]
+    ) -> None:
+        await anyio.sleep(SYNC_SECONDS)
+        self._stored.snapshot = snapshot
+        self._written = list(entries)
+        self._stored.entries = list(entries)
+
+
+class FakeNetwork:
+    """Carries calls between VMs; links can be cut one way, lose and delay."""
+
+    def __init__(self, chance: random.Random) -> None:
+        self.chance = chance
+        self.nodes: dict[str, Any] = {}
+        self.cut: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        self.delay_seconds = 0.002
+        self.duplicates = 0.0
+        self.calls = 0
+
+    def isolate(self, vm: str) -> None:
+        for other in self.nodes:
+            self.cut |= {(vm, other), (other, vm)}
+
+    def heal(self) -> None:
+        self.cut.clear()
+        self.loss = 0.0
+        self.duplicates = 0.0
+        self.delay_seconds = 0.002
+
+    def transport(self, vm: str) -> 'FakeTransport':
+        return FakeTransport(self, vm)
+
+    async def leg(self, source: str, target: str) -> None:
+        await anyio.sleep(self.delay_seconds * (1 + self.chance.random()))
+        if (source, target) in self.cut or self.chance.random() < self.loss:
+            await anyio.sleep_forever()
+
+
+class FakeTransport:
+    """One VM's side of the network."""
+
+    def __init__(self, network: FakeNetwork, vm: str) -> None:
+        self._network = network
+        self._vm = vm
+
+    async def call(
+        self, vm: str, method: str, request: Any, timeout_seconds: float
+    ) -> Any:
+        network = self._network
+        network.calls += 1
+        if vm not in network.nodes:
+            await anyio.sleep(network.delay_seconds)
+            raise UnreachableError('refused', where=vm)
+        try:
+            with anyio.fail_after(timeout_seconds):
+                await network.leg(self._vm, vm)
+                node = network.nodes.get(vm)
+                if node is None:
+                    raise UnreachableError('refused', where=vm)
+                if network.chance.random() < network.duplicates:
+                    await getattr(node, method)(request)
+                reply = await getattr(node, method)(request)
+                await network.leg(vm, self._vm)
+                return reply
+        except TimeoutError as error:
+            raise OutcomeUnknownError('no answer', where=vm) from error
+
+
+class KeyValueMachine:
+    """Counts what it applied and keeps the newest value of each key."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, Any] = {}
+        self.applied: list[int] = []
+
+    def apply(self, entry: LogEntry) -> Any:
+        key, value = orjson.loads(entry.body)
+        self.values[key] = value
+        self.applied.append(value)
+        return len(self.applied)
+
+    def snapshot(self) -> bytes:
+        return orjson.dumps([self.values, self.applied])
+
+    def restore(self, state: bytes) -> None:
+        self.values, self.applied = orjson.loads(state)
--- /dev/null
+++ b/tests/groups.py
@@ -0,0 +1,123 @@
+"""Builds groups of replicas over the fakes."""
+
+import random
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import anyio
+import orjson
+from trio.testing import MockClock
+
+from mulberryhitch.errors import MulberryhitchError, StorageError
+from mulberryhitch.observability.log import Log
+from mulberryhitch.replication.options import ReplicationOptions
+from mulberryhitch.replication.replica import Replica
+from mulberryhitch.replication.state import ReplicaState
+from tests.fakes import FakeDisk, FakeNetwork, KeyValueMachine
+
+OPTIONS = ReplicationOptions(compact_entries=50, repair_seconds=20)
+
+
+def run_at_once(main: Callable[..., Awaitable[Any]], *args: Any) -> Any:
+    """Runs on a clock that jumps ahead whenever every task waits."""
+    return anyio.run(
+        main,
+        *args,
+        backend='trio',
+        backend_options={'clock': MockClock(autojump_threshold=0)},
+    )
+
+
+class Group:
+    """A group of replicas, each on a VM of its own that can be killed."""
+
+    def __init__(self, size: int, seed: int, spares: int = 0) -> None:
+        self.chance = random.Random(seed)
+        self.network = FakeNetwork(self.chance)
+        self.vms = tuple(f'vm-{number}' for number in range(1, size + 1))
+        spare_vms = tuple(f'spare-{number}' for number in range(1, spares + 1))
+        self.disks = {vm: FakeDisk(vm) for vm in self.vms + spare_vms}
+        self.machines: dict[str, KeyValueMachine] = {}
+        self.replicas: dict[str, Replica] = {}
+        self.scopes: dict[str, anyio.CancelScope] = {}
+        self.tasks: Any = None
+        self.leaders: dict[int, str] = {}
+
+    @asynccontextmanager
+    async def running(self):
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            for vm in self.disks:
+                self.start(vm)
+            yield self
+            tasks.cancel_scope.cancel()
+
+    def start(self, vm: str) -> None:
+        machine = KeyValueMachine()
+        state = ReplicaState('group', self.disks[vm], machine)
+        replica = Replica(
+            state,
+            self.network.transport(vm),
+            self.vms,
+            OPTIONS,
+            Log(vm),
+            self.chance,
+        )
+        self.machines[vm] = machine
+        self.replicas[vm] = replica
+        self.network.nodes[vm] = replica
+        self.scopes[vm] = anyio.CancelScope()
+        self.tasks.start_soon(self._run, vm, replica, self.scopes[vm])
+
+    async def _run(self, vm: str, replica: Replica, scope: Any) -> None:
+        with scope:
+            try:
+                await replica.run()
+            except* StorageError:
+                self.network.nodes.pop(vm, None)
+
+    def kill(self, vm: str) -> None:
+        self.scopes[vm].cancel()
+        self.network.nodes.pop(vm, None)
+        self.replicas.pop(vm, None)
+        self.disks[vm].crash()
+
+    def leader(self) -> Replica | None:
+        for replica in self.replicas.values():
+            if replica.has_authority:
+                return replica
+        return None
+
+    async def wait_leader(self, seconds: float = 30) -> Replica:
+        with anyio.fail_after(seconds):
+            while self.leader() is None:
+                await anyio.sleep(0.05)
+        found = self.leader()
+        assert found is not None
+        return found
+
+    async def put(self, key: str, value: int, seconds: float = 30) -> bool:
+        """Puts a value once; tells whether it is known to be committed."""
+        try:
+            with anyio.fail_after(seconds):
+                leader = await self.wait_leader(seconds)
+                await leader.propose('put', orjson.dumps([key, value]))
+                return True
+        except (MulberryhitchError, TimeoutError):
+            return False
+
+    async def settle(self, seconds: float = 60) -> None:
+        """Waits until all running replicas have applied the same."""
+        await self.put('settle', -1, seconds)
+        with anyio.fail_after(seconds):
+            while not self._agree():
+                await anyio.sleep(0.2)
+
+    def _agree(self) -> bool:
+        running = [self.machines[vm] for vm in self.replicas]
+        indexes = {one.state.commit_index for one in self.replicas.values()}
+        first = running[0].applied
+        return len(indexes) == 1 and all(
+            machine.applied == first for machine in running
+        )
--- /dev/null
+++ b/tests/program.py
@@ -0,0 +1,100 @@
+"""Runs a whole cell in one process, on ports that were free."""
+
+import socket
+from contextlib import asynccontextmanager
+from typing import Any
+
+import anyio
+import httpcore
+import orjson
+
+from mulberryhitch.local import run_local
+
+_PORTS = 20
+
+
+def free_ports(count: int = _PORTS) -> int:
+    """The first of so many ports in a row that were free just now."""
+    while True:
+        with socket.create_server(('127.0.0.1', 0)) as probe:
+            first = probe.getsockname()[1]
+        try:
+            held = [
+                socket.create_server(('127.0.0.1', first + place))
+                for place in range(count)
+            ]
+        except OSError:
+            continue
+        for one in held:
+            one.close()
+        return first
+
+
+class Caller:
+    """Calls the cell's entry as a token's holder."""
+
+    def __init__(self, port: int, token: str) -> None:
+        self._base = f'http://127.0.0.1:{port}'
+        self._headers = [('Authorization', f'Bearer {token}')]
+        self._pool = httpcore.AsyncConnectionPool()
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        content: Any = None,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, dict[str, str], Any]:
+        body = content
+        if content is not None and not isinstance(content, bytes):
+            body = orjson.dumps(content)
+        response = await self._pool.request(
+            method,
+            self._base + path,
+            headers=self._headers + list((headers or {}).items()),
+            content=body,
+        )
+        told = {
+            name.decode().lower(): value.decode()
+            for name, value in response.headers
+        }
+        kind = told.get('content-type', '')
+        parsed = response.content
+        if 'json' in kind:
+            parsed = orjson.loads(response.content)
+        return response.status, told, parsed
+
+
+@asynccontextmanager
+async def running_cell(folder: Any, workers: int = 3, servers: int = 2):
+    """A cell that is ready, and callers for its demo tokens."""
+    port = free_ports()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run_local, port, str(folder), workers, servers)
+        callers = {
+            name: Caller(port, f'demo-{name}')
+            for name in ('operator', 'north', 'south', 'worker')
+        }
+        await _wait_ready(callers['operator'], workers, servers)
+        yield callers
+        tasks.cancel_scope.cancel()
+
+
+async def _wait_ready(caller: Caller, workers: int, servers: int) -> None:
+    with anyio.fail_after(60):
+        while True:
+            await anyio.sleep(0.1)
+            try:
+                status, _, content = await caller.call('GET', '/v1/members')
+            except httpcore.ConnectError:
+                continue
+            if status != 200:
+                continue
+            owned = [one for one in content['backend_servers'] if one['owner']]
+            leads = [
+                group
+                for member in content['members']
+                for group in member['leads']
+            ]
+            if len(owned) == servers and len(leads) == 2:
+                return
--- /dev/null
+++ b/tests/test_replication.py
@@ -0,0 +1,105 @@
+"""A group of replicas under kills, cuts, lost disks and failing syncs."""
+
+import anyio
+
+from tests.groups import Group, run_at_once
+
+
+def test_a_group_begins_and_commits() -> None:
+    async def main() -> None:
+        async with Group(3, seed=1).running() as group:
+            for number in range(20):
+                assert await group.put('key', number)
+            await group.settle()
+            for machine in group.machines.values():
+                assert machine.applied[:20] == list(range(20))
+
+    run_at_once(main)
+
+
+def test_a_killed_leader_is_replaced_and_nothing_committed_is_lost() -> None:
+    async def main() -> None:
+        async with Group(3, seed=2).running() as group:
+            assert await group.put('key', 1)
+            leader = await group.wait_leader()
+            vm = leader.replica_id.partition('#')[0]
+            group.kill(vm)
+            assert await group.put('key', 2)
+            group.start(vm)
+            await group.settle()
+            assert group.machines[vm].applied[:2] == [1, 2]
+
+    run_at_once(main)
+
+
+def test_an_isolated_leader_gives_up_before_another_is_elected() -> None:
+    async def main() -> None:
+        async with Group(3, seed=3).running() as group:
+            leader = await group.wait_leader()
+            group.network.isolate(leader.replica_id.partition('#')[0])
+            with anyio.fail_after(10):
+                while True:
+                    holders = [
+                        one
+                        for one in group.replicas.values()
+                        if one.has_authority
+                    ]
+                    assert len(holders) <= 1
+                    if holders and holders[0] is not leader:
+                        break
+                    await anyio.sleep(0.01)
+            group.network.heal()
+            await group.settle()
+
+    run_at_once(main)
+
+
+def test_a_lost_disk_comes_back_as_a_new_voter_and_a_second_may_go() -> None:
+    async def main() -> None:
+        async with Group(3, seed=4).running() as group:
+            for number in range(120):
+                assert await group.put('key', number)
+            group.kill('vm-1')
+            group.disks['vm-1'].lose()
+            group.start('vm-1')
+            with anyio.fail_after(60):
+                while 'vm-1#1' not in group.replicas['vm-1'].members.voters:
+                    await anyio.sleep(0.5)
+            group.kill('vm-2')
+            assert await group.put('key', 120)
+            await group.settle()
+            assert group.machines['vm-1'].applied[:121] == list(range(121))
+
+    run_at_once(main)
+
+
+def test_a_spare_replaces_a_voter_that_stays_away() -> None:
+    async def main() -> None:
+        async with Group(3, seed=5, spares=1).running() as group:
+            assert await group.put('key', 1)
+            await anyio.sleep(5)
+            group.kill('vm-3')
+            await anyio.sleep(60)
+            leader = await group.wait_leader()
+            assert 'spare-1#0' in leader.members.voters
+            assert 'vm-3#0' not in leader.members.voters
+            group.start('vm-3')
+            await group.settle()
+
+    run_at_once(main)
+
+
+def test_a_failed_sync_stops_the_replica() -> None:
+    async def main() -> None:
+        async with Group(3, seed=6).running() as group:
+            leader = await group.wait_leader()
+            vm = leader.replica_id.partition('#')[0]
+            group.disks[vm].fails = 'sync'
+            await group.put('key', 1)
+            await anyio.sleep(5)
+            assert vm not in group.network.nodes
+            group.replicas.pop(vm)
+            assert await group.put('key', 2)
+            await group.settle()
+
+    run_at_once(main)
