A leader that can't write its first entry makes way

Cause: with a full disk the first entry of a term was refused, and the leader went on with authority but never became ready: no progress for as long as it was heard.

Change: a leader whose term has not begun steps down when a write fails.

Conclusion: ruled out were a lost lock, a killed replica that still ran, and votes that kept each other waiting; a test causes the failure itself.

--- a/mulberryhitch/replication/leadership.py
+++ b/mulberryhitch/replication/leadership.py
@@ -265,6 +265,8 @@
         except StorageError as error:
             for refused in batch:
                 refused.decide(None, error)
+            if not self.ready:
+                self.step_down()
             return self._own_match
         for entry, proposal in zip(entries, batch, strict=True):
             self._waiting[entry.index] = proposal
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -1,7 +1,9 @@
 """A group of replicas under kills, cuts, lost disks and failing syncs."""
 
 import anyio
+import pytest
 
+from mulberryhitch.errors import StorageError
 from tests.groups import Group, run_at_once
 
 
@@ -103,3 +105,36 @@
             await group.settle()
 
     run_at_once(main)
+
+
+def test_a_leader_that_cannot_begin_its_term_makes_way() -> None:
+    async def main() -> None:
+        async with Group(3, seed=7).running() as group:
+            assert await group.put('key', 1)
+            old = await group.wait_leader()
+            for disk in group.disks.values():
+                disk.fails = 'write'
+            group.network.isolate(old.replica_id.partition('#')[0])
+            await anyio.sleep(5)
+            group.network.heal()
+            for disk in group.disks.values():
+                disk.fails = ''
+            assert await group.put('key', 2)
+            await group.settle()
+
+    run_at_once(main)
+
+
+def test_a_full_disk_stops_acceptance_and_leaves_the_rest_working() -> None:
+    async def main() -> None:
+        async with Group(3, seed=8).running() as group:
+            leader = await group.wait_leader()
+            disk = group.disks[leader.replica_id.partition('#')[0]]
+            disk.fails = 'write'
+            with pytest.raises(StorageError):
+                await leader.propose('put', b'["key", 1]')
+            await leader.read_barrier()
+            disk.fails = ''
+            assert await leader.propose('put', b'["key", 2]') == 1
+
+    run_at_once(main)
