Placement under floods: gangs get room, preemption is searched rarely

Cause: (1) a reservation went to whatever was stuck first, also to single tasks that would have come by themselves, and backfill refilled the room that was being freed for a gang (a test saw it preempt and refill for ever); (2) a decision took 16 ms with 1,000 queued: each of eight stuck urgent workloads searched all workers for victims in every round, and each of 64 tries scanned the workers again for sizes already known to find no room.

Change: room is held for gangs, and for tasks that 16 others have overtaken; backfill stops once the room is being freed; one search for victims each 100 ms; a round remembers the sizes that found no room.

--- a/mulberryhitch/placement/placement.py
+++ b/mulberryhitch/placement/placement.py
@@ -17,6 +17,7 @@
     choose_victims,
 )
 from mulberryhitch.placement.reservations import Reservation
+from mulberryhitch.placement.stuck import StuckWork, UnfitSizes
 from mulberryhitch.placement.waiting import (
     Decision,
     Placed,
@@ -28,6 +29,9 @@
 from mulberryhitch.workloads.model import Size, Urgency, WorkloadSpec
 
 
+_PREEMPTION_PAUSE_SECONDS = 0.1
+
+
 @dataclass(frozen=True, slots=True)
 class PlacementOptions:
     """How placement decides.
@@ -72,7 +76,9 @@
         self._by_worker: dict[str, dict[object, Running]] = {}
         self._racks: dict[str, Counter[str]] = {}
         self._reservation: Reservation | None = None
-        self._stuck: dict[str, Waiting] = {}
+        self._stuck = StuckWork()
+        self._placed_count = 0
+        self._next_preemption = float()
         self._budget = PreemptionBudget(self._options.preemptions_per_minute)
         self._fresh_room: set[str] = set()
         self._holders: set[str] = set()
@@ -119,7 +125,8 @@
         held = self.reserved_for
         if held == spec.workload_id:
             return 'room is being held until all of it is free'
-        if spec.workload_id in self._stuck:
+        waiting = self._waiting.get(spec.workload_id)
+        if waiting is not None and waiting in self._stuck:
             return 'no worker has enough room free now'
         return 'others come first in fair order, or the quota is used up'
 
@@ -179,7 +186,7 @@
         if waiting is None:
             return 0
         self._order.discard(waiting)
-        self._stuck.pop(workload_id, None)
+        self._stuck.discard(waiting)
         self._let_go(workload_id)
         self._count(waiting.tenant, -len(waiting.numbers))
         return len(waiting.numbers)
@@ -212,6 +219,7 @@
     def decide(self, limit: int, now: float) -> list[Decision]:
         """Places what can be placed, at most so many tasks."""
         self._offer_fresh_room()
+        unfit = UnfitSizes()
         decisions: list[Decision] = []
         decisions.extend(self._serve_reservation(now))
         placed = 0
@@ -220,9 +228,12 @@
             waiting = self._order.peek()
             if waiting is None:
                 break
-            decision = self._place(waiting)
+            decision = None
+            if not unfit.covers(waiting):
+                decision = self._place(waiting)
+                failed += decision is None
             if decision is None:
-                failed += 1
+                unfit.add(waiting)
                 self._pass_over(waiting)
             else:
                 placed += len(decision.tasks)
@@ -265,15 +276,19 @@
             self._hold(waiting, task, node.worker_id)
             tasks.append((task, node.worker_id))
         self._count(waiting.tenant, -len(tasks))
+        self._placed_count += len(tasks)
         if not waiting.numbers:
             self._finish_waiting(waiting)
+        else:
+            self._stuck.discard(waiting)
+            self._let_go(waiting.spec.workload_id)
         return Placed(waiting.spec.workload_id, tuple(tasks))
 
     def _finish_waiting(self, waiting: Waiting) -> None:
         workload_id = waiting.spec.workload_id
         self._order.discard(waiting)
         self._waiting.pop(workload_id)
-        self._stuck.pop(workload_id, None)
+        self._stuck.discard(waiting)
         self._let_go(workload_id)
 
     def _hold(self, waiting: Waiting, task: TaskKey, worker_id: str) -> None:
@@ -289,7 +304,7 @@
 
     def _pass_over(self, waiting: Waiting) -> None:
         self._order.pass_over(waiting)
-        self._stuck[waiting.spec.workload_id] = waiting
+        self._stuck.add(waiting, self._placed_count)
 
     def _serve_reservation(self, now: float) -> list[Decision]:
         if self._reservation is None:
@@ -303,44 +318,37 @@
         ]
         if not victims or not self._budget.take(len(victims), now):
             return []
+        self._reservation.close()
         return [self._preempt(one, waiting) for one in victims]
 
     def _help_stuck(self, now: float) -> list[Decision]:
-        if self._options.order == 'fifo' or not self._stuck:
+        if self._options.order == 'fifo':
             return []
-        waiting = next(iter(self._stuck.values()))
-        if not self._still_stuck(waiting):
-            self._stuck.pop(waiting.spec.workload_id)
-            return []
-        waited = now - waiting.since
-        if self._may_preempt(waiting, waited):
-            return self._preempt_for(waiting, now)
-        if waited < self._options.reserve_after_seconds:
-            return []
-        self._rotate_stuck(waiting)
-        if self._reservation is None:
-            self._reserve(waiting)
+        for waiting in self._stuck.next_few():
+            if not self._still_stuck(waiting):
+                self._stuck.discard(waiting)
+                continue
+            waited = now - waiting.since
+            if self._may_preempt(waiting, waited, now):
+                return self._preempt_for(waiting, now)
+            if waited >= self._options.reserve_after_seconds:
+                self._reserve(waiting)
         return []
 
-    def _reserve(self, waiting: Waiting) -> None:
-        reservation = Reservation(waiting, self._pool, self._running)
-        if not reservation.is_empty:
-            self._reservation = reservation
-            self._holders.add(waiting.spec.workload_id)
-
     def _still_stuck(self, waiting: Waiting) -> bool:
         known = self._waiting.get(waiting.spec.workload_id)
         return known is waiting and bool(waiting.numbers)
 
-    def _may_preempt(self, waiting: Waiting, waited: float) -> bool:
+    def _may_preempt(self, waiting: Waiting, waited: float, now: float) -> bool:
         return (
-            waiting.together == 1
+            now >= self._next_preemption
+            and waiting.together == 1
             and waiting.urgency.rank >= Urgency.high.rank
             and waited >= self._options.preempt_after_seconds
         )
 
     def _preempt_for(self, waiting: Waiting, now: float) -> list[Decision]:
-        self._rotate_stuck(waiting)
+        self._next_preemption = now + _PREEMPTION_PAUSE_SECONDS
         victims = choose_victims(self._pool, waiting, self._by_worker)
         if not victims or not self._budget.take(len(victims), now):
             return []
@@ -348,6 +356,16 @@
         self._pool.node(victims[0].worker_id).hold = waiting.spec.workload_id
         return [self._preempt(one, waiting) for one in victims]
 
+    def _reserve(self, waiting: Waiting) -> None:
+        if self._reservation is not None:
+            return
+        if not self._stuck.deserves_room(waiting, self._placed_count):
+            return
+        reservation = Reservation(waiting, self._pool, self._running)
+        if not reservation.is_empty:
+            self._reservation = reservation
+            self._holders.add(waiting.spec.workload_id)
+
     def _preempt(self, running: Running, waiting: Waiting) -> Preempted:
         if not running.spec.preemptible:
             raise InvariantError('the task may not be stopped')
@@ -356,10 +374,6 @@
             running.task, running.worker_id, waiting.spec.workload_id
         )
 
-    def _rotate_stuck(self, waiting: Waiting) -> None:
-        self._stuck.pop(waiting.spec.workload_id, None)
-        self._stuck[waiting.spec.workload_id] = waiting
-
     def _let_go(self, workload_id: str) -> None:
         if self.reserved_for == workload_id:
             self._reservation = None
@@ -369,6 +383,7 @@
         for node in self._pool:
             if node.hold == workload_id:
                 node.hold = ''
+                node.takes_backfill = True
                 self._fresh_room.add(node.worker_id)
 
 
--- a/mulberryhitch/placement/policies.py
+++ b/mulberryhitch/placement/policies.py
@@ -34,7 +34,7 @@
     workload_id = waiting.spec.workload_id
     for node in pool.closest(waiting.size):
         held_for_other = node.hold not in {'', workload_id}
-        if held_for_other and not backfill:
+        if held_for_other and not (backfill and node.takes_backfill):
             continue
         if node.worker_id not in waiting.avoid:
             yield node
--- a/mulberryhitch/placement/pool.py
+++ b/mulberryhitch/placement/pool.py
@@ -15,6 +15,7 @@
     Attributes:
         is_open: Whether new tasks may go there.
         hold: The workload that the worker is held for; empty for none.
+        takes_backfill: Whether others that may be stopped may still start.
     """
 
     worker_id: str
@@ -23,6 +24,7 @@
     free: Size
     is_open: bool = True
     hold: str = ''
+    takes_backfill: bool = True
 
     def count_fitting(self, size: Size) -> int:
         """How many tasks of a size the free room takes."""
@@ -91,6 +93,7 @@
         if known is not None:
             node.is_open = known.is_open
             node.hold = known.hold
+            node.takes_backfill = known.takes_backfill
         self._nodes[worker_id] = node
         self._total += size
         self._list(node)
--- a/mulberryhitch/placement/reservations.py
+++ b/mulberryhitch/placement/reservations.py
@@ -40,6 +40,11 @@
         """Whether not even all stoppable work makes room for it."""
         return not self._chosen
 
+    def close(self) -> None:
+        """Lets no more backfill start: the workload is about to."""
+        for node in self._chosen:
+            node.takes_backfill = False
+
     def victims(self) -> list[Running]:
         """What must stop so that the workload can start now.
 
