Limits of a service follow the configuration; idle connections

Cause: a service's queue limit and order were read once, when its first backend server announced itself, so a change of configuration was accepted and never in force there; and callers' idle connections were closed after 5 s, ours to backend servers kept for 20 s, so that a request could meet a closing connection and end as unknown.

Change: limits are updated with each configuration; callers' connections are kept for 75 s, ours to backend servers for 4 s.

--- a/mulberryhitch/composition.py
+++ b/mulberryhitch/composition.py
@@ -18,6 +18,7 @@
 from mulberryhitch.configuration.models import CellConfiguration
 from mulberryhitch.configuration.settings import Settings
 from mulberryhitch.constants import (
+    CALLER_KEEPALIVE_SECONDS,
     READINESS_DELAY_SECONDS,
     REQUEST_HEADER_LIMIT_BYTES,
 )
@@ -303,6 +304,7 @@
                 log_config=None,
                 access_log=False,
                 server_header=False,
+                timeout_keep_alive=CALLER_KEEPALIVE_SECONDS,
                 h11_max_incomplete_event_size=REQUEST_HEADER_LIMIT_BYTES,
                 timeout_graceful_shutdown=max(
                     1, round(self._environment.settings.drain_seconds)
--- a/mulberryhitch/configuration/models.py
+++ b/mulberryhitch/configuration/models.py
@@ -1,7 +1,7 @@
 """The configuration that operators put in force for the whole cell."""
 
 import hashlib
-from typing import Any
+from typing import Any, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, field_validator
 
@@ -80,7 +80,7 @@
     deadline_seconds: float = Field(default=REQUEST_DEADLINE_SECONDS, gt=0)
     queue_limit: int = Field(default=2_000, ge=0)
     retry_share: float = Field(default=0.1, ge=0, le=1)
-    order: str = 'fair'
+    order: Literal['fair', 'fifo'] = 'fair'
 
 
 class ClassWeights(_Model):
--- a/mulberryhitch/requests/owner.py
+++ b/mulberryhitch/requests/owner.py
@@ -4,6 +4,7 @@
 
 from mulberryhitch.backend_servers.directory import Directory
 from mulberryhitch.configuration.holder import ConfigurationHolder
+from mulberryhitch.configuration.models import CellConfiguration
 from mulberryhitch.requests.router import Router
 from mulberryhitch.requests.service import ServiceLimits, ServiceSlots
 from mulberryhitch.requests.slots import ServerSlots
@@ -35,6 +36,7 @@
         self._router = router
         self._configuration = configuration
         directory.listen(self.heard)
+        configuration.listen(self._update_limits)
 
     async def run(self) -> None:
         """Looks for what has become silent, until cancelled."""
@@ -75,14 +77,20 @@
     def _slots(self, service: str) -> ServiceSlots:
         slots = self._router.services.get(service)
         if slots is None:
-            settings = self._configuration.current.services.get(service)
-            limits = ServiceLimits()
-            if settings is not None:
-                limits = ServiceLimits(settings.queue_limit, settings.order)
-            slots = ServiceSlots(service, limits, self._weight)
+            slots = ServiceSlots(service, self._limits(service), self._weight)
             self._router.services[service] = slots
         return slots
 
+    def _limits(self, service: str) -> ServiceLimits:
+        settings = self._configuration.current.services.get(service)
+        if settings is None:
+            return ServiceLimits()
+        return ServiceLimits(settings.queue_limit, settings.order)
+
+    def _update_limits(self, configuration: CellConfiguration) -> None:
+        for service, slots in self._router.services.items():
+            slots.update(self._limits(service))
+
     def _weight(self, tenant: str) -> float:
         found = self._configuration.current.tenants.get(tenant)
         return found.weight if found else 1
--- a/mulberryhitch/requests/queues.py
+++ b/mulberryhitch/requests/queues.py
@@ -41,6 +41,9 @@
     def pop(self, may_hold: Callable[[str], bool]) -> Waiter | None:
         """Removes the request whose turn it is, of a tenant that may."""
 
+    def drain(self) -> list[Waiter]:
+        """Removes and returns all that wait."""
+
     def finished(self, tenant: str, seconds: float) -> None:
         """Notes how long a tenant's request held its slot."""
 
@@ -100,6 +103,12 @@
         """Removes the first, whosever it is."""
         return self._queue.popleft() if self._queue else None
 
+    def drain(self) -> list[Waiter]:
+        """Removes and returns all that wait."""
+        waiting = list(self._queue)
+        self._queue.clear()
+        return waiting
+
     def finished(self, tenant: str, seconds: float) -> None:
         """Does nothing."""
 
@@ -171,6 +180,17 @@
             self._active.pop(name)
         return waiter
 
+    def drain(self) -> list[Waiter]:
+        """Removes and returns all that wait."""
+        waiting = [
+            waiter
+            for tenant in self._active.values()
+            for waiter in tenant.waiting
+        ]
+        for waiter in waiting:
+            self.discard(waiter)
+        return waiting
+
     def finished(self, tenant: str, seconds: float) -> None:
         """Charges what the request took beyond what was expected."""
         known = self._tenants.setdefault(tenant, _Tenant())
--- a/mulberryhitch/requests/service.py
+++ b/mulberryhitch/requests/service.py
@@ -46,6 +46,7 @@
         """Owns no server."""
         self.service = service
         self._limits = limits
+        self._weight_of = weight_of
         self._servers: dict[str, ServerSlots] = {}
         self._queue = make_request_order(limits.order, weight_of)
         self._held: Counter[str] = Counter()
@@ -76,6 +77,15 @@
         """How many requests wait."""
         return len(self._queue)
 
+    def update(self, limits: ServiceLimits) -> None:
+        """Puts other limits in force; who waits goes on waiting."""
+        if limits.order != self._limits.order:
+            queue = make_request_order(limits.order, self._weight_of)
+            for waiter in self._queue.drain():
+                queue.push(waiter)
+            self._queue = queue
+        self._limits = limits
+
     def expected_wait(self) -> float:
         """How long a new request would wait, in seconds."""
         slots = max(self.usable_slots, 1)
--- a/mulberryhitch/requests/upstream.py
+++ b/mulberryhitch/requests/upstream.py
@@ -8,6 +8,7 @@
 from mulberryhitch.constants import (
     ANSWER_BUFFER_BYTES,
     RPC_CONNECT_TIMEOUT_SECONDS,
+    UPSTREAM_KEEPALIVE_SECONDS,
 )
 from mulberryhitch.errors import OutcomeUnknownError, UnreachableError
 from mulberryhitch.requests.messages import (
@@ -64,7 +65,8 @@
         self._port = int(port)
         self._address = address
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=connections, keepalive_expiry=20
+            max_connections=connections,
+            keepalive_expiry=UPSTREAM_KEEPALIVE_SECONDS,
         )
 
     async def aclose(self) -> None:
--- a/mulberryhitch/standins/programs.py
+++ b/mulberryhitch/standins/programs.py
@@ -17,7 +17,10 @@
 from starlette.routing import Route
 
 from mulberryhitch.composition import HttpServer, listen
-from mulberryhitch.constants import ANNOUNCEMENT_INTERVAL_SECONDS
+from mulberryhitch.constants import (
+    ANNOUNCEMENT_INTERVAL_SECONDS,
+    CALLER_KEEPALIVE_SECONDS,
+)
 from mulberryhitch.standins.backend_server import StandinBackendServer
 from mulberryhitch.standins.worker import StandinWorker
 from mulberryhitch.workers.leases import Worker
@@ -220,6 +223,7 @@
             lifespan='off',
             log_config=None,
             access_log=False,
+            timeout_keep_alive=CALLER_KEEPALIVE_SECONDS,
             timeout_graceful_shutdown=1,
         )
     )
