--- /dev/null
+++ b/tests/test_files.py
@@ -0,0 +1,149 @@
+"""A replica's files: torn, flipped, full, failing, killed between steps."""
+
+import errno
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+
+from mulberryhitch.errors import DamagedFileError, StorageError
+from mulberryhitch.replication.failpoints import FailPoints
+from mulberryhitch.replication.files import FileStorage
+from mulberryhitch.replication.members import Members
+from mulberryhitch.replication.storage import Snapshot
+from mulberryhitch.rpc.messages import LogEntry
+
+
+class CrashError(Exception):
+    """The process dies here."""
+
+
+def crash() -> None:
+    raise CrashError
+
+
+def disk_full() -> None:
+    raise OSError(errno.ENOSPC, 'no space left on device')
+
+
+def entries(first: int, last: int) -> list[LogEntry]:
+    return [
+        LogEntry(index, 1, 'put', f'value {index}'.encode())
+        for index in range(first, last + 1)
+    ]
+
+
+def run(call: Any, *args: Any) -> Any:
+    return anyio.run(call, *args)
+
+
+def a_storage(
+    folder: Path, points: FailPoints | None = None, last: int = 5
+) -> FileStorage:
+    """Files with a vote and some synced entries."""
+    storage = FileStorage(folder, 'vm-1', points)
+    storage.load()
+    run(storage.save_vote, 1, 'vm-1#x')
+    storage.write(entries(1, last))
+    run(storage.sync)
+    return storage
+
+
+def reloaded(folder: Path) -> list[int]:
+    state = FileStorage(folder, 'vm-1').load()
+    return [entry.index for entry in state.entries]
+
+
+def test_what_was_synced_is_found_again(tmp_path: Path) -> None:
+    first = a_storage(tmp_path).load()
+    again = FileStorage(tmp_path, 'vm-1').load()
+    assert again.entries == entries(1, 5)
+    assert (again.term, again.voted_for) == (1, 'vm-1#x')
+    assert again.replica_id == first.replica_id
+
+
+def test_a_torn_tail_is_cut_off(tmp_path: Path) -> None:
+    a_storage(tmp_path)
+    log = tmp_path / 'log'
+    whole = log.read_bytes()
+    for missing in (1, 3, 20):
+        log.write_bytes(whole[:-missing])
+        assert reloaded(tmp_path) == [1, 2, 3, 4]
+        log.write_bytes(whole)
+
+
+@pytest.mark.parametrize('name', ['log', 'vote', 'identity', 'snapshot'])
+def test_a_flipped_byte_anywhere_is_found(tmp_path: Path, name: str) -> None:
+    storage = a_storage(tmp_path)
+    snapshot = Snapshot(2, 1, Members(('vm-1#x',)), b'state')
+    run(storage.save_snapshot, snapshot, entries(3, 5))
+    path = tmp_path / name
+    whole = path.read_bytes()
+    for place in range(len(whole)):
+        flipped = bytearray(whole)
+        flipped[place] ^= 0x40
+        path.write_bytes(bytes(flipped))
+        with pytest.raises(DamagedFileError):
+            FileStorage(tmp_path, 'vm-1').load()
+    path.write_bytes(whole)
+    assert reloaded(tmp_path) == [3, 4, 5]
+
+
+def test_a_full_disk_leaves_the_log_as_it_was(tmp_path: Path) -> None:
+    points = FailPoints()
+    storage = a_storage(tmp_path, points)
+    points.arm('write', disk_full)
+    with pytest.raises(StorageError):
+        storage.write(entries(6, 9))
+    points.disarm('write')
+    storage.write(entries(6, 6))
+    run(storage.sync)
+    assert reloaded(tmp_path) == [1, 2, 3, 4, 5, 6]
+
+
+def test_a_failed_sync_is_told(tmp_path: Path) -> None:
+    points = FailPoints()
+    storage = a_storage(tmp_path, points)
+    storage.write(entries(6, 6))
+    points.arm('sync', disk_full)
+    with pytest.raises(StorageError):
+        run(storage.sync)
+
+
+@pytest.mark.parametrize('point', ['vote', 'snapshot', 'compact', 'sync'])
+def test_a_kill_at_any_step_leaves_a_log_that_loads(
+    tmp_path: Path, point: str
+) -> None:
+    points = FailPoints()
+    storage = a_storage(tmp_path, points)
+    points.arm(point, crash)
+    snapshot = Snapshot(2, 1, Members(('vm-1#x',)), b'state')
+    with pytest.raises(CrashError):
+        run(storage.save_vote, 2, '')
+        run(storage.save_snapshot, snapshot, entries(3, 5))
+        storage.write(entries(6, 6))
+        run(storage.sync)
+    state = FileStorage(tmp_path, 'vm-1').load()
+    last = state.snapshot.last_index if state.snapshot else 0
+    indexes = [entry.index for entry in state.entries]
+    assert indexes[:1] == [last + 1]
+    assert set(range(last + 1, 6)) <= set(indexes)
+
+
+def test_a_missing_identity_is_damage_not_a_new_replica(
+    tmp_path: Path,
+) -> None:
+    a_storage(tmp_path)
+    (tmp_path / 'identity').unlink()
+    with pytest.raises(DamagedFileError):
+        FileStorage(tmp_path, 'vm-1').load()
+
+
+def test_truncation_lasts(tmp_path: Path) -> None:
+    storage = a_storage(tmp_path)
+    run(storage.truncate, 4)
+    storage.write([LogEntry(4, 2, 'put', b'other')])
+    run(storage.save_vote, 2, '')
+    run(storage.sync)
+    assert reloaded(tmp_path) == [1, 2, 3, 4]
--- /dev/null
+++ b/tests/test_tls.py
@@ -0,0 +1,135 @@
+"""Mutual TLS between our processes, and keys that change meanwhile."""
+
+import datetime
+import ipaddress
+import os
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+
+from mulberryhitch.configuration.settings import TlsSettings
+from mulberryhitch.errors import MulberryhitchError
+from mulberryhitch.observability.log import Log
+from mulberryhitch.rpc.client import PeerConnection
+from mulberryhitch.rpc.messages import HelloReply, HelloRequest
+from mulberryhitch.rpc.server import RpcServer
+from mulberryhitch.tls import TlsFiles
+from tests.program import free_ports
+
+DAY = datetime.timedelta(days=1)
+
+
+def an_authority() -> tuple[Any, Any]:
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, 'cell')])
+    return key, _certificate(key, name, key, name, is_authority=True)
+
+
+def _certificate(
+    key: Any, name: Any, signer: Any, issuer: Any, *, is_authority: bool
+) -> Any:
+    now = datetime.datetime.now(datetime.UTC)
+    address = ipaddress.ip_address('127.0.0.1')
+    return (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(issuer)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - DAY)
+        .not_valid_after(now + DAY)
+        .add_extension(x509.BasicConstraints(is_authority, None), True)
+        .add_extension(
+            x509.SubjectAlternativeName([x509.IPAddress(address)]), False
+        )
+        .sign(signer, hashes.SHA256())
+    )
+
+
+def write_member(folder: Path, authority: tuple[Any, Any]) -> TlsSettings:
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, 'vm-1')])
+    issuer = authority[1].subject
+    made = _certificate(key, name, authority[0], issuer, is_authority=False)
+    folder.mkdir(exist_ok=True)
+    pem = serialization.Encoding.PEM
+    (folder / 'certificate.pem').write_bytes(made.public_bytes(pem))
+    (folder / 'authority.pem').write_bytes(authority[1].public_bytes(pem))
+    (folder / 'key.pem').write_bytes(
+        key.private_bytes(
+            pem,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    return TlsSettings(
+        certificate=str(folder / 'certificate.pem'),
+        key=str(folder / 'key.pem'),
+        authority=str(folder / 'authority.pem'),
+    )
+
+
+async def answer(request: HelloRequest) -> HelloReply:
+    return HelloReply('me', False, [], [], 0)
+
+
+async def greet(server: TlsFiles, client: TlsFiles) -> Any:
+    """One call from a client to a server, each with its own files."""
+    port = free_ports(1)
+    rpc = RpcServer(Log('vm-1'), server.server)
+    rpc.register('hello', answer)
+    peer = PeerConnection('vm-2', '127.0.0.1', port, client.client)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(rpc.serve, '127.0.0.1', port)
+        tasks.start_soon(peer.run)
+        await anyio.sleep(0.2)
+        try:
+            return await peer.call('hello', HelloRequest('g', 'x', False), 2)
+        finally:
+            tasks.cancel_scope.cancel()
+
+
+def test_members_of_one_authority_talk(tmp_path: Path) -> None:
+    authority = an_authority()
+    one = TlsFiles(write_member(tmp_path / 'one', authority))
+    two = TlsFiles(write_member(tmp_path / 'two', authority))
+    assert anyio.run(greet, one, two).replica_id == 'me'
+
+
+def test_a_stranger_is_refused(tmp_path: Path) -> None:
+    ours = TlsFiles(write_member(tmp_path / 'ours', an_authority()))
+    other = TlsFiles(write_member(tmp_path / 'other', an_authority()))
+    for server, client in (
+        (ours, other),
+        (other, ours),
+        (ours, TlsFiles(None)),
+    ):
+        with pytest.raises(MulberryhitchError):
+            _first_failure(server, client)
+
+
+def test_new_keys_are_read_without_a_restart(tmp_path: Path) -> None:
+    settings = write_member(tmp_path / 'one', an_authority())
+    files = TlsFiles(settings)
+    before = files.server()
+    assert files.server() is before
+    authority = an_authority()
+    write_member(tmp_path / 'one', authority)
+    for path in (settings.certificate, settings.key, settings.authority):
+        later = os.stat(path).st_mtime_ns + 1_000_000
+        os.utime(path, ns=(later, later))
+    other = TlsFiles(write_member(tmp_path / 'two', authority))
+    assert files.server() is not before
+    assert anyio.run(greet, files, other).replica_id == 'me'
+
+
+def _first_failure(server: TlsFiles, client: TlsFiles) -> None:
+    try:
+        anyio.run(greet, server, client)
+    except BaseExceptionGroup as group:
+        raise group.exceptions[0] from group
