Headers over the limit are refused; inputs of every kind are tried

Cause: a request with 100,000 bytes of headers was answered with 200: h11 bounds only what is incomplete, and all of it came in one read.

Change: 431 headers_too_large. Tests of malformed and oversize input, slow senders, bodies streamed both ways, and settings errors.

Conclusion: each gets a coded answer with where, and the entry goes on.

--- a/mulberryhitch/errors.py
+++ b/mulberryhitch/errors.py
@@ -119,6 +119,14 @@
     advice = 'Send a smaller body.'
 
 
+@failure('headers_too_large')
+class HeadersTooLargeError(MulberryhitchError):
+    """The headers together are over their limit."""
+
+    status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+    advice = 'Send fewer or shorter headers.'
+
+
 @failure('unauthenticated')
 class UnauthenticatedError(MulberryhitchError):
     """No token, or one that the configuration does not know."""
--- a/mulberryhitch/http/app.py
+++ b/mulberryhitch/http/app.py
@@ -12,7 +12,9 @@
 from starlette.routing import Route
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
+from mulberryhitch.constants import REQUEST_HEADER_LIMIT_BYTES
 from mulberryhitch.errors import (
+    HeadersTooLargeError,
     InvalidInputError,
     MulberryhitchError,
     NotFoundError,
@@ -51,6 +53,7 @@
     @functools.wraps(endpoint)
     async def guarded(request: Request) -> Response:
         try:
+            _check_headers(request)
             return await endpoint(entry, request)
         except MulberryhitchError as error:
             entry.metrics.count(f'errors.{error.code}')
@@ -69,6 +72,14 @@
     return guarded
 
 
+def _check_headers(request: Request) -> None:
+    total = sum(len(name) + len(value) for name, value in request.headers.raw)
+    if total > REQUEST_HEADER_LIMIT_BYTES:
+        raise HeadersTooLargeError(
+            f'{total} of {REQUEST_HEADER_LIMIT_BYTES} bytes', where='headers'
+        )
+
+
 async def _not_routed(request: Request, error: Exception) -> Response:
     return problem_answer(
         NotFoundError(
--- a/tests/program.py
+++ b/tests/program.py
@@ -34,6 +34,7 @@
     """Calls the cell's entry as a token's holder."""
 
     def __init__(self, port: int, token: str) -> None:
+        self.port = port
         self._base = f'http://127.0.0.1:{port}'
         self._headers = [('Authorization', f'Bearer {token}')]
         self._pool = httpcore.AsyncConnectionPool()
--- /dev/null
+++ b/tests/test_inputs.py
@@ -0,0 +1,134 @@
+"""Bad input gets a coded answer that says what and where."""
+
+import json
+from typing import Any
+
+import anyio
+import pytest
+
+from mulberryhitch.configuration.settings import load_settings
+from mulberryhitch.errors import InvalidSettingsError
+from tests.program import running_cell
+
+PATH = '/v1/services/returns/x'
+SIZE = {'millicores': 1, 'memory_mebibytes': 1}
+
+
+async def _raw(port: int, sent: bytes, wait: float = 5) -> bytes:
+    async with await anyio.connect_tcp('127.0.0.1', port) as stream:
+        await stream.send(sent)
+        received = bytearray()
+        with anyio.move_on_after(wait):
+            while True:
+                try:
+                    received.extend(await stream.receive())
+                except anyio.EndOfStream:
+                    break
+        return bytes(received)
+
+
+def _request(*lines: str) -> bytes:
+    return '\r\n'.join(
+        (*lines, 'Authorization: Bearer demo-north', '', '')
+    ).encode()
+
+
+async def _json_inputs(callers: Any) -> None:
+    cases: list[tuple[Any, str, str]] = [
+        (b'{"kind": ', 'invalid_input', 'body:1'),
+        (b'[]', 'invalid_input', 'body: /'),
+        ({'kind': 'odd', 'size': SIZE}, 'invalid_input', 'body: /kind'),
+        ({'kind': 'batch', 'size': SIZE, 'x': 1}, 'invalid_input', 'body: /x'),
+        (
+            {'kind': 'batch', 'size': SIZE, 'data_centres': ['no']},
+            'invalid_input',
+            'body: /data_centres',
+        ),
+        ({'kind': 'batch', 'size': {}}, 'invalid_input', 'body: /size/millic'),
+    ]
+    for body, code, where in cases:
+        _, told, content = await callers['north'].call(
+            'POST', '/v1/workloads', body
+        )
+        assert (content['code'], told['mulberryhitch-outcome']) == (
+            code,
+            'not_run',
+        )
+        assert content['where'].startswith(where), content
+
+
+async def _header_inputs(callers: Any) -> None:
+    cases = [
+        ({'Mulberryhitch-Deadline': 'soon'}, 'Mulberryhitch-Deadline'),
+        ({'Mulberryhitch-Deadline': '-1'}, 'Mulberryhitch-Deadline'),
+        ({'Mulberryhitch-Idempotent': 'perhaps'}, 'Mulberryhitch-Idempotent'),
+        ({'Mulberryhitch-Idempotent': 'false'}, 'Idempotency-Key'),
+    ]
+    for headers, where in cases:
+        _, _, content = await callers['north'].call('GET', PATH, None, headers)
+        assert (content['code'], content['where']) == ('invalid_input', where)
+    _, _, content = await callers['north'].call('GET', '/v1/services/none/x')
+    assert content['code'] == 'not_found'
+    _, _, content = await callers['worker'].call('GET', PATH)
+    assert content['code'] == 'forbidden'
+
+
+async def _raw_inputs(port: int) -> None:
+    head = f'POST {PATH} HTTP/1.1'
+    oversize = _request(head, 'Host: x', 'Content-Length: 999999999')
+    assert b'413' in (await _raw(port, oversize, 2)).split(b'\r\n')[0]
+    slow = _request(
+        head, 'Host: x', 'Content-Length: 10', 'Mulberryhitch-Deadline: 0.3'
+    )
+    answer = await _raw(port, slow, 2)
+    assert b'504' in answer.split(b'\r\n')[0]
+    assert b'mulberryhitch-outcome: not_run' in answer
+    for garbage in (
+        b'\x00\x01\x02\r\n\r\n',
+        _request('GET / HTTP/9.9', 'Host: x'),
+        _request(head, 'Host: x', 'Content-Length: -5'),
+        _request(head, 'Host: x', f'Big: {"x" * 100_000}'),
+    ):
+        first = (await _raw(port, garbage, 2)).split(b'\r\n')[0]
+        assert not first or b' 4' in first, first
+
+
+def test_bad_input_is_told_of_and_the_entry_goes_on(tmp_path) -> None:
+    async def main() -> None:
+        async with running_cell(tmp_path, workers=1, servers=1) as callers:
+            await _json_inputs(callers)
+            await _header_inputs(callers)
+            await _raw_inputs(callers['north'].port)
+            status, _, _ = await callers['north'].call('GET', PATH)
+            assert status == 200
+
+    anyio.run(main)
+
+
+def test_a_large_body_is_streamed_both_ways(tmp_path) -> None:
+    async def main() -> None:
+        async with running_cell(tmp_path, workers=1, servers=1) as callers:
+            body = b'x' * 3_000_000
+            _, told, content = await callers['north'].call('POST', PATH, body)
+            assert content['body_bytes'] == len(body)
+            _, _, answer = await callers['north'].call(
+                'GET', f'{PATH}?size=3000000'
+            )
+            assert len(answer) == 3_000_000
+
+    anyio.run(main)
+
+
+@pytest.mark.parametrize('kind', ['base.json', 'muscat.json'])
+def test_settings_errors_name_file_and_path(tmp_path, kind: str) -> None:
+    vm = {'address': '127.0.0.1', 'disk': True}
+    base = {'data_centres': {'muscat': {'vms': {'m-1': vm}}}}
+    (tmp_path / 'base.json').write_text(json.dumps(base))
+    (tmp_path / 'muscat.json').write_text('{}')
+    load_settings(tmp_path, 'muscat')
+    bad = {'data_centres': {'muscat': {'vms': {'m-1': {'address': 'host'}}}}}
+    (tmp_path / kind).write_text(json.dumps(bad))
+    with pytest.raises(InvalidSettingsError) as caught:
+        load_settings(tmp_path, 'muscat')
+    assert 'base.json' in caught.value.where
+    assert '/data_centres/muscat/vms/m-1/address' in caught.value.where
