--- /dev/null
+++ b/examples/embedding.py
@@ -0,0 +1,96 @@
+"""Three replicas of a counter in one process, and a retry budget.
+
+Run it with ``python examples/embedding.py``.
+"""
+
+import random
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import anyio
+
+from mulberryhitch.errors import UnreachableError
+from mulberryhitch.observability.log import Log
+from mulberryhitch.replication.files import FileStorage
+from mulberryhitch.replication.options import ReplicationOptions
+from mulberryhitch.replication.replica import Replica
+from mulberryhitch.replication.state import ReplicaState
+from mulberryhitch.requests.budget import RetryBudget
+from mulberryhitch.rpc.messages import LogEntry
+
+VMS = ('one', 'two', 'three')
+
+
+class Counter:
+    """A state machine: adds up the numbers in the log."""
+
+    def __init__(self) -> None:
+        self.total = 0
+
+    def apply(self, entry: LogEntry) -> int:
+        self.total += int(entry.body)
+        return self.total
+
+    def snapshot(self) -> bytes:
+        return str(self.total).encode()
+
+    def restore(self, state: bytes) -> None:
+        self.total = int(state)
+
+
+class Direct:
+    """A transport that calls the other replicas in this process."""
+
+    def __init__(self, replicas: dict[str, Replica]) -> None:
+        self._replicas = replicas
+
+    async def call(
+        self, vm: str, method: str, request: Any, timeout_seconds: float
+    ) -> Any:
+        if vm not in self._replicas:
+            raise UnreachableError('not started', where=vm)
+        with anyio.fail_after(timeout_seconds):
+            return await getattr(self._replicas[vm], method)(request)
+
+
+async def main(folder: Path) -> list[int]:
+    """Adds three numbers and returns the totals that the leader told."""
+    replicas: dict[str, Replica] = {}
+    async with anyio.create_task_group() as tasks:
+        for vm in VMS:
+            replicas[vm] = Replica(
+                ReplicaState('totals', FileStorage(folder / vm, vm), Counter()),
+                Direct(replicas),
+                VMS,
+                ReplicationOptions(),
+                Log(vm),
+                random.Random(),
+            )
+            tasks.start_soon(replicas[vm].run)
+        leaders: list[Replica] = []
+        while not leaders:
+            await anyio.sleep(0.05)
+            leaders = [one for one in replicas.values() if one.has_authority]
+        totals = [
+            await leaders[0].propose('add', str(number).encode())
+            for number in (1, 2, 3)
+        ]
+        tasks.cancel_scope.cancel()
+    return totals
+
+
+def retries(first_tries: int) -> int:
+    """How many retries a budget of a tenth allows, all tries failing."""
+    budget = RetryBudget(share=0.1, most_saved=1)
+    allowed = 0
+    for _ in range(first_tries):
+        budget.first_try()
+        allowed += budget.take()
+    return allowed
+
+
+if __name__ == '__main__':
+    with tempfile.TemporaryDirectory() as name:
+        print('totals', anyio.run(main, Path(name)))
+    print('retries for 100 first tries', retries(100))
