--- a/mulberryhitch/composition.py
+++ b/mulberryhitch/composition.py
@@ -41,7 +41,8 @@
 from mulberryhitch.replication.state import ReplicaState
 from mulberryhitch.requests.ledgers import LeaderLedgers
 from mulberryhitch.requests.owner import OwnerKeeper
-from mulberryhitch.requests.router import Owner, Router
+from mulberryhitch.requests.ports import Owner
+from mulberryhitch.requests.router import Router
 from mulberryhitch.rpc.client import PeerConnection
 from mulberryhitch.rpc.server import RpcServer
 from mulberryhitch.scheduler.host import CellService, ReplicaHost
@@ -52,7 +53,6 @@
 from mulberryhitch.workers.gateway import HttpWorkerGateway
 from mulberryhitch.workloads.model import Size
 
-
 _BACKLOG = 2048
 
 
--- a/mulberryhitch/configuration/cell.py
+++ b/mulberryhitch/configuration/cell.py
@@ -4,17 +4,17 @@
 from dataclasses import dataclass
 from typing import Any
 
+from mulberryhitch.configuration.operations import (
+    ChangeConfiguration,
+    ConfigurationChanged,
+    ConfigurationView,
+)
 from mulberryhitch.errors import (
     InvariantError,
     NotFoundError,
     VersionConflictError,
 )
 from mulberryhitch.rpc.messages import LogEntry
-from mulberryhitch.configuration.operations import (
-    ChangeConfiguration,
-    ConfigurationChanged,
-    ConfigurationView,
-)
 from mulberryhitch.rpc.records import decode, decode_as, encode
 
 _HISTORY_VERSIONS = 200
--- a/mulberryhitch/http/app.py
+++ b/mulberryhitch/http/app.py
@@ -20,7 +20,13 @@
     NotFoundError,
     OutcomeUnknownError,
 )
-from mulberryhitch.http import announcements, operators, services, workloads
+from mulberryhitch.http import (
+    announcements,
+    openapi,
+    operators,
+    services,
+    workloads,
+)
 from mulberryhitch.http.entry import Entry
 from mulberryhitch.http.routes import (
     REQUEST_ID,
@@ -29,7 +35,7 @@
     problem_answer,
 )
 
-_MODULES = (announcements, operators, services, workloads)
+_MODULES = (announcements, openapi, operators, services, workloads)
 _REQUEST_ID = re.compile('[A-Za-z0-9_-]{8,64}')
 
 
--- a/mulberryhitch/placement/placement.py
+++ b/mulberryhitch/placement/placement.py
@@ -29,7 +29,6 @@
 from mulberryhitch.workers.leases import TaskKey
 from mulberryhitch.workloads.model import Size, Urgency, WorkloadSpec
 
-
 _PREEMPTION_PAUSE_SECONDS = 0.1
 _SEARCHED_WORKERS = 32
 
--- /dev/null
+++ b/mulberryhitch/replication/ballot.py
@@ -0,0 +1,92 @@
+"""Asks the voters of a group, all at once, for their votes."""
+
+from dataclasses import dataclass, replace
+
+import anyio
+from anyio.abc import TaskGroup
+
+from mulberryhitch.errors import MulberryhitchError
+from mulberryhitch.replication.machine import Transport
+from mulberryhitch.replication.members import vm_of
+from mulberryhitch.replication.options import ReplicationOptions
+from mulberryhitch.replication.state import ReplicaState
+from mulberryhitch.rpc.messages import VoteReply, VoteRequest
+
+
+@dataclass(frozen=True, slots=True)
+class BallotResult:
+    """Whether a majority gave its vote, and the newest term heard of."""
+
+    won: bool
+    newest_term: int
+
+
+class Ballot:
+    """One round of asking.
+
+    Args:
+        state: The candidate's state.
+        transport: Reaches the voters.
+        options: Timings.
+    """
+
+    def __init__(
+        self,
+        state: ReplicaState,
+        transport: Transport,
+        options: ReplicationOptions,
+    ) -> None:
+        """The candidate votes for itself."""
+        self._state = state
+        self._transport = transport
+        self._options = options
+        self._members = state.members
+        self._granted = {state.replica_id}
+        self._newest_term = state.term
+
+    async def hold(
+        self, term: int, *, pre_vote: bool, transfer: bool
+    ) -> BallotResult:
+        """Asks everybody; returns as soon as a majority has answered yes."""
+        request = VoteRequest(
+            self._state.group,
+            '',
+            term,
+            self._state.replica_id,
+            self._state.last_index,
+            self._state.last_term,
+            pre_vote,
+            transfer,
+        )
+        with anyio.move_on_after(self._options.election_seconds):
+            async with anyio.create_task_group() as tasks:
+                self._ask_everybody(request, tasks)
+        won = self._members.has_quorum(self._granted)
+        return BallotResult(won, self._newest_term)
+
+    def _ask_everybody(self, request: VoteRequest, tasks: TaskGroup) -> None:
+        for voter in self._members.voters:
+            if voter != self._state.replica_id:
+                asked = replace(request, target=voter)
+                tasks.start_soon(self._ask, asked, tasks)
+        if self._members.has_quorum(self._granted):
+            tasks.cancel_scope.cancel()
+
+    async def _ask(self, request: VoteRequest, tasks: TaskGroup) -> None:
+        try:
+            reply = await self._transport.call(
+                vm_of(request.target),
+                'vote',
+                request,
+                self._options.election_seconds,
+            )
+        except MulberryhitchError:
+            return
+        if not isinstance(reply, VoteReply):
+            return
+        if reply.granted:
+            self._granted.add(request.target)
+        else:
+            self._newest_term = max(self._newest_term, reply.term)
+        if self._members.has_quorum(self._granted):
+            tasks.cancel_scope.cancel()
--- a/mulberryhitch/replication/joining.py
+++ b/mulberryhitch/replication/joining.py
@@ -49,9 +49,6 @@
                 await self._ask_everyone()
             await anyio.sleep(self._options.election_seconds / 2)
 
-    def met(self, request: HelloRequest) -> None:
-        """Notes a hello; kept for symmetry of embedding transports."""
-
     async def _greet(self) -> None:
         replies = await self._ask_everyone()
         if self._own_vm not in self._initial_vms:
--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -16,6 +16,9 @@
     StorageError,
 )
 from mulberryhitch.observability.log import Log
+from mulberryhitch.replication.ballot import Ballot
+from mulberryhitch.replication.failstop import FailStop
+from mulberryhitch.replication.following import Following
 from mulberryhitch.replication.joining import Joining
 from mulberryhitch.replication.keeper import MembersKeeper
 from mulberryhitch.replication.leadership import Leadership
@@ -23,7 +26,6 @@
 from mulberryhitch.replication.members import Members, vm_of
 from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.state import ReplicaState
-from mulberryhitch.replication.storage import Snapshot
 from mulberryhitch.rpc.messages import (
     AppendReply,
     AppendRequest,
@@ -80,8 +82,8 @@
         self._last_contact = float()
         self._fatal: StorageError | None = None
         self._failed = anyio.Event()
-        self._kicked = anyio.Event()
-        self._incoming = bytearray()
+        self._following = Following(state)
+        self._fail_stop = FailStop(self._fail)
         self._tasks: TaskGroup | None = None
         self._target_voters = len(initial_vms)
         self._joining = Joining(state, transport, initial_vms, options)
@@ -206,7 +208,6 @@
         """Tells identity and members; notes who would like to join."""
         if request.replica_id not in self._state.members.everyone:
             self._applicants[request.replica_id] = anyio.current_time()
-        self._joining.met(request)
         return HelloReply(
             self.replica_id,
             self._state.configured,
@@ -232,8 +233,8 @@
             if request.term < self._state.term:
                 return AppendReply(self._state.term, False, 0)
             await self._follow(request.term, request.leader)
-            with self._fail_stop():
-                return await self._append_locked(request)
+            with self._fail_stop:
+                return await self._following.append(request)
 
     async def install_snapshot(self, request: SnapshotRequest) -> SnapshotReply:
         """Takes a part of a snapshot from a leader."""
@@ -242,15 +243,8 @@
             if request.term < self._state.term:
                 return SnapshotReply(self._state.term, 0)
             await self._follow(request.term, request.leader)
-            if request.offset != len(self._incoming):
-                self._incoming.clear()
-                return SnapshotReply(self._state.term, 0)
-            self._incoming.extend(request.state)
-            offset = len(self._incoming)
-            if request.done:
-                with self._fail_stop():
-                    await self._install_locked(request)
-            return SnapshotReply(self._state.term, offset)
+            with self._fail_stop:
+                return await self._following.take_part(request)
 
     async def take_over(self, request: TakeOverRequest) -> TakeOverReply:
         """Stands for election at once, as the leader asked."""
@@ -278,9 +272,6 @@
         if target != self.replica_id:
             raise ConflictError('that replica is gone', where=self.replica_id)
 
-    def _fail_stop(self) -> '_FailStop':
-        return _FailStop(self)
-
     def _fail(self, error: StorageError) -> None:
         self._fatal = error
         self._failed.set()
@@ -307,7 +298,7 @@
     async def _vote_locked(self, request: VoteRequest) -> VoteReply:
         if request.term < self._state.term:
             return VoteReply(self._state.term, granted=False)
-        with self._fail_stop():
+        with self._fail_stop:
             await self._enter_term(request.term)
             fits = self._state.is_behind(request.last_term, request.last_index)
             if not fits or self._state.voted_for not in {
@@ -327,7 +318,7 @@
         await self._state.save_term(term, '')
 
     async def _follow(self, term: int, leader: str) -> None:
-        with self._fail_stop():
+        with self._fail_stop:
             await self._enter_term(term)
         if self._leadership is not None:
             raise InvariantError(f'two leaders in term {term}')
@@ -343,44 +334,6 @@
             self._leadership.step_down()
             self._leadership = None
 
-    async def _append_locked(self, request: AppendRequest) -> AppendReply:
-        known_term = self._state.term_at(request.previous_index)
-        covered = request.previous_index < self._state.snapshot_index
-        if not covered and known_term != request.previous_term:
-            hint = min(self._state.last_index, request.previous_index - 1)
-            hint = max(hint, self._state.commit_index)
-            return AppendReply(self._state.term, False, hint)
-        await self._take_entries(request.entries)
-        last = request.previous_index + len(request.entries)
-        last = min(max(last, self._state.commit_index), self._state.last_index)
-        commit = min(request.commit_index, last)
-        if commit > self._state.commit_index:
-            self._state.commit(commit)
-        return AppendReply(self._state.term, True, last)
-
-    async def _take_entries(self, entries: list[LogEntry]) -> None:
-        for place, entry in enumerate(entries):
-            if entry.index <= self._state.commit_index:
-                continue
-            known_term = self._state.term_at(entry.index)
-            if known_term == entry.term:
-                continue
-            if known_term is not None:
-                await self._state.truncate(entry.index)
-            self._state.write(entries[place:])
-            await self._state.storage.sync()
-            return
-
-    async def _install_locked(self, request: SnapshotRequest) -> None:
-        state = bytes(self._incoming)
-        self._incoming.clear()
-        if request.last_index <= self._state.commit_index:
-            return
-        members = Members(tuple(request.voters), tuple(request.learners))
-        await self._state.install(
-            Snapshot(request.last_index, request.last_term, members, state)
-        )
-
     async def _elect(self) -> None:
         while True:
             patience = self._options.election_seconds
@@ -397,83 +350,30 @@
     async def _campaign(self, transfer: bool) -> None:
         if self._leadership is not None:
             return
-        if not transfer and not await self._ask_for_votes(
+        if not transfer and not await self._wins(
             self._state.term + 1, pre_vote=True, transfer=False
         ):
             return
         async with self._state.lock:
             if self._leadership is not None:
                 return
-            with self._fail_stop():
+            with self._fail_stop:
                 term = self._state.term + 1
                 await self._state.save_term(term, self.replica_id)
             self._role = Role.candidate
             self._leader_id = ''
-        won = await self._ask_for_votes(term, pre_vote=False, transfer=transfer)
+        won = await self._wins(term, pre_vote=False, transfer=transfer)
         if won and self._state.term == term and self._role is Role.candidate:
             self._lead()
 
-    async def _ask_for_votes(
-        self, term: int, *, pre_vote: bool, transfer: bool
-    ) -> bool:
-        request = VoteRequest(
-            self.group,
-            '',
-            term,
-            self.replica_id,
-            self._state.last_index,
-            self._state.last_term,
-            pre_vote,
-            transfer,
-        )
-        members = self._state.members
-        granted = {self.replica_id}
-        with anyio.move_on_after(self._options.election_seconds):
-            async with anyio.create_task_group() as tasks:
-                for voter in members.voters:
-                    if voter != self.replica_id:
-                        tasks.start_soon(
-                            self._ask_for_vote,
-                            voter,
-                            request,
-                            granted,
-                            tasks,
-                        )
-                if members.has_quorum(granted):
-                    tasks.cancel_scope.cancel()
-        return members.has_quorum(granted)
-
-    async def _ask_for_vote(
-        self,
-        voter: str,
-        request: VoteRequest,
-        granted: set[str],
-        tasks: TaskGroup,
-    ) -> None:
-        asked = VoteRequest(
-            request.group,
-            voter,
-            request.term,
-            request.candidate,
-            request.last_index,
-            request.last_term,
-            request.pre_vote,
-            request.transfer,
-        )
-        try:
-            reply = await self._call(voter, 'vote', asked)
-        except MulberryhitchError:
-            return
-        if not isinstance(reply, VoteReply):
-            return
-        if reply.granted:
-            granted.add(voter)
-        if self._state.members.has_quorum(granted):
-            tasks.cancel_scope.cancel()
-        if reply.term > self._state.term and not reply.granted:
+    async def _wins(self, term: int, *, pre_vote: bool, transfer: bool) -> bool:
+        ballot = Ballot(self._state, self._transport, self._options)
+        result = await ballot.hold(term, pre_vote=pre_vote, transfer=transfer)
+        if not result.won and result.newest_term > self._state.term:
             async with self._state.lock:
-                with self._fail_stop():
-                    await self._enter_term(reply.term)
+                with self._fail_stop:
+                    await self._enter_term(result.newest_term)
+        return result.won
 
     def _lead(self) -> None:
         if self._tasks is None:
@@ -496,7 +396,7 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(keeper.run)
-                with self._fail_stop():
+                with self._fail_stop:
                     await leadership.run()
                 tasks.cancel_scope.cancel()
         finally:
@@ -519,7 +419,7 @@
             if applied < self._options.compact_entries:
                 continue
             async with self._state.lock:
-                with self._fail_stop():
+                with self._fail_stop:
                     await self._state.compact()
 
     async def _call(self, replica_id: str, method: str, request: Any) -> Any:
@@ -529,17 +429,3 @@
             request,
             self._options.election_seconds,
         )
-
-
-class _FailStop:
-    """Stops the replica when a sync fails inside the block."""
-
-    def __init__(self, replica: Replica) -> None:
-        self._replica = replica
-
-    def __enter__(self) -> None:
-        """Begins the block."""
-
-    def __exit__(self, kind: object, error: object, trace: object) -> None:
-        if isinstance(error, StorageError):
-            self._replica._fail(error)  # noqa: SLF001, WPS437
--- /dev/null
+++ b/mulberryhitch/requests/ports.py
@@ -0,0 +1,63 @@
+"""What the router needs of others."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from mulberryhitch.requests.ledger import LedgerEntry, StoredAnswer
+from mulberryhitch.requests.messages import (
+    HeaderList,
+    ServiceAnswer,
+    ServiceRequest,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Owner:
+    """A member that owns servers of a service.
+
+    Attributes:
+        is_near: Whether it is in this data centre.
+    """
+
+    member_id: str
+    http_address: str
+    free_slots: int
+    queued: int
+    is_near: bool
+
+
+class UpstreamLike(Protocol):
+    """The connections to one address."""
+
+    async def send(
+        self,
+        request: ServiceRequest,
+        target: bytes,
+        extra: HeaderList,
+        on_end: Callable[[bool], None],
+    ) -> ServiceAnswer:
+        """Sends a request; see :meth:`Upstream.send`."""
+
+    async def aclose(self) -> None:
+        """Closes all connections."""
+
+
+class LedgerClient(Protocol):
+    """Keeps non-idempotent requests at their home."""
+
+    async def begin(
+        self, home: str, entry: LedgerEntry, timeout_seconds: float
+    ) -> LedgerEntry:
+        """Keeps an intent, or returns what is known of its key."""
+
+    async def finish(
+        self, home: str, entry: LedgerEntry, answer: StoredAnswer
+    ) -> None:
+        """Keeps an answer."""
+
+    async def release(self, home: str, entry: LedgerEntry) -> None:
+        """Forgets a request that did not run."""
+
+    async def give_up(self, home: str, entry: LedgerEntry) -> None:
+        """Notes that the outcome stays unknown."""
--- a/mulberryhitch/requests/router.py
+++ b/mulberryhitch/requests/router.py
@@ -4,27 +4,17 @@
 on to an owner, picked by two random choices on free slots.
 """
 
-import hashlib
 import random
-import time
-import uuid
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Protocol
+from functools import partial
 
 import anyio
 
 from mulberryhitch.configuration.holder import ConfigurationHolder
 from mulberryhitch.configuration.models import ServiceConfiguration
-from mulberryhitch.constants import (
-    CLOCK_DRIFT_SECONDS,
-    STORED_ANSWER_BYTES,
-)
 from mulberryhitch.errors import (
     BackendRefusedError,
-    CompletedBeforeError,
     DeadlinePassedError,
-    InProgressError,
     LostAuthorityError,
     MulberryhitchError,
     NoBackendServerError,
@@ -36,25 +26,17 @@
 from mulberryhitch.observability.metrics import Metrics
 from mulberryhitch.outcomes import Outcome
 from mulberryhitch.requests.budget import RetryBudget
-from mulberryhitch.requests.ledger import (
-    EntryState,
-    LedgerEntry,
-    StoredAnswer,
-)
-from mulberryhitch.requests.messages import (
-    HeaderList,
-    ServiceAnswer,
-    ServiceRequest,
-)
+from mulberryhitch.requests.messages import ServiceAnswer, ServiceRequest
+from mulberryhitch.requests.once import OnceSender
+from mulberryhitch.requests.ports import LedgerClient, Owner, UpstreamLike
 from mulberryhitch.requests.service import ServiceSlots
-from mulberryhitch.requests.slots import ServerSlots
+from mulberryhitch.requests.slotlease import SlotLease
 from mulberryhitch.requests.upstream import Upstream
 
 OWNER_HEADER = b'Mulberryhitch-Owner'
 HOP_HEADER = b'Mulberryhitch-Hop'
 REFUSED_HEADER = b'mulberryhitch-refused'
 OUTCOME_HEADER = b'mulberryhitch-outcome'
-REPLAYED_HEADER = b'Mulberryhitch-Replayed'
 DEADLINE_HEADER = b'Mulberryhitch-Deadline'
 _REQUEST_ID_HEADER = b'Mulberryhitch-Request-Id'
 _MOST_TRIES = 4
@@ -69,57 +51,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Owner:
-    """A member that owns servers of a service.
-
-    Attributes:
-        is_near: Whether it is in this data centre.
-    """
-
-    member_id: str
-    http_address: str
-    free_slots: int
-    queued: int
-    is_near: bool
-
-
-class UpstreamLike(Protocol):
-    """The connections to one address."""
-
-    async def send(
-        self,
-        request: ServiceRequest,
-        target: bytes,
-        extra: HeaderList,
-        on_end: Callable[[bool], None],
-    ) -> ServiceAnswer:
-        """Sends a request; see :meth:`Upstream.send`."""
-
-    async def aclose(self) -> None:
-        """Closes all connections."""
-
-
-class LedgerClient(Protocol):
-    """Keeps non-idempotent requests at their home."""
-
-    async def begin(
-        self, home: str, entry: LedgerEntry, timeout_seconds: float
-    ) -> LedgerEntry:
-        """Keeps an intent, or returns what is known of its key."""
-
-    async def finish(
-        self, home: str, entry: LedgerEntry, answer: StoredAnswer
-    ) -> None:
-        """Keeps an answer."""
-
-    async def release(self, home: str, entry: LedgerEntry) -> None:
-        """Forgets a request that did not run."""
-
-    async def give_up(self, home: str, entry: LedgerEntry) -> None:
-        """Notes that the outcome stays unknown."""
-
-
 class Router:
     """Routes one entry's requests.
 
@@ -151,8 +82,7 @@
         self._member_id = member_id
         self._configuration = configuration
         self._owners = owners
-        self._ledger = ledger
-        self._home_of = home_of
+        self._once = OnceSender(ledger, home_of)
         self._metrics = metrics
         self._histograms = histograms
         self._chance = chance
@@ -324,7 +254,7 @@
         self._histograms.record(
             'request_wait', request.tenant, request.service, taken_at - began
         )
-        lease = _SlotLease(slots, server, request.tenant, taken_at)
+        lease = SlotLease(slots, server, request.tenant)
         try:
             answer = await self._send_leased(request, settings, lease)
         except BaseException:
@@ -342,51 +272,20 @@
         self,
         request: ServiceRequest,
         settings: ServiceConfiguration,
-        lease: '_SlotLease',
+        lease: SlotLease,
     ) -> ServiceAnswer:
         request.tried.add(lease.server.backend_server_id)
         if request.idempotent:
             return await self._send(request, settings, lease)
-        home = self._home_of(request.tenant, request.key)
-        intent = self._intent(request)
-        known = await self._ledger.begin(
-            home, intent, max(request.deadline - anyio.current_time(), 0)
+        return await self._once.run(
+            request, partial(self._send, request, settings, lease)
         )
-        if known.request_id != intent.request_id:
-            lease.end(still_running=False)
-            return replayed(known)
-        return await self._send_once(request, settings, lease, home, intent)
-
-    async def _send_once(
-        self,
-        request: ServiceRequest,
-        settings: ServiceConfiguration,
-        lease: '_SlotLease',
-        home: str,
-        intent: LedgerEntry,
-    ) -> ServiceAnswer:
-        try:
-            answer = await self._send(request, settings, lease)
-        except MulberryhitchError as error:
-            with anyio.CancelScope(shield=True):
-                if error.outcome is Outcome.not_run:
-                    await self._ledger.release(home, intent)
-                else:
-                    await self._ledger.give_up(home, intent)
-            raise
-        except BaseException:
-            with anyio.CancelScope(shield=True):
-                await self._ledger.give_up(home, intent)
-            raise
-        with anyio.CancelScope(shield=True):
-            await self._ledger.finish(home, intent, _stored(answer))
-        return answer
 
     async def _send(
         self,
         request: ServiceRequest,
         settings: ServiceConfiguration,
-        lease: '_SlotLease',
+        lease: SlotLease,
     ) -> ServiceAnswer:
         server = lease.server
         if anyio.current_time() >= server.ends_at:
@@ -411,104 +310,11 @@
             )
         return answer
 
-    def _intent(self, request: ServiceRequest) -> LedgerEntry:
-        digest = hashlib.sha256()
-        for part in (
-            request.service.encode(),
-            request.method.encode(),
-            request.target,
-            request.body,
-        ):
-            digest.update(len(part).to_bytes(8, 'big'))
-            digest.update(part)
-        now = time.time()
-        left = max(request.deadline - anyio.current_time(), 0)
-        return LedgerEntry(
-            request.tenant,
-            request.key,
-            digest.hexdigest(),
-            uuid.uuid4().hex,
-            now,
-            now + left + CLOCK_DRIFT_SECONDS,
-        )
-
-
-def replayed(known: LedgerEntry) -> ServiceAnswer:
-    """The answer to a resend of a request in the ledger.
-
-    Raises:
-        InProgressError: The first one is still being carried out.
-        OutcomeUnknownError: Nobody knows what became of it.
-        CompletedBeforeError: It completed with an answer too long to keep.
-    """
-    if known.state is EntryState.in_progress:
-        raise InProgressError(
-            'the first request with this key is being carried out',
-            where='Idempotency-Key',
-            retry_after_seconds=1,
-        )
-    if known.answer is None:
-        raise OutcomeUnknownError(
-            'the first request with this key may have run',
-            where='Idempotency-Key',
-        )
-    if not known.answer.whole:
-        raise CompletedBeforeError(
-            'it completed before; its answer was too long to be kept',
-            where='Idempotency-Key',
-        )
-    headers = [(REPLAYED_HEADER, b'true')]
-    if known.answer.content_type:
-        content_type = known.answer.content_type.encode()
-        headers.append((b'Content-Type', content_type))
-    return ServiceAnswer(known.answer.status, headers, known.answer.body)
-
-
-class _SlotLease:
-    """A slot that is given back exactly once."""
-
-    def __init__(
-        self,
-        slots: ServiceSlots,
-        server: ServerSlots,
-        tenant: str,
-        taken_at: float,
-    ) -> None:
-        self.server = server
-        self._slots = slots
-        self._tenant = tenant
-        self._taken_at = taken_at
-        self._ended = False
-
-    def end_exchange(self, still_running: bool) -> None:
-        self.end(still_running=still_running)
-
-    def end(self, *, still_running: bool) -> None:
-        if self._ended:
-            return
-        self._ended = True
-        self._slots.release(
-            self.server,
-            self._tenant,
-            anyio.current_time() - self._taken_at,
-            abandoned=still_running,
-        )
-
 
 def _ignore(still_running: bool) -> None:
     """Takes no notice of how a hop ended."""
 
 
-def _stored(answer: ServiceAnswer) -> StoredAnswer:
-    whole = answer.rest is None and len(answer.body) <= STORED_ANSWER_BYTES
-    return StoredAnswer(
-        answer.status,
-        answer.header(b'content-type').decode('latin-1'),
-        answer.body if whole else b'',
-        whole,
-    )
-
-
 def _retry_after(answer: ServiceAnswer) -> float:
     told = answer.header(b'retry-after').decode('latin-1')
     return float(told) if told.isdigit() else 1
--- a/mulberryhitch/scheduler/service.py
+++ b/mulberryhitch/scheduler/service.py
@@ -19,9 +19,9 @@
 from mulberryhitch.placement.placement import Placement, PlacementOptions
 from mulberryhitch.replication.replica import Replica
 from mulberryhitch.rpc.messages import Capacity
+from mulberryhitch.rpc.records import encode, kind_of
 from mulberryhitch.scheduler import commands
 from mulberryhitch.scheduler import operations as ops
-from mulberryhitch.rpc.records import encode, kind_of
 from mulberryhitch.scheduler.state import DataCentreState
 from mulberryhitch.scheduler.term import LeaderTerm
 from mulberryhitch.workers.gateway import WorkerGateway
--- a/mulberryhitch/scheduler/state.py
+++ b/mulberryhitch/scheduler/state.py
@@ -12,8 +12,8 @@
 from mulberryhitch.errors import ConflictError, NotFoundError
 from mulberryhitch.requests.ledger import Ledger, LedgerEntry
 from mulberryhitch.rpc.messages import LogEntry
-from mulberryhitch.scheduler import commands
 from mulberryhitch.rpc.records import decode, decode_as, encode
+from mulberryhitch.scheduler import commands
 from mulberryhitch.workers.leases import Lease, LeaseTable, Worker
 from mulberryhitch.workloads.model import TaskState, Workload
 
--- a/mulberryhitch/scheduler/term.py
+++ b/mulberryhitch/scheduler/term.py
@@ -19,8 +19,8 @@
 from mulberryhitch.placement.placement import Placement
 from mulberryhitch.placement.waiting import Decision, Placed
 from mulberryhitch.replication.replica import Replica
-from mulberryhitch.scheduler import commands
 from mulberryhitch.rpc.records import encode, kind_of
+from mulberryhitch.scheduler import commands
 from mulberryhitch.scheduler.sessions import SessionEvents, WorkerSession
 from mulberryhitch.scheduler.state import DataCentreState
 from mulberryhitch.scheduler.usage import UsageWatch
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -28,7 +28,8 @@
 from mulberryhitch.requests.ledger import Ledger, LedgerEntry, StoredAnswer
 from mulberryhitch.requests.messages import ServiceAnswer, ServiceRequest
 from mulberryhitch.requests.owner import OwnerKeeper
-from mulberryhitch.requests.router import DEADLINE_HEADER, Owner, Router
+from mulberryhitch.requests.ports import Owner
+from mulberryhitch.requests.router import DEADLINE_HEADER, Router
 from mulberryhitch.rpc.messages import Announcement, Heartbeat
 from mulberryhitch.standins.backend_server import StandinBackendServer
 from tests.fakes import FakeNetwork
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -5,7 +5,6 @@
 import anyio
 
 from mulberryhitch.composition import listen
-
 from tests.program import running_cell
 
 SIZE = {'millicores': 1000, 'memory_mebibytes': 256}
