Task waits are shown; registries of operations by decorator

Cause: trying the runbooks on a live cell showed two things that did not do what they say: 'histograms' showed no task_wait, since tasks' waits were kept by the leader and served by nobody, and 'config diff 1 2' took one number.

Change: the endpoint adds the histograms of its data centre's leader; the second number is an argument. Operations and what follows from commands are registered by decorators, as the style asks.

--- a/mulberryhitch/cli/app.py
+++ b/mulberryhitch/cli/app.py
@@ -309,7 +309,11 @@
 
 
 @config.command('diff')
-def config_diff(context: typer.Context, older: int, newer: int = 0) -> None:
+def config_diff(
+    context: typer.Context,
+    older: int,
+    newer: Annotated[int, typer.Argument(help='The newest if left out.')] = 0,
+) -> None:
     """Shows what changed from one version to another."""
 
     lines = difflib.unified_diff(
--- a/mulberryhitch/http/operators.py
+++ b/mulberryhitch/http/operators.py
@@ -1,6 +1,7 @@
 """Endpoints for operators and for the balancer."""
 
 import time
+from contextlib import suppress
 
 from starlette.requests import Request
 from starlette.responses import Response
@@ -16,6 +17,7 @@
 from mulberryhitch.errors import (
     ConflictError,
     InvalidInputError,
+    MulberryhitchError,
     StoppingError,
 )
 from mulberryhitch.http.entry import Entry
@@ -31,6 +33,7 @@
 
 CELL_GROUP = 'cell'
 _OPERATION_SECONDS = 8.0
+_HISTOGRAM_SECONDS = 1.0
 
 
 @route('/livez', 'GET')
@@ -144,9 +147,21 @@
 
 @route('/v1/histograms', 'GET')
 async def histograms(entry: Entry, request: Request) -> Response:
-    """Tells waits and answers of this VM, for each tenant and class."""
+    """Tells waits and answers, for each tenant and class.
+
+    Those of requests are this VM's, those of tasks the leader's of this data
+    centre; without a leader they are left out.
+    """
     principal = principal_of(entry, request)
     summaries = entry.histograms.summaries()
+    with suppress(MulberryhitchError):
+        page = await entry.leaders.execute(
+            group_of(entry.data_centre),
+            ops.ReadHistograms(),
+            ops.HistogramPage,
+            _HISTOGRAM_SECONDS,
+        )
+        summaries.extend(page.summaries)
     if principal.role is not PrincipalRole.operator:
         own = principal.tenant('')
         summaries = [one for one in summaries if one.tenant == own]
--- a/mulberryhitch/scheduler/operations.py
+++ b/mulberryhitch/scheduler/operations.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from mulberryhitch.observability.histograms import HistogramSummary
 from mulberryhitch.requests.ledger import LedgerEntry, StoredAnswer
 from mulberryhitch.rpc.records import record
 from mulberryhitch.workers.leases import Worker
@@ -133,6 +134,19 @@
     request_id: str
 
 
+@record('read_histograms')
+@dataclass(frozen=True, slots=True)
+class ReadHistograms:
+    """Tell how long tasks have waited, by tenant and class."""
+
+
+@dataclass(frozen=True, slots=True)
+class HistogramPage:
+    """The figures of all histograms of a leader."""
+
+    summaries: tuple[HistogramSummary, ...]
+
+
 @record('replace_voter')
 @dataclass(frozen=True, slots=True)
 class ReplaceVoter:
--- a/mulberryhitch/scheduler/service.py
+++ b/mulberryhitch/scheduler/service.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, TypeAlias
 
 import anyio
 
@@ -34,6 +34,20 @@
 _BYTES_PER_MEBIBYTE = 1024 * 1024
 
 
+_Operation: TypeAlias = Callable[[Any, Any], Awaitable[Any]]
+_operations: dict[type, _Operation] = {}
+
+
+def operation(request_type: type) -> Callable[[_Operation], _Operation]:
+    """Registers what carries out the requests of a type."""
+
+    def register(function: _Operation) -> _Operation:
+        _operations[request_type] = function
+        return function
+
+    return register
+
+
 class DataCentreService:
     """Carries out operations on a data centre's workloads.
 
@@ -88,7 +102,7 @@
         Raises:
             NotLeaderError: This VM does not lead; nothing was done.
         """
-        handler = _OPERATIONS.get(request.__class__)
+        handler = _operations.get(request.__class__)
         if handler is None:
             raise NotFoundError('no such operation', where=repr(request))
         if self._term is None or not self.replica.has_authority:
@@ -132,6 +146,7 @@
     async def _propose(self, command: Any) -> Any:
         return await self.replica.propose(kind_of(command), encode(command))
 
+    @operation(ops.Submit)
     async def _submit(self, request: ops.Submit) -> ops.Submitted:
         term = self._leading_term()
         spec = request.spec
@@ -151,6 +166,7 @@
         workload_id = await self._propose(commands.WorkloadAccepted(spec))
         return ops.Submitted(workload_id)
 
+    @operation(ops.Describe)
     async def _describe(self, request: ops.Describe) -> ops.WorkloadView:
         await self.replica.read_barrier()
         wait = min(request.wait_seconds, _LONGEST_WAIT_SECONDS)
@@ -172,6 +188,7 @@
             term.waiting_reason(workload),
         )
 
+    @operation(ops.Cancel)
     async def _cancel(self, request: ops.Cancel) -> ops.Done:
         await self.replica.read_barrier()
         if not self.state.workload(request.workload_id).ended:
@@ -180,6 +197,7 @@
             )
         return ops.Done()
 
+    @operation(ops.ListWorkloads)
     async def _list(self, request: ops.ListWorkloads) -> ops.WorkloadPage:
         await self.replica.read_barrier()
         found = sorted(
@@ -193,6 +211,7 @@
         page = tuple(_summary(one) for one in found[: request.limit])
         return ops.WorkloadPage(page, len(found) > request.limit)
 
+    @operation(ops.AnnounceWorker)
     async def _announce(self, request: ops.AnnounceWorker) -> ops.Done:
         term = self._leading_term()
         worker = request.worker
@@ -204,9 +223,11 @@
         term.note_leaving(worker.worker_id, request.leaving)
         return ops.Done()
 
+    @operation(ops.BeginRequest)
     async def _begin(self, request: ops.BeginRequest) -> Any:
         return await self._propose(commands.RequestBegun(request.entry))
 
+    @operation(ops.FinishRequest)
     async def _finish(self, request: ops.FinishRequest) -> ops.Done:
         await self._propose(
             commands.RequestFinished(
@@ -218,6 +239,7 @@
         )
         return ops.Done()
 
+    @operation(ops.ReleaseRequest)
     async def _release(self, request: ops.ReleaseRequest) -> ops.Done:
         await self._propose(
             commands.RequestReleased(
@@ -226,6 +248,7 @@
         )
         return ops.Done()
 
+    @operation(ops.GiveUpRequest)
     async def _give_up(self, request: ops.GiveUpRequest) -> ops.Done:
         await self._propose(
             commands.RequestGivenUp(
@@ -234,6 +257,13 @@
         )
         return ops.Done()
 
+    @operation(ops.ReadHistograms)
+    async def _read_histograms(
+        self, request: ops.ReadHistograms
+    ) -> ops.HistogramPage:
+        return ops.HistogramPage(tuple(self._histograms.summaries()))
+
+    @operation(ops.ReplaceVoter)
     async def _replace_voter(self, request: ops.ReplaceVoter) -> ops.Done:
         await self.replica.replace_voter(request.replica_id)
         return ops.Done()
@@ -254,18 +284,3 @@
         workload.open_tasks,
         workload.cancelled,
     )
-
-
-_Operation = Callable[[DataCentreService, Any], Awaitable[Any]]
-_OPERATIONS: dict[type, _Operation] = {
-    ops.Submit: DataCentreService._submit,  # noqa: WPS437
-    ops.Describe: DataCentreService._describe,  # noqa: WPS437
-    ops.Cancel: DataCentreService._cancel,  # noqa: WPS437
-    ops.ListWorkloads: DataCentreService._list,  # noqa: WPS437
-    ops.AnnounceWorker: DataCentreService._announce,  # noqa: WPS437
-    ops.BeginRequest: DataCentreService._begin,  # noqa: WPS437
-    ops.FinishRequest: DataCentreService._finish,  # noqa: WPS437
-    ops.ReleaseRequest: DataCentreService._release,  # noqa: WPS437
-    ops.GiveUpRequest: DataCentreService._give_up,  # noqa: WPS437
-    ops.ReplaceVoter: DataCentreService._replace_voter,  # noqa: WPS437
-}
--- a/mulberryhitch/scheduler/term.py
+++ b/mulberryhitch/scheduler/term.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeAlias
 
 import anyio
 from anyio.abc import TaskGroup
@@ -36,6 +36,20 @@
 _PRUNE_INTERVAL_SECONDS = 600.0
 
 
+_Follower: TypeAlias = Callable[[Any, Any], None]
+_followers: dict[type, _Follower] = {}
+
+
+def _follows(command_type: type) -> Callable[[_Follower], _Follower]:
+    """Registers what follows from an applied command of a type."""
+
+    def register(function: _Follower) -> _Follower:
+        _followers[command_type] = function
+        return function
+
+    return register
+
+
 class LeaderTerm:
     """What the leader of a data centre's log does in one term.
 
@@ -299,11 +313,12 @@
                 )
 
     def _applied(self, command: Any) -> None:
-        handler = _HANDLERS.get(command.__class__)
-        if handler is not None:
-            handler(self, command)
+        follower = _followers.get(command.__class__)
+        if follower is not None:
+            follower(self, command)
         self._woken.set()
 
+    @_follows(commands.WorkloadAccepted)
     def _on_accepted(self, command: commands.WorkloadAccepted) -> None:
         workload = self._state.workloads.get(command.spec.workload_id)
         fresh = not self.placement.is_waiting(command.spec.workload_id)
@@ -314,6 +329,7 @@
         if not any(task.attempt for task in workload.tasks):
             self._enqueue(workload)
 
+    @_follows(commands.WorkloadCancelled)
     def _on_cancelled(self, command: commands.WorkloadCancelled) -> None:
         self.placement.withdraw(command.workload_id)
         workload = self._state.workload(command.workload_id)
@@ -324,13 +340,16 @@
                 if session is not None:
                     session.stop_task(key, StopMode.stop)
 
+    @_follows(commands.WorkerRegistered)
     def _on_registered(self, command: commands.WorkerRegistered) -> None:
         self._add_worker(command.worker)
 
+    @_follows(commands.WorkerRemoved)
     def _on_removed(self, command: commands.WorkerRemoved) -> None:
         self.placement.remove_worker(command.worker_id)
         self._sessions.pop(command.worker_id, None)
 
+    @_follows(commands.AttemptsEnded)
     def _on_ended(self, command: commands.AttemptsEnded) -> None:
         for end in command.ends:
             if end.task not in self.placement.running:
@@ -349,6 +368,7 @@
                     task.failed_workers,
                 )
 
+    @_follows(commands.TasksGivenUp)
     def _on_given_up(self, command: commands.TasksGivenUp) -> None:
         for task in command.tasks:
             self.placement.withdraw(task.workload_id)
@@ -394,13 +414,3 @@
 
 def _stop_mode(spec: WorkloadSpec) -> StopMode:
     return StopMode.checkpoint if spec.checkpointable else StopMode.stop
-
-
-_HANDLERS: dict[type, Callable[[LeaderTerm, Any], None]] = {
-    commands.WorkloadAccepted: LeaderTerm._on_accepted,  # noqa: WPS437
-    commands.WorkloadCancelled: LeaderTerm._on_cancelled,  # noqa: WPS437
-    commands.WorkerRegistered: LeaderTerm._on_registered,  # noqa: WPS437
-    commands.WorkerRemoved: LeaderTerm._on_removed,  # noqa: WPS437
-    commands.AttemptsEnded: LeaderTerm._on_ended,  # noqa: WPS437
-    commands.TasksGivenUp: LeaderTerm._on_given_up,  # noqa: WPS437
-}
--- a/tests/test_interface.py
+++ b/tests/test_interface.py
@@ -62,6 +62,9 @@
             assert raced.exception.code == 'invalid_input'
             shown = await run('members')
             assert 'entry@vm-1' in shown.stdout
+            told = await run('histograms')
+            assert 'task_wait' in told.stdout
+            assert (await run('config', 'diff', '1', '1')).exit_code == 0
             sent = await run('send', 'returns', '/x', '--json')
             assert '"outcome": "completed"' in sent.stdout
 
