Start deadlines from a heap, on anyio's clock

Cause: once a second all workloads were scanned for late ones, against the wall clock, which no test on the mocked clock could move.

Change: deadlines in a heap, on anyio's clock. Tests for late work, a tenant's bound, and a task over its declared size.

Conclusion: the cost of a second no longer grows with the workloads kept.

--- a/mulberryhitch/scheduler/term.py
+++ b/mulberryhitch/scheduler/term.py
@@ -1,5 +1,6 @@
 """One leader's term over a data centre: it places tasks and holds leases."""
 
+import heapq
 import time
 from collections.abc import Callable
 from typing import Any, TypeAlias
@@ -89,6 +90,7 @@
         self._woken = anyio.Event()
         self._tasks: TaskGroup | None = None
         self._term = replica.term
+        self._deadlines: list[tuple[float, str]] = []
 
     async def run(self) -> None:
         """Leads until the authority is lost."""
@@ -99,6 +101,7 @@
                 self._adopt_state()
                 tasks.start_soon(self._place_forever)
                 tasks.start_soon(self._prune_forever)
+                tasks.start_soon(self._give_up_forever)
                 await self._watch_authority()
                 tasks.cancel_scope.cancel()
         except* (LostAuthorityError, NotLeaderError, OutcomeUnknownError):
@@ -144,6 +147,7 @@
     def _enqueue(self, workload: Workload) -> None:
         queued = [task.number for task in workload.queued()]
         if queued:
+            self._note_deadline(workload.spec)
             self.placement.enqueue(workload.spec, queued, anyio.current_time())
 
     def _add_worker(self, worker: Worker) -> None:
@@ -375,42 +379,41 @@
 
     async def _prune_forever(self) -> None:
         while True:
-            await anyio.sleep(_TICK_SECONDS * 4)
-            await self._give_up_late()
-            if anyio.current_time() % _PRUNE_INTERVAL_SECONDS < 1:
-                before = time.time() - _HISTORY_SECONDS
-                await self._propose(commands.HistoryPruned(before))
-
-    async def _give_up_late(self) -> None:
-        now = time.time()
-        late = [
-            TaskKey(workload.spec.workload_id, task.number)
-            for workload in self._late_workloads(now)
-            for task in workload.queued()
-        ]
-        if late:
-            await self._propose(
-                commands.TasksGivenUp(
-                    tuple(late), 'not started before its deadline', now
-                ),
-            )
+            await anyio.sleep(_PRUNE_INTERVAL_SECONDS)
+            before = time.time() - _HISTORY_SECONDS
+            await self._propose(commands.HistoryPruned(before))
+
+    async def _give_up_forever(self) -> None:
+        while True:
+            await anyio.sleep(_TICK_SECONDS)
+            late = self._late_tasks()
+            if late:
+                await self._propose(
+                    commands.TasksGivenUp(
+                        late, 'not started before its deadline', time.time()
+                    ),
+                )
 
-    def _late_workloads(self, now: float) -> list[Workload]:
-        return [
-            workload
-            for workload in self._state.workloads.values()
-            if not workload.ended and _is_late(workload.spec, now)
-        ]
+    def _note_deadline(self, spec: WorkloadSpec) -> None:
+        if spec.start_within_seconds:
+            left = spec.accepted_at + spec.start_within_seconds - time.time()
+            due_at = anyio.current_time() + left
+            heapq.heappush(self._deadlines, (due_at, spec.workload_id))
+
+    def _late_tasks(self) -> tuple[TaskKey, ...]:
+        late: list[TaskKey] = []
+        now = anyio.current_time()
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, workload_id = heapq.heappop(self._deadlines)
+            workload = self._state.workloads.get(workload_id)
+            queued = workload.queued() if workload else ()
+            late.extend(TaskKey(workload_id, task.number) for task in queued)
+        return tuple(late)
 
     async def _propose(self, command: Any) -> Any:
         self._replica.require_authority()
         return await self._replica.propose(kind_of(command), encode(command))
 
 
-def _is_late(spec: WorkloadSpec, now: float) -> bool:
-    allowed = spec.start_within_seconds
-    return allowed > 0 and now > spec.accepted_at + allowed
-
-
 def _stop_mode(spec: WorkloadSpec) -> StopMode:
     return StopMode.checkpoint if spec.checkpointable else StopMode.stop
--- a/tests/test_data_centre.py
+++ b/tests/test_data_centre.py
@@ -1,7 +1,9 @@
 """A data centre's work under kills, cuts, pauses and failing workers."""
 
 import anyio
+import pytest
 
+from mulberryhitch.errors import OverQuotaError
 from mulberryhitch.scheduler import operations as ops
 from mulberryhitch.workloads.model import Kind, Size
 from tests.centres import DataCentre, a_spec
@@ -124,3 +126,45 @@
             assert await centre.wait_ended('home.2') == ['completed']
 
     run_at_once(main)
+
+
+def test_work_that_could_not_start_in_time_is_given_up() -> None:
+    async def main() -> None:
+        async with DataCentre(seed=9, workers=1).running() as centre:
+            long = a_spec(1, task_count=4, run_seconds=60)
+            await centre.execute(ops.Submit(long))
+            await anyio.sleep(3)
+            late = a_spec(2, start_within_seconds=5)
+            await centre.execute(ops.Submit(late))
+            assert await centre.wait_ended('home.2', 20) == ['cancelled']
+            view = await centre.execute(ops.Describe('home.2'))
+            assert view.tasks[0].reason == 'not started before its deadline'
+            assert await centre.wait_ended('home.1') == ['completed'] * 4
+
+    run_at_once(main)
+
+
+def test_a_tenant_beyond_its_bound_is_told_not_run() -> None:
+    async def main() -> None:
+        async with DataCentre(seed=10, workers=1).running() as centre:
+            centre.queue_limit = 5
+            await centre.execute(ops.Submit(a_spec(1, task_count=5)))
+            with pytest.raises(OverQuotaError) as caught:
+                await centre.execute(ops.Submit(a_spec(2, task_count=9)))
+            assert caught.value.retry_after_seconds > 0
+            assert await centre.wait_ended('home.1') == ['completed'] * 5
+
+    run_at_once(main)
+
+
+def test_a_task_over_its_declared_size_is_stopped_and_told() -> None:
+    async def main() -> None:
+        async with DataCentre(seed=11, workers=1).running() as centre:
+            program = '{"use_millicores": 9000, "run_seconds": 500}'
+            spec = a_spec(1, program=program, run_seconds=500)
+            await centre.execute(ops.Submit(spec))
+            assert await centre.wait_ended('home.1', 60) == ['unknown']
+            view = await centre.execute(ops.Describe('home.1'))
+            assert view.tasks[0].reason
+
+    run_at_once(main)
