The cost of idle workers and backend servers is linear again

Cause: measured slopes bent upwards. One pool of connections served all workers, and a pool looks at every connection at each request; and each announcement of a backend server made the entry compose its whole heartbeat, with all announcements in it, only to learn its own clock.

Change: a pool for each worker; owners are chosen from states and clocks.

--- a/mulberryhitch/http/announcements.py
+++ b/mulberryhitch/http/announcements.py
@@ -1,5 +1,6 @@
 """Endpoints at which workers and backend servers announce themselves."""
 
+import anyio
 from pydantic import BaseModel, ConfigDict, Field, field_validator
 from starlette.requests import Request
 from starlette.responses import Response
@@ -25,7 +26,7 @@
 )
 from mulberryhitch.http.workloads import group_of
 from mulberryhitch.membership.members import MemberRole, MemberState
-from mulberryhitch.rpc.messages import Announcement, Heartbeat
+from mulberryhitch.rpc.messages import Announcement
 from mulberryhitch.scheduler import operations as ops
 from mulberryhitch.tenants.access import PrincipalRole
 from mulberryhitch.workers.leases import Worker
@@ -128,24 +129,28 @@
 
 
 def offer_for(entry: Entry, announcement: Announcement) -> OwnershipOffer:
-    """The owner that a backend server should have, with a fresh lease.
+    """The owner that a backend server should have, with a fresh lease."""
+    clocks = _candidates(entry, announcement.data_centre)
+    owner = preferred_owner(announcement.backend_server_id, clocks)
+    return OwnershipOffer(owner, clocks.get(owner, 0))
 
-    The present owner stays while it is alive and wanted, or stopping is the
-    only thing against it.
+
+def _candidates(entry: Entry, data_centre: str) -> dict[str, float]:
+    """The entries that may own a server, with their clocks.
+
+    Those of the server's data centre come first; others only where it has
+    none.
     """
-    candidates = _candidates(entry, announcement.data_centre)
-    owner = preferred_owner(announcement.backend_server_id, candidates)
-    return OwnershipOffer(owner, candidates[owner].clock if owner else 0)
-
-
-def _candidates(entry: Entry, data_centre: str) -> dict[str, Heartbeat]:
-    live = [
-        beat
-        for beat in (*entry.members.live(MemberRole.entry), entry.heartbeat())
-        if beat.state == MemberState.ready.value
-    ]
-    near = [beat for beat in live if beat.data_centre == data_centre]
-    return {beat.member_id: beat for beat in near or live}
+    near: dict[str, float] = {}
+    far: dict[str, float] = {}
+    for beat in entry.members.live(MemberRole.entry):
+        if beat.state == MemberState.ready.value:
+            group = near if beat.data_centre == data_centre else far
+            group[beat.member_id] = beat.clock
+    if entry.is_ready:
+        group = near if entry.data_centre == data_centre else far
+        group[entry.member_id] = anyio.current_time()
+    return near or far
 
 
 def _check_data_centre(entry: Entry, name: str) -> None:
--- a/mulberryhitch/workers/gateway.py
+++ b/mulberryhitch/workers/gateway.py
@@ -6,6 +6,7 @@
 import httpcore
 from pydantic import ValidationError
 
+from mulberryhitch.constants import UPSTREAM_KEEPALIVE_SECONDS
 from mulberryhitch.errors import (
     OutcomeUnknownError,
     ProtocolError,
@@ -14,6 +15,7 @@
 from mulberryhitch.workers.protocol import LeaseMessage, LeaseReply
 
 _OK = 200
+_CONNECTIONS = 2
 
 
 class WorkerGateway(Protocol):
@@ -32,15 +34,16 @@
 class HttpWorkerGateway:
     """Reaches workers over plain HTTP.
 
+    Each worker has a pool of its own: a pool looks at all of its connections
+    at every request, so that one for all would cost their number squared.
+
     Args:
         token: The bearer token that workers know the scheduler by.
     """
 
     def __init__(self, token: str = '') -> None:
         """Connects at the first message."""
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=None, keepalive_expiry=30
-        )
+        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
         self._headers: dict[bytes | str, bytes | str] = {
             'Content-Type': 'application/json',
         }
@@ -59,7 +62,7 @@
         """
         try:
             with anyio.fail_after(timeout_seconds):
-                response = await self._pool.request(
+                response = await self._pool(address).request(
                     'POST',
                     f'http://{address}/v1/leases',
                     headers=self._headers,
@@ -77,3 +80,13 @@
             return LeaseReply.model_validate_json(response.content)
         except ValidationError as invalid:
             raise ProtocolError(str(invalid), where=address) from invalid
+
+    def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = httpcore.AsyncConnectionPool(
+                max_connections=_CONNECTIONS,
+                keepalive_expiry=UPSTREAM_KEEPALIVE_SECONDS,
+            )
+            self._pools[address] = pool
+        return pool
