--- a/tests/program.py
+++ b/tests/program.py
@@ -76,12 +76,12 @@
             name: Caller(port, f'demo-{name}')
             for name in ('operator', 'north', 'south', 'worker')
         }
-        await _wait_ready(callers['operator'], workers, servers)
+        await wait_ready(callers['operator'], workers, servers)
         yield callers
         tasks.cancel_scope.cancel()
 
 
-async def _wait_ready(caller: Caller, workers: int, servers: int) -> None:
+async def wait_ready(caller: Caller, workers: int, servers: int) -> None:
     with anyio.fail_after(60):
         while True:
             await anyio.sleep(0.1)
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,78 @@
+"""The configuration: merging, versions that only go up, restarts."""
+
+import time
+
+import pytest
+
+from mulberryhitch.configuration.cell import CellState
+from mulberryhitch.configuration.holder import ConfigurationHolder
+from mulberryhitch.configuration.models import CellDocument
+from mulberryhitch.configuration.operations import ChangeConfiguration
+from mulberryhitch.configuration.overlays import merged
+from mulberryhitch.errors import (
+    InvalidInputError,
+    InvariantError,
+    VersionConflictError,
+)
+from mulberryhitch.rpc.messages import LogEntry
+from mulberryhitch.rpc.records import encode, kind_of
+
+
+def a_change(expected: int, key: str = '', weight: int = 1) -> LogEntry:
+    document = f'{{"base": {{"tenants": {{"north": {{"weight": {weight}}}}}}}}}'
+    change = ChangeConfiguration(document, expected, key, 'me', time.time())
+    return LogEntry(1, 1, kind_of(change), encode(change))
+
+
+def test_an_overlay_is_put_over_the_base() -> None:
+    base = {'a': {'b': 1, 'c': 2}, 'd': [1]}
+    assert merged(base, {'a': {'b': 3, 'c': None}, 'd': []}) == {
+        'a': {'b': 3},
+        'd': [],
+    }
+
+
+def test_an_error_names_the_overlay_and_the_path() -> None:
+    document = CellDocument(
+        base={'tenants': {'north': {}}},
+        data_centres={'muscat': {'tenants': {'north': {'weight': -1}}}},
+    )
+    with pytest.raises(InvalidInputError) as caught:
+        document.check(['muscat'])
+    assert 'muscat' in caught.value.where
+    assert caught.value.where.endswith('/tenants/north/weight')
+    with pytest.raises(InvalidInputError):
+        CellDocument(data_centres={'nowhere': {}}).check(['muscat'])
+
+
+def test_of_two_changes_one_wins_and_a_resend_gets_the_first_answer() -> None:
+    state = CellState()
+    assert state.apply(a_change(0, 'a')).version == 1
+    with pytest.raises(VersionConflictError):
+        state.apply(a_change(0, 'b'))
+    assert state.apply(a_change(0, 'a')).version == 1
+    assert state.apply(a_change(1, 'b')).version == 2
+
+
+def test_hundreds_of_changes_survive_a_restart_from_a_snapshot() -> None:
+    state = CellState()
+    for number in range(500):
+        state.apply(a_change(number, f'key-{number}', number + 1))
+    again = CellState()
+    again.restore(state.snapshot())
+    assert again.version == 500
+    assert again.apply(a_change(3, 'key-3')).version == 4
+    older = CellState()
+    older.apply(a_change(0))
+    with pytest.raises(InvariantError):
+        again.restore(older.snapshot())
+
+
+def test_a_process_takes_versions_upwards_only() -> None:
+    holder = ConfigurationHolder('muscat')
+    assert holder.offer(7, '{"base": {"tenants": {"north": {}}}}')
+    assert not holder.offer(6, '{"base": {}}')
+    assert holder.version == 7
+    assert 'north' in holder.current.tenants
+    with pytest.raises(InvariantError):
+        holder.offer(7, '{"base": {}}')
