A gang that loses a task starts again together

Cause: a lost task of a gang was placed again by itself, beside siblings that had gone on without it.

Change: the rest of a restartable gang is stopped, and all of them wait until none holds a lease; then they are placed together.

Conclusion: a gang that may not run again is left to finish as it can.

--- a/mulberryhitch/scheduler/term.py
+++ b/mulberryhitch/scheduler/term.py
@@ -29,7 +29,13 @@
 from mulberryhitch.workers.health import WorkerHealth, fails_everywhere
 from mulberryhitch.workers.leases import Lease, TaskKey, Worker
 from mulberryhitch.workers.protocol import AttemptReport, StopMode
-from mulberryhitch.workloads.model import TaskState, Workload, WorkloadSpec
+from mulberryhitch.workloads.model import (
+    Kind,
+    Task,
+    TaskState,
+    Workload,
+    WorkloadSpec,
+)
 
 _ROUND_LIMIT = 128
 _TICK_SECONDS = 0.25
@@ -141,7 +147,12 @@
             spec = self._state.workload(lease.task.workload_id).spec
             self.placement.adopt(lease.task, lease.worker_id, spec)
         for workload in self._state.workloads.values():
-            if not workload.ended:
+            if workload.ended:
+                continue
+            gang = workload.spec.kind is Kind.gang
+            if gang and any(workload.leased()) and any(workload.queued()):
+                self._stop_gang(workload)
+            else:
                 self._enqueue(workload)
 
     def _enqueue(self, workload: Workload) -> None:
@@ -355,6 +366,7 @@
 
     @_follows(commands.AttemptsEnded)
     def _on_ended(self, command: commands.AttemptsEnded) -> None:
+        stopped: dict[str, list[Task]] = {}
         for end in command.ends:
             if end.task not in self.placement.running:
                 continue
@@ -365,12 +377,35 @@
             workload = self._state.workload(end.task.workload_id)
             task = workload.task(end.task.number)
             if task.state is TaskState.queued:
-                self.placement.enqueue(
-                    workload.spec,
-                    [task.number],
-                    anyio.current_time(),
-                    task.failed_workers,
-                )
+                stopped.setdefault(end.task.workload_id, []).append(task)
+            elif workload.spec.kind is Kind.gang:
+                stopped.setdefault(end.task.workload_id, [])
+        for workload_id, tasks in stopped.items():
+            self._wait_again(self._state.workload(workload_id), tasks)
+
+    def _wait_again(self, workload: Workload, tasks: list[Task]) -> None:
+        """Lets stopped tasks wait; a gang's only all of them together."""
+        if workload.spec.kind is Kind.gang:
+            if any(workload.leased()):
+                if tasks and workload.spec.preemptible:
+                    self._stop_gang(workload)
+                return
+            tasks = list(workload.queued())
+        if tasks:
+            self.placement.enqueue(
+                workload.spec,
+                [task.number for task in tasks],
+                anyio.current_time(),
+                {name for task in tasks for name in task.failed_workers},
+            )
+
+    def _stop_gang(self, workload: Workload) -> None:
+        """Stops what still runs of a gang that has lost a task."""
+        for task in workload.leased():
+            session = self._sessions.get(task.worker_id)
+            if session is not None:
+                key = TaskKey(workload.spec.workload_id, task.number)
+                session.stop_task(key, _stop_mode(workload.spec))
 
     @_follows(commands.TasksGivenUp)
     def _on_given_up(self, command: commands.TasksGivenUp) -> None:
--- a/mulberryhitch/workloads/model.py
+++ b/mulberryhitch/workloads/model.py
@@ -190,6 +190,10 @@
         """The tasks that wait."""
         return (task for task in self.tasks if task.state is TaskState.queued)
 
+    def leased(self) -> Iterator[Task]:
+        """The tasks that hold a lease."""
+        return (task for task in self.tasks if task.state is TaskState.leased)
+
     def lease(self, number: int, attempt: int, worker_id: str) -> None:
         """Notes that an attempt is leased to a worker.
 
--- a/tests/test_data_centre.py
+++ b/tests/test_data_centre.py
@@ -168,3 +168,25 @@
             assert view.tasks[0].reason
 
     run_at_once(main)
+
+
+def test_a_gang_that_loses_a_task_starts_again_together() -> None:
+    async def main() -> None:
+        async with DataCentre(seed=12, workers=3).running() as centre:
+            spec = a_spec(
+                1,
+                kind=Kind.gang,
+                task_count=6,
+                run_seconds=20,
+                restartable=True,
+            )
+            await centre.execute(ops.Submit(spec))
+            await anyio.sleep(4)
+            assert len(centre.watch.running) == 6
+            lost = centre.watch.running['home.1', 0]
+            centre.kill_worker(lost)
+            centre.start_worker(lost)
+            assert await centre.wait_ended('home.1') == ['completed'] * 6
+            assert set(centre.watch.begun.values()) == {2}
+
+    run_at_once(main)
