A connection that sends no request is closed

Cause: uvicorn bounds idle connections only after their first request, so one that sent nothing, or half a head, stayed for ever.

Conclusion: slow bodies were bounded by the request's deadline before.

--- a/mulberryhitch/composition.py
+++ b/mulberryhitch/composition.py
@@ -27,6 +27,7 @@
 from mulberryhitch.http.entry import Entry
 from mulberryhitch.http.operators import CELL_GROUP
 from mulberryhitch.http.workloads import group_of
+from mulberryhitch.http.protocol import BoundedProtocol
 from mulberryhitch.membership.leaders import Leaders
 from mulberryhitch.membership.members import MemberRole, MemberState
 from mulberryhitch.membership.node import Identity, Node, Schedulers
@@ -301,7 +302,7 @@
             uvicorn.Config(
                 make_app(self.entry),
                 loop='asyncio',
-                http='h11',
+                http=BoundedProtocol,
                 ws='none',
                 lifespan='off',
                 log_config=None,
--- a/tests/test_inputs.py
+++ b/tests/test_inputs.py
@@ -8,6 +8,7 @@
 
 from mulberryhitch.configuration.settings import load_settings
 from mulberryhitch.errors import InvalidSettingsError
+from mulberryhitch.http.protocol import BoundedProtocol
 from tests.program import running_cell
 
 PATH = '/v1/services/returns/x'
@@ -132,3 +133,18 @@
         load_settings(tmp_path, 'muscat')
     assert 'base.json' in caught.value.where
     assert '/data_centres/muscat/vms/m-1/address' in caught.value.where
+
+
+def test_a_connection_that_sends_no_request_is_closed(
+    tmp_path, monkeypatch
+) -> None:
+    monkeypatch.setattr(BoundedProtocol, 'first_request_seconds', 0.3)
+
+    async def main() -> None:
+        async with running_cell(tmp_path, workers=1, servers=1) as callers:
+            port = callers['north'].port
+            for sent in (b'GET', b'GET /livez HTTP/1.1\r\nHost: x\r\n'):
+                with anyio.fail_after(10):
+                    assert await _raw(port, sent, 60) == b''
+
+    anyio.run(main)
