One piece for stopping what is leased; dead code goes

Cause: reading the whole change again. The loop that stops a gang's tasks was the twin of the one that stops a cancelled workload's; free_ports stood in the tests and in the benchmarks; the outcomes were listed a second time for the OpenAPI description; a workload was looked up twice for each usage report; and several members were left that nothing calls.

Change: one method stops what a workload has leased; the benchmarks take free_ports from the tests; the list follows from the enum; one look-up; the dead members are gone. Behaviour is as it was.

Conclusion: the other pairs that share lines are shapes alone, or a protocol beside the class that fulfils it.

--- a/benchmarks/bench_replication.py
+++ b/benchmarks/bench_replication.py
@@ -14,7 +14,7 @@
 import anyio
 import orjson
 
-from benchmarks.program import free_ports, quantile
+from benchmarks.program import quantile
 from mulberryhitch.membership.members import MemberList
 from mulberryhitch.membership.node import Schedulers
 from mulberryhitch.observability.log import Log
@@ -27,6 +27,7 @@
 from mulberryhitch.rpc.client import PeerConnection
 from mulberryhitch.rpc.messages import LogEntry
 from mulberryhitch.rpc.server import RpcServer
+from tests.program import free_ports
 
 METHODS = ('hello', 'vote', 'append', 'install_snapshot', 'take_over')
 
--- a/benchmarks/bench_slopes.py
+++ b/benchmarks/bench_slopes.py
@@ -15,11 +15,11 @@
 from benchmarks.program import (
     BIN,
     cpu_seconds,
-    free_ports,
     resident_mebibytes,
 )
 from mulberryhitch.rpc.codec import Call, encode_call
 from mulberryhitch.rpc.messages import Announcement, CallHeader, Heartbeat
+from tests.program import free_ports
 
 WATCHED_SECONDS = 8
 
--- a/benchmarks/program.py
+++ b/benchmarks/program.py
@@ -2,7 +2,6 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -14,24 +13,9 @@
 import httpcore
 import orjson
 
-BIN = Path(sys.executable).parent
-
+from tests.program import free_ports
 
-def free_ports(count: int) -> int:
-    """The first of so many ports in a row that were free just now."""
-    while True:
-        with socket.create_server(('127.0.0.1', 0)) as probe:
-            first = probe.getsockname()[1]
-        try:
-            held = [
-                socket.create_server(('127.0.0.1', first + place))
-                for place in range(count)
-            ]
-        except OSError:
-            continue
-        for one in held:
-            one.close()
-        return first
+BIN = Path(sys.executable).parent
 
 
 @contextmanager
--- a/mulberryhitch/http/openapi.py
+++ b/mulberryhitch/http/openapi.py
@@ -14,6 +14,7 @@
 from mulberryhitch.http.entry import Entry
 from mulberryhitch.http.routes import all_routes, json_answer, route
 from mulberryhitch.http.workloads import WorkloadBody
+from mulberryhitch.outcomes import Outcome
 from mulberryhitch.workers.protocol import WorkerAnnouncement
 
 _BODIES: dict[tuple[str, str], type[BaseModel]] = {
@@ -22,7 +23,7 @@
     ('PUT', '/v1/backend-servers/{backend_server_id}'): BackendServerBody,
     ('PUT', '/v1/configuration'): CellDocument,
 }
-_OUTCOMES = ['completed', 'not_run', 'unknown']
+_OUTCOMES = [outcome.value for outcome in Outcome]
 
 
 @route('/v1/openapi.json', 'GET')
--- a/mulberryhitch/membership/exchange.py
+++ b/mulberryhitch/membership/exchange.py
@@ -50,12 +50,6 @@
         self._members.heard(heartbeat)
         return self._compose()
 
-    async def say_once(self) -> None:
-        """Sends one heartbeat to every peer, as when leaving."""
-        async with anyio.create_task_group() as tasks:
-            for peer in self._peers:
-                tasks.start_soon(self._beat, peer)
-
     async def _keep_in_touch(self, number: int, peer: PeerConnection) -> None:
         while True:
             self._news[number] = anyio.Event()
--- a/mulberryhitch/membership/members.py
+++ b/mulberryhitch/membership/members.py
@@ -81,14 +81,6 @@
             and data_centre in {'', member.heartbeat.data_centre}
         ]
 
-    def is_live(self, member_id: str) -> bool:
-        """Whether a member was heard of lately."""
-        member = self._members.get(member_id)
-        if member is None:
-            return False
-        silence = anyio.current_time() - member.heard_at
-        return silence <= MEMBER_SILENCE_SECONDS
-
     def get(self, member_id: str) -> Heartbeat | None:
         """A member's newest heartbeat."""
         member = self._members.get(member_id)
--- a/mulberryhitch/replication/state.py
+++ b/mulberryhitch/replication/state.py
@@ -87,11 +87,6 @@
             return self._entries[-1].term
         return self.snapshot.last_term if self.snapshot else 0
 
-    @property
-    def entry_count(self) -> int:
-        """How many entries are held after the snapshot."""
-        return len(self._entries)
-
     def when_applied(
         self, callback: Callable[[LogEntry, Any, Any], None]
     ) -> None:
--- a/mulberryhitch/rpc/codec.py
+++ b/mulberryhitch/rpc/codec.py
@@ -55,7 +55,6 @@
     struct: type | None
     is_list: bool
     is_bytes: bool
-    is_real: bool
 
 
 @functools.cache
@@ -73,7 +72,6 @@
                 typing.cast('type | None', struct),
                 is_list,
                 is_bytes=inner is bytes,
-                is_real=inner is float,
             ),
         )
     return tuple(plans)
--- a/mulberryhitch/scheduler/service.py
+++ b/mulberryhitch/scheduler/service.py
@@ -31,7 +31,6 @@
 _POLL_SECONDS = 0.05
 _LONGEST_WAIT_SECONDS = 60.0
 _RETRY_AFTER_SECONDS = 5.0
-_BYTES_PER_MEBIBYTE = 1024 * 1024
 
 
 _Operation: TypeAlias = Callable[[Any, Any], Awaitable[Any]]
@@ -83,7 +82,6 @@
         self._metrics = metrics
         self._histograms = histograms
         self._term: LeaderTerm | None = None
-        self._open_tasks: dict[str, int] = {}
 
     @property
     def term(self) -> LeaderTerm | None:
--- a/mulberryhitch/scheduler/term.py
+++ b/mulberryhitch/scheduler/term.py
@@ -151,7 +151,7 @@
                 continue
             gang = workload.spec.kind is Kind.gang
             if gang and any(workload.leased()) and any(workload.queued()):
-                self._stop_gang(workload)
+                self._stop_leased(workload, _stop_mode(workload.spec))
             else:
                 self._enqueue(workload)
 
@@ -235,7 +235,8 @@
     def _see_usage(
         self, worker_id: str, report: AttemptReport, lease: Lease
     ) -> None:
-        spec = self._state.workload(lease.task.workload_id).spec
+        workload = self._state.workload(lease.task.workload_id)
+        spec = workload.spec
         session = self._sessions[worker_id]
         now = anyio.current_time()
         verdict = self._usage.see(lease, spec, report, now)
@@ -243,7 +244,6 @@
             session.throttle_task(lease.task)
         if verdict.stop:
             session.stop_task(lease.task, _stop_mode(spec))
-        workload = self._state.workload(lease.task.workload_id)
         if workload.cancelled:
             session.stop_task(lease.task, StopMode.stop)
 
@@ -348,12 +348,7 @@
     def _on_cancelled(self, command: commands.WorkloadCancelled) -> None:
         self.placement.withdraw(command.workload_id)
         workload = self._state.workload(command.workload_id)
-        for task in workload.tasks:
-            if task.state is TaskState.leased:
-                key = TaskKey(command.workload_id, task.number)
-                session = self._sessions.get(task.worker_id)
-                if session is not None:
-                    session.stop_task(key, StopMode.stop)
+        self._stop_leased(workload, StopMode.stop)
 
     @_follows(commands.WorkerRegistered)
     def _on_registered(self, command: commands.WorkerRegistered) -> None:
@@ -388,7 +383,7 @@
         if workload.spec.kind is Kind.gang:
             if any(workload.leased()):
                 if tasks and workload.spec.preemptible:
-                    self._stop_gang(workload)
+                    self._stop_leased(workload, _stop_mode(workload.spec))
                 return
             tasks = list(workload.queued())
         if tasks:
@@ -399,13 +394,13 @@
                 {name for task in tasks for name in task.failed_workers},
             )
 
-    def _stop_gang(self, workload: Workload) -> None:
-        """Stops what still runs of a gang that has lost a task."""
+    def _stop_leased(self, workload: Workload, mode: StopMode) -> None:
+        """Asks the workers to stop what still runs of a workload."""
         for task in workload.leased():
             session = self._sessions.get(task.worker_id)
             if session is not None:
                 key = TaskKey(workload.spec.workload_id, task.number)
-                session.stop_task(key, _stop_mode(workload.spec))
+                session.stop_task(key, mode)
 
     @_follows(commands.TasksGivenUp)
     def _on_given_up(self, command: commands.TasksGivenUp) -> None:
