--- a/mulberryhitch/composition.py
+++ b/mulberryhitch/composition.py
@@ -2,8 +2,6 @@
 
 import random
 import socket
-import time
-from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -22,12 +20,12 @@
     READINESS_DELAY_SECONDS,
     REQUEST_HEADER_LIMIT_BYTES,
 )
-from mulberryhitch.errors import DamagedFileError, UnreachableError
 from mulberryhitch.http.app import make_app
 from mulberryhitch.http.entry import Entry
 from mulberryhitch.http.operators import CELL_GROUP
 from mulberryhitch.http.workloads import group_of
 from mulberryhitch.http.protocol import BoundedProtocol
+from mulberryhitch.http.server import HttpServer, listen
 from mulberryhitch.membership.leaders import Leaders
 from mulberryhitch.membership.members import MemberRole, MemberState
 from mulberryhitch.membership.node import Identity, Node, Schedulers
@@ -35,11 +33,10 @@
 from mulberryhitch.observability.log import Log
 from mulberryhitch.observability.metrics import Metrics
 from mulberryhitch.placement.orders import ClassShares, Share, Totals
-from mulberryhitch.replication.files import FileStorage
+from mulberryhitch.replication.loading import load_state
 from mulberryhitch.replication.machine import StateMachine
 from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.replica import Replica
-from mulberryhitch.replication.state import ReplicaState
 from mulberryhitch.requests.ledgers import LeaderLedgers
 from mulberryhitch.requests.owner import OwnerKeeper
 from mulberryhitch.requests.ports import Owner
@@ -54,8 +51,6 @@
 from mulberryhitch.workers.gateway import HttpWorkerGateway
 from mulberryhitch.workloads.model import Size
 
-_BACKLOG = 2048
-
 
 @dataclass(slots=True)
 class Environment:
@@ -89,15 +84,6 @@
         return TlsFiles(self.settings.tls)
 
 
-class HttpServer(uvicorn.Server):
-    """A uvicorn server that leaves signals to the program."""
-
-    @contextmanager
-    def capture_signals(self) -> Any:
-        """Captures none."""
-        yield
-
-
 def member_id(role: MemberRole, vm: str) -> str:
     """The id of a process of ours."""
     return f'{role.value}@{vm}'
@@ -418,7 +404,9 @@
     ) -> Replica:
         folder = Path(self._environment.settings.data_folder)
         own = folder / self._environment.vm / group.replace(':', '-')
-        state = self._load(group, own, machine)
+        state = load_state(
+            group, own, self._environment.vm, machine, self.node.log
+        )
         return Replica(
             state,
             self._schedulers,
@@ -428,17 +416,6 @@
             self._environment.chance,
         )
 
-    def _load(
-        self, group: str, folder: Path, machine: StateMachine
-    ) -> ReplicaState:
-        vm = self._environment.vm
-        try:
-            return ReplicaState(group, FileStorage(folder, vm), machine)
-        except DamagedFileError as error:
-            self.node.log.problem('storage.damaged', error.problem)
-            folder.rename(f'{folder}.damaged-{int(time.time())}')
-        return ReplicaState(group, FileStorage(folder, vm), machine)
-
     def _queue_limit(self, tenant: str) -> int:
         found = self.node.configuration.current.tenants.get(tenant)
         return found.maximum_queued_tasks if found else 0
@@ -467,24 +444,3 @@
             return []
         capacity = self._own_service.capacity()
         return [] if capacity is None else [capacity]
-
-
-def listen(host: str, port: int) -> socket.socket:
-    """Opens a listening TCP socket.
-
-    It names TCP as its protocol, or asyncio would leave Nagle's algorithm on
-    for the connections that it accepts.
-
-    Raises:
-        UnreachableError: The address can't be listened on.
-    """
-    family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    listening = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    try:
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listening.bind((host, port))
-        listening.listen(_BACKLOG)
-    except OSError as error:
-        listening.close()
-        raise UnreachableError(str(error), where=f'{host}:{port}') from error
-    return listening
--- a/mulberryhitch/core.py
+++ b/mulberryhitch/core.py
@@ -17,6 +17,7 @@
     Path, typer.Option(help='The folder of base.json and its overlays.')
 ]
 _VM = Annotated[str, typer.Option(help='This VM, as the settings name it.')]
+_PROGRAM = Annotated[str, typer.Argument(help='entry or scheduler.')]
 _ADDRESS = Annotated[str, typer.Option(help='IP number and port.')]
 
 
@@ -58,6 +59,11 @@
     return main(app)
 
 
+def on_platform() -> int:
+    """The programs of the users' platform: ``entry`` and ``scheduler``."""
+    return main(_platform_program())
+
+
 def main(app: typer.Typer) -> int:
     """Runs a command line and returns its exit status."""
     from mulberryhitch.cli.output import show_failure
@@ -123,6 +129,37 @@
     return app
 
 
+def _platform_program() -> typer.Typer:
+    app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+    @app.command()
+    def start(program: _PROGRAM) -> None:
+        from mulberryhitch.observability.log import (
+            LineStream,
+            start_logs,
+        )
+
+        start_logs(LineStream(sys.stdout.fileno()))
+        anyio.run(_run_on_platform, program)
+
+    return app
+
+
+async def _run_on_platform(name: str) -> None:
+    from mulberryhitch.collector import tune_collector
+    from mulberryhitch.platform.settings import (
+        load_platform_settings,
+    )
+    from mulberryhitch.platform_composition import (
+        PROGRAMS,
+    )
+
+    if name not in PROGRAMS:
+        raise InvalidSettingsError('no such program', where=name)
+    tune_collector()
+    await PROGRAMS[name](load_platform_settings()).run()
+
+
 async def _run_entry(folder: Path, vm: str) -> None:
     from mulberryhitch.composition import EntryProcess
 
--- /dev/null
+++ b/mulberryhitch/dispatch/asking.py
@@ -0,0 +1,131 @@
+"""Every process of ours asks for permits when the leader wants it to."""
+
+from collections.abc import Callable, Sequence
+
+import anyio
+
+from mulberryhitch.dispatch.operations import (
+    AskPermits,
+    HelperAnswer,
+    PermitAnswer,
+    ReportHelper,
+)
+from mulberryhitch.dispatch.ports import PermitAsker
+from mulberryhitch.errors import MulberryhitchError, NotFoundError
+from mulberryhitch.jobs.model import StepKey
+from mulberryhitch.membership.leaders import Leaders
+from mulberryhitch.membership.peers import Peers
+from mulberryhitch.observability.log import Log
+from mulberryhitch.rpc.client import PeerConnection
+from mulberryhitch.rpc.messages import ExecuteReply, ExecuteRequest
+from mulberryhitch.rpc.records import decode, decode_as, encode, kind_of
+from mulberryhitch.rpc.server import RpcServer
+
+JOBS_GROUP = 'jobs'
+_REPORT_SECONDS = 0.5
+_REPORT_TIMEOUT_SECONDS = 1.5
+
+
+class RemoteAsker:
+    """Has another process of ours ask.
+
+    Args:
+        connection: Reaches it.
+    """
+
+    def __init__(self, connection: PeerConnection) -> None:
+        """Asks nothing yet."""
+        self._connection = connection
+
+    async def ask(
+        self, step: StepKey, worker_ids: Sequence[str], patience_seconds: float
+    ) -> dict[str, str]:
+        """The permits of those workers that may run the step."""
+        operation = AskPermits(step, tuple(worker_ids), patience_seconds)
+        reply = await self._connection.call(
+            'execute',
+            ExecuteRequest(JOBS_GROUP, kind_of(operation), encode(operation)),
+            patience_seconds,
+        )
+        if not isinstance(reply, ExecuteReply):
+            raise NotFoundError('no answer to a question', where='permits')
+        answer = decode_as(PermitAnswer, reply.body)
+        return answer.tickets
+
+
+class PermitHelper:
+    """Answers the leader's questions in a process that is no scheduler.
+
+    Args:
+        server: Answers calls of other members.
+        asker: Asks the permit service.
+    """
+
+    def __init__(self, server: RpcServer, asker: PermitAsker) -> None:
+        """Registers the one operation."""
+        self._asker = asker
+        server.register('execute', self._execute)
+
+    async def _execute(self, request: ExecuteRequest) -> ExecuteReply:
+        operation = decode(request.name, request.body)
+        if not isinstance(operation, AskPermits):
+            raise NotFoundError('not served here', where=request.name)
+        tickets = await self._asker.ask(
+            operation.step, operation.worker_ids, operation.patience_seconds
+        )
+        return ExecuteReply(encode(PermitAnswer(tickets)))
+
+
+class Reporter:
+    """Tells the leader that this process is alive, again and again.
+
+    Args:
+        report: What it tells.
+        leaders: Finds the leader.
+        peers: Learns the group's members from the answer.
+        log: Where the leader's loss and return are written.
+        told: Called with each answer.
+    """
+
+    def __init__(
+        self,
+        report: ReportHelper,
+        leaders: Leaders,
+        peers: Peers,
+        log: Log,
+        told: Callable[[HelperAnswer], None] = lambda answer: None,
+    ) -> None:
+        """Has reached nobody."""
+        self._report = report
+        self._leaders = leaders
+        self._peers = peers
+        self._log = log
+        self._told = told
+        self._reached = False
+        self.reached_at = -_REPORT_TIMEOUT_SECONDS
+
+    async def run(self) -> None:
+        """Reports until cancelled."""
+        while True:
+            try:
+                answer = await self._leaders.execute(
+                    JOBS_GROUP,
+                    self._report,
+                    HelperAnswer,
+                    _REPORT_TIMEOUT_SECONDS,
+                )
+            except MulberryhitchError as error:
+                if self._reached:
+                    self._log.problem('leader.lost', error.problem)
+                self._reached = False
+            else:
+                self._take(answer)
+            await anyio.sleep(_REPORT_SECONDS)
+
+    def _take(self, answer: HelperAnswer) -> None:
+        if not self._reached:
+            self._log.event('leader.found', leader=answer.leader_vm)
+        self._reached = True
+        self.reached_at = anyio.current_time()
+        self._peers.learn(answer.vms, answer.leader_vm)
+        self._told(answer)
--- /dev/null
+++ b/mulberryhitch/dispatch/fleet.py
@@ -0,0 +1,135 @@
+"""The leader's view of one worker: its clock, its lease, its runs."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+import anyio
+
+from mulberryhitch.constants import MILLISECONDS_PER_SECOND
+from mulberryhitch.dispatch.options import DispatchOptions
+from mulberryhitch.jobs.model import WorkerRecord
+
+_REMEMBERED_ENDS = 12
+_SUSPECT_FAILURES = 4
+_SUSPECT_SECONDS = 3.0
+_REFUSED_SECONDS = 0.3
+
+
+@dataclass(slots=True)
+class RunTrack:
+    """What the leader knows of a run that it holds open.
+
+    Attributes:
+        confirmed: The worker said that it has it.
+        uncertain: A start got no answer and may still be carried out.
+        blocked_at: When the worker acknowledged its stop; zero if not.
+        stopping: A stop is being sent.
+        started_at: When its start was first sent.
+        moved_at: When its percent last rose.
+    """
+
+    run: int
+    started_at: float
+    confirmed: bool = False
+    confirmed_at: float = 0
+    uncertain: bool = False
+    blocked_at: float = 0
+    stopping: bool = False
+    percent: int = 0
+    moved_at: float = 0
+    checkpoint: str = ''
+
+
+@dataclass(slots=True)
+class LiveWorker:
+    """One worker during one leader's term.
+
+    Attributes:
+        known: It has listed its runs to this leader.
+        seen: The number of the last end that is committed.
+        heard_at: When it last answered or sent a heartbeat.
+        granted_until: No lease there reaches further, on its clock, ms;
+            nothing while it is not known.
+        misses: Looks without an answer since the last one.
+    """
+
+    record: WorkerRecord
+    options: DispatchOptions
+    began_at: float
+    known: bool = False
+    seen: int = 0
+    clock: int = 0
+    clock_at: float = 0
+    heard_at: float = 0
+    granted_until: int = 0
+    misses: int = 0
+    unsure: bool = True
+    gone: bool = False
+    quarantined_until: float = 0
+    refused_until: float = 0
+    tracks: dict[object, RunTrack] = field(default_factory=dict)
+    ends: deque[bool] = field(
+        default_factory=lambda: deque(maxlen=_REMEMBERED_ENDS)
+    )
+    wake: anyio.Event = field(default_factory=anyio.Event)
+
+    def hear(self, clock: int, now: float) -> None:
+        """Notes the worker's clock, as of now or a little before."""
+        self.heard_at = now
+        newer = not self.clock or clock >= self.earliest_clock(now)
+        if clock and newer:
+            self.clock = clock
+            self.clock_at = now
+
+    def earliest_clock(self, now: float) -> int:
+        """What the worker's clock shows at least."""
+        passed = (now - self.clock_at) * (1 - self.options.clock_drift)
+        return int(self.clock + passed * MILLISECONDS_PER_SECOND)
+
+    def next_lease(self, now: float) -> int:
+        """Until when a renewal sent now should reach, on its clock."""
+        if not self.clock:
+            return 0
+        ahead = self.options.lease_seconds * MILLISECONDS_PER_SECOND
+        until = self.earliest_clock(now) + int(ahead)
+        self.granted_until = max(self.granted_until, until)
+        return until
+
+    def lease_is_over(self, now: float) -> bool:
+        """Whether nothing that was ever started there can still run."""
+        margin = self.options.lease_margin_seconds
+        longest = self.options.maximum_lease_seconds
+        if not self.known:
+            longest = longest / (1 - self.options.clock_drift)
+            return now > self.began_at + longest + margin
+        until = self.granted_until + margin * MILLISECONDS_PER_SECOND
+        return self.earliest_clock(now) > until
+
+    def meet(self, clock: int) -> None:
+        """Notes the first list: earlier leaders' leases may go on."""
+        longest = self.options.maximum_lease_seconds * MILLISECONDS_PER_SECOND
+        self.known = True
+        self.granted_until = max(self.granted_until, clock + int(longest))
+
+    def count_end(self, failed: bool, now: float) -> None:
+        """Quarantines a worker on which nearly everything fails."""
+        self.ends.append(failed)
+        failures = sum(self.ends)
+        if failures >= _SUSPECT_FAILURES and failures * 4 >= len(self.ends) * 3:
+            self.quarantined_until = now + _SUSPECT_SECONDS
+            self.ends.clear()
+
+    def usable(self, now: float) -> bool:
+        """Whether new runs may be placed there."""
+        sound = now >= max(self.quarantined_until, self.refused_until)
+        leaving = self.gone or self.record.draining
+        return self.known and sound and not leaving and self.misses == 0
+
+    def refuse(self, now: float) -> None:
+        """Notes that it did nothing with an order that should have fitted."""
+        self.refused_until = now + _REFUSED_SECONDS
+
+    def nudge(self) -> None:
+        """Wakes the task that watches it."""
+        self.wake.set()
+        self.wake = anyio.Event()
--- /dev/null
+++ b/mulberryhitch/dispatch/options.py
@@ -0,0 +1,34 @@
+"""The dispatcher's times and limits."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class DispatchOptions:
+    """Times in seconds.
+
+    Attributes:
+        lease_seconds: How far ahead each renewal reaches.
+        maximum_lease_seconds: The longest lease that a worker grants.
+        clock_drift: How much slower a worker's clock may run, a share.
+        lease_margin_seconds: Added before a lease counts as run out.
+        look_wait_seconds: How long a look waits for an end.
+        order_seconds: How long the answer to an order is waited for.
+        round_seconds: The least time between two placement rounds.
+        tick_seconds: The time between two looks at what has come due.
+        retain_seconds: How long an ended job can still be asked for.
+        permit_margin_seconds: A permit must last this much longer.
+        gang_seconds: How long the members of a gang wait for each other.
+    """
+
+    lease_seconds: float = 5.0
+    maximum_lease_seconds: float = 10.0
+    clock_drift: float = 0.02
+    lease_margin_seconds: float = 0.2
+    look_wait_seconds: float = 2.0
+    order_seconds: float = 0.4
+    round_seconds: float = 0.004
+    tick_seconds: float = 0.25
+    retain_seconds: float = 240.0
+    permit_margin_seconds: float = 0.12
+    gang_seconds: float = 3.0
--- /dev/null
+++ b/mulberryhitch/dispatch/planner.py
@@ -0,0 +1,456 @@
+"""Which waiting units start now, where, and what must make way for them.
+
+Pure: it reads the book and the fleet and changes neither. Every worker's free
+room counts each run that may still go on there.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from mulberryhitch.dispatch.permits import PermitDesk, Question, StepPermits
+from mulberryhitch.jobs.book import JobBook
+from mulberryhitch.jobs.model import (
+    Queue,
+    Room,
+    Step,
+    StepKey,
+    TaskKey,
+    WorkerRecord,
+)
+from mulberryhitch.jobs.units import Job, StepWork, Unit
+
+_LATE_FACTOR = 3.0
+_MAXIMUM_STEPS = 200
+_RESERVING_STEPS = 2
+_RENEW_WORKERS = 12
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """One task that starts now."""
+
+    unit: Unit
+    index: int
+    worker_id: str
+    permit: str
+
+
+@dataclass(slots=True)
+class Plan:
+    """The outcome of one round."""
+
+    placements: list[Placement] = field(default_factory=list)
+    questions: list[Question] = field(default_factory=list)
+    preempted: list[tuple[TaskKey, int, str]] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class Victim:
+    """A run that can be stopped without losing work.
+
+    Attributes:
+        urgency: Its queue's; zero comes first.
+    """
+
+    task: TaskKey
+    run: int
+    worker_id: str
+    room: Room
+    urgency: int
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """A step with units that may start, and how urgent it is.
+
+    Attributes:
+        slack: Seconds to spare before its job misses its objective.
+        permits: Nothing where its queue asks for none.
+    """
+
+    work: StepWork
+    job: Job
+    queue: Queue
+    slack: float
+    order: tuple[float, ...]
+    permits: StepPermits | None
+
+
+def chain_seconds(job: Job, work: StepWork) -> float:
+    """The longest chain of estimates from a step to the job's end."""
+    steps = job.spec.steps
+    longest = [float() for _ in steps]
+    for number in range(len(steps) - 1, work.key.step - 1, -1):
+        after = [
+            longest[later]
+            for later in range(number + 1, len(steps))
+            if number in steps[later].depends_on
+        ]
+        longest[number] = steps[number].estimate_seconds + max(after, default=0)
+    return longest[work.key.step]
+
+
+def objective_seconds(job: Job, queue: Queue) -> float:
+    """How long the job may take from its acceptance."""
+    steps = job.spec.steps
+    longest: list[float] = []
+    for step in steps:
+        before = max((longest[one] for one in step.depends_on), default=0)
+        own = step.estimate_seconds
+        if queue.permits is not None:
+            own += queue.permits.decide_seconds
+        longest.append(before + own)
+    return queue.stretch * max(longest) + queue.target_seconds
+
+
+class Planner:
+    """One placement round.
+
+    Args:
+        book: The committed state.
+        workers: The workers that may get new runs.
+        reserved: Room planned but not yet committed, by worker.
+        desk: The permits.
+        now: Seconds on the local clock.
+        wall: Seconds since 1970.
+        permit_margin: A permit must last so much longer, seconds.
+    """
+
+    def __init__(  # noqa: WPS211
+        self,
+        book: JobBook,
+        workers: Iterable[WorkerRecord],
+        reserved: Mapping[str, Room],
+        desk: PermitDesk,
+        now: float,
+        wall: float,
+        permit_margin: float,
+    ) -> None:
+        """Counts the free room."""
+        self._book = book
+        self._desk = desk
+        self._now = now
+        self._wall = wall
+        self._margin = permit_margin
+        self._workers = {one.worker_id: one for one in workers}
+        self._free = {
+            one.worker_id: one.room.minus(book.used(one.worker_id)).minus(
+                reserved.get(one.worker_id, Room())
+            )
+            for one in self._workers.values()
+        }
+        self._services: dict[str, list[WorkerRecord]] = {}
+        for one in self._workers.values():
+            self._services.setdefault(one.service, []).append(one)
+        self._coming: Mapping[str, Room] = {}
+        self._reserving = 0
+        self.plan = Plan()
+
+    def run(
+        self,
+        busy: set[StepKey],
+        victims: list[Victim],
+        coming: Mapping[str, Room],
+    ) -> Plan:
+        """Plans everything that can start now.
+
+        Args:
+            busy: Steps whose grants are on their way; left out.
+            victims: What may be stopped to make way.
+            coming: What runs that are being stopped will free, by worker.
+        """
+        self._coming = coming
+        waiting = [
+            one
+            for one in map(self._waiting, self._book.ready.values())
+            if one is not None and one.work.key not in busy
+        ]
+        waiting.sort(key=lambda one: one.order)
+        for one in waiting[:_MAXIMUM_STEPS]:
+            self._place(one, victims)
+        return self.plan
+
+    def _waiting(self, work: StepWork) -> Waiting | None:
+        job = self._book.jobs.get(work.key.job_id)
+        if job is None or not work.waiting:
+            return None
+        queue = self._book.queue_now(job)
+        due = job.due_at(work.key.occurrence)
+        if due > self._wall:
+            return None
+        age = self._wall - due
+        objective = objective_seconds(job, queue)
+        slack = objective - age - chain_seconds(job, work)
+        stage = 0
+        if age > objective * _LATE_FACTOR:
+            stage = 2
+        elif slack < 0 and age > objective:
+            stage = 1
+        order = (stage, queue.urgency, slack, due)
+        permits = None
+        if queue.permits is not None:
+            permits = self._desk.of_step(work.key)
+        return Waiting(work, job, queue, slack, order, permits)
+
+    def _place(self, one: Waiting, victims: list[Victim]) -> None:
+        able = self._able(one)
+        if one.permits is not None:
+            allowed = one.permits.allowed
+            self._ask(one, able)
+            able = [each for each in able if each.worker_id in allowed]
+        if one.work.step.gang:
+            self._place_gang(one, able, victims)
+        else:
+            self._place_tasks(one, able, victims)
+
+    def _able(self, one: Waiting) -> list[WorkerRecord]:
+        step = one.work.step
+        return [
+            worker
+            for worker in self._services.get(one.queue.service, ())
+            if step.room.fits(worker.room)
+            and (not step.label or step.label in worker.labels)
+        ]
+
+    def _ask(self, one: Waiting, able: list[WorkerRecord]) -> None:
+        known = one.permits
+        policy = one.queue.permits
+        if known is None or policy is None or known.asking:
+            return
+        unknown = [
+            each.worker_id
+            for each in able
+            if each.worker_id not in known.allowed
+            and each.worker_id not in known.denied
+        ]
+        if not known.allowed or len(unknown) > len(able) / 2:
+            wanted = unknown
+        else:
+            wanted = self._to_renew(one, known, able, policy.decide_seconds)
+        if wanted:
+            self.plan.questions.append(
+                Question(one.work.key, tuple(wanted), policy, one.order)
+            )
+
+    def _to_renew(
+        self,
+        one: Waiting,
+        known: StepPermits,
+        able: list[WorkerRecord],
+        ahead: float,
+    ) -> list[str]:
+        room = one.work.step.room
+        valid = 0
+        stale = []
+        for each in able:
+            if each.worker_id not in known.allowed:
+                continue
+            if not room.fits(self._free[each.worker_id]):
+                continue
+            if self._ticket(one, each, ahead):
+                valid += _copies(room, self._free[each.worker_id])
+            else:
+                stale.append(each)
+        if not stale or valid >= len(one.work.waiting):
+            return []
+        stale.sort(key=lambda each: -self._free[each.worker_id].processors)
+        if one.work.step.gang and not self._gang_could_fit(one, able, known):
+            return []
+        return [each.worker_id for each in stale[:_RENEW_WORKERS]]
+
+    def _gang_could_fit(
+        self, one: Waiting, able: list[WorkerRecord], known: StepPermits
+    ) -> bool:
+        allowed = [each for each in able if each.worker_id in known.allowed]
+        total = sum(self._copies_in(one, each) for each in allowed)
+        return total >= one.work.step.count
+
+    def _ticket(
+        self, one: Waiting, worker: WorkerRecord, ahead: float = 0
+    ) -> str | None:
+        if one.permits is None:
+            return ''
+        permit = one.permits.permits.get(worker.worker_id)
+        if permit is None or permit.born != worker.born:
+            return None
+        if permit.valid_until - self._margin - ahead < self._now:
+            return None
+        return permit.ticket
+
+    def _copies_in(self, one: Waiting, worker: WorkerRecord) -> int:
+        copies = _copies(one.work.step.room, self._free[worker.worker_id])
+        limit = one.work.step.spread_limit
+        return min(copies, limit) if limit else copies
+
+    def _take(
+        self, one: Waiting, unit: Unit, index: int, worker_id: str
+    ) -> None:
+        room = one.work.step.room
+        self._free[worker_id] = self._free[worker_id].minus(room)
+        permit = self._ticket(one, self._workers[worker_id]) or ''
+        self.plan.placements.append(Placement(unit, index, worker_id, permit))
+
+    def _place_gang(
+        self, one: Waiting, able: list[WorkerRecord], victims: list[Victim]
+    ) -> None:
+        ready = [each for each in able if self._ticket(one, each) is not None]
+        chosen = self._gang_workers(one, ready)
+        if chosen is None:
+            self._reserve(one, able, victims)
+            return
+        unit = one.work.units[0]
+        for index, worker_id in enumerate(chosen):
+            self._take(one, unit, index, worker_id)
+
+    def _gang_workers(
+        self, one: Waiting, ready: list[WorkerRecord]
+    ) -> list[str] | None:
+        step = one.work.step
+        racks: dict[str, list[WorkerRecord]] = {}
+        for worker in ready:
+            racks.setdefault(worker.rack, []).append(worker)
+        groups = list(racks.values()) if step.same_rack else []
+        if step.data_rack in racks:
+            groups.insert(0, racks[step.data_rack])
+        groups.append(ready)
+        for group in groups:
+            chosen = self._fill(one, group)
+            if chosen is not None:
+                return chosen
+        return None
+
+    def _fill(
+        self, one: Waiting, group: list[WorkerRecord]
+    ) -> list[str] | None:
+        count = one.work.step.count
+        counted = [(self._copies_in(one, each), each) for each in group]
+        if sum(copies for copies, _ in counted) < count:
+            return None
+        counted.sort(key=lambda pair: -pair[0])
+        chosen: list[str] = []
+        for copies, worker in counted:
+            taken = min(copies, count - len(chosen))
+            chosen.extend(worker.worker_id for _ in range(taken))
+        return chosen
+
+    def _place_tasks(
+        self, one: Waiting, able: list[WorkerRecord], victims: list[Victim]
+    ) -> None:
+        ready = [each for each in able if self._ticket(one, each) is not None]
+        on_worker = self._spread(one)
+        unplaced = 0
+        for unit in tuple(one.work.waiting.values()):
+            best = self._best(one.work.step, ready, on_worker)
+            if best is None:
+                unplaced += 1
+                continue
+            self._take(one, unit, unit.first, best.worker_id)
+            placed = on_worker.get(best.worker_id, 0)
+            on_worker[best.worker_id] = placed + 1
+        if unplaced and one.queue.urgency == 0:
+            self._make_way(one, able, unplaced, victims)
+
+    def _best(
+        self,
+        step: Step,
+        ready: list[WorkerRecord],
+        on_worker: dict[str, int],
+    ) -> WorkerRecord | None:
+        """The fullest worker that has room, near the data if there is one."""
+        fitting = [
+            worker
+            for worker in ready
+            if step.room.fits(self._free[worker.worker_id])
+            and not 0 < step.spread_limit <= on_worker.get(worker.worker_id, 0)
+        ]
+        if not fitting:
+            return None
+        return min(
+            fitting,
+            key=lambda worker: (
+                bool(step.data_rack) and worker.rack != step.data_rack,
+                self._free[worker.worker_id].processors,
+            ),
+        )
+
+    def _spread(self, one: Waiting) -> dict[str, int]:
+        counts: dict[str, int] = {}
+        if one.work.step.spread_limit:
+            for unit in one.work.units:
+                for worker_id in unit.holders.values():
+                    counts[worker_id] = counts.get(worker_id, 0) + 1
+        return counts
+
+    def _reserve(
+        self, one: Waiting, able: list[WorkerRecord], victims: list[Victim]
+    ) -> None:
+        """Keeps room free for a gang that does not fit yet."""
+        if self._reserving >= _RESERVING_STEPS or not able:
+            return
+        if one.order[0] > 1:
+            return
+        room = one.work.step.room
+        shares = []
+        for worker in able:
+            copies = _copies(room, self._soon(one, worker.worker_id, victims))
+            limit = one.work.step.spread_limit
+            shares.append((min(copies, limit) if limit else copies, worker))
+        shares.sort(key=lambda pair: -pair[0])
+        needed = one.work.step.count
+        if sum(copies for copies, _ in shares) < needed:
+            return
+        self._reserving += 1
+        for copies, worker in shares:
+            if needed <= 0 or copies == 0:
+                break
+            taken = min(copies, needed)
+            needed -= taken
+            self._clear(one, worker.worker_id, taken, victims)
+
+    def _make_way(
+        self,
+        one: Waiting,
+        able: list[WorkerRecord],
+        unplaced: int,
+        victims: list[Victim],
+    ) -> None:
+        room = one.work.step.room
+        for worker in able:
+            if unplaced <= 0:
+                return
+            if _copies(room, self._soon(one, worker.worker_id, victims)) > 0:
+                self._clear(one, worker.worker_id, 1, victims)
+                unplaced -= 1
+
+    def _soon(
+        self, one: Waiting, worker_id: str, victims: list[Victim]
+    ) -> Room:
+        free = self._free[worker_id].plus(self._coming.get(worker_id, Room()))
+        for victim in victims:
+            lower = victim.urgency > one.queue.urgency
+            if victim.worker_id == worker_id and lower:
+                free = free.plus(victim.room)
+        return free
+
+    def _clear(
+        self, one: Waiting, worker_id: str, copies: int, victims: list[Victim]
+    ) -> None:
+        room = one.work.step.room
+        needed = Room(*(part * copies for part in room))
+        free = self._free[worker_id].plus(self._coming.get(worker_id, Room()))
+        for victim in tuple(victims):
+            if needed.fits(free):
+                break
+            lower = victim.urgency > one.queue.urgency
+            if victim.worker_id == worker_id and lower:
+                victims.remove(victim)
+                free = free.plus(victim.room)
+                self.plan.preempted.append((victim.task, victim.run, worker_id))
+        self._free[worker_id] = self._free[worker_id].minus(needed)
+
+
+def _copies(room: Room, free: Room) -> int:
+    counts = [
+        have // need for have, need in zip(free, room, strict=True) if need > 0
+    ]
+    return max(0, min(counts, default=1_000))
--- /dev/null
+++ b/mulberryhitch/dispatch/service.py
@@ -0,0 +1,279 @@
+"""Carries out operations on the job book, at its leader."""
+
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+
+from mulberryhitch.dispatch.dispatcher import Dispatcher
+from mulberryhitch.dispatch.asking import RemoteAsker
+from mulberryhitch.dispatch.operations import (
+    Acknowledged,
+    AskPermits,
+    CancelJob,
+    ChangeTable,
+    HearWorker,
+    HelperAnswer,
+    JobAnswer,
+    LeaveWorker,
+    PermitAnswer,
+    ReadJob,
+    ReadTable,
+    ReportHelper,
+    SubmitJob,
+    TableAnswer,
+)
+from mulberryhitch.dispatch.options import DispatchOptions
+from mulberryhitch.dispatch.ports import PermitAsker, WorkerOrders
+from mulberryhitch.errors import (
+    InvalidInputError,
+    NotFoundError,
+    NotLeaderError,
+    OverloadedError,
+)
+from mulberryhitch.jobs import changes
+from mulberryhitch.jobs.book import JobBook
+from mulberryhitch.jobs.model import Queue
+from mulberryhitch.membership.peers import Peers
+from mulberryhitch.observability.histograms import Histograms
+from mulberryhitch.observability.log import Log
+from mulberryhitch.replication.members import vm_of
+from mulberryhitch.replication.replica import Replica, Role
+from mulberryhitch.rpc.records import kind_of
+
+_POLL_SECONDS = 0.02
+_RETRY_AFTER_SECONDS = 1.0
+
+_Handler = Callable[[Any, Any], Awaitable[Any]]
+_handlers: dict[type, _Handler] = {}
+
+
+def operation(request_type: type) -> Callable[[_Handler], _Handler]:
+    """Registers what carries out a type of operation."""
+
+    def register(handler: _Handler) -> _Handler:
+        _handlers[request_type] = handler
+        return handler
+
+    return register
+
+
+class JobsService:
+    """The group of the job book at one scheduler.
+
+    Args:
+        replica: This VM's replica.
+        book: The state that the replica drives.
+        orders: Speaks to workers.
+        asker: Asks for permits from this machine.
+        peers: Reaches the other processes.
+        options: The dispatcher's times.
+        log: Where decisions are written.
+        histograms: Where waits are noted.
+    """
+
+    def __init__(  # noqa: WPS211
+        self,
+        replica: Replica,
+        book: JobBook,
+        orders: WorkerOrders,
+        asker: PermitAsker,
+        peers: Peers,
+        options: DispatchOptions,
+        log: Log,
+        histograms: Histograms,
+    ) -> None:
+        """Leads nothing yet."""
+        self.replica = replica
+        self.book = book
+        self._orders = orders
+        self._asker = asker
+        self._peers = peers
+        self._options = options
+        self._log = log
+        self._histograms = histograms
+        self._dispatcher: Dispatcher | None = None
+
+    async def run(self) -> None:
+        """Takes part until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._lead)
+            await self.replica.run()
+            tasks.cancel_scope.cancel()
+
+    async def execute(self, request: Any) -> Any:
+        """Carries out one operation.
+
+        Raises:
+            NotLeaderError: This VM does not lead; nothing was done.
+        """
+        if isinstance(request, AskPermits):
+            return PermitAnswer(
+                await self._asker.ask(
+                    request.step,
+                    request.worker_ids,
+                    request.patience_seconds,
+                ),
+            )
+        handler = _handlers.get(request.__class__)
+        if handler is None:
+            raise NotFoundError('no such operation', where=kind_of(request))
+        if not self.replica.has_authority:
+            raise NotLeaderError('does not lead', where=self.replica.leader_id)
+        return await handler(self, request)
+
+    async def _lead(self) -> None:
+        while True:
+            if self.replica.has_authority:
+                await self._serve_term(self.replica.term)
+            await anyio.sleep(_POLL_SECONDS)
+
+    async def _serve_term(self, term: int) -> None:
+        dispatcher = Dispatcher(
+            self.book,
+            self._commit,
+            self._may_act,
+            term,
+            self._orders,
+            self._options,
+            self._log,
+            self._histograms,
+        )
+        dispatcher.desk.add_helper('own', self._asker, local=True)
+        self._dispatcher = dispatcher
+        self._log.event(
+            'dispatcher.began',
+            term=term,
+            jobs=len(self.book.jobs),
+            workers=len(self.book.workers),
+            version=self.book.table.version,
+        )
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(dispatcher.run)
+                while self._leads(term):
+                    await anyio.sleep(_POLL_SECONDS)
+                tasks.cancel_scope.cancel()
+        finally:
+            self._dispatcher = None
+            self._log.event('dispatcher.ended', term=term)
+
+    def _leads(self, term: int) -> bool:
+        return self.replica.role is Role.leader and self.replica.term == term
+
+    def _may_act(self) -> bool:
+        return self.replica.has_authority
+
+    async def _commit(self, batch: list[changes.Change]) -> list[Any]:
+        outcomes: list[Any] = await self.replica.propose(
+            changes.CHANGES_KIND, changes.encode_changes(batch)
+        )
+        return outcomes
+
+    def _leading(self) -> Dispatcher:
+        if self._dispatcher is None:
+            raise NotLeaderError('not leading yet')
+        return self._dispatcher
+
+    def _find(self, host: str, path: str) -> tuple[Queue, str]:
+        if self.book.table.version < 0:
+            raise OverloadedError(
+                'no configuration yet',
+                retry_after_seconds=_RETRY_AFTER_SECONDS,
+            )
+        queue = self.book.table.find(host, path)
+        if queue is None:
+            raise NotFoundError('no such queue', where=f'{host}{path}')
+        return queue, path[len(queue.prefix) :]
+
+    @operation(SubmitJob)
+    async def _submit(self, request: SubmitJob) -> JobAnswer:
+        queue, job_id = self._find(request.host, request.path)
+        if not job_id:
+            raise InvalidInputError('the id is missing', where='path')
+        request.spec.check()
+        known = self.book.jobs.get(job_id)
+        if known is None:
+            now = time.time()
+            kept = await self._commit(
+                [changes.accept(job_id, queue.name, request.spec, now)]
+            )
+            if not kept[0]:
+                raise NotFoundError('no such queue', where=queue.name)
+            known = self.book.jobs[job_id]
+            self._log.event(
+                'job.accepted',
+                job=job_id,
+                queue=queue.name,
+                version=self.book.table.version,
+                steps=len(request.spec.steps),
+                tasks=sum(step.count for step in request.spec.steps),
+            )
+        return JobAnswer(known.state.value)
+
+    @operation(ReadJob)
+    async def _read(self, request: ReadJob) -> JobAnswer:
+        queue, job_id = self._find(request.host, request.path)
+        if not job_id:
+            return JobAnswer('', self.book.pending(queue.name))
+        known = self.book.jobs.get(job_id)
+        return JobAnswer(known.state.value if known else '')
+
+    @operation(CancelJob)
+    async def _cancel(self, request: CancelJob) -> JobAnswer:
+        _, job_id = self._find(request.host, request.path)
+        known = self.book.jobs.get(job_id)
+        if known is None:
+            return JobAnswer('')
+        if known.active:
+            await self._commit([changes.cancel(job_id, time.time())])
+            self._log.event(
+                'job.cancelled', job=job_id, state=known.state.value
+            )
+        return JobAnswer(known.state.value)
+
+    @operation(HearWorker)
+    async def _hear(self, request: HearWorker) -> Acknowledged:
+        await self._leading().hear(
+            request.worker, request.clock, leaving=request.leaving
+        )
+        return Acknowledged()
+
+    @operation(LeaveWorker)
+    async def _leave(self, request: LeaveWorker) -> Acknowledged:
+        known = self.book.workers.get(request.worker_id)
+        if known is not None and request.born in {0, known.born}:
+            await self._leading().hear(known, 0, leaving=True)
+        return Acknowledged()
+
+    @operation(ChangeTable)
+    async def _change_table(self, request: ChangeTable) -> Acknowledged:
+        if request.table.version > self.book.table.version:
+            await self._commit([changes.configure(request.table)])
+            self._log.event(
+                'configuration.in_force', version=request.table.version
+            )
+            if self._dispatcher is not None:
+                self._dispatcher.wake()
+        return Acknowledged()
+
+    @operation(ReadTable)
+    async def _read_table(self, request: ReadTable) -> TableAnswer:
+        return TableAnswer(self.book.table.version, self.book.table.document)
+
+    @operation(ReportHelper)
+    async def _report(self, request: ReportHelper) -> HelperAnswer:
+        dispatcher = self._leading()
+        own_vm = vm_of(self.replica.replica_id)
+        if request.host != own_vm or request.name != 'scheduler':
+            connection = self._peers.connection(request.host, request.port)
+            dispatcher.desk.add_helper(
+                f'{request.name}@{request.host}', RemoteAsker(connection)
+            )
+        return HelperAnswer(
+            own_vm,
+            tuple(map(vm_of, self.replica.members.everyone)),
+            self.book.table.version,
+            self.book.table.limits,
+        )
--- /dev/null
+++ b/mulberryhitch/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of several steps: what they ask for and how far they are."""
--- a/mulberryhitch/membership/leaders.py
+++ b/mulberryhitch/membership/leaders.py
@@ -54,11 +54,15 @@
 
     Args:
         calls: Reaches the schedulers.
+        call_seconds: How long one scheduler's answer is waited for.
     """
 
-    def __init__(self, calls: SchedulerCalls) -> None:
+    def __init__(
+        self, calls: SchedulerCalls, call_seconds: float = _CALL_SECONDS
+    ) -> None:
         """Asks nobody yet."""
         self._calls = calls
+        self._call_seconds = call_seconds
 
     async def execute(
         self,
@@ -85,7 +89,7 @@
             turn += 1
             try:
                 reply = await self._calls.call(
-                    vm, 'execute', request, min(left, _CALL_SECONDS)
+                    vm, 'execute', request, min(left, self._call_seconds)
                 )
             except _NOTHING_DONE as error:
                 last = error
--- a/mulberryhitch/observability/log.py
+++ b/mulberryhitch/observability/log.py
@@ -1,13 +1,17 @@
 """Structured logs through eliot, one JSON object a line."""
 
+import os
 import sys
+import time
 import traceback
-from typing import TextIO
+from typing import Any, TextIO
 
 import eliot
 
 from mulberryhitch.errors import Problem
 
+_LINES_PER_SECOND = 400.0
+
 
 class Log:
     """Writes messages that name the process they come from.
@@ -51,6 +55,55 @@
         )
 
 
-def start_logs(stream: TextIO | None = None) -> None:
+class LineStream:
+    """Writes lines to a descriptor and never waits for its reader.
+
+    A line that the reader has no room for, or over the rate, is dropped and
+    counted; the count is written with the next line that fits.
+
+    Args:
+        descriptor: Of an open pipe or file.
+        lines_per_second: The most lines, over any longer time.
+    """
+
+    def __init__(
+        self, descriptor: int, lines_per_second: float = _LINES_PER_SECOND
+    ) -> None:
+        """Makes the descriptor one that never blocks."""
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._rate = lines_per_second
+        self._tokens = lines_per_second
+        self._filled_at = time.monotonic()
+        self.dropped = 0
+
+    def write(self, text: Any) -> int:
+        """Writes whole lines, or drops them."""
+        now = time.monotonic()
+        filled = self._tokens + (now - self._filled_at) * self._rate
+        self._tokens = min(filled, self._rate)
+        self._filled_at = now
+        if self._tokens < 1:
+            self.dropped += 1
+            return len(text)
+        self._tokens -= 1
+        line = text.encode() if isinstance(text, str) else bytes(text)
+        if self.dropped:
+            line += b'{"message_type":"log.dropped","lines":%d}\n' % (
+                self.dropped
+            )
+        try:
+            os.write(self._descriptor, line)
+        except BlockingIOError:
+            self.dropped += 1
+        else:
+            self.dropped = 0
+        return len(text)
+
+    def flush(self) -> None:
+        """Has nothing to do."""
+
+
+def start_logs(stream: TextIO | LineStream | None = None) -> None:
     """Sends the logs of this process to a stream: standard error if none."""
     eliot.to_file(stream or sys.stderr)
--- /dev/null
+++ b/mulberryhitch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names and calls, decoded into our own types."""
--- /dev/null
+++ b/mulberryhitch/platform/client.py
@@ -0,0 +1,175 @@
+"""The one HTTP client of the adapter: few connections, kept open.
+
+httpcore spends more than twice the processor time of h11 on an anyio stream
+for each small request; see docs/CAPACITY.md.
+"""
+
+import socket
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+import h11
+import orjson
+from anyio.abc import SocketAttribute, SocketStream
+
+from mulberryhitch.errors import (
+    OutcomeUnknownError,
+    ProtocolError,
+    UnreachableError,
+)
+
+_CONNECT_SECONDS = 0.5
+_MAXIMUM_IDLE = 6
+_CHUNK_BYTES = 65_536
+_SILENCE_MILLISECONDS = 3000
+
+_BROKEN = (
+    OSError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    h11.ProtocolError,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """A status and a decoded JSON body; empty if it was none."""
+
+    status: int
+    content: dict[str, Any]
+
+
+class _Connection:
+    def __init__(self, stream: SocketStream) -> None:
+        self._stream = stream
+        self._machine = h11.Connection(h11.CLIENT)
+
+    async def exchange(
+        self, head: h11.Request, body: bytes
+    ) -> tuple[int, bytes]:
+        """Sends a request and reads its answer."""
+        sent = self._machine.send(head) or b''
+        sent += self._machine.send(h11.Data(data=body)) or b''
+        sent += self._machine.send(h11.EndOfMessage()) or b''
+        await self._stream.send(sent)
+        status = 0
+        parts: list[bytes] = []
+        while True:
+            event = self._machine.next_event()
+            if event is h11.NEED_DATA:
+                self._machine.receive_data(
+                    await self._stream.receive(_CHUNK_BYTES)
+                )
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return status, b''.join(parts)
+
+    def reuse(self) -> bool:
+        """Makes ready for the next request, if that is possible."""
+        if self._machine.our_state is not h11.DONE:
+            return False
+        if self._machine.their_state is not h11.DONE:
+            return False
+        self._machine.start_next_cycle()
+        return True
+
+    async def close(self) -> None:
+        """Closes without waiting for the peer."""
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(self._stream)
+
+
+class PlatformClient:
+    """Sends JSON to workers and services of the platform."""
+
+    def __init__(self) -> None:
+        """Opens nothing."""
+        self._idle: dict[str, deque[_Connection]] = {}
+
+    async def send(  # noqa: WPS211
+        self,
+        address: str,
+        method: str,
+        path: str,
+        content: dict[str, Any],
+        timeout_seconds: float,
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> HttpAnswer:
+        """Sends one request and reads its answer.
+
+        Raises:
+            UnreachableError: Nothing was sent.
+            OutcomeUnknownError: It was sent; no whole answer came.
+            ProtocolError: The answer's body is no JSON object.
+        """
+        body = orjson.dumps(content)
+        head = h11.Request(
+            method=method,
+            target=path,
+            headers=[
+                ('Host', address),
+                ('Content-Type', 'application/json'),
+                ('Content-Length', str(len(body))),
+                *headers,
+            ],
+        )
+        connection = await self._take(address)
+        try:
+            with anyio.fail_after(timeout_seconds):
+                status, answer = await connection.exchange(head, body)
+        except TimeoutError as error:
+            await connection.close()
+            raise OutcomeUnknownError(
+                f'no answer in {timeout_seconds:.3f} s',
+                where=f'{address}{path}',
+            ) from error
+        except _BROKEN as error:
+            await connection.close()
+            raise OutcomeUnknownError(
+                f'connection lost: {error!r}', where=f'{address}{path}'
+            ) from error
+        except anyio.get_cancelled_exc_class():
+            await connection.close()
+            raise
+        await self._give_back(address, connection)
+        return HttpAnswer(status, _decode(answer, address))
+
+    async def _take(self, address: str) -> _Connection:
+        idle = self._idle.get(address)
+        if idle:
+            return idle.pop()
+        host, _, port = address.rpartition(':')
+        try:
+            with anyio.fail_after(_CONNECT_SECONDS):
+                stream = await anyio.connect_tcp(host, int(port))
+        except (OSError, TimeoutError, ValueError) as error:
+            raise UnreachableError('no connection', where=address) from error
+        raw = stream.extra(SocketAttribute.raw_socket)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        raw.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _SILENCE_MILLISECONDS
+        )
+        return _Connection(stream)
+
+    async def _give_back(self, address: str, connection: _Connection) -> None:
+        idle = self._idle.setdefault(address, deque())
+        if len(idle) < _MAXIMUM_IDLE and connection.reuse():
+            idle.append(connection)
+        else:
+            await connection.close()
+
+
+def _decode(body: bytes, where: str) -> dict[str, Any]:
+    if not body:
+        return {}
+    try:
+        content = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise ProtocolError(str(error), where=where) from error
+    return content if isinstance(content, dict) else {}
--- /dev/null
+++ b/mulberryhitch/platform/wire.py
@@ -0,0 +1,336 @@
+"""The platform's bodies, checked and turned into our own types, and back."""
+
+from typing import Any, TypeVar
+
+import orjson
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from mulberryhitch.constants import MILLISECONDS_PER_SECOND
+from mulberryhitch.dispatch.ports import EndedRow, RunningRow, WorkerView
+from mulberryhitch.errors import InvalidInputError, ProtocolError
+from mulberryhitch.jobs.model import (
+    JobSpec,
+    Limits,
+    PermitPolicy,
+    Queue,
+    QueueTable,
+    Step,
+    StepKey,
+    TaskKey,
+    WorkerRecord,
+)
+from mulberryhitch.jobs.units import RunEnd
+
+_MAXIMUM_ARGUMENT_BYTES = 4000
+_MAXIMUM_COUNT = 20_000
+_MAXIMUM_NUMBER = 2**53
+_READY = 'ready'
+_DRAINING = 'draining'
+
+BodyType = TypeVar('BodyType', bound=BaseModel)
+
+_ENDS = {
+    'done': RunEnd.done,
+    'failed': RunEnd.failed,
+    'stopped': RunEnd.stopped,
+    'lapsed': RunEnd.expired,
+    'broken': RunEnd.broken,
+    'alone': RunEnd.incomplete,
+}
+
+
+class _Body(BaseModel):
+    model_config = ConfigDict(strict=True, extra='ignore')
+
+
+class _StepBody(_Body):
+    count: int = Field(1, ge=1, le=_MAXIMUM_COUNT)
+    cpu: int = Field(0, ge=0, le=_MAXIMUM_NUMBER)
+    mem_mb: int = Field(0, ge=0, le=_MAXIMUM_NUMBER)
+    gpu: int = Field(0, ge=0, le=_MAXIMUM_NUMBER)
+    estimate_ms: float = Field(0, ge=0, le=_MAXIMUM_NUMBER)
+    depends_on: list[int] = []
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    requires: str = ''
+    data_rack: str = ''
+    anti_affinity: int = Field(0, ge=0)
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ''
+    target_ms: float = Field(0, ge=0, le=_MAXIMUM_NUMBER)
+    fills: bool = False
+    miss_allowance: int = Field(0, ge=0)
+
+
+class _JobBody(_Body):
+    spec: str = ''
+    steps: list[_StepBody] = Field(min_length=1)
+    repeat_count: int = Field(0, ge=0, le=_MAXIMUM_COUNT)
+    first_ms: float = Field(0, ge=0, le=_MAXIMUM_NUMBER)
+    interval_ms: float = Field(0, ge=0, le=_MAXIMUM_NUMBER)
+
+
+class _AdviceBody(_Body):
+    decide_ms: float = Field(ge=0)
+    each_ms: float = Field(ge=0)
+    valid_ms: float = Field(ge=0)
+
+
+class _RouteBody(_Body):
+    name: str
+    host: str
+    path_prefix: str
+    timeout_ms: float = Field(gt=0)
+    service: str
+    target_duration_ms: float = Field(0, ge=0)
+    priority: int = 0
+    max_attempts: int = Field(1, ge=1)
+    stretch: float = Field(1, ge=0)
+    advice: _AdviceBody | None = None
+
+
+class _ServiceBody(_Body):
+    name: str
+    enforces_capacity: bool = False
+
+
+class _LimitsBody(_Body):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15_000
+
+
+class _ConfigBody(_Body):
+    version: int = Field(ge=0, le=_MAXIMUM_NUMBER)
+    routes: list[_RouteBody]
+    services: list[_ServiceBody]
+    limits: _LimitsBody = _LimitsBody()
+
+
+class _CapacityBody(_Body):
+    cpu: int = Field(ge=0)
+    mem_mb: int = Field(ge=0)
+    gpu: int = Field(0, ge=0)
+
+
+class _BeatBody(_Body):
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: _CapacityBody
+    labels: list[str]
+    clock_ms: int
+    sequence: int
+    born: int = 0
+
+
+def read_body(model: type[BodyType], content: bytes, what: str) -> BodyType:
+    """Checks a body against its model.
+
+    Raises:
+        InvalidInputError: Names the first field that does not fit.
+    """
+    try:
+        return model.model_validate(orjson.loads(content))
+    except orjson.JSONDecodeError as error:
+        raise InvalidInputError(str(error), where=what) from error
+    except ValidationError as error:
+        first = error.errors()[0]
+        path = '.'.join(map(str, first['loc']))
+        raise InvalidInputError(
+            str(first['msg']), where=f'{what}.{path}'
+        ) from error
+
+
+def read_job(content: bytes) -> JobSpec:
+    """Reads a job.
+
+    Raises:
+        InvalidInputError: Names the field that does not fit.
+    """
+    body = read_body(_JobBody, content, 'job')
+    if len(body.spec.encode()) > _MAXIMUM_ARGUMENT_BYTES:
+        raise InvalidInputError('over 4,000 bytes', where='job.spec')
+    spec = JobSpec(
+        body.spec,
+        tuple(_step(step) for step in body.steps),
+        body.repeat_count,
+        body.first_ms / MILLISECONDS_PER_SECOND,
+        body.interval_ms / MILLISECONDS_PER_SECOND,
+    )
+    spec.check()
+    return spec
+
+
+def read_table(content: bytes) -> QueueTable:
+    """Reads a configuration.
+
+    Raises:
+        InvalidInputError: Names the field that does not fit.
+    """
+    body = read_body(_ConfigBody, content, 'config')
+    services = {service.name for service in body.services}
+    places: set[tuple[str, str]] = set()
+    for number, route in enumerate(body.routes):
+        where = f'config.routes.{number}'
+        if route.service not in services:
+            raise InvalidInputError('an unknown service', where=where)
+        place = (route.host, route.path_prefix)
+        if place in places:
+            raise InvalidInputError('a prefix used twice', where=where)
+        places.add(place)
+    return QueueTable(
+        body.version,
+        content.decode(),
+        tuple(_queue(route) for route in body.routes),
+        Limits(
+            body.limits.max_header_bytes,
+            body.limits.max_body_bytes,
+            body.limits.header_timeout_ms / MILLISECONDS_PER_SECOND,
+            body.limits.idle_timeout_ms / MILLISECONDS_PER_SECOND,
+        ),
+        tuple(
+            service.name
+            for service in body.services
+            if not service.enforces_capacity
+        ),
+    )
+
+
+def read_beat(worker_id: str, content: bytes) -> tuple[WorkerRecord, int, int]:
+    """Reads a worker's heartbeat: its record, its clock, its number.
+
+    Raises:
+        InvalidInputError: It names no worker to use.
+    """
+    body = read_body(_BeatBody, content, 'heartbeat')
+    if body.state not in {_READY, _DRAINING}:
+        raise InvalidInputError('an unknown state', where='heartbeat.state')
+    host, _, port = body.address.rpartition(':')
+    if not host or not port.isdigit():
+        raise InvalidInputError('no address', where='heartbeat.address')
+    # The labels are the worker's kind, then its rack.
+    rack = body.labels[1] if len(body.labels) > 1 else ''
+    record = WorkerRecord(
+        worker_id,
+        body.address,
+        body.service,
+        body.zone,
+        rack,
+        tuple(body.labels),
+        body.capacity.cpu,
+        body.capacity.mem_mb,
+        body.capacity.gpu,
+        body.born,
+        draining=body.state == _DRAINING,
+    )
+    return record, body.clock_ms, body.sequence
+
+
+def task_name(task: TaskKey) -> str:
+    """A task's name on the wire."""
+    return f'{task.job_id}.{task.occurrence}.{task.step}.{task.number}'
+
+
+def step_name(step: StepKey) -> str:
+    """A step's name on the wire."""
+    return f'{step.job_id}.{step.occurrence}.{step.step}'
+
+
+def read_view(content: dict[str, Any]) -> tuple[WorkerView, int]:
+    """Reads a worker's lists; rows that can't be read are counted.
+
+    Raises:
+        ProtocolError: The lists themselves can't be read.
+    """
+    try:
+        clock = int(content['clock_ms'])
+        running = content['running']
+        ended = content['ended']
+        born = int(content.get('born', 0))
+    except (KeyError, TypeError, ValueError) as error:
+        raise ProtocolError(repr(error), where='lists of runs') from error
+    unread = 0
+    running_rows: list[RunningRow] = []
+    ended_rows: list[EndedRow] = []
+    for row in running:
+        try:
+            running_rows.append(_running(row))
+        except (ValueError, TypeError, IndexError):
+            unread += 1
+    for row in ended:
+        try:
+            ended_rows.append(_ended(row))
+        except (ValueError, TypeError, IndexError, KeyError):
+            unread += 1
+    view = WorkerView(clock, born, tuple(running_rows), tuple(ended_rows))
+    return view, unread
+
+
+def _running(row: list[Any]) -> RunningRow:
+    return RunningRow(
+        _task(row[0]), int(row[1]), str(row[2] or ''), int(row[3])
+    )
+
+
+def _ended(row: list[Any]) -> EndedRow:
+    return EndedRow(
+        int(row[0]),
+        _task(row[1]),
+        int(row[2]),
+        _ENDS[row[3]],
+        str(row[4] or ''),
+    )
+
+
+def _task(name: str) -> TaskKey:
+    job_id, occurrence, step, index = name.rsplit('.', 3)
+    return TaskKey(job_id, int(occurrence), int(step), int(index))
+
+
+def _step(body: _StepBody) -> Step:
+    return Step(
+        body.count,
+        body.cpu,
+        body.mem_mb,
+        body.gpu,
+        body.estimate_ms / MILLISECONDS_PER_SECOND,
+        tuple(body.depends_on),
+        body.checkpointing,
+        body.gang,
+        body.same_rack,
+        body.requires,
+        body.data_rack,
+        body.anti_affinity,
+        body.speculative,
+        body.long_running,
+        body.image,
+        body.target_ms / MILLISECONDS_PER_SECOND,
+        body.fills,
+        body.miss_allowance,
+    )
+
+
+def _queue(body: _RouteBody) -> Queue:
+    permits = None
+    if body.advice is not None:
+        permits = PermitPolicy(
+            body.advice.decide_ms / MILLISECONDS_PER_SECOND,
+            body.advice.each_ms / MILLISECONDS_PER_SECOND,
+            body.advice.valid_ms / MILLISECONDS_PER_SECOND,
+        )
+    return Queue(
+        body.name,
+        body.host,
+        body.path_prefix,
+        body.service,
+        body.priority,
+        body.max_attempts,
+        body.stretch,
+        body.target_duration_ms / MILLISECONDS_PER_SECOND,
+        permits,
+    )
--- /dev/null
+++ b/mulberryhitch/platform_composition.py
@@ -0,0 +1,312 @@
+"""The composition root of the programs that run on the users' platform."""
+
+import random
+import signal
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import anyio
+import uvicorn
+
+from mulberryhitch.clocks import suspended_seconds
+from mulberryhitch.constants import READINESS_DELAY_SECONDS
+from mulberryhitch.dispatch.asking import (
+    JOBS_GROUP,
+    PermitHelper,
+    Reporter,
+)
+from mulberryhitch.dispatch.operations import HelperAnswer, ReportHelper
+from mulberryhitch.dispatch.options import DispatchOptions
+from mulberryhitch.dispatch.service import JobsService
+from mulberryhitch.errors import InvalidSettingsError
+from mulberryhitch.http.protocol import BoundedProtocol
+from mulberryhitch.http.server import HttpServer, listen
+from mulberryhitch.jobs.book import JobBook
+from mulberryhitch.jobs.model import Limits
+from mulberryhitch.membership.leaders import Leaders
+from mulberryhitch.membership.peers import Peers
+from mulberryhitch.observability.histograms import Histograms
+from mulberryhitch.observability.log import Log
+from mulberryhitch.platform.asgi import HttpReply, HttpRequest, Interface
+from mulberryhitch.platform.client import PlatformClient
+from mulberryhitch.platform.control import Control
+from mulberryhitch.platform.ingress import Ingress
+from mulberryhitch.platform.settings import (
+    PlatformSettings,
+    load_platform_settings,
+)
+from mulberryhitch.platform.workers import PlatformPermits, PlatformWorkers
+from mulberryhitch.replication.loading import load_state
+from mulberryhitch.replication.options import ReplicationOptions
+from mulberryhitch.replication.replica import Replica
+from mulberryhitch.rpc.server import RpcServer
+from mulberryhitch.scheduler.host import ReplicaHost
+
+_CALL_SECONDS = 1.0
+_READY_SECONDS = 3.0
+_CONTROL_LIMITS = Limits(body_bytes=8 * 1024 * 1024)
+_SETTINGS_POLL_SECONDS = 1.0
+_STOP_MARGIN_SECONDS = 1.5
+_NOTICE_SECONDS = 2.2
+_KEEPER_SECONDS = 0.3
+_REPAIR_SECONDS = 2.0
+_MAXIMUM_LEASE_SECONDS = 5.0
+
+
+class _Program:
+    """What both programs have: peers, their own server, their settings."""
+
+    def __init__(self, name: str, settings: PlatformSettings) -> None:
+        self.settings = settings
+        self.log = Log(f'{name}@{settings.vm}')
+        self.scheduler_port = settings.port + 1
+        own_port = settings.port if name == 'entry' else self.scheduler_port
+        self.rpc_port = own_port
+        self.peers = Peers(
+            self.log.member_id, self.scheduler_port, settings.seed_vms
+        )
+        self.leaders = Leaders(self.peers, _CALL_SECONDS)
+        self.rpc = RpcServer(self.log)
+        self.client = PlatformClient()
+        self.asker = PlatformPermits(self.client, settings.permit_address)
+        self.stopping = False
+        self.answer: HelperAnswer | None = None
+        self.reporter = Reporter(
+            ReportHelper(name, settings.vm, own_port),
+            self.leaders,
+            self.peers,
+            self.log,
+            self._told,
+        )
+
+    async def run_parts(self, tasks: Any) -> None:
+        """Starts the parts."""
+        tasks.start_soon(self.peers.run)
+        tasks.start_soon(self.rpc.serve, self.settings.vm, self.rpc_port)
+        tasks.start_soon(self.reporter.run)
+        tasks.start_soon(self._follow_settings)
+
+    def make_server(self, interface: Interface) -> HttpServer:
+        """The HTTP server of the program."""
+        return HttpServer(
+            uvicorn.Config(
+                interface,
+                loop='asyncio',
+                http=BoundedProtocol,
+                ws='none',
+                lifespan='off',
+                log_config=None,
+                access_log=False,
+                server_header=False,
+                date_header=False,
+                timeout_keep_alive=60,
+                timeout_graceful_shutdown=max(
+                    1, int(self.settings.drain_seconds - 1)
+                ),
+            ),
+        )
+
+    def is_stopping(self) -> bool:
+        """Whether the program is on its way out."""
+        return self.stopping
+
+    def _told(self, answer: HelperAnswer) -> None:
+        self.answer = answer
+
+    async def _follow_settings(self) -> None:
+        """Takes the seeds anew when the settings file changes."""
+        seeds = self.settings.seed_vms
+        while True:
+            await anyio.sleep(_SETTINGS_POLL_SECONDS)
+            try:
+                read = load_platform_settings()
+            except InvalidSettingsError as error:
+                self.log.problem('settings.unread', error.problem)
+                continue
+            if read.seed_vms != seeds:
+                seeds = read.seed_vms
+                self.peers.reseed(seeds)
+                self.log.event('settings.reloaded', seeds=list(seeds))
+
+
+class EntryProgram:
+    """Callers' requests come in here.
+
+    Args:
+        settings: As the platform told.
+    """
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        """Wires the parts."""
+        self._base = _Program('entry', settings)
+        self._settings = settings
+        self._ingress = Ingress(self._base.leaders)
+        PermitHelper(self._base.rpc, self._base.asker)
+        self._interface = Interface(
+            self._answer, self._base.log, self._limits, self._base.is_stopping
+        )
+        self._ready = Interface(
+            self._answer_ready,
+            self._base.log,
+            lambda: _CONTROL_LIMITS,
+            self._base.is_stopping,
+        )
+
+    async def run(self) -> None:
+        """Serves until the program is stopped."""
+        settings = self._settings
+        sockets = [_listen(settings.callers_address)]
+        ready_sockets = [_listen(settings.ready_address)]
+        server = self._base.make_server(self._interface)
+        ready = self._base.make_server(self._ready)
+        async with anyio.create_task_group() as tasks:
+            await self._base.run_parts(tasks)
+            self._base.log.event('entry.started', address=settings.vm)
+            tasks.start_soon(_serve, ready, ready_sockets)
+            tasks.start_soon(self._stop, server, ready)
+            await server.serve(sockets=sockets)
+            self._base.log.event('entry.stopped')
+            tasks.cancel_scope.cancel()
+
+    async def _answer(self, request: HttpRequest) -> HttpReply:
+        return await self._ingress.answer(request)
+
+    async def _answer_ready(self, request: HttpRequest) -> HttpReply:
+        reached = anyio.current_time() - self._base.reporter.reached_at
+        answer = self._base.answer
+        ready = answer is not None and answer.version >= 0
+        if ready and reached < _READY_SECONDS and not self._base.stopping:
+            return HttpReply(200)
+        return HttpReply(503)
+
+    def _limits(self) -> Limits:
+        return self._base.answer.limits if self._base.answer else Limits()
+
+    async def _stop(self, server: HttpServer, ready: HttpServer) -> None:
+        await wait_for_stop(self._base.log)
+        self._base.stopping = True
+        limit = self._settings.drain_seconds - _STOP_MARGIN_SECONDS
+        with anyio.move_on_after(limit):
+            await anyio.sleep(min(_NOTICE_SECONDS, limit))
+            while self._interface.in_flight:
+                await anyio.sleep(READINESS_DELAY_SECONDS / 10)
+        server.should_exit = True
+        ready.should_exit = True
+
+
+class SchedulerProgram:
+    """A replica of the job book, and the leader's work.
+
+    Args:
+        settings: As the platform told.
+    """
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        """Wires the parts and loads the data folder."""
+        self._base = _Program('scheduler', settings)
+        self._settings = settings
+        self._host = ReplicaHost(self._base.rpc)
+        self.service = self._make_service()
+        self._host.add(self.service)
+        control = Control(self._base.leaders)
+        self._interface = Interface(
+            control.answer,
+            self._base.log,
+            lambda: _CONTROL_LIMITS,
+            self._base.is_stopping,
+        )
+
+    async def run(self) -> None:
+        """Takes part until the program is stopped.
+
+        Raises:
+            StorageError: The disk failed.
+        """
+        sockets = [_listen(self._settings.control_address)]
+        server = self._base.make_server(self._interface)
+        async with anyio.create_task_group() as tasks:
+            await self._base.run_parts(tasks)
+            tasks.start_soon(self._host.run)
+            self._base.log.event(
+                'scheduler.started',
+                address=self._settings.vm,
+                replica=self.service.replica.replica_id,
+                term=self.service.replica.term,
+                first_start=self._settings.first_start,
+            )
+            tasks.start_soon(self._stop, server)
+            await server.serve(sockets=sockets)
+            self._base.log.event('scheduler.stopped')
+            tasks.cancel_scope.cancel()
+
+    def _make_service(self) -> JobsService:
+        settings = self._settings
+        log = self._base.log
+        book = JobBook()
+        options = DispatchOptions(
+            lease_seconds=min(
+                _MAXIMUM_LEASE_SECONDS, settings.maximum_lease_seconds
+            ),
+            maximum_lease_seconds=settings.maximum_lease_seconds,
+            retain_seconds=settings.retain_seconds * 2,
+        )
+        folder = Path(settings.data_folder) / JOBS_GROUP
+        state = load_state(JOBS_GROUP, folder, settings.vm, book, log)
+        replica = Replica(
+            state,
+            self._base.peers,
+            settings.seed_vms,
+            ReplicationOptions(
+                keeper_seconds=_KEEPER_SECONDS,
+                repair_seconds=_REPAIR_SECONDS,
+                target_voters=settings.voters,
+                may_begin=settings.first_start,
+                suspended=suspended_seconds,
+            ),
+            log,
+            random.Random(),
+        )
+        return JobsService(
+            replica,
+            book,
+            PlatformWorkers(self._base.client, options.order_seconds, log),
+            self._base.asker,
+            self._base.peers,
+            options,
+            log,
+            Histograms(),
+        )
+
+    async def _stop(self, server: HttpServer) -> None:
+        await wait_for_stop(self._base.log)
+        self._base.stopping = True
+        await self._host.hand_over()
+        await anyio.sleep(READINESS_DELAY_SECONDS)
+        server.should_exit = True
+
+
+async def wait_for_stop(log: Log) -> None:
+    """Returns at SIGTERM or SIGINT; a hang-up changes nothing by itself."""
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
+        async for received in signals:
+            log.event('process.signal', name=signal.Signals(received).name)
+            if received != signal.SIGHUP:
+                return
+
+
+def _listen(address: str) -> Any:
+    host, _, port = address.rpartition(':')
+    return listen(host, int(port))
+
+
+async def _serve(server: HttpServer, sockets: list[Any]) -> None:
+    await server.serve(sockets=sockets)
+
+
+PROGRAMS: dict[str, Callable[[PlatformSettings], Any]] = {
+    'entry': EntryProgram,
+    'scheduler': SchedulerProgram,
+}
--- a/mulberryhitch/replication/joining.py
+++ b/mulberryhitch/replication/joining.py
@@ -6,7 +6,7 @@
 
 from mulberryhitch.errors import MulberryhitchError
 from mulberryhitch.replication.machine import Transport
-from mulberryhitch.replication.members import Members
+from mulberryhitch.replication.members import Members, vm_of
 from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.state import ReplicaState
 from mulberryhitch.rpc.messages import HelloReply, HelloRequest
@@ -23,7 +23,7 @@
         state: The replica's state.
         transport: Reaches the other replicas.
         initial_vms: The VMs whose replicas begin the group together.
-        options: Timings.
+        options: Timings, and whether a new group may begin at all.
     """
 
     def __init__(
@@ -34,6 +34,7 @@
         options: ReplicationOptions,
     ) -> None:
         """Has met nobody."""
+        self._met: set[str] = set()
         self._state = state
         self._transport = transport
         self._initial_vms = initial_vms
@@ -60,8 +61,15 @@
                 return
         if any(reply.configured for reply in replies):
             return
-        if len(replies) == len(self._initial_vms) - 1:
-            ids = [reply.replica_id for reply in replies]
+        if not self._options.may_begin:
+            return
+        first = [
+            reply
+            for reply in replies
+            if vm_of(reply.replica_id) in self._initial_vms
+        ]
+        if len(first) == len(self._initial_vms) - 1:
+            ids = [reply.replica_id for reply in first]
             await self._begin((*ids, self._state.replica_id))
 
     async def _begin(self, voters: tuple[str, ...]) -> None:
@@ -72,11 +80,17 @@
     async def _ask_everyone(self) -> list[HelloReply]:
         replies: list[HelloReply] = []
         async with anyio.create_task_group() as tasks:
-            for vm in self._initial_vms:
+            for vm in self._contacts():
                 if vm != self._own_vm:
                     tasks.start_soon(self._ask, vm, replies)
+        for reply in replies:
+            self._met.update(map(vm_of, (*reply.voters, *reply.learners)))
         return replies
 
+    def _contacts(self) -> set[str]:
+        members = map(vm_of, self._state.members.everyone)
+        return {*self._initial_vms, *self._met, *members}
+
     async def _ask(self, vm: str, replies: list[HelloReply]) -> None:
         request = HelloRequest(
             self._state.group, self._state.replica_id, self._state.configured
--- a/mulberryhitch/replication/keeper.py
+++ b/mulberryhitch/replication/keeper.py
@@ -42,12 +42,12 @@
         self._options = options
         self._applicants = applicants
         self._target_voters = target_voters
-        self._began = anyio.current_time()
+        self._began = self._options.now()
 
     async def run(self) -> None:
         """Looks after the members until cancelled."""
         while True:
-            await anyio.sleep(self._options.election_seconds)
+            await anyio.sleep(self._options.keeper_seconds)
             wanted = self._next_members()
             if wanted is None or not self._leadership.has_authority:
                 continue
@@ -80,12 +80,12 @@
         peer = self._leadership.peers.get(replica_id)
         if peer is None:
             return replica_id == self._state.replica_id
-        silence = anyio.current_time() - peer.contact
+        silence = self._options.now() - peer.contact
         return silence < self._options.election_seconds * 2
 
     def _replaced_voter(self, members: Members, ready: list[str]) -> str:
         ready_vms = {vm_of(one) for one in ready}
-        now = anyio.current_time()
+        now = self._options.now()
         for voter in members.voters:
             peer = self._leadership.peers.get(voter)
             if peer is None or self._is_alive(voter):
@@ -107,7 +107,7 @@
         return ''
 
     def _without_dead_learner(self, members: Members) -> Members | None:
-        now = anyio.current_time()
+        now = self._options.now()
         for learner in members.learners:
             peer = self._leadership.peers.get(learner)
             if peer is None:
--- a/mulberryhitch/replication/leadership.py
+++ b/mulberryhitch/replication/leadership.py
@@ -95,7 +95,7 @@
         self._ready = anyio.Event()
         self._tasks: TaskGroup | None = None
         self._own_match = 0
-        self._began = anyio.current_time()
+        self._began = self._options.now()
         self._handing_over = False
 
     @property
@@ -109,7 +109,7 @@
     @property
     def has_authority(self) -> bool:
         """Whether the leader may act now."""
-        return anyio.current_time() < self.authority_until
+        return self._options.now() < self.authority_until
 
     @property
     def ready(self) -> bool:
@@ -211,7 +211,7 @@
             proposal.decide(result, failed)
 
     def _quorum_contact(self) -> float:
-        now = anyio.current_time()
+        now = self._options.now()
         contacts = [
             now if name == self._state.replica_id else self._contact(name)
             for name in self._state.members.voters
@@ -303,7 +303,7 @@
         patience = self._options.election_seconds
         while True:
             await anyio.sleep(self._options.heartbeat_seconds)
-            now = anyio.current_time()
+            now = self._options.now()
             silent_since = max(self._quorum_contact(), self._began)
             if now - silent_since > patience:
                 self.step_down()
@@ -351,7 +351,7 @@
         sends.start_soon(self._send, peer, request)
 
     async def _send(self, peer: Progress, request: AppendRequest) -> None:
-        sent_at = anyio.current_time()
+        sent_at = self._options.now()
         try:
             reply = await self._transport.call(
                 vm_of(peer.name),
@@ -409,7 +409,7 @@
                 offset,
                 done,
             )
-            sent_at = anyio.current_time()
+            sent_at = self._options.now()
             try:
                 reply = await self._transport.call(
                     vm_of(peer.name),
--- a/mulberryhitch/replication/options.py
+++ b/mulberryhitch/replication/options.py
@@ -1,7 +1,10 @@
 """The timings and sizes of a replicated log."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
+import anyio
+
 
 @dataclass(frozen=True, slots=True)
 class ReplicationOptions:
@@ -18,6 +21,12 @@
         compact_entries: A snapshot is taken after so many entries.
         chunk_bytes: The size of a part of a snapshot on its way.
         repair_seconds: A voter silent for so long is replaced by a spare.
+        keeper_seconds: The time between two looks at who is a member.
+        target_voters: How many voters a whole group has; zero for as many
+            as began it.
+        may_begin: Whether a group may begin anew where nobody has a log.
+        suspended: How long this VM has been suspended, in seconds, which
+            the steady clock leaves out.
     """
 
     heartbeat_seconds: float = 0.15
@@ -29,3 +38,11 @@
     compact_entries: int = 20_000
     chunk_bytes: int = 1_048_576
     repair_seconds: float = 60.0
+    keeper_seconds: float = 0.8
+    target_voters: int = 0
+    may_begin: bool = True
+    suspended: Callable[[], float] = float
+
+    def now(self) -> float:
+        """The steady clock, and the time that it stood still, in seconds."""
+        return anyio.current_time() + self.suspended()
--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -85,7 +85,7 @@
         self._following = Following(state)
         self._fail_stop = FailStop(self._fail)
         self._tasks: TaskGroup | None = None
-        self._target_voters = len(initial_vms)
+        self._target_voters = options.target_voters or len(initial_vms)
         self._joining = Joining(state, transport, initial_vms, options)
         self._applicants: dict[str, float] = {}
         state.when_applied(self._applied)
--- a/mulberryhitch/standins/programs.py
+++ b/mulberryhitch/standins/programs.py
@@ -16,7 +16,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from mulberryhitch.composition import HttpServer, listen
+from mulberryhitch.http.server import HttpServer, listen
 from mulberryhitch.constants import (
     ANNOUNCEMENT_INTERVAL_SECONDS,
     CALLER_KEEPALIVE_SECONDS,
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from mulberryhitch.composition import listen
+from mulberryhitch.http.server import listen
 from tests.program import running_cell
 
 SIZE = {'millicores': 1000, 'memory_mebibytes': 256}
