A silent worker's lease is left to run out; the dispatcher split by job

Cause: each look at a worker that did not answer pushed the end of its lease further, so its tasks never started elsewhere. Change: looks after a miss renew nothing. Orders, watching and what they share are modules of their own; stand-in workers that check each order, and 15 tests.

--- a/mulberryhitch/dispatch/fleet.py
+++ b/mulberryhitch/dispatch/fleet.py
@@ -7,7 +7,7 @@
 
 from mulberryhitch.constants import MILLISECONDS_PER_SECOND
 from mulberryhitch.dispatch.options import DispatchOptions
-from mulberryhitch.jobs.model import WorkerRecord
+from mulberryhitch.jobs.model import TaskKey, WorkerRecord
 
 _REMEMBERED_ENDS = 12
 _SUSPECT_FAILURES = 4
@@ -26,6 +26,7 @@
         stopping: A stop is being sent.
         started_at: When its start was first sent.
         moved_at: When its percent last rose.
+        inherited: An earlier leader's grant.
     """
 
     run: int
@@ -38,6 +39,22 @@
     percent: int = 0
     moved_at: float = 0
     checkpoint: str = ''
+    inherited: bool = False
+
+    def certainly_over(self, listed_at: float) -> bool:
+        """Whether a list asked for then would show it, were it still on."""
+        if 0 < self.blocked_at < listed_at:
+            return True
+        told = self.confirmed and self.confirmed_at < listed_at
+        return told and not self.uncertain
+
+    def progress(self, percent: int, checkpoint: str, now: float) -> None:
+        """Notes what a list tells of it."""
+        self.confirmed = True
+        self.checkpoint = checkpoint or self.checkpoint
+        if percent > self.percent:
+            self.percent = percent
+            self.moved_at = now
 
 
 @dataclass(slots=True)
@@ -67,7 +84,7 @@
     gone: bool = False
     quarantined_until: float = 0
     refused_until: float = 0
-    tracks: dict[object, RunTrack] = field(default_factory=dict)
+    tracks: dict[TaskKey, RunTrack] = field(default_factory=dict)
     ends: deque[bool] = field(
         default_factory=lambda: deque(maxlen=_REMEMBERED_ENDS)
     )
@@ -111,6 +128,16 @@
         self.known = True
         self.granted_until = max(self.granted_until, clock + int(longest))
 
+    def begin_again(self, record: WorkerRecord, now: float) -> None:
+        """Notes that the worker was started again."""
+        self.record = record
+        self.seen = 0
+        self.clock = 0
+        self.unsure = True
+        self.known = False
+        self.began_at = now
+        self.nudge()
+
     def count_end(self, failed: bool, now: float) -> None:
         """Quarantines a worker on which nearly everything fails."""
         self.ends.append(failed)
--- a/mulberryhitch/dispatch/operations.py
+++ b/mulberryhitch/dispatch/operations.py
@@ -64,12 +64,10 @@
 
     Attributes:
         clock: The worker's own clock, milliseconds.
-        leaving: It runs nothing any more.
     """
 
     worker: WorkerRecord
     clock: int
-    leaving: bool
 
 
 @record('leave_worker')
--- a/mulberryhitch/dispatch/service.py
+++ b/mulberryhitch/dispatch/service.py
@@ -26,6 +26,7 @@
 )
 from mulberryhitch.dispatch.options import DispatchOptions
 from mulberryhitch.dispatch.ports import PermitAsker, WorkerOrders
+from mulberryhitch.dispatch.term import Term
 from mulberryhitch.errors import (
     InvalidInputError,
     NotFoundError,
@@ -131,14 +132,16 @@
 
     async def _serve_term(self, term: int) -> None:
         dispatcher = Dispatcher(
-            self.book,
-            self._commit,
-            self._may_act,
-            term,
-            self._orders,
-            self._options,
-            self._log,
-            self._histograms,
+            Term(
+                self.book,
+                self._commit,
+                self._may_act,
+                term,
+                self._orders,
+                self._options,
+                self._log,
+                self._histograms,
+            ),
         )
         dispatcher.desk.add_helper('own', self._asker, local=True)
         self._dispatcher = dispatcher
@@ -235,16 +238,14 @@
 
     @operation(HearWorker)
     async def _hear(self, request: HearWorker) -> Acknowledged:
-        await self._leading().hear(
-            request.worker, request.clock, leaving=request.leaving
-        )
+        await self._leading().hear(request.worker, request.clock)
         return Acknowledged()
 
     @operation(LeaveWorker)
     async def _leave(self, request: LeaveWorker) -> Acknowledged:
         known = self.book.workers.get(request.worker_id)
         if known is not None and request.born in {0, known.born}:
-            await self._leading().hear(known, 0, leaving=True)
+            await self._leading().farewell(request.worker_id)
         return Acknowledged()
 
     @operation(ChangeTable)
--- /dev/null
+++ b/mulberryhitch/dispatch/term.py
@@ -0,0 +1,116 @@
+"""What the parts of one leader's term share."""
+
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from mulberryhitch.dispatch.fleet import LiveWorker
+from mulberryhitch.dispatch.options import DispatchOptions
+from mulberryhitch.dispatch.ports import WorkerOrders
+from mulberryhitch.errors import MulberryhitchError, StorageError
+from mulberryhitch.jobs.book import JobBook
+from mulberryhitch.jobs.changes import Change
+from mulberryhitch.jobs.model import TaskKey
+from mulberryhitch.jobs.units import UnitState
+from mulberryhitch.observability.histograms import Histograms
+from mulberryhitch.observability.log import Log
+
+_DISK_PAUSE_SECONDS = 0.3
+
+Commit = Callable[[list[Change]], Awaitable[list[Any]]]
+
+
+@dataclass(slots=True)
+class Term:
+    """One leader's term.
+
+    Attributes:
+        book: The committed state.
+        commit: Commits changes and returns their results.
+        may_act: Whether the leader's lease holds.
+        fence: The term's number; higher than that of any leader before.
+        orders: Speaks to the workers.
+        options: Times.
+        log: Where each decision is written.
+        histograms: Where waits are noted.
+        wall: Seconds since 1970.
+        live: The workers by id.
+        ended: Set when a newer leader was met.
+        dirty: Set when another placement round is due.
+    """
+
+    book: JobBook
+    commit: Commit
+    may_act: Callable[[], bool]
+    fence: int
+    orders: WorkerOrders
+    options: DispatchOptions
+    log: Log
+    histograms: Histograms
+    wall: Callable[[], float] = time.time
+    live: dict[str, LiveWorker] = field(default_factory=dict)
+    ended: anyio.Event = field(default_factory=anyio.Event)
+    dirty: anyio.Event = field(default_factory=anyio.Event)
+    tasks: TaskGroup | None = None
+
+    def wake(self) -> None:
+        """Asks for another placement round."""
+        self.dirty.set()
+
+    def start_soon(self, function: Callable[..., Any], *args: Any) -> None:
+        """Starts a task that lasts no longer than the term."""
+        if self.tasks is not None:
+            self.tasks.start_soon(function, *args)
+
+    def born_of(self, worker_id: str) -> int:
+        """Which life of a worker is known; zero for none."""
+        live = self.live.get(worker_id)
+        return live.record.born if live else 0
+
+    def depose(self, live: LiveWorker) -> None:
+        """Ends the term: a worker has seen a newer leader."""
+        self.log.event(
+            'dispatcher.deposed',
+            worker=live.record.worker_id,
+            fence=self.fence,
+        )
+        self.ended.set()
+
+    def log_task(
+        self, event: str, task: TaskKey, run: int, worker_id: str, **more: Any
+    ) -> None:
+        """Writes a decision about one run."""
+        self.log.event(
+            event,
+            job=task.job_id,
+            task=list(task[1:]),
+            run=run,
+            worker=worker_id,
+            **more,
+        )
+
+    def is_unwanted(self, task: TaskKey, run: int) -> bool:
+        """Whether nobody needs a run to go on."""
+        job = self.book.jobs.get(task.job_id)
+        unit = self.book.unit(task)
+        if job is None or unit is None or not job.active:
+            return True
+        return unit.run != run or unit.state is not UnitState.running
+
+    async def commit_quietly(self, batch: list[Change]) -> bool:
+        """Commits, again while the disk is full; tells whether it did."""
+        while True:
+            try:
+                await self.commit(batch)
+            except StorageError as error:
+                self.log.problem('changes.disk', error.problem)
+                await anyio.sleep(_DISK_PAUSE_SECONDS)
+            except MulberryhitchError as error:
+                self.log.problem('changes.uncommitted', error.problem)
+                return False
+            else:
+                return True
--- a/mulberryhitch/jobs/model.py
+++ b/mulberryhitch/jobs/model.py
@@ -1,6 +1,6 @@
 """What a job asks for, and the queues that jobs are sent to."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
 from mulberryhitch.errors import InvalidInputError
@@ -244,3 +244,11 @@
     def room(self) -> Room:
         """All that the worker has."""
         return Room(self.processors, self.memory, self.accelerators)
+
+    def reborn(self, born: int) -> 'WorkerRecord':
+        """The same worker in a later life."""
+        return replace(self, born=born, draining=False)
+
+    def leaving(self) -> 'WorkerRecord':
+        """The same worker, taking nothing new."""
+        return replace(self, draining=True)
--- a/mulberryhitch/platform/control.py
+++ b/mulberryhitch/platform/control.py
@@ -78,7 +78,7 @@
         self._newest[worker_id] = (record.born, sequence)
         await self._leaders.execute(
             JOBS_GROUP,
-            HearWorker(record, clock, leaving=False),
+            HearWorker(record, clock),
             Acknowledged,
             _BEAT_SECONDS,
         )
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,262 @@
+"""A leader's term against stand-in workers that check every order."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import pytest
+
+from mulberryhitch.jobs.model import PermitPolicy, Step, TaskKey
+from mulberryhitch.jobs.units import JobState, RunEnd
+from tests.groups import run_at_once
+from tests.workers import StandinPermits, World
+
+SMALL = Step(1, 1000, 100, estimate_seconds=0.5)
+
+
+def test_a_job_of_two_steps_runs_in_their_order() -> None:
+    async def main() -> None:
+        world = World()
+        world.fleet.add('w1')
+        async with world.running():
+            first = Step(3, 1000, 100, estimate_seconds=0.5)
+            second = Step(2, 1000, 100, estimate_seconds=0.5, depends_on=(0,))
+            await world.submit('j', first, second)
+            await world.wait('j', JobState.completed)
+            steps = [task.step for task, _, _ in world.fleet.starts]
+            assert steps == [0, 0, 0, 1, 1]
+
+    run_at_once(main)
+
+
+def test_the_end_of_an_idle_worker_s_first_task_is_seen_at_once() -> None:
+    async def main() -> None:
+        world = World()
+        world.fleet.add('w1')
+        async with world.running():
+            await anyio.sleep(1)
+            await world.submit('j', SMALL)
+            assert await world.wait('j', JobState.completed) < 0.8
+
+    run_at_once(main)
+
+
+def test_a_worker_is_never_filled_over_its_room() -> None:
+    async def main() -> None:
+        world = World()
+        world.fleet.add('w1', 2500)
+        world.fleet.add('w2', 1500)
+        async with world.running():
+            for number in range(8):
+                await world.submit(f'j{number}', SMALL)
+            for number in range(8):
+                await world.wait(f'j{number}', JobState.completed)
+
+    run_at_once(main)
+
+
+def test_a_start_without_an_answer_never_runs_twice() -> None:
+    async def main() -> None:
+        world = World()
+        world.fleet.add('w1')
+        world.fleet.add('w2')
+        async with world.running():
+            for worker in world.fleet.workers.values():
+                worker.unanswered = 2
+            await world.submit('j', SMALL)
+            await world.wait('j', JobState.completed)
+            await anyio.sleep(6)
+            assert world.runs_of('j') == 1
+
+    run_at_once(main)
+
+
+def test_a_task_that_fails_too_often_fails_its_job_and_no_more_starts() -> None:
+    async def main() -> None:
+        world = World()
+        world.fleet.add('w1')
+        async with world.running():
+            task = TaskKey('j', 0, 0, 0)
+            for run in (1, 2, 3):
+                world.fleet.fates[task, run] = RunEnd.failed
+            await world.submit('j', SMALL)
+            await world.wait('j', JobState.failed)
+            await anyio.sleep(3)
+            assert world.runs_of('j') == 2
+
+    run_at_once(main)
+
+
+def test_a_cancelled_job_is_stopped_and_starts_nothing_more() -> None:
+    async def main() -> None:
+        world = World()
+        world.fleet.add('w1', 1000)
+        async with world.running():
+            await world.submit('j', Step(3, 1000, 100, estimate_seconds=5))
+            await anyio.sleep(1)
+            await world.cancel('j')
+            await anyio.sleep(1)
+            assert not world.fleet.at_work
+            assert world.runs_of('j') == 1
+
+    run_at_once(main)
+
+
+def test_tasks_of_a_silent_worker_move_after_its_lease_only() -> None:
+    async def main() -> None:
+        world = World()
+        world.fleet.add('w1')
+        async with world.running():
+            await world.submit('j', Step(1, 1000, 100, estimate_seconds=8))
+            await anyio.sleep(1)
+            world.fleet.workers['w1'].silent = True
+            world.fleet.add('w2')
+            second = world.fleet.workers['w2']
+            await world.dispatcher.hear(second.record, second.clock)
+            waited = await world.wait('j', JobState.completed, 60)
+            assert world.runs_of('j') == 2
+            assert waited < 25
+
+    run_at_once(main)
+
+
+def test_a_worker_started_again_under_its_id_runs_nothing_of_before() -> None:
+    async def main() -> None:
+        world = World()
+        world.fleet.add('w1')
+        async with world.running():
+            await world.submit('j', Step(1, 1000, 100, estimate_seconds=4))
+            await anyio.sleep(1)
+            for task, one in world.fleet.workers['w1'].running.items():
+                world.fleet.over(task, one.run, RunEnd.void)
+            world.fleet.add('w1', born=2)
+            await world.wait('j', JobState.completed)
+            assert world.runs_of('j') == 2
+
+    run_at_once(main)
+
+
+def test_a_draining_worker_gets_nothing_new() -> None:
+    async def main() -> None:
+        world = World()
+        world.fleet.add('w1')
+        async with world.running():
+            worker = world.fleet.workers['w1']
+            await world.dispatcher.hear(worker.record.leaving(), worker.clock)
+            # A heartbeat from before, held up on its way, changes nothing.
+            await world.dispatcher.hear(worker.record, worker.clock)
+            await world.submit('j', SMALL)
+            await anyio.sleep(3)
+            assert world.runs_of('j') == 0
+
+    run_at_once(main)
+
+
+def test_a_gang_starts_whole_and_again_whole_when_a_member_fails() -> None:
+    async def main() -> None:
+        world = World()
+        world.fleet.add('w1', 2000)
+        world.fleet.add('w2', 2000)
+        async with world.running():
+            gang = Step(4, 1000, 100, estimate_seconds=1, gang=True)
+            world.fleet.fates[TaskKey('g', 0, 0, 1), 1] = RunEnd.failed
+            for number in (0, 2, 3):
+                key = TaskKey('g', 0, 0, number)
+                world.fleet.fates[key, 1] = RunEnd.broken
+            await world.submit('g', gang)
+            await world.wait('g', JobState.completed)
+            first = [start for start in world.fleet.starts if start[1] == 1]
+            second = [start for start in world.fleet.starts if start[1] == 2]
+            assert len(first) == len(second) == 4
+            assert first[-1][2] - first[0][2] < 0.5
+
+    run_at_once(main)
+
+
+def test_a_new_leader_takes_over_what_runs_and_starts_nothing_twice() -> None:
+    async def main() -> None:
+        world = World()
+        world.fleet.add('w1')
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(world.fleet.run)
+            old = world.make_dispatcher(1)
+            with anyio.CancelScope() as scope:
+                tasks.start_soon(_run_in, old.run, scope)
+                await anyio.sleep(0.1)
+                worker = world.fleet.workers['w1']
+                await old.hear(worker.record, worker.clock)
+                await world.submit('j', Step(2, 1000, 9, estimate_seconds=3))
+                await anyio.sleep(1)
+            scope.cancel()
+            new = world.make_dispatcher(2)
+            tasks.start_soon(new.run)
+            await world.wait('j', JobState.completed)
+            assert world.runs_of('j') == 2
+            tasks.cancel_scope.cancel()
+
+    run_at_once(main)
+
+
+async def _run_in(
+    run: Callable[[], Awaitable[Any]], scope: anyio.CancelScope
+) -> None:
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run)
+        while not scope.cancel_called:
+            await anyio.sleep(0.05)
+        tasks.cancel_scope.cancel()
+
+
+def test_permits_are_asked_for_and_workers_without_are_left_alone() -> None:
+    async def main() -> None:
+        world = World(PermitPolicy(0.05, 0, 1.5))
+        world.fleet.permits = StandinPermits(['w2'])
+        for name in ('w1', 'w2', 'w3'):
+            world.fleet.add(name, 1000)
+        async with world.running():
+            await world.submit('j', Step(3, 1000, 100, estimate_seconds=1))
+            await world.wait('j', JobState.completed)
+            assert len(world.fleet.starts) == 3
+            # Once the answer is known, only its workers are asked for again.
+            assert set(world.fleet.permits.asked[-1]) == {'w2'}
+
+    run_at_once(main)
+
+
+@pytest.mark.parametrize('limit', [1, 2])
+def test_no_more_tasks_of_a_step_on_one_worker_than_it_allows(
+    limit: int,
+) -> None:
+    async def main() -> None:
+        world = World()
+        world.fleet.add('w1')
+        world.fleet.add('w2')
+        async with world.running():
+            step = Step(5, 1000, 100, estimate_seconds=1, spread_limit=limit)
+            await world.submit('j', step)
+            with anyio.fail_after(30):
+                while world.book.jobs['j'].state is not JobState.completed:
+                    for worker in world.fleet.workers.values():
+                        assert len(worker.running) <= limit
+                    await anyio.sleep(0.01)
+
+    run_at_once(main)
+
+
+def test_occurrences_start_when_they_are_due() -> None:
+    async def main() -> None:
+        world = World()
+        world.fleet.add('w1')
+        async with world.running():
+            due = world.wall() + 2
+            await world.submit(
+                'j', SMALL, repeat_count=3, first_due=due, interval_seconds=2
+            )
+            begun = anyio.current_time()
+            await world.wait('j', JobState.completed)
+            times = [at - begun for _, _, at in world.fleet.starts]
+            assert len(times) == 3
+            for number, at in enumerate(times):
+                assert 2 * (number + 1) - 0.05 <= at < 2 * (number + 1) + 0.6
+
+    run_at_once(main)
