A run is not taken for gone on a list from before it was confirmed

Change: a listing confirms a run from its time on; a repeated start that was answered is certain; a worker reborn gets nothing before it describes itself. What may be stopped is worked out only when a plan needs it; followers learn of commits with the next append, or within 0.15 s. The tests of the list and of the uncertain start failed first.

--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -5,7 +5,12 @@
 from mulberryhitch.dispatch.fleet import RunTrack
 from mulberryhitch.dispatch.ordering import Ordering
 from mulberryhitch.dispatch.permits import PermitDesk
-from mulberryhitch.dispatch.planner import Placement, Planner, Victim
+from mulberryhitch.dispatch.planner import (
+    MakingWay,
+    Placement,
+    Planner,
+    Victim,
+)
 from mulberryhitch.dispatch.term import Term
 from mulberryhitch.dispatch.watching import Watching
 from mulberryhitch.errors import MulberryhitchError
@@ -95,6 +100,7 @@
             live.record = record
         else:
             live.begin_again(record, anyio.current_time())
+        live.described = True
         live.hear(clock, anyio.current_time())
         if known != record:
             live.nudge()
@@ -170,7 +176,7 @@
             self._term.wall(),
             self._term.options.permit_margin_seconds,
         )
-        plan = planner.run(self._busy, self._victims(), self._coming())
+        plan = planner.run(self._busy, self._making_way)
         self.desk.want(plan.questions)
         for task, run, worker_id in plan.preempted:
             self._ordering.stop(task, run, worker_id, 'preempted')
@@ -188,39 +194,35 @@
         held = held.plus(room) if sign > 0 else held.minus(room)
         self._reserved[one.worker_id] = held
 
-    def _victims(self) -> list[Victim]:
-        found = [
-            self._victim(live.record.worker_id, task, track)
-            for live in self._term.live.values()
-            for task, track in live.tracks.items()
-            if track.confirmed and not track.stopping
-        ]
-        known = [one for one in found if one is not None]
-        known.sort(key=lambda one: -one.urgency)
-        return known
+    def _making_way(self) -> MakingWay:
+        way = MakingWay()
+        for worker_id, live in self._term.live.items():
+            for task, track in live.tracks.items():
+                if track.stopping:
+                    work = self._term.book.work(StepKey(*task[:3]))
+                    held = way.coming.get(worker_id, Room())
+                    room = work.step.room if work else Room()
+                    way.coming[worker_id] = held.plus(room)
+                elif track.confirmed:
+                    self._add_victim(way, worker_id, task, track)
+        for victims in way.victims.values():
+            victims.sort(key=lambda one: -one.urgency)
+        return way
 
-    def _victim(
-        self, worker_id: str, task: TaskKey, track: RunTrack
-    ) -> Victim | None:
-        """A run that may be stopped, since it goes on where it was."""
+    def _add_victim(
+        self, way: MakingWay, worker_id: str, task: TaskKey, track: RunTrack
+    ) -> None:
+        """Adds a run that may be stopped, since it goes on where it was."""
         work = self._term.book.work(StepKey(*task[:3]))
         job = self._term.book.jobs.get(task.job_id)
         if work is None or job is None:
-            return None
+            return
         if work.step.gang or not work.step.checkpointing:
-            return None
+            return
         urgency = self._term.book.queue_now(job).urgency
-        return Victim(task, track.run, worker_id, work.step.room, urgency)
-
-    def _coming(self) -> dict[str, Room]:
-        coming: dict[str, Room] = {}
-        for worker_id, live in self._term.live.items():
-            for task, track in live.tracks.items():
-                work = self._term.book.work(StepKey(*task[:3]))
-                if track.stopping and work is not None:
-                    held = coming.get(worker_id, Room())
-                    coming[worker_id] = held.plus(work.step.room)
-        return coming
+        way.victims.setdefault(worker_id, []).append(
+            Victim(task, track.run, worker_id, work.step.room, urgency)
+        )
 
     async def _grant(
         self, placements: list[Placement], steps: set[StepKey]
--- a/mulberryhitch/dispatch/fleet.py
+++ b/mulberryhitch/dispatch/fleet.py
@@ -48,9 +48,19 @@
         told = self.confirmed and self.confirmed_at < listed_at
         return told and not self.uncertain
 
+    def confirm(self, now: float) -> None:
+        """Notes that the worker has it, as it answered or listed now.
+
+        Lists that were asked for before, and come later, do not count.
+        """
+        self.confirmed = True
+        self.confirmed_at = now
+        self.uncertain = False
+
     def progress(self, percent: int, checkpoint: str, now: float) -> None:
         """Notes what a list tells of it."""
-        self.confirmed = True
+        if not self.confirmed:
+            self.confirm(now)
         self.checkpoint = checkpoint or self.checkpoint
         if percent > self.percent:
             self.percent = percent
@@ -67,6 +77,8 @@
         heard_at: When it last answered or sent a heartbeat.
         granted_until: No lease there reaches further, on its clock, ms;
             nothing while it is not known.
+        unsure: Ends may have been numbered anew; none may be forgotten.
+        described: Its room and labels are those of this life.
         misses: Looks without an answer since the last one.
     """
 
@@ -81,6 +93,7 @@
     granted_until: int = 0
     misses: int = 0
     unsure: bool = True
+    described: bool = True
     gone: bool = False
     quarantined_until: float = 0
     refused_until: float = 0
@@ -150,7 +163,8 @@
         """Whether new runs may be placed there."""
         sound = now >= max(self.quarantined_until, self.refused_until)
         leaving = self.gone or self.record.draining
-        return self.known and sound and not leaving and self.misses == 0
+        certain = self.known and self.described and self.misses == 0
+        return certain and sound and not leaving
 
     def refuse(self, now: float) -> None:
         """Notes that it did nothing with an order that should have fitted."""
--- a/mulberryhitch/dispatch/ordering.py
+++ b/mulberryhitch/dispatch/ordering.py
@@ -117,7 +117,7 @@
             uncertain=track.uncertain,
         )
         if answer is StartAnswer.started:
-            self._confirm(track)
+            track.confirm(anyio.current_time())
             if self._term.is_unwanted(order.task, track.run):
                 self.stop(
                     order.task, track.run, live.record.worker_id, 'unwanted'
@@ -159,10 +159,6 @@
         live.hear(clock, now)
         return answer
 
-    def _confirm(self, track: RunTrack) -> None:
-        track.confirmed = True
-        track.confirmed_at = anyio.current_time()
-
     async def _not_started(
         self,
         live: LiveWorker,
@@ -173,7 +169,7 @@
         if answer is StartAnswer.fenced:
             self._term.depose(live)
         elif answer is StartAnswer.stale:
-            self._confirm(track)
+            track.confirm(anyio.current_time())
             await self._look(live)
         elif track.uncertain:
             await self._settle(live, track, order.task)
--- a/mulberryhitch/dispatch/planner.py
+++ b/mulberryhitch/dispatch/planner.py
@@ -4,7 +4,7 @@
 room counts each run that may still go on there.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from mulberryhitch.dispatch.permits import PermitDesk, Question, StepPermits
@@ -59,6 +59,19 @@
     urgency: int
 
 
+@dataclass(slots=True)
+class MakingWay:
+    """What may be stopped, and what will be free by itself.
+
+    Attributes:
+        victims: By worker, the least urgent first.
+        coming: What runs that are being stopped will free, by worker.
+    """
+
+    victims: dict[str, list[Victim]] = field(default_factory=dict)
+    coming: dict[str, Room] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class Waiting:
     """A step with units that may start, and how urgent it is.
@@ -142,24 +155,21 @@
         self._services: dict[str, list[WorkerRecord]] = {}
         for one in self._workers.values():
             self._services.setdefault(one.service, []).append(one)
-        self._coming: Mapping[str, Room] = {}
+        self._making_way: Callable[[], MakingWay] = MakingWay
+        self._known_way: MakingWay | None = None
         self._reserving = 0
         self.plan = Plan()
 
     def run(
-        self,
-        busy: set[StepKey],
-        victims: list[Victim],
-        coming: Mapping[str, Room],
+        self, busy: set[StepKey], making_way: Callable[[], MakingWay]
     ) -> Plan:
         """Plans everything that can start now.
 
         Args:
             busy: Steps whose grants are on their way; left out.
-            victims: What may be stopped to make way.
-            coming: What runs that are being stopped will free, by worker.
+            making_way: Tells what may be stopped; called when it is needed.
         """
-        self._coming = coming
+        self._making_way = making_way
         waiting = [
             one
             for one in map(self._waiting, self._book.ready.values())
@@ -167,7 +177,7 @@
         ]
         waiting.sort(key=lambda one: one.order)
         for one in waiting[:_MAXIMUM_STEPS]:
-            self._place(one, victims)
+            self._place(one)
         return self.plan
 
     def _waiting(self, work: StepWork) -> Waiting | None:
@@ -192,16 +202,16 @@
             permits = self._desk.of_step(work.key)
         return Waiting(work, job, queue, slack, order, permits)
 
-    def _place(self, one: Waiting, victims: list[Victim]) -> None:
+    def _place(self, one: Waiting) -> None:
         able = self._able(one)
         if one.permits is not None:
             allowed = one.permits.allowed
             self._ask(one, able)
             able = [each for each in able if each.worker_id in allowed]
         if one.work.step.gang:
-            self._place_gang(one, able, victims)
+            self._place_gang(one, able)
         else:
-            self._place_tasks(one, able, victims)
+            self._place_tasks(one, able)
 
     def _able(self, one: Waiting) -> list[WorkerRecord]:
         step = one.work.step
@@ -290,13 +300,11 @@
         permit = self._ticket(one, self._workers[worker_id]) or ''
         self.plan.placements.append(Placement(unit, index, worker_id, permit))
 
-    def _place_gang(
-        self, one: Waiting, able: list[WorkerRecord], victims: list[Victim]
-    ) -> None:
+    def _place_gang(self, one: Waiting, able: list[WorkerRecord]) -> None:
         ready = [each for each in able if self._ticket(one, each) is not None]
         chosen = self._gang_workers(one, ready)
         if chosen is None:
-            self._reserve(one, able, victims)
+            self._reserve(one, able)
             return
         unit = one.work.units[0]
         for index, worker_id in enumerate(chosen):
@@ -333,9 +341,7 @@
             chosen.extend(worker.worker_id for _ in range(taken))
         return chosen
 
-    def _place_tasks(
-        self, one: Waiting, able: list[WorkerRecord], victims: list[Victim]
-    ) -> None:
+    def _place_tasks(self, one: Waiting, able: list[WorkerRecord]) -> None:
         ready = [each for each in able if self._ticket(one, each) is not None]
         on_worker = self._spread(one)
         unplaced = 0
@@ -348,7 +354,7 @@
             placed = on_worker.get(best.worker_id, 0)
             on_worker[best.worker_id] = placed + 1
         if unplaced and one.queue.urgency == 0:
-            self._make_way(one, able, unplaced, victims)
+            self._make_way(one, able, unplaced)
 
     def _best(
         self,
@@ -381,9 +387,7 @@
                     counts[worker_id] = counts.get(worker_id, 0) + 1
         return counts
 
-    def _reserve(
-        self, one: Waiting, able: list[WorkerRecord], victims: list[Victim]
-    ) -> None:
+    def _reserve(self, one: Waiting, able: list[WorkerRecord]) -> None:
         """Keeps room free for a gang that does not fit yet."""
         if self._reserving >= _RESERVING_STEPS or not able:
             return
@@ -392,7 +396,7 @@
         room = one.work.step.room
         shares = []
         for worker in able:
-            copies = _copies(room, self._soon(one, worker.worker_id, victims))
+            copies = _copies(room, self._soon(one, worker.worker_id))
             limit = one.work.step.spread_limit
             shares.append((min(copies, limit) if limit else copies, worker))
         shares.sort(key=lambda pair: -pair[0])
@@ -405,44 +409,46 @@
                 break
             taken = min(copies, needed)
             needed -= taken
-            self._clear(one, worker.worker_id, taken, victims)
+            self._clear(one, worker.worker_id, taken)
 
     def _make_way(
         self,
         one: Waiting,
         able: list[WorkerRecord],
         unplaced: int,
-        victims: list[Victim],
     ) -> None:
         room = one.work.step.room
         for worker in able:
             if unplaced <= 0:
                 return
-            if _copies(room, self._soon(one, worker.worker_id, victims)) > 0:
-                self._clear(one, worker.worker_id, 1, victims)
+            if _copies(room, self._soon(one, worker.worker_id)) > 0:
+                self._clear(one, worker.worker_id, 1)
                 unplaced -= 1
 
-    def _soon(
-        self, one: Waiting, worker_id: str, victims: list[Victim]
-    ) -> Room:
-        free = self._free[worker_id].plus(self._coming.get(worker_id, Room()))
-        for victim in victims:
-            lower = victim.urgency > one.queue.urgency
-            if victim.worker_id == worker_id and lower:
+    def _way(self) -> MakingWay:
+        if self._known_way is None:
+            self._known_way = self._making_way()
+        return self._known_way
+
+    def _soon(self, one: Waiting, worker_id: str) -> Room:
+        """What is free of a worker once all that may be stopped is."""
+        way = self._way()
+        free = self._free[worker_id].plus(way.coming.get(worker_id, Room()))
+        for victim in way.victims.get(worker_id, ()):
+            if victim.urgency > one.queue.urgency:
                 free = free.plus(victim.room)
         return free
 
-    def _clear(
-        self, one: Waiting, worker_id: str, copies: int, victims: list[Victim]
-    ) -> None:
-        room = one.work.step.room
-        needed = Room(*(part * copies for part in room))
-        free = self._free[worker_id].plus(self._coming.get(worker_id, Room()))
+    def _clear(self, one: Waiting, worker_id: str, copies: int) -> None:
+        """Keeps room for so many tasks, and stops what is in their way."""
+        way = self._way()
+        needed = Room(*(part * copies for part in one.work.step.room))
+        free = self._free[worker_id].plus(way.coming.get(worker_id, Room()))
+        victims = way.victims.get(worker_id, [])
         for victim in tuple(victims):
             if needed.fits(free):
                 break
-            lower = victim.urgency > one.queue.urgency
-            if victim.worker_id == worker_id and lower:
+            if victim.urgency > one.queue.urgency:
                 victims.remove(victim)
                 free = free.plus(victim.room)
                 self.plan.preempted.append((victim.task, victim.run, worker_id))
--- a/mulberryhitch/dispatch/watching.py
+++ b/mulberryhitch/dispatch/watching.py
@@ -156,6 +156,7 @@
         if not await self._term.commit_quietly([changes.worker(record)]):
             return False
         live.begin_again(record, anyio.current_time())
+        live.described = False
         return True
 
     def _ends(self, live: LiveWorker, view: WorkerView) -> list[changes.Change]:
--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -49,6 +49,7 @@
 _SETTINGS_POLL_SECONDS = 1.0
 _STOP_MARGIN_SECONDS = 1.5
 _NOTICE_SECONDS = 2.2
+_INFORM_SECONDS = 0.15
 _KEEPER_SECONDS = 0.3
 _REPAIR_SECONDS = 2.0
 _MAXIMUM_LEASE_SECONDS = 5.0
@@ -258,6 +259,7 @@
             self._base.peers,
             settings.seed_vms,
             ReplicationOptions(
+                inform_seconds=_INFORM_SECONDS,
                 keeper_seconds=_KEEPER_SECONDS,
                 repair_seconds=_REPAIR_SECONDS,
                 target_voters=settings.voters,
--- a/mulberryhitch/replication/joining.py
+++ b/mulberryhitch/replication/joining.py
@@ -87,9 +87,10 @@
             self._met.update(map(vm_of, (*reply.voters, *reply.learners)))
         return replies
 
-    def _contacts(self) -> set[str]:
+    def _contacts(self) -> tuple[str, ...]:
         members = map(vm_of, self._state.members.everyone)
-        return {*self._initial_vms, *self._met, *members}
+        everyone = (*self._initial_vms, *sorted(self._met), *members)
+        return tuple(dict.fromkeys(everyone))
 
     async def _ask(self, vm: str, replies: list[HelloReply]) -> None:
         request = HelloRequest(
--- a/mulberryhitch/replication/leadership.py
+++ b/mulberryhitch/replication/leadership.py
@@ -289,8 +289,9 @@
         if self._state.term_at(index) != self.term or self._ended.is_set():
             return
         self._state.commit(index)
-        for peer in self._peers.values():
-            peer.wake()
+        if not self._options.inform_seconds:
+            for peer in self._peers.values():
+                peer.wake()
         voters = self._state.members.voters
         if self._state.members_settled and self._state.replica_id not in voters:
             self.step_down()
@@ -324,11 +325,14 @@
         interval = self._options.heartbeat_seconds
         if not peer.may_send(self._options.window):
             return interval
+        passed = anyio.current_time() - peer.last_sent
         behind = peer.next_index <= self._state.last_index
-        uninformed = peer.sent_commit < self._state.commit_index
-        if (behind or uninformed) and not peer.unreachable:
+        if behind and not peer.unreachable:
             return 0
-        return peer.last_sent + interval - anyio.current_time()
+        uninformed = peer.sent_commit < self._state.commit_index
+        if uninformed and not peer.unreachable:
+            return min(self._options.inform_seconds, interval) - passed
+        return interval - passed
 
     async def _send_next(self, peer: Progress, sends: TaskGroup) -> None:
         if peer.next_index <= self._state.snapshot_index:
--- a/mulberryhitch/replication/options.py
+++ b/mulberryhitch/replication/options.py
@@ -17,6 +17,8 @@
         drift_seconds: How much clocks may differ over one election time.
         call_seconds: How long a call to a peer may take.
         batch_entries: The most entries of one append.
+        inform_seconds: How long a follower may go without hearing that
+            entries were committed; zero to tell it at once.
         window: The most appends on their way to one peer.
         compact_entries: A snapshot is taken after so many entries.
         chunk_bytes: The size of a part of a snapshot on its way.
@@ -34,6 +36,7 @@
     drift_seconds: float = 0.1
     call_seconds: float = 2.0
     batch_entries: int = 256
+    inform_seconds: float = 0
     window: int = 4
     compact_entries: int = 20_000
     chunk_bytes: int = 1_048_576
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -6,6 +6,7 @@
 import anyio
 import pytest
 
+from mulberryhitch.dispatch.fleet import RunTrack
 from mulberryhitch.jobs.model import PermitPolicy, Step, TaskKey
 from mulberryhitch.jobs.units import JobState, RunEnd
 from tests.groups import run_at_once
@@ -130,6 +131,9 @@
             for task, one in world.fleet.workers['w1'].running.items():
                 world.fleet.over(task, one.run, RunEnd.void)
             world.fleet.add('w1', born=2)
+            await anyio.sleep(1)
+            again = world.fleet.workers['w1']
+            await world.dispatcher.hear(again.record, again.clock)
             await world.wait('j', JobState.completed)
             assert world.runs_of('j') == 2
 
@@ -260,3 +264,38 @@
                 assert 2 * (number + 1) - 0.05 <= at < 2 * (number + 1) + 0.6
 
     run_at_once(main)
+
+
+def test_a_list_asked_for_before_a_run_was_confirmed_does_not_end_it() -> None:
+    listed = RunTrack(run=1, started_at=1)
+    listed.progress(10, '', now=5)
+    # Asked for at 4, held up on its way, and read after the list of 5.
+    assert not listed.certainly_over(listed_at=4)
+    assert listed.certainly_over(listed_at=6)
+
+
+def test_a_start_that_was_repeated_and_answered_is_not_uncertain() -> None:
+    track = RunTrack(run=1, started_at=1, uncertain=True)
+    assert not track.certainly_over(listed_at=6)
+    track.confirm(now=5)
+    assert track.certainly_over(listed_at=6)
+
+
+def test_a_worker_reborn_gets_nothing_before_it_has_described_itself() -> None:
+    async def main() -> None:
+        world = World()
+        world.fleet.add('w1', 8000)
+        async with world.running():
+            await world.submit('long', Step(1, 1000, 9, estimate_seconds=2))
+            await anyio.sleep(0.5)
+            for task, one in world.fleet.workers['w1'].running.items():
+                world.fleet.over(task, one.run, RunEnd.void)
+            world.fleet.add('w1', 500, born=2)
+            await anyio.sleep(4)
+            assert world.runs_of('long') == 1
+            worker = world.fleet.workers['w1']
+            await world.dispatcher.hear(worker.record, worker.clock)
+            await world.submit('j', Step(1, 500, 100, estimate_seconds=0.5))
+            await world.wait('j', JobState.completed)
+
+    run_at_once(main)
