--- a/mulberryhitch/replication/leadership.py
+++ b/mulberryhitch/replication/leadership.py
@@ -325,14 +325,13 @@
         interval = self._options.heartbeat_seconds
         if not peer.may_send(self._options.window):
             return interval
-        passed = anyio.current_time() - peer.last_sent
         behind = peer.next_index <= self._state.last_index
         if behind and not peer.unreachable:
             return 0
         uninformed = peer.sent_commit < self._state.commit_index
         if uninformed and not peer.unreachable:
-            return min(self._options.inform_seconds, interval) - passed
-        return interval - passed
+            interval = min(self._options.inform_seconds, interval)
+        return peer.last_sent + interval - anyio.current_time()
 
     async def _send_next(self, peer: Progress, sends: TaskGroup) -> None:
         if peer.next_index <= self._state.snapshot_index:
