A connection closed or fallen silent fails its calls, not its process

And a connection that falls silent without a reset was kept for good. Change: a closed connection is one of the connection errors; a call without an answer, on a connection that carried nothing since, drops it.

--- a/mulberryhitch/rpc/client.py
+++ b/mulberryhitch/rpc/client.py
@@ -1,6 +1,7 @@
 """The calling side: one connection, and one reading task, for each peer."""
 
 import itertools
+import math
 import ssl
 from collections.abc import Callable
 from typing import TypeAlias
@@ -26,6 +27,12 @@
 from mulberryhitch.rpc.frames import FrameStream
 from mulberryhitch.rpc.messages import CallHeader, Reply, Request
 
+_CONNECTION_ERRORS = (
+    OSError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
+
 TlsContext: TypeAlias = Callable[[], ssl.SSLContext | None]
 
 
@@ -65,6 +72,7 @@
         self._connecting = anyio.Lock()
         self._sending = anyio.Lock()
         self._tasks: TaskGroup | None = None
+        self._heard_at = -math.inf
         self.unmatched_answers = 0
 
     async def run(self) -> None:
@@ -97,6 +105,7 @@
         )
         pending = _Pending()
         sent = False
+        began = anyio.current_time()
         try:
             with anyio.fail_after(timeout_seconds):
                 frames = await self._connected()
@@ -106,6 +115,7 @@
                 await pending.done.wait()
         except TimeoutError as error:
             if sent:
+                self._drop_silent(began)
                 raise OutcomeUnknownError(
                     f'no answer to {method} in {timeout_seconds:.3f} s',
                     where=self._host,
@@ -130,7 +140,7 @@
         try:
             async with self._sending:
                 await frames.send(frame)
-        except (OSError, anyio.BrokenResourceError) as error:
+        except _CONNECTION_ERRORS as error:
             self._forget(frames)
             raise ConnectionLostError(
                 'connection lost', where=self._host
@@ -170,11 +180,10 @@
         try:
             while True:
                 answer = decode_answer(await frames.receive())
+                self._heard_at = anyio.current_time()
                 self._deliver(answer)
         except (
-            OSError,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
+            *_CONNECTION_ERRORS,
             anyio.EndOfStream,
             anyio.IncompleteRead,
             MulberryhitchError,
@@ -192,6 +201,17 @@
         pending.answer = answer
         pending.done.set()
 
+    def _drop_silent(self, since: float) -> None:
+        """Gives up a connection that has carried nothing back since then.
+
+        It may be silent for good; the next call opens a new one.
+        """
+        frames = self._frames
+        if frames is None or self._heard_at >= since or self._tasks is None:
+            return
+        self._forget(frames)
+        self._tasks.start_soon(frames.aclose)
+
     def _forget(self, frames: FrameStream) -> None:
         if self._frames is not frames:
             return
--- /dev/null
+++ b/tests/test_rpc.py
@@ -0,0 +1,89 @@
+"""Calls over connections that are closed or fall silent."""
+
+from typing import Any
+
+import anyio
+import pytest
+from anyio.abc import SocketStream
+
+from mulberryhitch.errors import ConnectionLostError, OutcomeUnknownError
+from mulberryhitch.observability.log import Log
+from mulberryhitch.rpc.client import PeerConnection
+from mulberryhitch.rpc.messages import HelloReply, HelloRequest
+from mulberryhitch.rpc.server import RpcServer
+
+HELLO = HelloRequest('group', 'replica', configured=False)
+
+
+async def _answer(request: HelloRequest) -> HelloReply:
+    return HelloReply('other', False, [], [], 0)
+
+
+class Listener:
+    """Accepts connections; the first is silent, later ones are answered."""
+
+    def __init__(self) -> None:
+        self.accepted = 0
+        self._server = RpcServer(Log('test'))
+        self._server.register('hello', _answer)
+
+    async def serve(self, task_status: Any) -> None:
+        listener = await anyio.create_tcp_listener(
+            local_host='127.0.0.1', local_port=0
+        )
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with listener:
+            task_status.started(port)
+            await listener.serve(self._connection)
+
+    async def _connection(self, stream: SocketStream) -> None:
+        self.accepted += 1
+        if self.accepted == 1:
+            await anyio.sleep_forever()
+        await self._server._connection(stream)
+
+
+def test_a_connection_that_fell_silent_is_replaced() -> None:
+    async def main() -> None:
+        listener = Listener()
+        async with anyio.create_task_group() as tasks:
+            port = await tasks.start(listener.serve)
+            peer = PeerConnection('caller', '127.0.0.1', port)
+            tasks.start_soon(peer.run)
+            await anyio.sleep(0)
+            with pytest.raises(OutcomeUnknownError):
+                await peer.call('hello', HELLO, 0.2)
+            reply = await peer.call('hello', HELLO, 20)
+            assert isinstance(reply, HelloReply)
+            assert listener.accepted == 2
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+class ClosedFrames:
+    """A connection that was closed under its sender."""
+
+    async def send(self, frame: bytes) -> None:
+        raise anyio.ClosedResourceError
+
+    async def receive(self) -> bytes:
+        await anyio.sleep_forever()
+        return b''
+
+    async def aclose(self) -> None:
+        return
+
+
+def test_a_connection_closed_while_sending_fails_the_call_alone() -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            peer = PeerConnection('caller', '127.0.0.1', 1)
+            tasks.start_soon(peer.run)
+            await anyio.sleep(0)
+            peer._frames = ClosedFrames()
+            with pytest.raises(ConnectionLostError):
+                await peer.call('hello', HELLO, 20)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
