The platform's calls are tested end to end over loopback

Change: a stand-in of the platform (runner, advice, client, operator) against the real programs in one process; programs are given their stop. Runs are preempted after a second and thrice at most.

--- a/mulberryhitch/core.py
+++ b/mulberryhitch/core.py
@@ -102,11 +102,17 @@
 async def watch_signals(stop: anyio.Event) -> None:
     """Sets the event at the first signal; the second ends the process.
 
+    A hang-up ends nothing: files are read again when they change.
+
     Raises:
         SystemExit: A second signal came.
     """
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
+        async for received in signals:
+            if received == signal.SIGHUP:
+                continue
             if stop.is_set():
                 sys.exit(int(ExitStatus.cut_off))
             stop.set()
@@ -157,7 +163,11 @@
     if name not in PROGRAMS:
         raise InvalidSettingsError('no such program', where=name)
     tune_collector()
-    await PROGRAMS[name](load_platform_settings()).run()
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watch_signals, stop)
+        await PROGRAMS[name](load_platform_settings(), stop).run()
+        tasks.cancel_scope.cancel()
 
 
 async def _run_entry(folder: Path, vm: str) -> None:
--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -199,16 +199,21 @@
         for worker_id, live in self._term.live.items():
             for task, track in live.tracks.items():
                 if track.stopping:
-                    work = self._term.book.work(StepKey(*task[:3]))
-                    held = way.coming.get(worker_id, Room())
-                    room = work.step.room if work else Room()
-                    way.coming[worker_id] = held.plus(room)
-                elif track.confirmed:
+                    self._add_coming(way, worker_id, task)
+                else:
                     self._add_victim(way, worker_id, task, track)
         for victims in way.victims.values():
             victims.sort(key=lambda one: -one.urgency)
         return way
 
+    def _add_coming(
+        self, way: MakingWay, worker_id: str, task: TaskKey
+    ) -> None:
+        work = self._term.book.work(StepKey(*task[:3]))
+        if work is not None:
+            held = way.coming.get(worker_id, Room())
+            way.coming[worker_id] = held.plus(work.step.room)
+
     def _add_victim(
         self, way: MakingWay, worker_id: str, task: TaskKey, track: RunTrack
     ) -> None:
@@ -219,6 +224,11 @@
             return
         if work.step.gang or not work.step.checkpointing:
             return
+        options = self._term.options
+        latest = anyio.current_time() - options.undisturbed_seconds
+        settled = track.confirmed and track.confirmed_at < latest
+        if not settled or track.run > options.preempted_runs:
+            return
         urgency = self._term.book.queue_now(job).urgency
         way.victims.setdefault(worker_id, []).append(
             Victim(task, track.run, worker_id, work.step.room, urgency)
--- a/mulberryhitch/dispatch/options.py
+++ b/mulberryhitch/dispatch/options.py
@@ -18,6 +18,9 @@
         tick_seconds: The time between two looks at what has come due.
         retain_seconds: How long an ended job can still be asked for.
         permit_margin_seconds: A permit must last this much longer.
+        undisturbed_seconds: How long a run goes on before it may be
+            preempted.
+        preempted_runs: A task's run with a higher number is not preempted.
         gang_seconds: How long the members of a gang wait for each other.
     """
 
@@ -31,4 +34,6 @@
     tick_seconds: float = 0.25
     retain_seconds: float = 240.0
     permit_margin_seconds: float = 0.12
+    undisturbed_seconds: float = 1.0
+    preempted_runs: int = 3
     gang_seconds: float = 3.0
--- a/mulberryhitch/platform/client.py
+++ b/mulberryhitch/platform/client.py
@@ -100,9 +100,19 @@
         content: dict[str, Any],
         timeout_seconds: float,
         headers: tuple[tuple[str, str], ...] = (),
+        host: str = '',
     ) -> HttpAnswer:
         """Sends one request and reads its answer.
 
+        Args:
+            address: IP number and port.
+            method: The HTTP method.
+            path: The target.
+            content: The body, sent as JSON.
+            timeout_seconds: How long the answer is waited for.
+            headers: More headers.
+            host: The Host header; the address if empty.
+
         Raises:
             UnreachableError: Nothing was sent.
             OutcomeUnknownError: It was sent; no whole answer came.
@@ -113,7 +123,7 @@
             method=method,
             target=path,
             headers=[
-                ('Host', address),
+                ('Host', host or address),
                 ('Content-Type', 'application/json'),
                 ('Content-Length', str(len(body))),
                 *headers,
--- a/mulberryhitch/platform/settings.py
+++ b/mulberryhitch/platform/settings.py
@@ -68,6 +68,7 @@
         maximum_lease_seconds: The longest lease that a worker grants.
         drain_seconds: How long a stop may take.
         retain_seconds: How long an ended job must be known.
+        source: The file, which may change; nothing if there is none.
     """
 
     name: str
@@ -85,6 +86,7 @@
     maximum_lease_seconds: float
     drain_seconds: float
     retain_seconds: float
+    source: Path | None = None
 
 
 def load_platform_settings(path: Path | None = None) -> PlatformSettings:
@@ -119,4 +121,5 @@
         read.bounds.hold_max_ms / MILLISECONDS_PER_SECOND,
         read.bounds.grace_s,
         read.bounds.status_s,
+        where,
     )
--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -1,7 +1,6 @@
 """The composition root of the programs that run on the users' platform."""
 
 import random
-import signal
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -58,8 +57,12 @@
 class _Program:
     """What both programs have: peers, their own server, their settings."""
 
-    def __init__(self, name: str, settings: PlatformSettings) -> None:
+    def __init__(
+        self, name: str, settings: PlatformSettings, stop: anyio.Event
+    ) -> None:
         self.settings = settings
+        self.stop = stop
+        self.histograms = Histograms()
         self.log = Log(f'{name}@{settings.vm}')
         self.scheduler_port = settings.port + 1
         own_port = settings.port if name == 'entry' else self.scheduler_port
@@ -71,7 +74,6 @@
         self.rpc = RpcServer(self.log)
         self.client = PlatformClient()
         self.asker = PlatformPermits(self.client, settings.permit_address)
-        self.stopping = False
         self.answer: HelperAnswer | None = None
         self.reporter = Reporter(
             ReportHelper(name, settings.vm, own_port),
@@ -86,7 +88,8 @@
         tasks.start_soon(self.peers.run)
         tasks.start_soon(self.rpc.serve, self.settings.vm, self.rpc_port)
         tasks.start_soon(self.reporter.run)
-        tasks.start_soon(self._follow_settings)
+        if self.settings.source is not None:
+            tasks.start_soon(self._follow_settings, self.settings.source)
 
     def make_server(self, interface: Interface) -> HttpServer:
         """The HTTP server of the program."""
@@ -110,18 +113,18 @@
 
     def is_stopping(self) -> bool:
         """Whether the program is on its way out."""
-        return self.stopping
+        return self.stop.is_set()
 
     def _told(self, answer: HelperAnswer) -> None:
         self.answer = answer
 
-    async def _follow_settings(self) -> None:
+    async def _follow_settings(self, source: Path) -> None:
         """Takes the seeds anew when the settings file changes."""
         seeds = self.settings.seed_vms
         while True:
             await anyio.sleep(_SETTINGS_POLL_SECONDS)
             try:
-                read = load_platform_settings()
+                read = load_platform_settings(source)
             except InvalidSettingsError as error:
                 self.log.problem('settings.unread', error.problem)
                 continue
@@ -136,11 +139,12 @@
 
     Args:
         settings: As the platform told.
+        stop: Set when the program is to shut down gracefully.
     """
 
-    def __init__(self, settings: PlatformSettings) -> None:
+    def __init__(self, settings: PlatformSettings, stop: anyio.Event) -> None:
         """Wires the parts."""
-        self._base = _Program('entry', settings)
+        self._base = _Program('entry', settings, stop)
         self._settings = settings
         self._ingress = Ingress(self._base.leaders)
         PermitHelper(self._base.rpc, self._base.asker)
@@ -177,7 +181,7 @@
         reached = anyio.current_time() - self._base.reporter.reached_at
         answer = self._base.answer
         ready = answer is not None and answer.version >= 0
-        if ready and reached < _READY_SECONDS and not self._base.stopping:
+        if ready and reached < _READY_SECONDS and not self._base.is_stopping():
             return HttpReply(200)
         return HttpReply(503)
 
@@ -185,8 +189,7 @@
         return self._base.answer.limits if self._base.answer else Limits()
 
     async def _stop(self, server: HttpServer, ready: HttpServer) -> None:
-        await wait_for_stop(self._base.log)
-        self._base.stopping = True
+        await self._base.stop.wait()
         limit = self._settings.drain_seconds - _STOP_MARGIN_SECONDS
         with anyio.move_on_after(limit):
             await anyio.sleep(min(_NOTICE_SECONDS, limit))
@@ -201,11 +204,12 @@
 
     Args:
         settings: As the platform told.
+        stop: Set when the program is to shut down gracefully.
     """
 
-    def __init__(self, settings: PlatformSettings) -> None:
+    def __init__(self, settings: PlatformSettings, stop: anyio.Event) -> None:
         """Wires the parts and loads the data folder."""
-        self._base = _Program('scheduler', settings)
+        self._base = _Program('scheduler', settings, stop)
         self._settings = settings
         self._host = ReplicaHost(self._base.rpc)
         self.service = self._make_service()
@@ -277,28 +281,16 @@
             self._base.peers,
             options,
             log,
-            Histograms(),
+            self._base.histograms,
         )
 
     async def _stop(self, server: HttpServer) -> None:
-        await wait_for_stop(self._base.log)
-        self._base.stopping = True
+        await self._base.stop.wait()
         await self._host.hand_over()
         await anyio.sleep(READINESS_DELAY_SECONDS)
         server.should_exit = True
 
 
-async def wait_for_stop(log: Log) -> None:
-    """Returns at SIGTERM or SIGINT; a hang-up changes nothing by itself."""
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
-        async for received in signals:
-            log.event('process.signal', name=signal.Signals(received).name)
-            if received != signal.SIGHUP:
-                return
-
-
 def _listen(address: str) -> Any:
     host, _, port = address.rpartition(':')
     return listen(host, int(port))
@@ -308,7 +300,7 @@
     await server.serve(sockets=sockets)
 
 
-PROGRAMS: dict[str, Callable[[PlatformSettings], Any]] = {
+PROGRAMS: dict[str, Callable[[PlatformSettings, anyio.Event], Any]] = {
     'entry': EntryProgram,
     'scheduler': SchedulerProgram,
 }
--- /dev/null
+++ b/tests/platform_world.py
@@ -0,0 +1,278 @@
+"""The platform's side of its calls over loopback: runner, advice, client."""
+
+import random
+import socket
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import anyio
+import orjson
+import uvicorn
+
+from mulberryhitch.dispatch.ports import StartAnswer, StartOrder
+from mulberryhitch.http.server import HttpServer, listen
+from mulberryhitch.jobs.model import Limits, TaskKey
+from mulberryhitch.observability.log import Log
+from mulberryhitch.platform.asgi import HttpReply, HttpRequest, Interface
+from mulberryhitch.platform.client import HttpAnswer, PlatformClient
+from mulberryhitch.platform.settings import PlatformSettings
+from mulberryhitch.platform.wire import task_name
+from mulberryhitch.platform_composition import EntryProgram, SchedulerProgram
+from tests.workers import Fleet, StandinWorker
+
+SCHEDULERS = ('127.0.2.1', '127.0.2.2', '127.0.2.3')
+ENTRY = '127.0.1.1'
+RUNNER = '127.0.3.1'
+ADVICE = '127.0.4.1'
+HOST = 'queue.example'
+REASONS = {
+    StartAnswer.fenced: 'fence',
+    StartAnswer.stale: 'old',
+    StartAnswer.expired: 'late',
+}
+
+
+def free_port_pair() -> int:
+    """A port that is free on every address here, and the next one too."""
+    for _ in range(100):
+        port = random.randrange(20_000, 50_000)
+        if all(
+            _is_free(vm, port + more)
+            for vm in (*SCHEDULERS, ENTRY, RUNNER, ADVICE)
+            for more in range(5)
+        ):
+            return port
+    raise RuntimeError('no free ports')
+
+
+def _is_free(vm: str, port: int) -> bool:
+    with socket.socket() as tried:
+        try:
+            tried.bind((vm, port))
+        except OSError:
+            return False
+    return True
+
+
+def settings_of(
+    vm: str, port: int, folder: Path, name: str
+) -> PlatformSettings:
+    return PlatformSettings(
+        name,
+        vm,
+        'a',
+        f'{ENTRY}:{port + 2}',
+        f'{ENTRY}:{port + 3}',
+        f'{vm}:{port + 2}',
+        port,
+        SCHEDULERS,
+        True,
+        str(folder / vm),
+        3,
+        f'{ADVICE}:{port + 2}',
+        6.0,
+        4.0,
+        120.0,
+    )
+
+
+def configuration(version: int, **route: Any) -> dict[str, Any]:
+    """A configuration with one queue that asks for advice."""
+    return {
+        'version': version,
+        'routes': [
+            {
+                'name': 'r',
+                'host': HOST,
+                'path_prefix': '/q/',
+                'timeout_ms': 3000,
+                'target_duration_ms': 1000,
+                'priority': 0,
+                'service': 'svc',
+                'max_attempts': 3,
+                'stretch': 2.0,
+                'advice': {'decide_ms': 5, 'each_ms': 1, 'valid_ms': 1500},
+                **route,
+            },
+        ],
+        'services': [{'name': 'svc', 'enforces_capacity': False}],
+        'limits': {'max_body_bytes': 262144},
+    }
+
+
+class PlatformWorld:
+    """Entry, three schedulers, one runner and the advice service."""
+
+    def __init__(self, folder: Path) -> None:
+        self.port = free_port_pair()
+        self.folder = folder
+        self.client = PlatformClient()
+        self.fleet = Fleet()
+        self.log = Log('platform')
+        self.stops: dict[str, anyio.Event] = {}
+        self.advised: list[Any] = []
+        self.worker: StandinWorker | None = None
+        self.sequence = 0
+
+    @asynccontextmanager
+    async def running(self):
+        async with anyio.create_task_group() as tasks:
+            for vm in SCHEDULERS:
+                self._start(tasks, SchedulerProgram, vm)
+            self._start(tasks, EntryProgram, ENTRY)
+            self.fleet.add('i-1', 16_000)
+            self.worker = self.fleet.workers['i-1']
+            tasks.start_soon(self.fleet.run)
+            tasks.start_soon(self._serve, RUNNER, self._runner)
+            tasks.start_soon(self._serve, ADVICE, self._advice)
+            tasks.start_soon(self._beat)
+            yield self
+            tasks.cancel_scope.cancel()
+
+    def _start(self, tasks: Any, program: Any, vm: str) -> None:
+        self.stops[vm] = anyio.Event()
+        settings = settings_of(vm, self.port, self.folder, vm)
+        tasks.start_soon(program(settings, self.stops[vm]).run)
+
+    async def _serve(self, vm: str, handler: Any) -> None:
+        interface = Interface(handler, self.log, Limits, lambda: False)
+        server = HttpServer(
+            uvicorn.Config(interface, lifespan='off', log_config=None)
+        )
+        await server.serve(sockets=[listen(vm, self.port + 2)])
+
+    async def send(
+        self, vm: str, method: str, path: str, content: Any = None
+    ) -> HttpAnswer:
+        """A call as a client, a runner or the operator sends it."""
+        return await self.client.send(
+            f'{vm}:{self.port + 2}',
+            method,
+            path,
+            content or {},
+            10,
+        )
+
+    async def ask(
+        self, method: str, path: str, content: Any = None
+    ) -> HttpAnswer:
+        """A client's call to the queue's host."""
+        return await self.client.send(
+            f'{ENTRY}:{self.port + 2}',
+            method,
+            path,
+            content or {},
+            10,
+            host=HOST,
+        )
+
+    async def until(self, wanted: int, call: Any, *args: Any) -> HttpAnswer:
+        """Repeats a call until it is answered with a status."""
+        with anyio.fail_after(40):
+            while True:
+                try:
+                    answer = await call(*args)
+                except Exception:  # noqa: BLE001
+                    answer = None
+                if answer is not None and answer.status == wanted:
+                    return answer
+                await anyio.sleep(0.05)
+
+    async def _beat(self) -> None:
+        assert self.worker is not None
+        while True:
+            for vm in SCHEDULERS:
+                self.sequence += 1
+                try:
+                    answer = await self.send(
+                        vm, 'PUT', '/instances/i-1', self._description()
+                    )
+                except Exception:  # noqa: BLE001, S112
+                    continue
+                if answer.status == 200:
+                    break
+            await anyio.sleep(0.5)
+
+    def _description(self) -> dict[str, Any]:
+        assert self.worker is not None
+        return {
+            'service': 'svc',
+            'address': f'{RUNNER}:{self.port + 2}',
+            'zone': 'a',
+            'version': 'v1',
+            'slots': 8,
+            'state': 'ready',
+            'cold_remaining_ms': 0,
+            'capacity': {'cpu': 16_000, 'mem_mb': 64_000, 'gpu': 0},
+            'labels': ['k', 'r1'],
+            'clock_ms': self.worker.clock,
+            'sequence': self.sequence,
+            'born': 1,
+        }
+
+    async def _advice(self, request: HttpRequest) -> HttpReply:
+        asked = orjson.loads(request.body)
+        self.advised.append(asked)
+        rows = [[one, f'{asked["step"]}-{one}'] for one in asked['workers']]
+        return HttpReply(200, orjson.dumps({'granted': rows}))
+
+    async def _runner(self, request: HttpRequest) -> HttpReply:
+        assert self.worker is not None
+        content = orjson.loads(request.body)
+        if request.path == '/hold':
+            return await self._hold(content)
+        job, occurrence, step, number = content['task'].split('.')
+        task = TaskKey(job, int(occurrence), int(step), int(number))
+        if request.path == '/run-stop':
+            answer = await self.fleet.stop(
+                self.worker.record,
+                task,
+                content['run'],
+                content['fencing_token'],
+            )
+            return self._answer(answer)
+        order = StartOrder(
+            task,
+            content['run'],
+            content['spec'],
+            content.get('checkpoint', ''),
+            content['fencing_token'],
+            content['until_ms'],
+            content['ticket'],
+        )
+        assert content['ticket'].startswith(f'{job}.{occurrence}.{step}-')
+        return self._answer(self.worker.carry_out(order))
+
+    async def _hold(self, content: dict[str, Any]) -> HttpReply:
+        assert self.worker is not None
+        view = await self.fleet.look(
+            self.worker.record,
+            content['fencing_token'],
+            content['last_seen'],
+            content.get('until_ms', 0),
+            content.get('wait_ms', 0) / 1000,
+        )
+        if isinstance(view, StartAnswer):
+            return self._answer(view)
+        body = {
+            'clock_ms': view.clock,
+            'born': 1,
+            'running': [
+                [task_name(row.task), row.run, '', 0, 10]
+                for row in view.running
+            ],
+            'ended': [
+                [row.number, task_name(row.task), row.run, row.how.value, '']
+                for row in view.ended
+            ],
+        }
+        return HttpReply(200, orjson.dumps(body))
+
+    def _answer(self, answer: StartAnswer) -> HttpReply:
+        assert self.worker is not None
+        body: dict[str, Any] = {'clock_ms': self.worker.clock}
+        if answer is StartAnswer.started:
+            return HttpReply(200, orjson.dumps(body))
+        body['reason'] = REASONS[answer]
+        return HttpReply(409, orjson.dumps(body))
