The job book's rules under random changes

Cause: the book's rules had no test of their own. Change: a hypothesis state machine over accept, grant, end, cancel, restart.

--- /dev/null
+++ b/tests/test_job_book.py
@@ -0,0 +1,181 @@
+"""The job book under random changes: its rules, and its snapshots."""
+
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from mulberryhitch.jobs import changes
+from mulberryhitch.jobs.book import JobBook
+from mulberryhitch.jobs.model import (
+    JobSpec,
+    Queue,
+    QueueTable,
+    Step,
+    WorkerRecord,
+)
+from mulberryhitch.jobs.units import JobState, RunEnd, UnitState
+from mulberryhitch.rpc.messages import LogEntry
+
+WORKERS = ('w1', 'w2', 'w3')
+STEPS = st.lists(
+    st.builds(
+        Step,
+        count=st.integers(1, 3),
+        processors=st.just(100),
+        gang=st.booleans(),
+        checkpointing=st.booleans(),
+        long_running=st.just(value=False),
+    ),
+    min_size=1,
+    max_size=3,
+)
+
+
+class BookRuns(RuleBasedStateMachine):
+    """Grants whatever is ready and ends runs in any way and order."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.book = JobBook()
+        self.index = 0
+        self.jobs = 0
+        self.done: set[Any] = set()
+        queue = Queue('q', 'h', '/q/', 'svc', maximum_failures=2)
+        self.apply(changes.configure(QueueTable(1, '{}', (queue,))))
+        for name in WORKERS:
+            record = WorkerRecord(
+                name, f'{name}:1', 'svc', 'a', '', (), 900, 900, 0, 1
+            )
+            self.apply(changes.worker(record))
+
+    def apply(self, *batch: changes.Change) -> list[Any]:
+        self.index += 1
+        body = changes.encode_changes(batch)
+        return self.book.apply(
+            LogEntry(self.index, 1, changes.CHANGES_KIND, body)
+        )
+
+    @rule(steps=STEPS)
+    def accept(self, steps: list[Step]) -> None:
+        ordered = tuple(
+            Step(
+                step.count,
+                step.processors,
+                gang=step.gang,
+                checkpointing=step.checkpointing,
+                depends_on=tuple(range(number)),
+            )
+            for number, step in enumerate(steps)
+        )
+        self.jobs += 1
+        spec = JobSpec('argument', ordered)
+        job_id = f'job{self.jobs}'
+        assert self.apply(changes.accept(job_id, 'q', spec, 1.0)) == [True]
+        assert self.apply(changes.accept(job_id, 'q', spec, 2.0)) == [True]
+
+    @rule(choice=st.integers(0, 50), worker=st.sampled_from(WORKERS))
+    def grant(self, choice: int, worker: str) -> None:
+        ready = [
+            unit
+            for work in self.book.ready.values()
+            for unit in work.waiting.values()
+        ]
+        if not ready:
+            return
+        unit = ready[choice % len(ready)]
+        work = self.book.work(unit.step_key)
+        assert work is not None
+        works = self.book.jobs[unit.step_key.job_id].occurrences[0]
+        assert not any(works[one].left for one in work.step.depends_on)
+        batch = [
+            changes.grant(unit.task(index), unit.run + 1, worker)
+            for index in unit.indexes
+        ]
+        assert all(self.apply(*batch))
+        again = self.apply(*batch)
+        assert not any(again)
+
+    @rule(choice=st.integers(0, 50), how=st.sampled_from(RunEnd))
+    def end(self, choice: int, how: RunEnd) -> None:
+        held = [
+            (task, run)
+            for runs in self.book.open_runs.values()
+            for task, run in runs.items()
+        ]
+        if not held:
+            return
+        task, run = held[choice % len(held)]
+        ended = changes.end(task, run, how, 'point', 3.0)
+        self.apply(ended)
+        self.apply(ended)
+
+    @rule(choice=st.integers(0, 9))
+    def cancel(self, choice: int) -> None:
+        job_id = f'job{choice}'
+        known = self.apply(changes.cancel(job_id, 4.0))
+        assert known == [job_id in self.book.jobs]
+
+    @rule()
+    def restart(self) -> None:
+        restored = JobBook()
+        restored.restore(self.book.snapshot())
+        assert restored.snapshot() == self.book.snapshot()
+        assert restored.open_runs.keys() >= {
+            worker for worker, runs in self.book.open_runs.items() if runs
+        }
+        for worker in WORKERS:
+            assert restored.used(worker) == self.book.used(worker)
+        assert restored.ready.keys() == self.book.ready.keys()
+        self.book = restored
+
+    @invariant()
+    def rules_hold(self) -> None:
+        for job in self.book.jobs.values():
+            for work in job.occurrences.get(0, ()):
+                for unit in work.units:
+                    self.check_unit(job, work, unit)
+            if job.state is JobState.completed:
+                assert all(not work.left for work in job.occurrences[0])
+
+    def check_unit(self, job: Any, work: Any, unit: Any) -> None:
+        if unit.state is UnitState.waiting:
+            assert not unit.holders
+        waits = unit.first in work.waiting
+        if waits:
+            assert work.ready
+            assert job.active
+            assert unit.state is UnitState.waiting
+        # What is done stays done.
+        key = (unit.step_key, unit.first)
+        if key in self.done:
+            assert unit.state is UnitState.done
+        if unit.state is UnitState.done:
+            self.done.add(key)
+        if len(unit.failed_runs) >= 2:
+            assert unit.state in {UnitState.failed, UnitState.done}
+
+
+TestBookRuns = BookRuns.TestCase
+TestBookRuns.settings = settings(
+    max_examples=60, stateful_step_count=40, derandomize=True, deadline=None
+)
+
+
+def test_a_change_of_an_unknown_kind_is_refused() -> None:
+    book = JobBook()
+    entry = LogEntry(
+        1, 1, changes.CHANGES_KIND, changes.encode_changes([['other']])
+    )
+    try:
+        book.apply(entry)
+    except Exception as error:  # noqa: BLE001
+        assert 'unknown' in str(error)
+    else:
+        raise AssertionError('it was taken')
