Stalled tasks move, slow workers rest, and a leader is replaced sooner

Change: elections after 0.5 s; a new leader asks for permits through every scheduler at once; an entry answers after 0.4 of the caller's time; a run without progress for 2.5 s is moved; a worker slow by 3 times rests for 1.5 s.

--- a/mulberryhitch/dispatch/fleet.py
+++ b/mulberryhitch/dispatch/fleet.py
@@ -13,6 +13,11 @@
 _SUSPECT_FAILURES = 4
 _SUSPECT_SECONDS = 3.0
 _REFUSED_SECONDS = 0.3
+_SLOW_RATIO = 3.0
+_SLOW_SECONDS = 1.5
+_LEAST_PACE_SECONDS = 0.4
+_STALLED_SECONDS = 2.5
+_WHOLE_PERCENT = 100
 
 
 @dataclass(slots=True)
@@ -27,6 +32,7 @@
         started_at: When its start was first sent.
         moved_at: When its percent last rose.
         inherited: An earlier leader's grant.
+        estimate_seconds: How long it was said to take; zero if unknown.
     """
 
     run: int
@@ -40,6 +46,24 @@
     moved_at: float = 0
     checkpoint: str = ''
     inherited: bool = False
+    estimate_seconds: float = 0
+
+    def pace_ratio(self, now: float) -> float:
+        """How many times its estimate it will take; zero if unknown."""
+        passed = now - self.confirmed_at
+        known = self.confirmed and not self.inherited and self.percent
+        if not known or passed < _LEAST_PACE_SECONDS:
+            return 0
+        return (
+            passed
+            / max(self.estimate_seconds, _LEAST_PACE_SECONDS)
+            * (_WHOLE_PERCENT / self.percent)
+        )
+
+    def stalled(self, now: float) -> bool:
+        """Whether it has made no progress for too long."""
+        since = max(self.moved_at, self.confirmed_at)
+        return self.confirmed and now - since > _STALLED_SECONDS
 
     def certainly_over(self, listed_at: float) -> bool:
         """Whether a list asked for then would show it, were it still on."""
@@ -97,6 +121,7 @@
     gone: bool = False
     quarantined_until: float = 0
     refused_until: float = 0
+    slow_until: float = 0
     tracks: dict[TaskKey, RunTrack] = field(default_factory=dict)
     ends: deque[bool] = field(
         default_factory=lambda: deque(maxlen=_REMEMBERED_ENDS)
@@ -161,11 +186,21 @@
 
     def usable(self, now: float) -> bool:
         """Whether new runs may be placed there."""
-        sound = now >= max(self.quarantined_until, self.refused_until)
+        sound = now >= max(
+            self.quarantined_until, self.refused_until, self.slow_until
+        )
         leaving = self.gone or self.record.draining
         certain = self.known and self.described and self.misses == 0
         return certain and sound and not leaving
 
+    def note_pace(self, ratio: float, now: float) -> bool:
+        """Keeps new runs away while one there is slow; tells if that is new."""
+        if ratio < _SLOW_RATIO:
+            return False
+        was_sound = self.slow_until < now
+        self.slow_until = now + _SLOW_SECONDS
+        return was_sound
+
     def refuse(self, now: float) -> None:
         """Notes that it did nothing with an order that should have fitted."""
         self.refused_until = now + _REFUSED_SECONDS
--- a/mulberryhitch/dispatch/options.py
+++ b/mulberryhitch/dispatch/options.py
@@ -28,7 +28,7 @@
     maximum_lease_seconds: float = 10.0
     clock_drift: float = 0.02
     lease_margin_seconds: float = 0.2
-    look_wait_seconds: float = 2.0
+    look_wait_seconds: float = 1.0
     order_seconds: float = 0.4
     round_seconds: float = 0.004
     tick_seconds: float = 0.25
--- a/mulberryhitch/dispatch/ordering.py
+++ b/mulberryhitch/dispatch/ordering.py
@@ -48,7 +48,11 @@
         if live is None or job is None:
             return
         now = anyio.current_time()
-        track = RunTrack(one.unit.run, now, moved_at=now)
+        work = self._term.book.work(one.unit.step_key)
+        estimate = work.step.estimate_seconds if work else 0
+        track = RunTrack(
+            one.unit.run, now, moved_at=now, estimate_seconds=estimate
+        )
         live.tracks[task] = track
         live.nudge()
         self._term.histograms.record(
--- a/mulberryhitch/dispatch/service.py
+++ b/mulberryhitch/dispatch/service.py
@@ -144,6 +144,12 @@
             ),
         )
         dispatcher.desk.add_helper('own', self._asker, local=True)
+        for vm in map(vm_of, self.replica.members.everyone):
+            if vm != vm_of(self.replica.replica_id):
+                dispatcher.desk.add_helper(
+                    f'scheduler@{vm}',
+                    RemoteAsker(self._peers.scheduler(vm)),
+                )
         self._dispatcher = dispatcher
         self._log.event(
             'dispatcher.began',
--- a/mulberryhitch/dispatch/watching.py
+++ b/mulberryhitch/dispatch/watching.py
@@ -1,5 +1,6 @@
 """Reads the workers' lists of runs and commits what they tell."""
 
+import math
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -10,7 +11,7 @@
 from mulberryhitch.dispatch.term import Term
 from mulberryhitch.errors import MulberryhitchError
 from mulberryhitch.jobs import changes
-from mulberryhitch.jobs.model import TaskKey, WorkerRecord
+from mulberryhitch.jobs.model import StepKey, TaskKey, WorkerRecord
 from mulberryhitch.jobs.units import RunEnd
 
 _PAUSE_SECONDS = 0.1
@@ -219,11 +220,32 @@
                 self._check_stray(live, row.task, row.run)
                 continue
             track.progress(row.percent, row.checkpoint, now)
+            self._judge(live, row.task, track, now)
             if self.ordering and self._term.is_unwanted(row.task, row.run):
                 self.ordering.stop(
                     row.task, row.run, live.record.worker_id, 'unwanted'
                 )
 
+    def _judge(
+        self, live: LiveWorker, task: TaskKey, track: RunTrack, now: float
+    ) -> None:
+        """Keeps away from a slow worker; moves a task that stands still."""
+        worker_id = live.record.worker_id
+        ratio = track.pace_ratio(now)
+        stalled = track.stalled(now) and self._can_stall(task)
+        if stalled:
+            ratio = math.inf
+        if live.note_pace(ratio, now):
+            self._term.log_task(
+                'worker.slow', task, track.run, worker_id, ratio=str(ratio)
+            )
+        if stalled and self.ordering is not None:
+            self.ordering.stop(task, track.run, worker_id, 'stalled')
+
+    def _can_stall(self, task: TaskKey) -> bool:
+        work = self._term.book.work(StepKey(*task[:3]))
+        return work is not None and not work.step.long_running
+
     def _check_stray(self, live: LiveWorker, task: TaskKey, run: int) -> None:
         held = self._term.book.open_runs.get(live.record.worker_id, {})
         if held.get(task) != run and self.ordering is not None:
--- a/mulberryhitch/membership/peers.py
+++ b/mulberryhitch/membership/peers.py
@@ -68,6 +68,14 @@
             self._tasks.start_soon(found.run)
         return found
 
+    def scheduler(self, vm: str) -> PeerConnection:
+        """The connection to a VM's scheduler.
+
+        Raises:
+            UnreachableError: This process is not running yet.
+        """
+        return self.connection(vm, self._port)
+
     async def call(
         self, vm: str, method: str, request: Request, timeout_seconds: float
     ) -> Reply:
@@ -76,7 +84,7 @@
         Raises:
             UnreachableError: Nothing was sent.
         """
-        found = self.connection(vm, self._port)
+        found = self.scheduler(vm)
         return await found.call(method, request, timeout_seconds)
 
     def leader_of(self, group: str) -> str:
--- a/mulberryhitch/platform/asgi.py
+++ b/mulberryhitch/platform/asgi.py
@@ -24,8 +24,8 @@
 Receive: TypeAlias = Callable[[], Awaitable[dict[str, Any]]]
 Send: TypeAlias = Callable[[dict[str, Any]], Awaitable[None]]
 
-_MAXIMUM_PATIENCE_SECONDS = 2.0
-_PATIENCE_SHARE = 0.6
+_MAXIMUM_PATIENCE_SECONDS = 1.5
+_PATIENCE_SHARE = 0.4
 _RETRY_AFTER = b'1'
 
 
--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -42,7 +42,9 @@
 from mulberryhitch.rpc.server import RpcServer
 from mulberryhitch.scheduler.host import ReplicaHost
 
-_CALL_SECONDS = 1.0
+_CALL_SECONDS = 0.6
+_ELECTION_SECONDS = 0.5
+_HEARTBEAT_SECONDS = 0.1
 _READY_SECONDS = 3.0
 _CONTROL_LIMITS = Limits(body_bytes=8 * 1024 * 1024)
 _SETTINGS_POLL_SECONDS = 1.0
@@ -263,6 +265,8 @@
             self._base.peers,
             settings.seed_vms,
             ReplicationOptions(
+                heartbeat_seconds=_HEARTBEAT_SECONDS,
+                election_seconds=_ELECTION_SECONDS,
                 inform_seconds=_INFORM_SECONDS,
                 keeper_seconds=_KEEPER_SECONDS,
                 repair_seconds=_REPAIR_SECONDS,
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -6,8 +6,14 @@
 import anyio
 import pytest
 
-from mulberryhitch.dispatch.fleet import RunTrack
-from mulberryhitch.jobs.model import PermitPolicy, Step, TaskKey
+from mulberryhitch.dispatch.fleet import LiveWorker, RunTrack
+from mulberryhitch.dispatch.options import DispatchOptions
+from mulberryhitch.jobs.model import (
+    PermitPolicy,
+    Step,
+    TaskKey,
+    WorkerRecord,
+)
 from mulberryhitch.jobs.units import JobState, RunEnd
 from tests.groups import run_at_once
 from tests.workers import StandinPermits, World
@@ -299,3 +305,37 @@
             await world.wait('j', JobState.completed)
 
     run_at_once(main)
+
+
+def test_a_task_that_stands_still_is_moved_to_another_worker() -> None:
+    async def main() -> None:
+        world = World()
+        world.fleet.add('w1')
+        async with world.running():
+            world.fleet.stands_still = True
+            await world.submit('j', Step(1, 1000, 100, estimate_seconds=0.5))
+            await anyio.sleep(1)
+            world.fleet.stands_still = False
+            world.fleet.add('w2')
+            second = world.fleet.workers['w2']
+            await world.dispatcher.hear(second.record, second.clock)
+            await world.wait('j', JobState.completed, 8)
+            assert world.runs_of('j') == 2
+
+    run_at_once(main)
+
+
+def test_a_worker_on_which_work_is_slow_gets_nothing_new_for_a_while() -> None:
+    live = LiveWorker(
+        WorkerRecord('w', 'w:1', 's', 'a', '', (), 1, 1, 0, 1),
+        DispatchOptions(),
+        began_at=0,
+        known=True,
+    )
+    track = RunTrack(run=1, started_at=0, estimate_seconds=1)
+    track.confirm(now=0)
+    track.progress(10, '', now=1)
+    assert live.usable(now=1)
+    assert live.note_pace(track.pace_ratio(now=1), now=1)
+    assert not live.usable(now=2)
+    assert live.usable(now=4)
--- a/tests/workers.py
+++ b/tests/workers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 import anyio
@@ -49,7 +49,12 @@
     room: Room
     ends_at: float
     how: RunEnd
-    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    began_at: float
+
+    def percent(self) -> int:
+        length = max(self.ends_at - self.began_at, 0.01)
+        passed = anyio.current_time() - self.began_at
+        return int(100 * passed / length)
 
 
 class StandinWorker:
@@ -116,8 +121,10 @@
         self.running[order.task] = Running(
             order.run,
             step.room,
-            anyio.current_time() + step.estimate_seconds,
+            anyio.current_time()
+            + (1e6 if self.fleet.stands_still else step.estimate_seconds),
             how,
+            anyio.current_time(),
         )
         return StartAnswer.started
 
@@ -133,7 +140,7 @@
         self.dones: set[TaskKey] = set()
         self.at_work: dict[TaskKey, int] = {}
         self.fates: dict[tuple[TaskKey, int], RunEnd] = {}
-        self.index = 0
+        self.stands_still = False
 
     def step_of(self, task: TaskKey) -> Step:
         return self.book.jobs[task.job_id].spec.steps[task.step]
@@ -237,7 +244,7 @@
             worker.clock,
             worker.record.born,
             tuple(
-                RunningRow(task, one.run, '', 0)
+                RunningRow(task, one.run, '', one.percent())
                 for task, one in worker.running.items()
             ),
             tuple(worker.ended),
