Each process serves its counters and histograms

Cause: the figures that an engineer on call needs were not served. Conclusion: counters follow the log, so a figure leads to its lines.

--- a/mulberryhitch/dispatch/service.py
+++ b/mulberryhitch/dispatch/service.py
@@ -175,9 +175,13 @@
         return self.replica.has_authority
 
     async def _commit(self, batch: list[changes.Change]) -> list[Any]:
+        began = anyio.current_time()
         outcomes: list[Any] = await self.replica.propose(
             changes.CHANGES_KIND, changes.encode_changes(batch)
         )
+        self._histograms.record(
+            'commit', 'jobs', batch[0][0], anyio.current_time() - began
+        )
         return outcomes
 
     def _leading(self) -> Dispatcher:
--- a/mulberryhitch/observability/log.py
+++ b/mulberryhitch/observability/log.py
@@ -4,6 +4,7 @@
 import sys
 import time
 import traceback
+from collections import Counter
 from typing import Any, TextIO
 
 import eliot
@@ -25,6 +26,7 @@
         """Opens nothing: the destination is added by :func:`start_logs`."""
         self._member_id = member_id
         self._stream = stream
+        self.counts: Counter[str] = Counter()
 
     @property
     def member_id(self) -> str:
@@ -32,7 +34,8 @@
         return self._member_id
 
     def event(self, event: str, **fields: object) -> None:
-        """Writes that something happened."""
+        """Writes and counts that something happened."""
+        self.counts[event] += 1
         eliot.log_message(message_type=event, member=self._member_id, **fields)
 
     def problem(self, event: str, problem: Problem, **fields: object) -> None:
--- a/mulberryhitch/platform/asgi.py
+++ b/mulberryhitch/platform/asgi.py
@@ -1,5 +1,6 @@
 """What both of the adapter's interfaces share: requests in, answers out."""
 
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -17,6 +18,7 @@
     TooLargeError,
 )
 from mulberryhitch.jobs.model import Limits
+from mulberryhitch.observability.histograms import Histograms
 from mulberryhitch.observability.log import Log
 from mulberryhitch.outcomes import Outcome
 
@@ -50,6 +52,7 @@
 
     status: int
     content: bytes = b'{}'
+    content_type: bytes = b'application/json'
 
 
 Handler: TypeAlias = Callable[[HttpRequest], Awaitable[HttpReply]]
@@ -63,6 +66,7 @@
         log: Where refusals and defects are written.
         limits: The bounds in force.
         closing: Whether connections are to be closed after each answer.
+        histograms: Where the times of answers are noted.
     """
 
     def __init__(
@@ -71,8 +75,10 @@
         log: Log,
         limits: Callable[[], Limits],
         closing: Callable[[], bool],
+        histograms: Histograms,
     ) -> None:
         """Answers nothing yet."""
+        self._histograms = histograms
         self._handler = handler
         self._log = log
         self._limits = limits
@@ -86,8 +92,15 @@
         if scope['type'] != 'http':
             return
         self.in_flight += 1
+        began = time.monotonic()
         try:
             reply = await self._answer(scope, receive)
+            self._histograms.record(
+                'answer',
+                scope['method'],
+                str(int(reply.status)),
+                time.monotonic() - began,
+            )
             await self._send(reply, send)
         finally:
             self.in_flight -= 1
@@ -143,7 +156,7 @@
 
     async def _send(self, reply: HttpReply, send: Send) -> None:
         headers = [
-            (b'content-type', b'application/json'),
+            (b'content-type', reply.content_type),
             (b'content-length', str(len(reply.content)).encode()),
         ]
         if reply.status == HTTPStatus.SERVICE_UNAVAILABLE:
--- a/mulberryhitch/platform/settings.py
+++ b/mulberryhitch/platform/settings.py
@@ -11,6 +11,8 @@
 from mulberryhitch.constants import MILLISECONDS_PER_SECOND
 from mulberryhitch.errors import InvalidSettingsError
 
+# The deploy file names the same port.
+METRICS_PORT = 9464
 SETTINGS_VARIABLE = 'MULBERRYHITCH_BOOT'
 
 
@@ -68,6 +70,7 @@
         maximum_lease_seconds: The longest lease that a worker grants.
         drain_seconds: How long a stop may take.
         retain_seconds: How long an ended job must be known.
+        metrics_address: Where the process serves its own figures.
         source: The file, which may change; nothing if there is none.
     """
 
@@ -86,6 +89,7 @@
     maximum_lease_seconds: float
     drain_seconds: float
     retain_seconds: float
+    metrics_address: str
     source: Path | None = None
 
 
@@ -121,5 +125,6 @@
         read.bounds.hold_max_ms / MILLISECONDS_PER_SECOND,
         read.bounds.grace_s,
         read.bounds.status_s,
+        f'{read.ip}:{METRICS_PORT}',
         where,
     )
--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any
 
@@ -25,9 +26,15 @@
 from mulberryhitch.jobs.model import Limits
 from mulberryhitch.membership.leaders import Leaders
 from mulberryhitch.membership.peers import Peers
+from mulberryhitch.observability.exposition import exposition
 from mulberryhitch.observability.histograms import Histograms
 from mulberryhitch.observability.log import Log
-from mulberryhitch.platform.asgi import HttpReply, HttpRequest, Interface
+from mulberryhitch.platform.asgi import (
+    Handler,
+    HttpReply,
+    HttpRequest,
+    Interface,
+)
 from mulberryhitch.platform.client import PlatformClient
 from mulberryhitch.platform.control import Control
 from mulberryhitch.platform.ingress import Ingress
@@ -90,9 +97,24 @@
         tasks.start_soon(self.peers.run)
         tasks.start_soon(self.rpc.serve, self.settings.vm, self.rpc_port)
         tasks.start_soon(self.reporter.run)
+        tasks.start_soon(
+            _serve,
+            self.make_server(self.interface(self._figures)),
+            [_listen(self.settings.metrics_address)],
+        )
         if self.settings.source is not None:
             tasks.start_soon(self._follow_settings, self.settings.source)
 
+    def interface(
+        self,
+        handler: Handler,
+        limits: Callable[[], Limits] = lambda: _CONTROL_LIMITS,
+    ) -> Interface:
+        """An interface with this program's log, figures and end."""
+        return Interface(
+            handler, self.log, limits, self.is_stopping, self.histograms
+        )
+
     def make_server(self, interface: Interface) -> HttpServer:
         """The HTTP server of the program."""
         return HttpServer(
@@ -117,6 +139,10 @@
         """Whether the program is on its way out."""
         return self.stop.is_set()
 
+    async def _figures(self, request: HttpRequest) -> HttpReply:
+        text = exposition(self.log.counts, self.histograms)
+        return HttpReply(HTTPStatus.OK, text.encode(), b'text/plain')
+
     def _told(self, answer: HelperAnswer) -> None:
         self.answer = answer
 
@@ -150,15 +176,8 @@
         self._settings = settings
         self._ingress = Ingress(self._base.leaders)
         PermitHelper(self._base.rpc, self._base.asker)
-        self._interface = Interface(
-            self._answer, self._base.log, self._limits, self._base.is_stopping
-        )
-        self._ready = Interface(
-            self._answer_ready,
-            self._base.log,
-            lambda: _CONTROL_LIMITS,
-            self._base.is_stopping,
-        )
+        self._interface = self._base.interface(self._answer, self._limits)
+        self._ready = self._base.interface(self._answer_ready)
 
     async def run(self) -> None:
         """Serves until the program is stopped."""
@@ -184,8 +203,8 @@
         answer = self._base.answer
         ready = answer is not None and answer.version >= 0
         if ready and reached < _READY_SECONDS and not self._base.is_stopping():
-            return HttpReply(200)
-        return HttpReply(503)
+            return HttpReply(HTTPStatus.OK)
+        return HttpReply(HTTPStatus.SERVICE_UNAVAILABLE)
 
     def _limits(self) -> Limits:
         return self._base.answer.limits if self._base.answer else Limits()
@@ -217,12 +236,7 @@
         self.service = self._make_service()
         self._host.add(self.service)
         control = Control(self._base.leaders)
-        self._interface = Interface(
-            control.answer,
-            self._base.log,
-            lambda: _CONTROL_LIMITS,
-            self._base.is_stopping,
-        )
+        self._interface = self._base.interface(control.answer)
 
     async def run(self) -> None:
         """Takes part until the program is stopped.
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -13,6 +13,7 @@
 from mulberryhitch.dispatch.ports import StartAnswer, StartOrder
 from mulberryhitch.http.server import HttpServer, listen
 from mulberryhitch.jobs.model import Limits, TaskKey
+from mulberryhitch.observability.histograms import Histograms
 from mulberryhitch.observability.log import Log
 from mulberryhitch.platform.asgi import HttpReply, HttpRequest, Interface
 from mulberryhitch.platform.client import HttpAnswer, PlatformClient
@@ -74,6 +75,7 @@
         6.0,
         4.0,
         120.0,
+        f'{vm}:{port + 4}',
     )
 
 
@@ -136,7 +138,9 @@
         tasks.start_soon(program(settings, self.stops[vm]).run)
 
     async def _serve(self, vm: str, handler: Any) -> None:
-        interface = Interface(handler, self.log, Limits, lambda: False)
+        interface = Interface(
+            handler, self.log, Limits, lambda: False, Histograms()
+        )
         server = HttpServer(
             uvicorn.Config(interface, lifespan='off', log_config=None)
         )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import anyio
+import httpcore
 import orjson
 import pytest
 
@@ -23,6 +24,7 @@
     read_view,
 )
 from tests.platform_world import (
+    ENTRY,
     SCHEDULERS,
     PlatformWorld,
     configuration,
@@ -52,6 +54,7 @@
         )
         async with world.running():
             await _serve_one_job(world)
+            await _read_figures(world)
             await _change_configuration(world)
             await _survive_the_leader(world)
 
@@ -78,6 +81,15 @@
     assert (await world.ask('POST', f'/q/{ID[::-1]}', {})).status == 400
 
 
+async def _read_figures(world: PlatformWorld) -> None:
+    async with httpcore.AsyncConnectionPool() as pool:
+        address = f'http://{ENTRY}:{world.port + 4}/metrics'
+        answer = await pool.request('GET', address)
+    text = answer.content.decode()
+    assert 'mulberryhitch_events_total{event="leader.found"} ' in text
+    assert 'kind="200",quantile="0.99"' in text
+
+
 async def _change_configuration(world: PlatformWorld) -> None:
     first, second, third = SCHEDULERS
     invalid = configuration(9, service='none')
