--- a/mulberryhitch/dispatch/fleet.py
+++ b/mulberryhitch/dispatch/fleet.py
@@ -1,5 +1,6 @@
 """The leader's view of one worker: its clock, its lease, its runs."""
 
+import statistics
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -14,6 +15,7 @@
 _SUSPECT_SECONDS = 3.0
 _REFUSED_SECONDS = 0.3
 _SLOW_RATIO = 3.0
+_SLOW_RATIO_ALONE = 6.0
 _SLOW_SECONDS = 1.5
 _LEAST_PACE_SECONDS = 0.4
 _STALLED_SECONDS = 2.5
@@ -193,9 +195,20 @@
         certain = self.known and self.described and self.misses == 0
         return certain and sound and not leaving
 
-    def note_pace(self, ratio: float, now: float) -> bool:
-        """Keeps new runs away while one there is slow; tells if that is new."""
-        if ratio < _SLOW_RATIO:
+    def note_pace(self, ratios: list[float], now: float) -> bool:
+        """Keeps new runs away while those there are slow.
+
+        Args:
+            ratios: How many times its estimate each run will take.
+            now: Seconds on the local clock.
+
+        Returns:
+            Whether that is new.
+        """
+        if not ratios:
+            return False
+        limit = _SLOW_RATIO if len(ratios) > 1 else _SLOW_RATIO_ALONE
+        if statistics.median_low(ratios) < limit:
             return False
         was_sound = self.slow_until < now
         self.slow_until = now + _SLOW_SECONDS
--- a/mulberryhitch/dispatch/planner.py
+++ b/mulberryhitch/dispatch/planner.py
@@ -388,28 +388,33 @@
         return counts
 
     def _reserve(self, one: Waiting, able: list[WorkerRecord]) -> None:
-        """Keeps room free for a gang that does not fit yet."""
-        if self._reserving >= _RESERVING_STEPS or not able:
-            return
-        if one.order[0] > 1:
+        """Keeps room free for a gang that does not fit yet.
+
+        The workers that will have the most room are kept for it, also where
+        they are not yet free: what runs there ends, or is stopped if it can
+        go on elsewhere, and nothing less urgent takes its place.
+        """
+        if self._reserving >= _RESERVING_STEPS or one.order[0] > 1:
             return
         room = one.work.step.room
-        shares = []
-        for worker in able:
-            copies = _copies(room, self._soon(one, worker.worker_id))
-            limit = one.work.step.spread_limit
-            shares.append((min(copies, limit) if limit else copies, worker))
-        shares.sort(key=lambda pair: -pair[0])
+        soon = [
+            (_copies(room, self._soon(one, worker.worker_id)), worker)
+            for worker in able
+        ]
+        soon.sort(key=lambda pair: -pair[0])
         needed = one.work.step.count
-        if sum(copies for copies, _ in shares) < needed:
+        limit = one.work.step.spread_limit or needed
+        whole = sum(min(limit, _copies(room, each.room)) for each in able)
+        if whole < needed:
             return
         self._reserving += 1
-        for copies, worker in shares:
-            if needed <= 0 or copies == 0:
-                break
-            taken = min(copies, needed)
-            needed -= taken
-            self._clear(one, worker.worker_id, taken)
+        for copies, worker in soon:
+            if needed <= 0:
+                return
+            most = min(limit, needed, _copies(room, worker.room))
+            needed -= most
+            self._clear(one, worker.worker_id, min(copies, most))
+            self._free[worker.worker_id] = Room()
 
     def _make_way(
         self,
--- a/mulberryhitch/dispatch/watching.py
+++ b/mulberryhitch/dispatch/watching.py
@@ -1,6 +1,5 @@
 """Reads the workers' lists of runs and commits what they tell."""
 
-import math
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -214,33 +213,35 @@
 
     def _note_running(self, live: LiveWorker, view: WorkerView) -> None:
         now = anyio.current_time()
+        ratios = []
         for row in view.running:
             track = live.tracks.get(row.task)
             if track is None or track.run != row.run:
                 self._check_stray(live, row.task, row.run)
                 continue
             track.progress(row.percent, row.checkpoint, now)
-            self._judge(live, row.task, track, now)
-            if self.ordering and self._term.is_unwanted(row.task, row.run):
-                self.ordering.stop(
-                    row.task, row.run, live.record.worker_id, 'unwanted'
-                )
+            ratio = track.pace_ratio(now)
+            if ratio:
+                ratios.append(ratio)
+            self._stop_needless(live, row.task, track, now)
+        if live.note_pace(ratios, now):
+            self._term.log.event(
+                'worker.slow',
+                worker=live.record.worker_id,
+                ratios=[round(ratio, 1) for ratio in ratios],
+            )
 
-    def _judge(
+    def _stop_needless(
         self, live: LiveWorker, task: TaskKey, track: RunTrack, now: float
     ) -> None:
-        """Keeps away from a slow worker; moves a task that stands still."""
-        worker_id = live.record.worker_id
-        ratio = track.pace_ratio(now)
-        stalled = track.stalled(now) and self._can_stall(task)
-        if stalled:
-            ratio = math.inf
-        if live.note_pace(ratio, now):
-            self._term.log_task(
-                'worker.slow', task, track.run, worker_id, ratio=str(ratio)
-            )
-        if stalled and self.ordering is not None:
-            self.ordering.stop(task, track.run, worker_id, 'stalled')
+        """Stops a run that nobody needs, or that makes no progress."""
+        reason = ''
+        if self._term.is_unwanted(task, track.run):
+            reason = 'unwanted'
+        elif track.stalled(now) and self._can_stall(task):
+            reason = 'stalled'
+        if reason and self.ordering is not None:
+            self.ordering.stop(task, track.run, live.record.worker_id, reason)
 
     def _can_stall(self, task: TaskKey) -> bool:
         work = self._term.book.work(StepKey(*task[:3]))
