--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -163,6 +163,9 @@
             await anyio.sleep(self._term.options.round_seconds)
 
     def _plan(self) -> None:
+        if not self._term.book.ready:
+            self.desk.want(())
+            return
         now = anyio.current_time()
         usable = [
             live.record for live in self._term.live.values() if live.usable(now)
