A full disk is no reason to end; a leader on one gives way

Cause: a follower whose disk was full ended with its first append or vote, and a leader whose disk was full kept the lead and refused all work. Change: a full disk is a failure of its own, which leaves what was written as it was; a leader whose writes go on failing for 0.3 s hands over. Conclusion: a failed sync still ends the replica.

--- a/mulberryhitch/errors.py
+++ b/mulberryhitch/errors.py
@@ -300,6 +300,11 @@
     advice = 'See the runbook "A disk is full or broken".'
 
 
+@failure('disk_full')
+class DiskFullError(StorageError):
+    """A disk took no more bytes; what it held before is unharmed."""
+
+
 @failure('damaged')
 class DamagedFileError(MulberryhitchError):
     """A file's checksum does not match its content."""
--- a/mulberryhitch/replication/failstop.py
+++ b/mulberryhitch/replication/failstop.py
@@ -1,8 +1,11 @@
-"""Stops a replica when nothing is known of its disk any more."""
+"""Stops a replica when nothing is known of its disk any more.
+
+A disk that is merely full keeps what it has; the replica goes on.
+"""
 
 from collections.abc import Callable
 
-from mulberryhitch.errors import StorageError
+from mulberryhitch.errors import DiskFullError, StorageError
 
 
 class FailStop:
@@ -21,5 +24,7 @@
 
     def __exit__(self, kind: object, error: object, trace: object) -> None:
         """Tells of a storage failure."""
+        if isinstance(error, DiskFullError):
+            return
         if isinstance(error, StorageError):
             self._on_failure(error)
--- a/mulberryhitch/replication/files.py
+++ b/mulberryhitch/replication/files.py
@@ -7,6 +7,7 @@
 as a new one.
 """
 
+import errno
 import os
 import secrets
 import struct
@@ -20,6 +21,7 @@
 
 from mulberryhitch.errors import (
     DamagedFileError,
+    DiskFullError,
     ProtocolError,
     StorageError,
 )
@@ -38,6 +40,7 @@
 _CHECKSUM = struct.Struct('>I')
 _CREATE_FLAGS = os.O_RDWR | os.O_CREAT
 _FILE_MODE = 0o600
+_FULL = frozenset((errno.ENOSPC, errno.EDQUOT))
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,7 +205,9 @@
             _write_whole(self._descriptor, b''.join(records))
         except OSError as error:
             os.ftruncate(self._descriptor, end)
-            raise StorageError(str(error), where=str(self._log_path)) from error
+            raise DiskFullError(
+                str(error), where=str(self._log_path)
+            ) from error
         self._placed.extend(placed)
 
     async def sync(self) -> None:
@@ -211,7 +216,10 @@
         Raises:
             StorageError: It can't be known what lasts.
         """
-        await self._in_thread(self._sync)
+        try:
+            await self._in_thread(self._sync)
+        except DiskFullError as error:
+            raise StorageError(error.what, where=error.where) from error
 
     async def truncate(self, index: int) -> None:
         """Removes all entries from an index on, and syncs."""
@@ -317,5 +325,8 @@
             with anyio.CancelScope(shield=True):
                 async with self._disk:
                     await run_sync(function, *args)
-        except (OSError, ProtocolError) as error:
+        except OSError as error:
+            kind = DiskFullError if error.errno in _FULL else StorageError
+            raise kind(str(error), where=str(self._folder)) from error
+        except ProtocolError as error:
             raise StorageError(str(error), where=str(self._folder)) from error
--- a/mulberryhitch/replication/leadership.py
+++ b/mulberryhitch/replication/leadership.py
@@ -93,6 +93,7 @@
         self._written = anyio.Event()
         self._ended = anyio.Event()
         self._ready = anyio.Event()
+        self.disk_full = anyio.Event()
         self._tasks: TaskGroup | None = None
         self._own_match = 0
         self._began = self._options.now()
@@ -265,6 +266,7 @@
         except StorageError as error:
             for refused in batch:
                 refused.decide(None, error)
+            self.disk_full.set()
             if not self.ready:
                 self.step_down()
             return self._own_match
--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -9,6 +9,7 @@
 
 from mulberryhitch.errors import (
     ConflictError,
+    DiskFullError,
     InvariantError,
     LostAuthorityError,
     MulberryhitchError,
@@ -40,6 +41,8 @@
     VoteRequest,
 )
 
+_FULL_SECONDS = 0.3
+
 
 class Role(str, Enum):  # noqa: WPS600
     """What a replica is at the moment."""
@@ -251,7 +254,7 @@
         self._check_target(request.target)
         if request.term != self._state.term or self._tasks is None:
             return TakeOverReply(accepted=False)
-        self._tasks.start_soon(self._campaign, True)
+        self._tasks.start_soon(self._try_campaign, True)
         return TakeOverReply(accepted=True)
 
     def _leading(self) -> Leadership:
@@ -342,11 +345,17 @@
             if self._leadership is not None or silence < patience:
                 await anyio.sleep(max(patience - silence, patience / 4))
             elif self.replica_id in self._state.members.voters:
-                await self._campaign(transfer=False)
+                await self._try_campaign(transfer=False)
                 await anyio.sleep(patience / 4)
             else:
                 await anyio.sleep(patience)
 
+    async def _try_campaign(self, transfer: bool) -> None:
+        try:
+            await self._campaign(transfer)
+        except DiskFullError as error:
+            self._log.problem('replica.no_campaign', error.problem)
+
     async def _campaign(self, transfer: bool) -> None:
         if self._leadership is not None:
             return
@@ -396,6 +405,7 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(keeper.run)
+                tasks.start_soon(self._leave_when_full, leadership)
                 with self._fail_stop:
                     await leadership.run()
                 tasks.cancel_scope.cancel()
@@ -403,6 +413,16 @@
             self._last_contact = anyio.current_time()
             self._ended_leading(leadership)
 
+    async def _leave_when_full(self, leadership: Leadership) -> None:
+        """Gives way where writes go on failing on a full disk."""
+        while True:
+            await leadership.disk_full.wait()
+            self._log.event('replica.disk_full', group=self.group)
+            leadership.disk_full = anyio.Event()
+            await anyio.sleep(_FULL_SECONDS)
+            if leadership.ready and leadership.disk_full.is_set():
+                await self.hand_over()
+
     def _ended_leading(self, leadership: Leadership) -> None:
         if self._leadership is leadership:
             self._leadership = None
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -8,6 +8,7 @@
 import orjson
 
 from mulberryhitch.errors import (
+    DiskFullError,
     OutcomeUnknownError,
     StorageError,
     UnreachableError,
@@ -43,7 +44,7 @@
 
     def write(self, entries: list[LogEntry]) -> None:
         if self.fails == 'write':
-            raise StorageError('no space left', where=self.vm)
+            raise DiskFullError('no space left', where=self.vm)
         self._written.extend(entries)
 
     async def sync(self) -> None:
@@ -59,6 +60,8 @@
 
     async def save_vote(self, term: int, voted_for: str) -> None:
         await anyio.sleep(SYNC_SECONDS)
+        if self.fails == 'write':
+            raise DiskFullError('no space left', where=self.vm)
         if self.fails == 'sync':
             raise StorageError('fsync failed', where=self.vm)
         self._stored.term = term
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -138,3 +138,42 @@
             assert await leader.propose('put', b'["key", 2]') == 1
 
     run_at_once(main)
+
+
+def test_a_leader_with_a_full_disk_gives_way_to_one_that_can_write() -> None:
+    async def main() -> None:
+        async with Group(3, seed=5).running() as group:
+            leader = await group.wait_leader()
+            vm = leader.replica_id.partition('#')[0]
+            group.disks[vm].fails = 'write'
+            await group.put('key', 1)
+            with anyio.fail_after(10):
+                while not await group.put('key', 2, seconds=1):
+                    await anyio.sleep(0.1)
+            successor = await group.wait_leader()
+            assert successor.replica_id != leader.replica_id
+            # The full one is still there, and takes part when it can.
+            assert vm in group.replicas
+            group.disks[vm].fails = ''
+            await group.settle()
+
+    run_at_once(main)
+
+
+def test_a_follower_with_a_full_disk_does_not_end() -> None:
+    async def main() -> None:
+        async with Group(3, seed=6).running() as group:
+            leader = await group.wait_leader()
+            follower = next(
+                vm
+                for vm in group.vms
+                if not leader.replica_id.startswith(f'{vm}#')
+            )
+            group.disks[follower].fails = 'write'
+            assert await group.put('key', 1)
+            await anyio.sleep(3)
+            assert follower in group.replicas
+            group.disks[follower].fails = ''
+            await group.settle()
+
+    run_at_once(main)
