--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -5,12 +5,8 @@
 from mulberryhitch.dispatch.fleet import RunTrack
 from mulberryhitch.dispatch.ordering import Ordering
 from mulberryhitch.dispatch.permits import PermitDesk
-from mulberryhitch.dispatch.planner import (
-    MakingWay,
-    Placement,
-    Planner,
-    Victim,
-)
+from mulberryhitch.dispatch.planner import Planner
+from mulberryhitch.dispatch.plans import MakingWay, Placement, Victim
 from mulberryhitch.dispatch.term import Term
 from mulberryhitch.dispatch.watching import Watching
 from mulberryhitch.errors import MulberryhitchError
--- a/mulberryhitch/dispatch/options.py
+++ b/mulberryhitch/dispatch/options.py
@@ -21,7 +21,6 @@
         undisturbed_seconds: How long a run goes on before it may be
             preempted.
         preempted_runs: A task's run with a higher number is not preempted.
-        gang_seconds: How long the members of a gang wait for each other.
     """
 
     lease_seconds: float = 5.0
@@ -36,4 +35,3 @@
     permit_margin_seconds: float = 0.12
     undisturbed_seconds: float = 1.0
     preempted_runs: int = 3
-    gang_seconds: float = 3.0
--- a/mulberryhitch/dispatch/ordering.py
+++ b/mulberryhitch/dispatch/ordering.py
@@ -7,7 +7,7 @@
 
 from mulberryhitch.dispatch.fleet import LiveWorker, RunTrack
 from mulberryhitch.dispatch.permits import PermitDesk
-from mulberryhitch.dispatch.planner import Placement
+from mulberryhitch.dispatch.plans import Placement
 from mulberryhitch.dispatch.ports import StartAnswer, StartOrder
 from mulberryhitch.dispatch.term import Term
 from mulberryhitch.errors import MulberryhitchError, UnreachableError
--- /dev/null
+++ b/mulberryhitch/dispatch/plans.py
@@ -0,0 +1,98 @@
+"""What a placement round reads and brings about, and how urgent a step is."""
+
+from dataclasses import dataclass, field
+
+from mulberryhitch.dispatch.permits import Question, StepPermits
+from mulberryhitch.jobs.model import Queue, Room, TaskKey
+from mulberryhitch.jobs.units import Job, StepWork, Unit
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """One task that starts now."""
+
+    unit: Unit
+    index: int
+    worker_id: str
+    permit: str
+
+
+@dataclass(slots=True)
+class Plan:
+    """The outcome of one round."""
+
+    placements: list[Placement] = field(default_factory=list)
+    questions: list[Question] = field(default_factory=list)
+    preempted: list[tuple[TaskKey, int, str]] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class Victim:
+    """A run that can be stopped without losing work.
+
+    Attributes:
+        urgency: Its queue's; zero comes first.
+    """
+
+    task: TaskKey
+    run: int
+    worker_id: str
+    room: Room
+    urgency: int
+
+
+@dataclass(slots=True)
+class MakingWay:
+    """What may be stopped, and what will be free by itself.
+
+    Attributes:
+        victims: By worker, the least urgent first.
+        coming: What runs that are being stopped will free, by worker.
+    """
+
+    victims: dict[str, list[Victim]] = field(default_factory=dict)
+    coming: dict[str, Room] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """A step with units that may start, and how urgent it is.
+
+    Attributes:
+        slack: Seconds to spare before its job misses its objective.
+        permits: Nothing where its queue asks for none.
+    """
+
+    work: StepWork
+    job: Job
+    queue: Queue
+    slack: float
+    order: tuple[float, ...]
+    permits: StepPermits | None
+
+
+def chain_seconds(job: Job, work: StepWork) -> float:
+    """The longest chain of estimates from a step to the job's end."""
+    steps = job.spec.steps
+    longest = [float() for _ in steps]
+    for number in range(len(steps) - 1, work.key.step - 1, -1):
+        after = [
+            longest[later]
+            for later in range(number + 1, len(steps))
+            if number in steps[later].depends_on
+        ]
+        longest[number] = steps[number].estimate_seconds + max(after, default=0)
+    return longest[work.key.step]
+
+
+def objective_seconds(job: Job, queue: Queue) -> float:
+    """How long the job may take from its acceptance."""
+    steps = job.spec.steps
+    longest: list[float] = []
+    for step in steps:
+        before = max((longest[one] for one in step.depends_on), default=0)
+        own = step.estimate_seconds
+        if queue.permits is not None:
+            own += queue.permits.decide_seconds
+        longest.append(before + own)
+    return queue.stretch * max(longest) + queue.target_seconds
--- a/mulberryhitch/jobs/book.py
+++ b/mulberryhitch/jobs/book.py
@@ -16,7 +16,6 @@
     CHANGES_KIND,
     Change,
     decode_changes,
-    queue_of,
     spec_of,
     table_of,
     worker_of,
@@ -29,6 +28,7 @@
     TaskKey,
     WorkerRecord,
 )
+from mulberryhitch.jobs.snapshots import job_of, job_row
 from mulberryhitch.jobs.units import (
     Job,
     JobState,
@@ -129,7 +129,7 @@
         """The whole state."""
         return orjson.dumps(
             {
-                'jobs': [_job_row(job) for job in self.jobs.values()],
+                'jobs': [job_row(job) for job in self.jobs.values()],
                 'workers': list(self.workers.values()),
                 'table': self.table,
             },
@@ -145,7 +145,9 @@
             record = worker_of(fields)
             self.workers[record.worker_id] = record
         for row in content['jobs']:
-            self._restore_job(row)
+            job = job_of(row)
+            self.jobs[job.job_id] = job
+            self._take_over(job)
         self.listener = listener
 
     def _change(self, one: Change) -> Any:
@@ -363,77 +365,16 @@
         if self.listener is not None:
             self.listener.job_ended(job)
 
-    def _restore_job(self, row: dict[str, Any]) -> None:
-        job = Job(
-            row['job_id'],
-            queue_of(row['queue']),
-            spec_of(row['spec']),
-            row['accepted_at'],
-            row['begun'],
-            row['cancelled'],
-            row['failed'],
-            finished=row['finished'],
-            ended_at=row['ended_at'],
-        )
-        self.jobs[job.job_id] = job
-        for occurrence, steps in row['occurrences'].items():
-            works = make_works(job.job_id, int(occurrence), job.spec)
-            job.occurrences[int(occurrence)] = works
-            for work, step_row in zip(works, steps, strict=True):
-                self._restore_step(job, work, step_row)
-
-    def _restore_step(
-        self, job: Job, work: StepWork, row: dict[str, Any]
-    ) -> None:
-        work.ready = row['ready']
-        for unit, fields in zip(work.units, row['units'], strict=True):
-            unit.run = fields['run']
-            unit.state = UnitState(fields['state'])
-            unit.failed_runs = set(fields['failed_runs'])
-            unit.checkpoint = fields['checkpoint']
-            for index, worker_id in fields['holders']:
-                self._hold(unit, index, worker_id, work)
-            if unit.state is UnitState.waiting and work.ready and job.active:
-                work.waiting[unit.first] = unit
-        work.left = sum(unit.state is not UnitState.done for unit in work.units)
-        if work.waiting:
-            self.ready[work.key] = work
+    def _take_over(self, job: Job) -> None:
+        for work in chain.from_iterable(job.occurrences.values()):
+            for unit in work.units:
+                holders = tuple(unit.holders.items())
+                for index, worker_id in holders:
+                    self._hold(unit, index, worker_id, work)
+            if work.waiting:
+                self.ready[work.key] = work
 
 
 def _holders_of(job: Job) -> bool:
     works = chain.from_iterable(job.occurrences.values())
     return any(unit.holders for work in works for unit in work.units)
-
-
-def _job_row(job: Job) -> dict[str, Any]:
-    return {
-        'job_id': job.job_id,
-        'queue': job.queue,
-        'spec': job.spec,
-        'accepted_at': job.accepted_at,
-        'begun': job.begun,
-        'cancelled': job.cancelled,
-        'failed': job.failed,
-        'finished': job.finished,
-        'ended_at': job.ended_at,
-        'occurrences': {
-            str(occurrence): [_step_row(work) for work in works]
-            for occurrence, works in job.occurrences.items()
-        },
-    }
-
-
-def _step_row(work: StepWork) -> dict[str, Any]:
-    return {
-        'ready': work.ready,
-        'units': [
-            {
-                'run': unit.run,
-                'state': unit.state.value,
-                'holders': list(unit.holders.items()),
-                'failed_runs': sorted(unit.failed_runs),
-                'checkpoint': unit.checkpoint,
-            }
-            for unit in work.units
-        ],
-    }
--- a/mulberryhitch/platform/settings.py
+++ b/mulberryhitch/platform/settings.py
@@ -19,11 +19,7 @@
 class _Bounds(BaseModel):
     hold_max_ms: int = 10_000
     grace_s: float = 6
-    drain_ms: int = 2000
-    gang_ms: int = 3000
     status_s: float = 120
-    reuse_after_s: float = 2
-    catch_up_s: float = 4
 
 
 class _Tolerance(BaseModel):
