A farewell counts only for a life that was draining

Cause: read in the code: a farewell carries no number, so one held up behind a cut could end the worker's next life in the book while tasks run there. Change: it is believed of a worker that is known to drain; others are left to their leases.

--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -105,10 +105,15 @@
     async def farewell(self, worker_id: str) -> None:
         """Takes a worker's word that it has ended.
 
+        It counts for a life that was draining. A farewell that was held up on
+        its way may come when the worker has been started again.
+
         Raises:
             MulberryhitchError: It could not be committed.
         """
-        await self._bury(worker_id, 'left')
+        known = self._term.book.workers.get(worker_id)
+        if known is not None and known.draining:
+            await self._bury(worker_id, 'left')
 
     async def _note_record(self, record: WorkerRecord) -> None:
         await self._term.commit([changes.worker(record)])
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -343,3 +343,21 @@
     assert live.note_pace([ratio, ratio], now=1)
     assert not live.usable(now=2)
     assert live.usable(now=4)
+
+
+def test_a_farewell_from_before_its_rebirth_does_not_end_a_worker() -> None:
+    async def main() -> None:
+        world = World()
+        world.fleet.add('w1')
+        async with world.running():
+            await world.submit('j', Step(1, 1000, 100, estimate_seconds=2))
+            await anyio.sleep(1)
+            await world.dispatcher.farewell('w1')
+            await world.wait('j', JobState.completed)
+            assert world.runs_of('j') == 1
+            worker = world.fleet.workers['w1']
+            await world.dispatcher.hear(worker.record.leaving(), worker.clock)
+            await world.dispatcher.farewell('w1')
+            assert 'w1' not in world.book.workers
+
+    run_at_once(main)
