Settings, logs, permits and joining of platform programs are tested

Change: tests of each; the one of a suspended leader fails without its fix. Conclusion: tests only; no code changed.

--- /dev/null
+++ b/tests/test_platform_parts.py
@@ -0,0 +1,226 @@
+"""Settings, logs, permits and members of programs that find each other."""
+
+import os
+import random
+from collections.abc import Sequence
+from dataclasses import replace
+from pathlib import Path
+
+import anyio
+import orjson
+import pytest
+
+from mulberryhitch.dispatch.permits import PermitDesk, Question
+from mulberryhitch.errors import InvalidSettingsError, UnreachableError
+from mulberryhitch.jobs.model import PermitPolicy, StepKey
+from mulberryhitch.observability.log import LineStream, Log
+from mulberryhitch.platform.settings import load_platform_settings
+from mulberryhitch.replication.replica import Replica, Role
+from mulberryhitch.replication.state import ReplicaState
+from tests.fakes import KeyValueMachine
+from tests.groups import OPTIONS, Group, run_at_once
+
+SETTINGS = {
+    'node_name': 'core-a-1',
+    'serves': ['control'],
+    'ip': '10.1.0.16',
+    'zone': 'a',
+    'listen_addrs': {'control': '10.1.0.16:8166'},
+    'internal_ports': [7720, 7735],
+    'seeds': ['10.1.0.16:8166', '10.2.0.32:8166'],
+    'bootstrap': True,
+    'data_dir': '/data/x',
+    'fault_tolerance': {'machines': 2, 'zones': 1},
+    'bounds': {'hold_max_ms': 6000, 'grace_s': 4, 'later': 1},
+    'advice': '10.200.1.9:8169',
+    'something_new': {'a': 1},
+}
+POLICY = PermitPolicy(0.1, 0, 1.5)
+
+
+def test_settings_are_read_into_our_own_names(tmp_path: Path) -> None:
+    path = tmp_path / 'settings.json'
+    path.write_bytes(orjson.dumps(SETTINGS))
+    read = load_platform_settings(path)
+    assert read.vm == '10.1.0.16'
+    assert read.seed_vms == ('10.1.0.16', '10.2.0.32')
+    assert read.voters == 5
+    assert read.maximum_lease_seconds == 6
+    assert read.drain_seconds == 4
+    assert read.first_start
+
+
+@pytest.mark.parametrize(
+    'content', [b'', b'{', b'[]', b'{"node_name": 3}', b'\xff']
+)
+def test_settings_that_can_t_be_read_name_their_file(
+    tmp_path: Path, content: bytes
+) -> None:
+    path = tmp_path / 'settings.json'
+    path.write_bytes(content)
+    with pytest.raises(InvalidSettingsError) as caught:
+        load_platform_settings(path)
+    assert caught.value.where == str(path)
+    with pytest.raises(InvalidSettingsError):
+        load_platform_settings(tmp_path / 'none.json')
+
+
+def test_logs_never_wait_for_a_reader_and_count_what_they_drop() -> None:
+    reading, writing = os.pipe()
+    stream = LineStream(writing, lines_per_second=1e9)
+    line = 'x' * 1000 + '\n'
+    for _ in range(2000):
+        stream.write(line)
+    dropped = stream.dropped
+    assert dropped > 0
+    while os.read(reading, 1 << 16):
+        stream.write('after\n')
+        if not stream.dropped:
+            break
+    rest = os.read(reading, 1 << 20)
+    assert b'"lines":' in rest
+    os.close(reading)
+    os.close(writing)
+
+
+def test_logs_keep_to_their_rate() -> None:
+    reading, writing = os.pipe()
+    stream = LineStream(writing, lines_per_second=10)
+    for _ in range(100):
+        stream.write('line\n')
+    assert stream.dropped >= 80
+    os.close(reading)
+    os.close(writing)
+
+
+class CountingAsker:
+    """Answers after a while, and counts its questions at once."""
+
+    def __init__(self, fails: bool = False) -> None:
+        self.fails = fails
+        self.at_once = 0
+        self.most = 0
+        self.steps: list[StepKey] = []
+
+    async def ask(
+        self, step: StepKey, worker_ids: Sequence[str], patience_seconds: float
+    ) -> dict[str, str]:
+        self.at_once += 1
+        self.most = max(self.most, self.at_once)
+        self.steps.append(step)
+        await anyio.sleep(0.1)
+        self.at_once -= 1
+        if self.fails:
+            raise UnreachableError('no way')
+        return {worker_ids[0]: 'ticket'}
+
+
+def _questions(count: int) -> list[Question]:
+    return [
+        Question(StepKey(f'j{number}', 0, 0), ('w1', 'w2'), POLICY, (number,))
+        for number in range(count)
+    ]
+
+
+def test_each_helper_asks_one_question_at_a_time_the_urgent_first() -> None:
+    async def main() -> None:
+        desk = PermitDesk(lambda worker_id: 1, lambda: None, Log('test'))
+        askers = [CountingAsker(), CountingAsker()]
+        for number, asker in enumerate(askers):
+            desk.add_helper(f'h{number}', asker)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(desk.run)
+            desk.want(reversed(_questions(6)))
+            await anyio.sleep(1)
+            assert all(asker.most == 1 for asker in askers)
+            first = {asker.steps[0].job_id for asker in askers}
+            assert first == {'j0', 'j1'}
+            known = desk.of_step(StepKey('j5', 0, 0))
+            assert known.allowed == {'w1'}
+            assert known.denied == {'w2'}
+            tasks.cancel_scope.cancel()
+
+    run_at_once(main)
+
+
+def test_a_question_that_failed_is_asked_again_elsewhere() -> None:
+    async def main() -> None:
+        desk = PermitDesk(lambda worker_id: 1, lambda: None, Log('test'))
+        broken, sound = CountingAsker(fails=True), CountingAsker()
+        desk.add_helper('broken', broken)
+        desk.add_helper('sound', sound, local=True)
+        step = StepKey('j0', 0, 0)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(desk.run)
+            with anyio.fail_after(5):
+                while not desk.of_step(step).allowed:
+                    desk.want(_questions(1))
+                    await anyio.sleep(0.05)
+            assert broken.steps
+            tasks.cancel_scope.cancel()
+
+    run_at_once(main)
+
+
+def test_a_leader_whose_vm_was_suspended_has_lost_its_lease() -> None:
+    async def main() -> None:
+        suspended = [0.0]
+        options = replace(OPTIONS, suspended=lambda: suspended[0])
+        group = Group(1, seed=1)
+        state = ReplicaState('group', group.disks['vm-1'], KeyValueMachine())
+        replica = Replica(
+            state,
+            group.network.transport('vm-1'),
+            ('vm-1', 'vm-2', 'vm-3'),
+            options,
+            Log('vm-1'),
+            random.Random(1),
+        )
+        others = Group(3, seed=1)
+        others.network = group.network
+        async with anyio.create_task_group() as tasks:
+            for vm in ('vm-2', 'vm-3'):
+                others.tasks = tasks
+                others.start(vm)
+            group.network.nodes['vm-1'] = replica
+            tasks.start_soon(replica.run)
+            await anyio.sleep(10)
+            while replica.role is not Role.leader:
+                replica._tasks.start_soon(replica._try_campaign, True)
+                await anyio.sleep(1)
+            assert replica.has_authority
+            suspended[0] = 5
+            assert not replica.has_authority
+            tasks.cancel_scope.cancel()
+
+    run_at_once(main)
+
+
+def test_no_group_begins_anew_after_the_first_start() -> None:
+    async def main() -> None:
+        group = Group(3, seed=1)
+        options = replace(OPTIONS, may_begin=False)
+        async with anyio.create_task_group() as tasks:
+            for vm in group.vms:
+                state = ReplicaState(
+                    'group', group.disks[vm], KeyValueMachine()
+                )
+                replica = Replica(
+                    state,
+                    group.network.transport(vm),
+                    group.vms,
+                    options,
+                    Log(vm),
+                    random.Random(1),
+                )
+                group.replicas[vm] = replica
+                group.network.nodes[vm] = replica
+                tasks.start_soon(replica.run)
+            await anyio.sleep(20)
+            assert group.leader() is None
+            assert not any(
+                one.state.configured for one in group.replicas.values()
+            )
+            tasks.cancel_scope.cancel()
+
+    run_at_once(main)
