--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -198,8 +198,19 @@
                 await world.submit('j', Step(2, 1000, 9, estimate_seconds=3))
                 await anyio.sleep(1)
             scope.cancel()
+            # Runs that have shown no progress yet are no more stalled to a
+            # new leader than they were to the old one.
+            await anyio.sleep(2)
+            for worker in world.fleet.workers.values():
+                for one in worker.running.values():
+                    one.began_at = anyio.current_time()
+                    one.ends_at = one.began_at + 200
             new = world.make_dispatcher(2)
             tasks.start_soon(new.run)
+            await anyio.sleep(1)
+            for worker in world.fleet.workers.values():
+                for one in worker.running.values():
+                    one.ends_at = anyio.current_time() + 0.5
             await world.wait('j', JobState.completed)
             assert world.runs_of('j') == 2
             tasks.cancel_scope.cancel()
