What nothing reads goes from the dispatcher

Cause: a read of the whole change: counters of permits that nothing showed, a type that nothing used, a method that only called another. Change: removed; strays are stopped by the same piece as all stops. Figures: lint, types and the tests of dispatch and platform pass. Conclusion: behaviour is the same.

--- a/mulberryhitch/dispatch/ordering.py
+++ b/mulberryhitch/dispatch/ordering.py
@@ -106,7 +106,7 @@
     def stop_stray(self, live: LiveWorker, task: TaskKey, run: int) -> None:
         """Stops a run that nobody is to have started."""
         self._term.log_task('task.stray', task, run, live.record.worker_id)
-        self._term.start_soon(self._stop_stray, live, task, run)
+        self._term.start_soon(self._try_stop, live, task, run)
 
     async def _start(
         self, live: LiveWorker, track: RunTrack, order: StartOrder
@@ -231,8 +231,3 @@
                 worker=live.record.worker_id,
             )
         return None
-
-    async def _stop_stray(
-        self, live: LiveWorker, task: TaskKey, run: int
-    ) -> None:
-        await self._try_stop(live, task, run)
--- a/mulberryhitch/dispatch/permits.py
+++ b/mulberryhitch/dispatch/permits.py
@@ -88,8 +88,6 @@
         self._questions: dict[StepKey, Question] = {}
         self._helpers: dict[str, _Helper] = {}
         self._woken = anyio.Event()
-        self.asked = 0
-        self.waited_seconds = float()
 
     def add_helper(
         self, name: str, asker: PermitAsker, *, local: bool = False
@@ -164,7 +162,6 @@
         return min(free, key=lambda one: one.local) if free else None
 
     async def _ask(self, helper: _Helper, question: Question) -> None:
-        began = anyio.current_time()
         ids = question.worker_ids[:_MAXIMUM_WORKERS]
         policy = question.policy
         expected = policy.decide_seconds + policy.each_seconds * len(ids)
@@ -183,14 +180,12 @@
         else:
             self._note(question, ids, granted)
         finally:
-            self._asked(helper, question.step, began)
+            self._asked(helper, question.step)
         self._answered()
 
-    def _asked(self, helper: _Helper, step: StepKey, began: float) -> None:
+    def _asked(self, helper: _Helper, step: StepKey) -> None:
         helper.busy = False
         self.of_step(step).asking = False
-        self.asked += 1
-        self.waited_seconds += anyio.current_time() - began
         self._wake()
 
     def _note(
--- a/mulberryhitch/dispatch/ports.py
+++ b/mulberryhitch/dispatch/ports.py
@@ -1,6 +1,6 @@
 """What the dispatcher needs of the world: workers and permits."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import NamedTuple, Protocol
@@ -137,6 +137,3 @@
         self, step: StepKey, worker_ids: Sequence[str], patience_seconds: float
     ) -> dict[str, str]:
         """The permits of those workers that may run the step."""
-
-
-Clock = Callable[[], float]
