Leases of a worker's former life no longer hold up its next one

Cause: found while reading: a worker's rebirth kept the end of its former lease, on a clock that had begun anew far below it; if the next life fell silent, its tasks would have waited for as long as the former life had lasted. Change: the end of the lease is forgotten with the life.

--- a/mulberryhitch/dispatch/fleet.py
+++ b/mulberryhitch/dispatch/fleet.py
@@ -173,6 +173,7 @@
         self.record = record
         self.seen = 0
         self.clock = 0
+        self.granted_until = 0
         self.unsure = True
         self.known = False
         self.began_at = now
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -372,3 +372,18 @@
             assert 'w1' not in world.book.workers
 
     run_at_once(main)
+
+
+def test_leases_of_a_former_life_do_not_hold_up_those_of_the_next() -> None:
+    record = WorkerRecord('w', 'w:1', 's', 'a', '', (), 1, 1, 0, 1)
+    live = LiveWorker(record, DispatchOptions(), began_at=0)
+    live.hear(3_000_000, now=0)
+    live.meet(3_000_000)
+    live.next_lease(now=0)
+    live.begin_again(record.reborn(2), now=1)
+    # The clock of the next life begins anew, far below the former one.
+    live.hear(500, now=1)
+    live.meet(500)
+    live.next_lease(now=1)
+    assert not live.lease_is_over(now=10)
+    assert live.lease_is_over(now=13)
