--- /dev/null
+++ b/tests/test_hangups.py
@@ -0,0 +1,29 @@
+"""A hang-up ends no process, also while it starts."""
+
+import signal
+import subprocess
+import sys
+
+# Prints what a hang-up does at the moment when the program is loaded.
+PROGRAM = """
+import runpy, signal, sys
+
+class Watch:
+    def find_spec(self, name, path=None, target=None):
+        if name == 'mulberryhitch.core':
+            print(signal.getsignal(signal.SIGHUP), flush=True)
+            sys.exit(0)
+
+sys.meta_path.insert(0, Watch())
+runpy.run_module('mulberryhitch.platform', run_name='__main__')
+"""
+
+
+def test_hang_ups_are_ignored_before_anything_is_loaded() -> None:
+    told = subprocess.run(
+        [sys.executable, '-c', PROGRAM],
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    assert told.stdout.strip() == str(signal.SIG_IGN)
