--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 STEPS ?= 2000
 
-.PHONY: help install run cell test unit lint format types soak bench clean
+.PHONY: help install run cell test unit lint format types soak storm bench clean
 
 help:  ## Lists the chores.
 	@grep -E '^[a-z]+:.*##' Makefile | sed 's/:.*##/\t/'
@@ -43,6 +43,9 @@
 soak: install  ## A long randomised run: make soak SEED=1 STEPS=2000.
 	SOAK_SEED=$(SEED) SOAK_STEPS=$(STEPS) $(BIN)/python -m tests.soak
 
+storm: install  ## The platform's programs under faults: make storm SEED=1.
+	$(BIN)/python -m tests.storm --seed $(SEED)
+
 bench: install  ## Every benchmark, one after another.
 	for each in benchmarks/bench_*.py; do $(BIN)/python -m benchmarks.$$(basename $$each .py); done
 
