--- a/mulberryhitch/dispatch/clearing.py
+++ b/mulberryhitch/dispatch/clearing.py
@@ -7,7 +7,7 @@
 from mulberryhitch.dispatch.rooms import FreeRooms, copies_within
 from mulberryhitch.jobs.model import Room
 
-_RESERVING_STEPS = 2
+_RESERVED_SHARE = 0.5
 
 
 class Clearing:
@@ -30,16 +30,17 @@
         self._rooms = rooms
         self._making_way = making_way
         self._known_way: MakingWay | None = None
-        self._reserving = 0
+        self._left = int(len(rooms.workers) * _RESERVED_SHARE)
 
     def reserve(self, one: Waiting, able: Iterable[LiveWorker]) -> None:
         """Keeps room free for a gang that does not fit yet.
 
         The workers that will have the most room are kept for it, also where
         they are not yet free: what runs there ends, or is stopped if it can
-        go on elsewhere, and nothing less urgent takes its place.
+        go on elsewhere, and nothing less urgent takes its place. At most half
+        of the workers are kept.
         """
-        if self._reserving >= _RESERVING_STEPS or one.order[0] > 1:
+        if one.order[0] > 1:
             return
         room = one.work.room
         needed = one.work.step.count
@@ -55,10 +56,10 @@
             for worker_id in most
         ]
         soon.sort(reverse=True)
-        self._reserving += 1
         for copies, worker_id in soon:
-            if needed <= 0:
+            if needed <= 0 or self._left <= 0:
                 return
+            self._left -= 1
             kept = min(needed, most[worker_id])
             needed -= kept
             self._clear(one, worker_id, min(copies, kept))
