Callers leave a leader that does not answer, and remember it

Every call tried the old leader first, for 0.6 s of its 0.9 s, and then always the same second member, which here was the old leader too; nothing was remembered from call to call. Ruled out: the election (0.9 s) and the new leader (it served whoever came).

Change: Leaders keeps who answered or was named, leaves a VM that gave no answer alone for a second, and goes on with its turn from call to call. A VM that says that it leads no more is left for 0.15 s.

--- a/mulberryhitch/membership/leaders.py
+++ b/mulberryhitch/membership/leaders.py
@@ -21,13 +21,10 @@
 _PAUSE_SECONDS = 0.1
 _CALL_SECONDS = 3.0
 _RETRY_AFTER_SECONDS = 2.0
+_DOUBT_SECONDS = 1.0
+_STALE_SECONDS = 0.15
 
-_NOTHING_DONE = (
-    NotLeaderError,
-    UnreachableError,
-    DeadlinePassedError,
-    LostAuthorityError,
-)
+_NOT_REACHED = (UnreachableError, DeadlinePassedError, LostAuthorityError)
 _PERHAPS_DONE = (ConnectionLostError, OutcomeUnknownError)
 
 
@@ -63,6 +60,9 @@
         """Asks nobody yet."""
         self._calls = calls
         self._call_seconds = call_seconds
+        self._found: dict[str, str] = {}
+        self._doubted_until: dict[str, float] = {}
+        self._turn = 0
 
     async def execute(
         self,
@@ -82,35 +82,52 @@
         ends_at = anyio.current_time() + timeout_seconds
         perhaps_done = False
         last: MulberryhitchError | None = None
-        turn = 0
         while anyio.current_time() < ends_at:
             left = ends_at - anyio.current_time()
-            vm = self._candidate(group, turn, last)
-            turn += 1
+            vm = self._candidate(group)
             try:
                 reply = await self._calls.call(
                     vm, 'execute', request, min(left, self._call_seconds)
                 )
-            except _NOTHING_DONE as error:
+            except NotLeaderError as error:
                 last = error
+                self._found[group] = error.where.partition('#')[0]
+                self._doubt(vm, _STALE_SECONDS)
+            except _NOT_REACHED as error:
+                last = error
+                self._doubt(vm)
             except _PERHAPS_DONE as error:
                 last = error
                 perhaps_done = True
+                self._doubt(vm)
             else:
+                self._found[group] = vm
+                self._doubted_until.pop(vm, None)
                 return self._read(reply, reply_type)
             await anyio.sleep(min(_PAUSE_SECONDS, max(left, 0)))
         raise self._failure(group, perhaps_done, last)
 
-    def _candidate(
-        self, group: str, turn: int, last: MulberryhitchError | None
-    ) -> str:
-        if isinstance(last, NotLeaderError) and last.where:
-            return last.where.partition('#')[0]
-        known = self._calls.leader_of(group)
-        voters = self._calls.voters_of(group)
-        if known and turn % 2 == 0:
+    def _candidate(self, group: str) -> str:
+        """The leader, as far as known; else the schedulers in turn.
+
+        Those that gave no answer lately are asked when no other is left.
+        """
+        known = self._found.get(group) or self._calls.leader_of(group)
+        if known and not self._is_doubted(known):
             return known
-        return voters[turn % len(voters)]
+        voters = self._calls.voters_of(group)
+        for _ in voters:
+            self._turn += 1
+            vm = voters[self._turn % len(voters)]
+            if not self._is_doubted(vm):
+                break
+        return vm
+
+    def _doubt(self, vm: str, seconds: float = _DOUBT_SECONDS) -> None:
+        self._doubted_until[vm] = anyio.current_time() + seconds
+
+    def _is_doubted(self, vm: str) -> bool:
+        return self._doubted_until.get(vm, 0) > anyio.current_time()
 
     def _read(self, reply: Any, reply_type: type[Any]) -> Any:
         if not isinstance(reply, ExecuteReply):
