A machine that could not be asked for permits is asked when it is heard of

Change: a machine other than the leader's own that failed gets no question before it has reported again. The test failed first. The soak's own servers close their sockets and each cell takes ports of its own: two runs in one process met 'address already in use'.

--- a/mulberryhitch/dispatch/permits.py
+++ b/mulberryhitch/dispatch/permits.py
@@ -128,7 +128,11 @@
 
     def free_helpers(self) -> int:
         """How many machines could ask a question now."""
-        return sum(not helper.busy for helper in self._helpers.values())
+        now = anyio.current_time()
+        return sum(
+            not helper.busy and self._may_ask(helper, now)
+            for helper in self._helpers.values()
+        )
 
     def spoil(self, step: StepKey, worker_id: str) -> None:
         """Drops a permit that its worker did not accept."""
@@ -169,11 +173,19 @@
         free = [
             helper
             for helper in self._helpers.values()
-            if not helper.busy
-            and now - helper.failed_at >= _FAILED_PAUSE_SECONDS
+            if not helper.busy and self._may_ask(helper, now)
         ]
         return min(free, key=lambda one: one.local) if free else None
 
+    def _may_ask(self, helper: _Helper, now: float) -> bool:
+        """Whether a machine that failed is worth another question.
+
+        One that is not this machine must have been heard of since.
+        """
+        if now - helper.failed_at < _FAILED_PAUSE_SECONDS:
+            return False
+        return helper.local or helper.heard_at > helper.failed_at
+
     async def _ask(self, helper: _Helper, question: Question) -> None:
         ids = question.worker_ids[:MAXIMUM_WORKERS]
         policy = question.policy
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -5,6 +5,7 @@
 the peer's address, where a proxy listens for just that direction.
 """
 
+import itertools
 import os
 import signal
 import socket
@@ -23,6 +24,7 @@
 GRACE_SECONDS = 4
 _CHUNK = 1 << 16
 _PORTS = range(21_000, 32_000, 40)
+_cells = itertools.count()
 
 
 class Link:
@@ -197,7 +199,7 @@
 
     def __init__(self, folder: Path, entries: int, schedulers: int) -> None:
         self.folder = folder
-        self.network, self.port = _free_network(os.getpid())
+        self.network, self.port = _free_network(os.getpid() + next(_cells))
         self.advice = f'{self.network}.4.1:{self.port + 38}'
         self.schedulers = [
             Program(self, 'scheduler', one) for one in range(schedulers)
--- a/tests/storm.py
+++ b/tests/storm.py
@@ -428,7 +428,8 @@
                 interface, lifespan='off', log_config=None, log_level='critical'
             )
         )
-        await server.serve(sockets=[listen(host, int(port))])
+        with listen(host, int(port)) as listening:
+            await server.serve(sockets=[listening])
 
     async def _beat(self, name: str) -> None:
         sequence = 0
--- a/tests/test_platform_parts.py
+++ b/tests/test_platform_parts.py
@@ -152,6 +152,27 @@
     run_at_once(main)
 
 
+def test_a_machine_that_failed_is_not_asked_before_it_is_heard_of() -> None:
+    async def main() -> None:
+        desk = PermitDesk(lambda worker_id: 1, lambda: None, Log('test'))
+        asker = CountingAsker(fails=True)
+        desk.add_helper('far', asker)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(desk.run)
+            for _ in range(8):
+                desk.want(_questions(1))
+                await anyio.sleep(0.4)
+            assert len(asker.steps) == 1
+            assert not desk.free_helpers()
+            desk.add_helper('far', asker)
+            desk.want(_questions(1))
+            await anyio.sleep(0.3)
+            assert len(asker.steps) == 2
+            tasks.cancel_scope.cancel()
+
+    run_at_once(main)
+
+
 def test_a_question_that_failed_is_asked_again_elsewhere() -> None:
     async def main() -> None:
         desk = PermitDesk(lambda worker_id: 1, lambda: None, Log('test'))
