mulberryhitch explain ID LOG...: one timeline from many processes' logs

Change: a command that sorts all lines that name an id, and adds in brackets what happened near them: leaders, configurations, starts and the workers concerned.

--- a/mulberryhitch/cli/app.py
+++ b/mulberryhitch/cli/app.py
@@ -13,6 +13,7 @@
 
 from mulberryhitch import __version__
 from mulberryhitch.cli.client import Answer, Target, call
+from mulberryhitch.cli.explain import Explanation, read_logs
 from mulberryhitch.cli.output import show_json, show_table
 from mulberryhitch.errors import InvalidInputError
 from mulberryhitch.exits import ExitStatus
@@ -122,6 +123,29 @@
     raise typer.Exit(_exit_of(content['state']))
 
 
+@app.command()
+def explain(
+    wanted: Annotated[str, typer.Argument(help="A job's or request's id.")],
+    files: Annotated[
+        list[Path] | None,
+        typer.Argument(help='Logs of any processes; else standard input.'),
+    ] = None,
+    json_output: JsonFlag = False,
+) -> None:
+    """Tells from logs what became of an id, and what happened near it."""
+    explanation = Explanation(wanted)
+    for lines in read_logs(files or ()):
+        explanation.read(lines)
+    timeline = explanation.timeline()
+    rows = [line.row(timeline[0].at) for line in timeline]
+    if json_output:
+        show_json(rows)
+        return
+    show_table(('seconds', 'process', 'event', 'told'), rows)
+    if explanation.unread:
+        typer.echo(f'{explanation.unread} lines are no log lines', err=True)
+
+
 @app.command()
 def cancel(
     context: typer.Context, workload_id: str, json_output: JsonFlag = False
