Permits: only workers that suit the step now, and the last room too

Change: Waiting.suits is asked for each worker, whichever way it is found; workers without memory are passed over; whatever has room is asked. Four tests, each failed first (the second with the third mended).

--- a/mulberryhitch/dispatch/inquiry.py
+++ b/mulberryhitch/dispatch/inquiry.py
@@ -59,19 +59,17 @@
         if self._missing <= 0:
             return []
         gang = self._one.work.step.gang
-        wanted = self._missing if gang else 1
         spare = _GANG_SPARE_FACTOR if gang else _SPARE_FACTOR
         chosen, expected = self._choose(stale, self._missing * spare)
-        if expected >= wanted:
-            return chosen
-        return self._learn()
+        useful = expected >= self._missing if gang else bool(chosen)
+        return chosen if useful else self._learn()
 
     def _count_allowed(self) -> _Copies:
         """Counts what permits at hand are good for; names those run out."""
         stale: _Copies = []
         for worker_id in self._known.allowed:
             live = self._rooms.workers.get(worker_id)
-            if live is None:
+            if live is None or not self._one.suits(live):
                 continue
             copies = self._rooms.copies(worker_id, self._room, self._limit)
             if not copies:
@@ -99,20 +97,29 @@
             expected += known_copies
         for live in self._rooms.emptiest_first(self._one.queue.service):
             worker_id = live.record.worker_id
-            copies = self._rooms.copies(worker_id, self._room, self._limit)
-            if expected >= enough or not copies:
+            free = self._rooms.of_worker(worker_id)
+            if expected >= enough or free.processors < self._room.processors:
                 break
-            if self._is_new(live):
+            copies = self._rooms.copies(worker_id, self._room, self._limit)
+            if copies and self._is_new(live):
                 chosen.append(worker_id)
                 expected += copies * self._share
         return chosen, expected
 
+    def _whole(self, limit: int) -> int:
+        """How many tasks the allowed workers could hold, were they empty."""
+        found = map(self._rooms.workers.get, self._known.allowed)
+        return sum(
+            min(limit, copies_within(self._room, live.room))
+            for live in found
+            if live is not None and self._one.suits(live)
+        )
+
     def _is_new(self, live: LiveWorker) -> bool:
-        label = self._one.work.step.label
         worker_id = live.record.worker_id
         if worker_id in self._known.denied or worker_id in self._known.allowed:
             return False
-        return not label or label in live.record.labels
+        return self._one.suits(live)
 
     def _learn(self) -> list[str]:
         """Asks ahead for a step for which room is kept or made.
@@ -124,11 +131,8 @@
         if not gang and self._one.queue.urgency != _URGENT:
             return []
         limit = self._limit or self._one.tasks_left
-        missing: float = inf if gang else self._one.tasks_left * _SPARE_FACTOR
-        for worker_id in self._known.allowed:
-            live = self._rooms.workers.get(worker_id)
-            if live is not None:
-                missing -= min(limit, copies_within(self._room, live.room))
+        missing = inf if gang else self._one.tasks_left * _SPARE_FACTOR
+        missing -= self._whole(limit)
         chosen: list[str] = []
         for live in self._rooms.emptiest_first(self._one.queue.service):
             if missing <= 0 or len(chosen) >= MAXIMUM_WORKERS:
--- a/mulberryhitch/dispatch/planner.py
+++ b/mulberryhitch/dispatch/planner.py
@@ -115,18 +115,12 @@
             return self._able(one)
         self._ask(one, one.permits, one.queue.permits)
         found = map(self._rooms.workers.get, one.permits.allowed)
-        return [live for live in found if live is not None]
+        return [live for live in found if live and one.suits(live)]
 
     def _able(self, one: Waiting) -> list[LiveWorker]:
         """The workers whose size and labels suit a step."""
-        label = one.work.step.label
-        room = one.work.room
-        return [
-            live
-            for live in self._rooms.emptiest_first(one.queue.service)
-            if (not label or label in live.record.labels)
-            and room.fits(live.room)
-        ]
+        workers = self._rooms.emptiest_first(one.queue.service)
+        return [live for live in workers if one.suits(live)]
 
     def _ask(
         self, one: Waiting, known: StepPermits, policy: PermitPolicy
--- a/mulberryhitch/dispatch/plans.py
+++ b/mulberryhitch/dispatch/plans.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from mulberryhitch.dispatch.fleet import LiveWorker
 from mulberryhitch.dispatch.permits import Question, StepPermits
 from mulberryhitch.jobs.model import Queue, Room, StepKey, TaskKey
 from mulberryhitch.jobs.units import Job, StepWork, Unit
@@ -76,6 +77,15 @@
         step = self.work.step
         return step.count if step.gang else len(self.work.waiting)
 
+    def suits(self, live: LiveWorker) -> bool:
+        """Whether a worker is of the queue's service, and fit for the step."""
+        if live.record.service != self.queue.service:
+            return False
+        label = self.work.step.label
+        if label and label not in live.record.labels:
+            return False
+        return self.work.room.fits(live.room)
+
 
 class Reckoner:
     """Remembers how long jobs may take, and what is left of them.
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,6 +1,7 @@
 """A leader's term against stand-in workers that check every order."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -8,15 +9,17 @@
 
 from mulberryhitch.dispatch.fleet import LiveWorker, RunTrack
 from mulberryhitch.dispatch.options import DispatchOptions
+from mulberryhitch.jobs import changes
 from mulberryhitch.jobs.model import (
     PermitPolicy,
+    QueueTable,
     Step,
     TaskKey,
     WorkerRecord,
 )
 from mulberryhitch.jobs.units import JobState, RunEnd
 from tests.groups import run_at_once
-from tests.workers import StandinPermits, World
+from tests.workers import StandinPermits, StandinWorker, World
 
 SMALL = Step(1, 1000, 100, estimate_seconds=0.5)
 
@@ -405,3 +408,81 @@
             assert await world.wait('second', JobState.completed) < 4
 
     run_at_once(main)
+
+
+def test_a_worker_without_memory_does_not_hide_those_that_have_some() -> None:
+    async def main() -> None:
+        world = World(PermitPolicy(0.05, 0, 1.5), urgency=2)
+        world.fleet.permits = StandinPermits(['w1', 'w2'])
+        world.fleet.add('w1', 32_000, labels=('big',))
+        world.fleet.add('w2', 8_000)
+        async with world.running():
+            # Takes all the memory and few processors of the larger worker.
+            large = Step(1, 1000, 60_000, estimate_seconds=20, label='big')
+            await world.submit('filler', large)
+            await anyio.sleep(0.5)
+            await world.submit('j', Step(1, 1000, 10_000, estimate_seconds=1))
+            assert await world.wait('j', JobState.completed) < 3
+
+    run_at_once(main)
+
+
+def test_the_last_room_is_asked_for_also_where_few_are_allowed() -> None:
+    async def main() -> None:
+        world = World(PermitPolicy(0.02, 0, 1.5), urgency=2)
+        world.fleet.permits = StandinPermits(['w9'], 0.02)
+        for number in range(9):
+            world.fleet.add(f'w{number}', 1000)
+        async with world.running():
+            # Nobody is allowed: the share that was learned is low.
+            await world.submit('none', Step(9, 1000, 100, estimate_seconds=1))
+            await anyio.sleep(1)
+            world.fleet.add('w9', 1000)
+            record = world.fleet.workers['w9'].record
+            await world.dispatcher.hear(record, 1)
+            await world.submit('j', Step(1, 1000, 100, estimate_seconds=1))
+            assert await world.wait('j', JobState.completed, 60) < 15
+
+    run_at_once(main)
+
+
+def test_a_worker_reborn_without_a_label_gets_no_more_of_its_step() -> None:
+    async def main() -> None:
+        world = World(PermitPolicy(0.05, 0, 1.5))
+        world.fleet.permits = StandinPermits(['w1', 'w2'])
+        world.fleet.add('w1', 1000)
+        world.fleet.add('w2', 1000)
+        async with world.running():
+            step = Step(6, 1000, 100, estimate_seconds=0.5, label='k')
+            await world.submit('j', step)
+            await anyio.sleep(0.7)
+            first = world.fleet.workers['w1']
+            for task in tuple(first.running):
+                world.fleet.at_work.pop(task)
+            record = replace(first.record, born=2, labels=('z',))
+            world.fleet.workers['w1'] = StandinWorker(world.fleet, record)
+            await world.dispatcher.hear(record, 1)
+            await world.wait('j', JobState.completed)
+
+    run_at_once(main)
+
+
+def test_a_queue_sent_to_another_service_starts_nothing_on_the_first() -> None:
+    async def main() -> None:
+        world = World(PermitPolicy(0.05, 0, 1.5))
+        world.fleet.permits = StandinPermits(['w1', 'w2'])
+        world.fleet.add('w1', 1000)
+        world.fleet.add('w2', 1000, service='other')
+        async with world.running():
+            step = Step(6, 1000, 100, estimate_seconds=0.5)
+            await world.submit('j', step)
+            await anyio.sleep(0.7)
+            queue = replace(world.queue, service='other')
+            world.apply([changes.configure(QueueTable(2, '{}', (queue,)))])
+            changed_at = anyio.current_time()
+            await world.wait('j', JobState.completed)
+            late = [at for _, _, at in world.fleet.starts if at > changed_at]
+            assert len(late) >= 4
+            assert len(world.fleet.workers['w1'].highest) <= 2
+
+    run_at_once(main)
--- a/tests/workers.py
+++ b/tests/workers.py
@@ -114,6 +114,7 @@
         if self.fleet.permits is not None:
             assert order.permit.endswith(self.record.worker_id)
         step = self.fleet.step_of(order.task)
+        assert not step.label or step.label in self.record.labels
         room = self.room_used().plus(step.room)
         assert room.fits(self.record.room), 'over the capacity'
         self.fleet.started(order.task, order.run)
