A gang asks about every worker that has room

A gang that seemed to fit was asked for on twice the workers that it needed, and then had too few to choose from.

Change: a gang names all workers that have room, up to what a question may name. The test failed first.

--- a/mulberryhitch/dispatch/inquiry.py
+++ b/mulberryhitch/dispatch/inquiry.py
@@ -2,7 +2,8 @@
 
 A question takes longer with each worker that it names, and a permit soon runs
 out. So as many are named as the waiting tasks are expected to need, those
-first that are known to be allowed and have room.
+first that are known to be allowed and have room. A gang asks about all that
+have room, since it needs many at once.
 """
 
 from math import inf
@@ -17,7 +18,6 @@
 from mulberryhitch.dispatch.rooms import FreeRooms, copies_within
 
 _SPARE_FACTOR = 1.5
-_GANG_SPARE_FACTOR = 2.0
 _LEAST_SHARE = 0.1
 _URGENT = 0
 
@@ -59,8 +59,8 @@
         if self._missing <= 0:
             return []
         gang = self._one.work.step.gang
-        spare = _GANG_SPARE_FACTOR if gang else _SPARE_FACTOR
-        chosen, expected = self._choose(stale, self._missing * spare)
+        enough = inf if gang else self._missing * _SPARE_FACTOR
+        chosen, expected = self._choose(stale, enough)
         useful = expected >= self._missing if gang else bool(chosen)
         return chosen if useful else self._learn()
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -486,3 +486,19 @@
             assert len(world.fleet.workers['w1'].highest) <= 2
 
     run_at_once(main)
+
+
+def test_a_gang_asks_about_all_workers_that_have_room() -> None:
+    async def main() -> None:
+        world = World(PermitPolicy(0.05, 0, 1.5))
+        names = [f'w{number}' for number in range(20)]
+        world.fleet.permits = StandinPermits(names)
+        for name in names:
+            world.fleet.add(name, 1000)
+        async with world.running():
+            gang = Step(2, 1000, 100, estimate_seconds=0.5, gang=True)
+            await world.submit('j', gang)
+            await world.wait('j', JobState.completed)
+            assert set(world.fleet.permits.asked[0]) == set(names)
+
+    run_at_once(main)
