--- a/mulberryhitch/dispatch/asking.py
+++ b/mulberryhitch/dispatch/asking.py
@@ -13,12 +13,12 @@
 from mulberryhitch.dispatch.ports import PermitAsker
 from mulberryhitch.errors import MulberryhitchError, NotFoundError
 from mulberryhitch.jobs.model import StepKey
-from mulberryhitch.membership.leaders import Leaders
+from mulberryhitch.membership.leaders import Leaders, read_reply
 from mulberryhitch.membership.peers import Peers
 from mulberryhitch.observability.log import Log
 from mulberryhitch.rpc.client import PeerConnection
 from mulberryhitch.rpc.messages import ExecuteReply, ExecuteRequest
-from mulberryhitch.rpc.records import decode, decode_as, encode, kind_of
+from mulberryhitch.rpc.records import decode, encode, kind_of
 from mulberryhitch.rpc.server import RpcServer
 
 JOBS_GROUP = 'jobs'
@@ -47,9 +47,7 @@
             ExecuteRequest(JOBS_GROUP, kind_of(operation), encode(operation)),
             patience_seconds,
         )
-        if not isinstance(reply, ExecuteReply):
-            raise NotFoundError('no answer to a question', where='permits')
-        answer = decode_as(PermitAnswer, reply.body)
+        answer: PermitAnswer = read_reply(reply, PermitAnswer)
         return answer.tickets
 
 
--- a/mulberryhitch/dispatch/clearing.py
+++ b/mulberryhitch/dispatch/clearing.py
@@ -46,7 +46,7 @@
         needed = one.work.step.count
         limit = one.work.step.spread_limit or needed
         most = {
-            live.record.worker_id: min(limit, copies_within(room, live.room))
+            live.record.worker_id: copies_within(room, live.room, limit)
             for live in able
         }
         if sum(most.values()) < needed:
@@ -83,25 +83,24 @@
             self._known_way = self._making_way()
         return self._known_way
 
+    def _after_stops(self, worker_id: str) -> Room:
+        """What is free once the runs that are being stopped have ended."""
+        coming = self._way().coming.get(worker_id, Room())
+        return self._rooms.of_worker(worker_id).plus(coming)
+
     def _soon(self, one: Waiting, worker_id: str) -> Room:
         """What is free of a worker once all that may be stopped is."""
-        way = self._way()
-        free = self._rooms.of_worker(worker_id).plus(
-            way.coming.get(worker_id, Room())
-        )
-        for victim in way.victims.get(worker_id, ()):
+        free = self._after_stops(worker_id)
+        for victim in self._way().victims.get(worker_id, ()):
             if victim.urgency > one.queue.urgency:
                 free = free.plus(victim.room)
         return free
 
     def _clear(self, one: Waiting, worker_id: str, copies: int) -> None:
         """Keeps room for so many tasks, and stops what is in their way."""
-        way = self._way()
-        needed = Room(*(part * copies for part in one.work.room))
-        free = self._rooms.of_worker(worker_id).plus(
-            way.coming.get(worker_id, Room())
-        )
-        victims = way.victims.get(worker_id, [])
+        needed = one.work.room.times(copies)
+        free = self._after_stops(worker_id)
+        victims = self._way().victims.get(worker_id, [])
         for victim in tuple(victims):
             if needed.fits(free):
                 break
--- a/mulberryhitch/dispatch/fleet.py
+++ b/mulberryhitch/dispatch/fleet.py
@@ -31,14 +31,12 @@
         uncertain: A start got no answer and may still be carried out.
         blocked_at: When the worker acknowledged its stop; zero if not.
         stopping: A stop is being sent.
-        started_at: When its start was first sent.
         moved_at: When its percent last rose.
         inherited: An earlier leader's grant.
         estimate_seconds: How long it was said to take; zero if unknown.
     """
 
     run: int
-    started_at: float
     confirmed: bool = False
     confirmed_at: float = 0
     uncertain: bool = False
--- a/mulberryhitch/dispatch/inquiry.py
+++ b/mulberryhitch/dispatch/inquiry.py
@@ -9,11 +9,7 @@
 from math import inf
 
 from mulberryhitch.dispatch.fleet import LiveWorker
-from mulberryhitch.dispatch.permits import (
-    MAXIMUM_WORKERS,
-    Permit,
-    StepPermits,
-)
+from mulberryhitch.dispatch.permits import MAXIMUM_WORKERS, StepPermits
 from mulberryhitch.dispatch.plans import Waiting
 from mulberryhitch.dispatch.rooms import FreeRooms, copies_within
 
@@ -74,18 +70,13 @@
             copies = self._rooms.copies(worker_id, self._room, self._limit)
             if not copies:
                 continue
-            if self._holds(live, self._known.permits.get(worker_id)):
+            if self._known.holding(worker_id, live.record.born, self._valid_at):
                 self._missing -= copies
             else:
                 stale.append((copies, worker_id))
         stale.sort(reverse=True)
         return stale
 
-    def _holds(self, live: LiveWorker, permit: Permit | None) -> bool:
-        if permit is None or permit.born != live.record.born:
-            return False
-        return permit.valid_until >= self._valid_at
-
     def _choose(self, stale: _Copies, enough: float) -> tuple[list[str], float]:
         """Names workers with room, until they are expected to be enough."""
         chosen: list[str] = []
@@ -110,7 +101,7 @@
         """How many tasks the allowed workers could hold, were they empty."""
         found = map(self._rooms.workers.get, self._known.allowed)
         return sum(
-            min(limit, copies_within(self._room, live.room))
+            copies_within(self._room, live.room, limit)
             for live in found
             if live is not None and self._one.suits(live)
         )
@@ -131,13 +122,14 @@
         if not gang and self._one.queue.urgency != _URGENT:
             return []
         limit = self._limit or self._one.tasks_left
-        missing = inf if gang else self._one.tasks_left * _SPARE_FACTOR
-        missing -= self._whole(limit)
+        missing = inf
+        if not gang:
+            missing = self._one.tasks_left * _SPARE_FACTOR - self._whole(limit)
         chosen: list[str] = []
         for live in self._rooms.emptiest_first(self._one.queue.service):
             if missing <= 0 or len(chosen) >= MAXIMUM_WORKERS:
                 break
-            copies = min(limit, copies_within(self._room, live.room))
+            copies = copies_within(self._room, live.room, limit)
             if copies and self._is_new(live):
                 chosen.append(live.record.worker_id)
                 missing -= copies * self._share
--- a/mulberryhitch/dispatch/ordering.py
+++ b/mulberryhitch/dispatch/ordering.py
@@ -50,9 +50,7 @@
         now = anyio.current_time()
         work = self._term.book.work(one.unit.step_key)
         estimate = work.step.estimate_seconds if work else 0
-        track = RunTrack(
-            one.unit.run, now, moved_at=now, estimate_seconds=estimate
-        )
+        track = RunTrack(one.unit.run, moved_at=now, estimate_seconds=estimate)
         live.tracks[task] = track
         live.nudge()
         self._term.histograms.record(
--- a/mulberryhitch/dispatch/permits.py
+++ b/mulberryhitch/dispatch/permits.py
@@ -48,6 +48,13 @@
     permits: dict[str, Permit] = field(default_factory=dict)
     asking: bool = False
 
+    def holding(self, worker_id: str, born: int, until: float) -> Permit | None:
+        """The permit of a worker's life, if it holds until then."""
+        permit = self.permits.get(worker_id)
+        if permit is None or permit.born != born or permit.valid_until < until:
+            return None
+        return permit
+
 
 @dataclass(slots=True)
 class Question:
--- a/mulberryhitch/dispatch/planner.py
+++ b/mulberryhitch/dispatch/planner.py
@@ -107,7 +107,7 @@
         permits = None
         if queue.permits is not None:
             permits = self._desk.of_step(work.key)
-        return Waiting(work, job, queue, slack, order, permits)
+        return Waiting(work, job, queue, order, permits)
 
     def _allowed(self, one: Waiting) -> list[LiveWorker]:
         """The workers that may run a step, with a permit at hand or not."""
@@ -151,10 +151,11 @@
         """The permit to present; nothing if there is none that holds."""
         if one.permits is None:
             return ''
-        permit = one.permits.permits.get(live.record.worker_id)
-        if permit is None or permit.born != live.record.born:
-            return None
-        return permit.ticket if permit.valid_until >= self._valid_at else None
+        record = live.record
+        permit = one.permits.holding(
+            record.worker_id, record.born, self._valid_at
+        )
+        return permit.ticket if permit else None
 
     def _count(self, one: Waiting, able: Iterable[LiveWorker]) -> _Counted:
         """How many tasks of a step each worker can start now."""
--- a/mulberryhitch/dispatch/plans.py
+++ b/mulberryhitch/dispatch/plans.py
@@ -60,14 +60,12 @@
     """A step with units that may start, and how urgent it is.
 
     Attributes:
-        slack: Seconds to spare before its job misses its objective.
         permits: Nothing where its queue asks for none.
     """
 
     work: StepWork
     job: Job
     queue: Queue
-    slack: float
     order: tuple[float, ...]
     permits: StepPermits | None
 
--- a/mulberryhitch/dispatch/rooms.py
+++ b/mulberryhitch/dispatch/rooms.py
@@ -9,15 +9,21 @@
 _MANY = 1_000_000
 
 
-def copies_within(room: Room, free: Room) -> int:
-    """How many tasks of a size fit into what is free."""
+def copies_within(room: Room, free: Room, most: int = 0) -> int:
+    """How many tasks of a size fit into what is free.
+
+    Args:
+        room: Of one task.
+        free: What there is.
+        most: The most that may; zero for any number.
+    """
     processors, memory, accelerators = room
     fitting = free[0] // processors if processors else _MANY
     if memory:
         fitting = min(fitting, free[1] // memory)
     if accelerators:
         fitting = min(fitting, free[2] // accelerators)
-    return max(0, fitting)
+    return max(0, min(fitting, most) if most else fitting)
 
 
 class FreeRooms:
@@ -80,8 +86,8 @@
 
     def take(self, worker_id: str, room: Room, copies: int = 1) -> None:
         """Counts so many tasks of a size as placed there."""
-        taken = Room(*(part * copies for part in room))
-        self._free[worker_id] = self.of_worker(worker_id).minus(taken)
+        free = self.of_worker(worker_id)
+        self._free[worker_id] = free.minus(room.times(copies))
 
     def keep_all(self, worker_id: str) -> None:
         """Leaves nothing of a worker to steps that come later."""
@@ -95,5 +101,4 @@
             room: Of one task.
             most: The most that may; zero for any number.
         """
-        copies = copies_within(room, self.of_worker(worker_id))
-        return min(copies, most) if most else copies
+        return copies_within(room, self.of_worker(worker_id), most)
--- a/mulberryhitch/dispatch/watching.py
+++ b/mulberryhitch/dispatch/watching.py
@@ -44,7 +44,7 @@
         held = self._term.book.open_runs.get(record.worker_id, {})
         for task, run in held.items():
             live.tracks[task] = RunTrack(
-                run, now, confirmed=True, moved_at=now, inherited=True
+                run, confirmed=True, moved_at=now, inherited=True
             )
         self._term.start_soon(self._watch, live)
         return live
--- a/mulberryhitch/jobs/model.py
+++ b/mulberryhitch/jobs/model.py
@@ -54,6 +54,10 @@
             self.accelerators + other.accelerators,
         )
 
+    def times(self, copies: int) -> 'Room':
+        """So many of it."""
+        return Room(*(part * copies for part in self))
+
     def minus(self, other: 'Room') -> 'Room':
         """This less the other; may be negative."""
         return Room(
--- a/mulberryhitch/membership/leaders.py
+++ b/mulberryhitch/membership/leaders.py
@@ -43,6 +43,17 @@
         """The VMs that may lead a group."""
 
 
+def read_reply(reply: Any, reply_type: type[Any]) -> Any:
+    """What a member answered to an operation.
+
+    Raises:
+        ProtocolError: It is the answer to another kind of call.
+    """
+    if not isinstance(reply, ExecuteReply):
+        raise ProtocolError('not the answer to an operation')
+    return decode_as(reply_type, reply.body)
+
+
 class Leaders:
     """Carries out operations at whoever leads a group.
 
@@ -103,7 +114,7 @@
             else:
                 self._found[group] = vm
                 self._doubted_until.pop(vm, None)
-                return self._read(reply, reply_type)
+                return read_reply(reply, reply_type)
             await anyio.sleep(min(_PAUSE_SECONDS, max(left, 0)))
         raise self._failure(group, perhaps_done, last)
 
@@ -129,11 +140,6 @@
     def _is_doubted(self, vm: str) -> bool:
         return self._doubted_until.get(vm, 0) > anyio.current_time()
 
-    def _read(self, reply: Any, reply_type: type[Any]) -> Any:
-        if not isinstance(reply, ExecuteReply):
-            raise ProtocolError('not the answer to an operation')
-        return decode_as(reply_type, reply.body)
-
     def _failure(
         self, group: str, perhaps_done: bool, last: MulberryhitchError | None
     ) -> MulberryhitchError:
--- a/tests/storm.py
+++ b/tests/storm.py
@@ -59,6 +59,19 @@
     return function
 
 
+def fault_of_one(
+    function: Callable[['Storm', Program], Awaitable[None]],
+) -> Fault:
+    """Registers a fault that befalls a process that no other fault holds."""
+
+    async def befall(storm: 'Storm') -> None:
+        one = storm.pick()
+        if one is not None:
+            await function(storm, one)
+
+    return fault(befall)
+
+
 def step_row(step: Step) -> dict[str, Any]:
     return {
         'count': step.count,
@@ -570,11 +583,8 @@
     one.disturbed = False
 
 
-@fault
-async def killed(storm: Storm) -> None:
-    one = storm.pick()
-    if one is None:
-        return
+@fault_of_one
+async def killed(storm: Storm, one: Program) -> None:
     one.disturbed = True
     torn = one.role == 'scheduler' and storm.chance.random() < 0.5
     storm.note(f'kill {one.name}, torn {torn}')
@@ -598,11 +608,8 @@
         await _restart(storm, one, storm.chance.uniform(0, 0.4))
 
 
-@fault
-async def paused(storm: Storm) -> None:
-    one = storm.pick()
-    if one is None:
-        return
+@fault_of_one
+async def paused(storm: Storm, one: Program) -> None:
     seconds = storm.chance.uniform(0.3, 5)
     storm.note(f'pause {one.name} for {seconds:.1f} s')
     one.disturbed = True
@@ -612,11 +619,8 @@
     one.disturbed = False
 
 
-@fault
-async def terminated(storm: Storm) -> None:
-    one = storm.pick()
-    if one is None:
-        return
+@fault_of_one
+async def terminated(storm: Storm, one: Program) -> None:
     storm.note(f'terminate {one.name}')
     one.disturbed = True
     one.signal(signal.SIGTERM)
@@ -636,11 +640,8 @@
             one.signal(signal.SIGHUP)
 
 
-@fault
-async def cut_off(storm: Storm) -> None:
-    one = storm.pick()
-    if one is None:
-        return
+@fault_of_one
+async def cut_off(storm: Storm, one: Program) -> None:
     ways = storm.chance.choice((('out', 'back'), ('out',), ('back',)))
     seconds = storm.chance.uniform(0.5, 6)
     storm.note(f'cut {one.name} {ways} for {seconds:.1f} s')
@@ -658,11 +659,8 @@
     one.disturbed = False
 
 
-@fault
-async def slowed_link(storm: Storm) -> None:
-    one = storm.pick()
-    if one is None:
-        return
+@fault_of_one
+async def slowed_link(storm: Storm, one: Program) -> None:
     storm.note(f'delay {one.name}')
     links = list(storm.cell.links_of(one))
     for link in links:
@@ -672,11 +670,8 @@
         link.delay = 0
 
 
-@fault
-async def broken_connections(storm: Storm) -> None:
-    one = storm.pick()
-    if one is None:
-        return
+@fault_of_one
+async def broken_connections(storm: Storm, one: Program) -> None:
     silent = storm.chance.random() < 0.5
     storm.note(f'connections of {one.name}, silent {silent}')
     for link in storm.cell.links_of(one):
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -287,7 +287,7 @@
 
 
 def test_a_list_asked_for_before_a_run_was_confirmed_does_not_end_it() -> None:
-    listed = RunTrack(run=1, started_at=1)
+    listed = RunTrack(run=1)
     listed.progress(10, '', now=5)
     # Asked for at 4, held up on its way, and read after the list of 5.
     assert not listed.certainly_over(listed_at=4)
@@ -295,7 +295,7 @@
 
 
 def test_a_start_that_was_repeated_and_answered_is_not_uncertain() -> None:
-    track = RunTrack(run=1, started_at=1, uncertain=True)
+    track = RunTrack(run=1, uncertain=True)
     assert not track.certainly_over(listed_at=6)
     track.confirm(now=5)
     assert track.certainly_over(listed_at=6)
@@ -346,7 +346,7 @@
         began_at=0,
         known=True,
     )
-    track = RunTrack(run=1, started_at=0, estimate_seconds=1)
+    track = RunTrack(run=1, estimate_seconds=1)
     track.confirm(now=0)
     track.progress(20, '', now=1)
     ratio = track.pace_ratio(now=1)
