A leader reports each second where the work of each queue stands

Change: dispatch.status and queue.status, one line a second for the term and one for each queue, twenty at most, from the part of the budget that failures have: backlog and its age, what blocks it (room, a permit, a client to ask through), stops by cause, ends by outcome, core-seconds that were useful, lost or spent on stopping, reserved workers, time of permit clients, lag of the event loop. Stops and ends are also counted by cause at /metrics. A start that got no answer and is stopped for it is now told as such.

Result: no logic of placement is changed.

--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -11,6 +11,7 @@
     Victim,
 )
 from mulberryhitch.dispatch.run_controller import RunController
+from mulberryhitch.dispatch.status_report import StatusReporter
 from mulberryhitch.dispatch.term import Term
 from mulberryhitch.dispatch.tracked_worker import TrackedRun
 from mulberryhitch.dispatch.worker_monitor import WorkerMonitor
@@ -39,6 +40,7 @@
         self.permit_manager = PermitManager(
             term.incarnation_of, term.request_round, term.log
         )
+        self._status_reporter = StatusReporter(term, self.permit_manager)
         self._monitor = WorkerMonitor(term, self._remove_worker)
         self._run_controller = RunController(
             term, self.permit_manager, self._monitor.poll_now
@@ -57,6 +59,7 @@
                 tasks.start_soon(self.permit_manager.run)
                 tasks.start_soon(self._run_rounds)
                 tasks.start_soon(self._run_maintenance)
+                tasks.start_soon(self._status_reporter.run)
                 term.request_round()
                 await term.ended.wait()
                 tasks.cancel_scope.cancel()
@@ -83,6 +86,7 @@
 
         No run is stopped if the job completed.
         """
+        self._term.accounting.record_job(job.queue.name, job.state)
         for executions in job.occurrences.values():
             for execution in executions:
                 self.permit_manager.remove_step(execution.key)
@@ -161,6 +165,7 @@
         for task, run in lost:
             tracked = worker.tracked_runs.get(task) if worker else None
             checkpoint = tracked.checkpoint if tracked else ''
+            self._term.record_end(task, RunOutcome.void, tracked, checkpoint)
             batch.append(
                 changes.end_run(
                     task, run, RunOutcome.void, checkpoint, wall_time
@@ -211,6 +216,7 @@
             self._term.options.permit_margin_seconds,
         )
         plan = planner.run(self._committing_steps, self._preemption_candidates)
+        self._status_reporter.record_round(plan, anyio.current_time() - now)
         self.permit_manager.replace_requests(plan.permit_requests)
         for task, run, worker_id in plan.preempted:
             self._run_controller.stop(task, run, worker_id, 'preempted')
--- a/mulberryhitch/dispatch/permit_selection.py
+++ b/mulberryhitch/dispatch/permit_selection.py
@@ -125,13 +125,13 @@
                 expected += copies * self._allowed_share
         return chosen, expected
 
-    def _capacity_when_empty(self, limit: int) -> int:
+    def _capacity_when_empty(self) -> int:
         """Returns how many tasks would fit on the allowed workers when idle."""
         workers = map(
             self._free_capacity.workers.get, self._step_permits.allowed
         )
-        return sum(
-            copies_that_fit(self._resources, worker.capacity, limit)
+        return self._waiting.capacity_when_empty(
+            worker
             for worker in workers
             if worker is not None and self._waiting.is_eligible(worker)
         )
@@ -156,12 +156,12 @@
         gang = self._waiting.execution.step.gang
         if not gang and self._waiting.queue.urgency != _MOST_URGENT:
             return []
-        limit = self._limit or self._waiting.tasks_left
+        limit = self._waiting.maximum_per_worker
         missing = inf
         if not gang:
             missing = (
                 self._waiting.tasks_left * _SPARE_FACTOR
-                - self._capacity_when_empty(limit)
+                - self._capacity_when_empty()
             )
         chosen: list[str] = []
         for worker in self._free_capacity.emptiest_first(
--- a/mulberryhitch/dispatch/permits.py
+++ b/mulberryhitch/dispatch/permits.py
@@ -117,6 +117,7 @@
         self._requests: dict[StepKey, PermitRequest] = {}
         self._clients: dict[str, _Client] = {}
         self._allowed_shares: dict[str, float] = {}
+        self._client_seconds: dict[str, float] = {}
         self._woken = anyio.Event()
 
     def add_client(
@@ -151,6 +152,17 @@
         """Returns the observed share of workers allowed to a queue's steps."""
         return self._allowed_shares.get(queue_name, _INITIAL_SHARE)
 
+    @property
+    def client_count(self) -> int:
+        """Number of clients that requests may be sent through."""
+        return len(self._clients)
+
+    def take_client_seconds(self) -> dict[str, float]:
+        """Returns the time that requests took since the last call, by queue."""
+        taken = self._client_seconds
+        self._client_seconds = {}
+        return taken
+
     def idle_clients(self) -> int:
         """Returns how many clients could send a request now."""
         now = anyio.current_time()
@@ -216,6 +228,7 @@
     async def _request(self, client: _Client, request: PermitRequest) -> None:
         worker_ids = request.worker_ids[:MAX_WORKERS_PER_REQUEST]
         policy = request.policy
+        began = anyio.current_time()
         expected = policy.decide_seconds + policy.each_seconds * len(worker_ids)
         try:
             granted = await client.permit_client.ask(
@@ -232,9 +245,15 @@
         else:
             self._store_permits(request, worker_ids, granted)
         finally:
+            self._record_client_seconds(request.queue_name, began)
             self._finish_request(client, request.step)
         self._on_request_done()
 
+    def _record_client_seconds(self, queue_name: str, began: float) -> None:
+        taken = self._client_seconds.get(queue_name, 0)
+        taken += anyio.current_time() - began
+        self._client_seconds[queue_name] = taken
+
     def _finish_request(self, client: _Client, step: StepKey) -> None:
         client.busy = False
         self.of_step(step).request_pending = False
--- a/mulberryhitch/dispatch/planner.py
+++ b/mulberryhitch/dispatch/planner.py
@@ -98,6 +98,8 @@
                 self._place_gang(waiting, eligible, preemption)
             else:
                 self._place_tasks(waiting, eligible, preemption)
+        for waiting in waiting_steps[_MAX_STEPS_PER_ROUND:]:
+            self._count_blocked(waiting, 'round', waiting.tasks_left)
         return self.plan
 
     def _waiting_step(self, execution: StepExecution) -> WaitingStep | None:
@@ -220,6 +222,11 @@
             waiting, self._count_startable(waiting, eligible)
         )
         if chosen is None:
+            self._count_blocked(
+                waiting,
+                self._blocking_reason(waiting, eligible),
+                waiting.tasks_left,
+            )
             preemption.reserve_for_gang(waiting, eligible)
             return
         for index, worker in enumerate(chosen):
@@ -274,9 +281,44 @@
             unplaced = unplaced[max(0, copies) :]
             if not unplaced:
                 return
+        self._count_blocked(
+            waiting, self._blocking_reason(waiting, eligible), len(unplaced)
+        )
         if waiting.queue.urgency == _MOST_URGENT:
             preemption.preempt_for_tasks(waiting, eligible, len(unplaced))
 
+    def _blocking_reason(
+        self, waiting: WaitingStep, eligible: list[TrackedWorker]
+    ) -> str:
+        """Returns what a step that could not be placed waits for."""
+        if waiting.permits is None:
+            return 'room'
+        needed = waiting.tasks_left if waiting.execution.step.gang else 1
+        if waiting.capacity_when_empty(eligible) >= needed:
+            if self._free_copies(waiting, eligible) < needed:
+                return 'room'
+        if waiting.permits.request_pending:
+            return 'permit pending'
+        return 'permit' if self._requests_left > 0 else 'permit client'
+
+    def _free_copies(
+        self, waiting: WaitingStep, workers: Iterable[TrackedWorker]
+    ) -> int:
+        """Returns how many tasks fit now, whether or not permits are valid."""
+        return sum(
+            self._free_capacity.copies(
+                worker.record.worker_id,
+                waiting.execution.resources,
+                waiting.maximum_per_worker,
+            )
+            for worker in workers
+        )
+
+    def _count_blocked(
+        self, waiting: WaitingStep, reason: str, tasks: int
+    ) -> None:
+        self.plan.blocked[waiting.queue.name, reason] += tasks
+
     def _tasks_per_worker(self, waiting: WaitingStep) -> dict[str, int]:
         counts: dict[str, int] = {}
         if waiting.execution.step.spread_limit:
--- a/mulberryhitch/dispatch/plans.py
+++ b/mulberryhitch/dispatch/plans.py
@@ -1,7 +1,10 @@
 """Inputs and results of a placement round, and job deadline estimates."""
 
+from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from mulberryhitch.dispatch.free_capacity import copies_that_fit
 from mulberryhitch.dispatch.permits import PermitRequest, StepPermits
 from mulberryhitch.dispatch.tracked_worker import TrackedWorker
 from mulberryhitch.jobs.model import Queue, Resources, StepKey, TaskKey
@@ -29,11 +32,16 @@
 
     Attributes:
         preempted: Task, run and worker id of the runs to stop.
+        blocked: Waiting tasks that were considered but not placed, by queue
+            name and reason.
+        reserved_workers: Number of workers reserved for gangs.
     """
 
     placements: list[Placement] = field(default_factory=list)
     permit_requests: list[PermitRequest] = field(default_factory=list)
     preempted: list[tuple[TaskKey, int, str]] = field(default_factory=list)
+    blocked: Counter[tuple[str, str]] = field(default_factory=Counter)
+    reserved_workers: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +95,22 @@
         step = self.execution.step
         return step.count if step.gang else len(self.execution.waiting_units)
 
+    @property
+    def maximum_per_worker(self) -> int:
+        """Maximum number of its tasks that one worker can have."""
+        return self.execution.step.spread_limit or self.tasks_left
+
+    def capacity_when_empty(self, workers: Iterable[TrackedWorker]) -> int:
+        """Returns how many tasks would fit on workers that run nothing."""
+        return sum(
+            copies_that_fit(
+                self.execution.resources,
+                worker.capacity,
+                self.maximum_per_worker,
+            )
+            for worker in workers
+        )
+
     def is_eligible(self, worker: TrackedWorker) -> bool:
         """Whether a worker's service, labels and total size suit the step."""
         if worker.record.service != self.queue.service:
--- a/mulberryhitch/dispatch/preemption.py
+++ b/mulberryhitch/dispatch/preemption.py
@@ -73,6 +73,7 @@
             if needed <= 0 or self._reservable_workers <= 0:
                 return
             self._reservable_workers -= 1
+            self._plan.reserved_workers += 1
             kept = min(needed, maximum_copies[worker_id])
             needed -= kept
             self._allocate_with_preemption(
--- a/mulberryhitch/dispatch/run_controller.py
+++ b/mulberryhitch/dispatch/run_controller.py
@@ -89,10 +89,8 @@
             return
         if tracked.stopping:
             return
-        tracked.stopping = True
-        self._term.log_task(
-            'task.stopping', task, run, worker_id, reason=reason
-        )
+        tracked.stopping_at = anyio.current_time()
+        self._term.record_stop(task, run, worker_id, reason)
         self._term.start_soon(
             self._stop_until_acknowledged, worker, tracked, task
         )
@@ -188,6 +186,9 @@
             tracked.confirm(anyio.current_time())
             await self._poll(worker)
         elif tracked.uncertain:
+            self._term.record_stop(
+                command.task, tracked.run, worker.record.worker_id, 'no answer'
+            )
             await self._stop_until_acknowledged(worker, tracked, command.task)
         else:
             if answer is WorkerAnswer.no_permit:
@@ -225,7 +226,7 @@
         self, worker: TrackedWorker, tracked: TrackedRun, task: TaskKey
     ) -> None:
         """Stops a run, or prevents an unanswered start from taking effect."""
-        tracked.stopping = True
+        tracked.stopping_at = tracked.stopping_at or anyio.current_time()
         while not worker.removed and worker.tracked_runs.get(task) is tracked:
             answer = await self._try_stop(worker, task, tracked.run)
             if answer is WorkerAnswer.fenced:
--- a/mulberryhitch/dispatch/term.py
+++ b/mulberryhitch/dispatch/term.py
@@ -8,13 +8,14 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from mulberryhitch.dispatch.accounting import RunAccounting
 from mulberryhitch.dispatch.options import DispatchOptions
 from mulberryhitch.dispatch.ports import WorkerClient
-from mulberryhitch.dispatch.tracked_worker import TrackedWorker
+from mulberryhitch.dispatch.tracked_worker import TrackedRun, TrackedWorker
 from mulberryhitch.errors import MulberryhitchError, StorageError
 from mulberryhitch.jobs.changes import Change
-from mulberryhitch.jobs.model import TaskKey
-from mulberryhitch.jobs.state import UnitState
+from mulberryhitch.jobs.model import StepKey, TaskKey
+from mulberryhitch.jobs.state import RunOutcome, UnitState
 from mulberryhitch.jobs.store import JobStore
 from mulberryhitch.observability.histograms import Histograms
 from mulberryhitch.observability.log import Log
@@ -39,6 +40,7 @@
         log: Receives each decision.
         histograms: Receives waiting times.
         wall_time: Returns seconds since 1970.
+        accounting: Collects ends and stops for the status report.
         tracked_workers: State of the workers, by id.
         ended: Set when a worker has reported a newer leader.
         round_due: Set when another placement round is due.
@@ -54,6 +56,7 @@
     log: Log
     histograms: Histograms
     wall_time: Callable[[], float] = time.time
+    accounting: RunAccounting = field(default_factory=RunAccounting)
     tracked_workers: dict[str, TrackedWorker] = field(default_factory=dict)
     ended: anyio.Event = field(default_factory=anyio.Event)
     round_due: anyio.Event = field(default_factory=anyio.Event)
@@ -95,6 +98,38 @@
             **more,
         )
 
+    def record_stop(
+        self, task: TaskKey, run: int, worker_id: str, reason: str
+    ) -> None:
+        """Logs and counts that a run is told to stop."""
+        self.log_task('task.stopping', task, run, worker_id, reason=reason)
+        self.log.count(f'task.stopping.{reason}')
+        job = self.job_store.jobs.get(task.job_id)
+        if job is not None:
+            self.accounting.record_stop(job.queue.name, reason)
+
+    def record_end(
+        self,
+        task: TaskKey,
+        outcome: RunOutcome,
+        tracked: TrackedRun | None,
+        checkpoint: str,
+    ) -> None:
+        """Counts the end of a run and the processor time that it took."""
+        self.log.count(f'task.ended.{outcome.value}')
+        job = self.job_store.jobs.get(task.job_id)
+        execution = self.job_store.step_execution(StepKey(*task[:3]))
+        if job is None or execution is None:
+            return
+        self.accounting.record_end(
+            job.queue.name,
+            outcome,
+            execution.resources,
+            tracked,
+            checkpoint,
+            anyio.current_time(),
+        )
+
     def is_unwanted(self, task: TaskKey, run: int) -> bool:
         """Whether a run is no longer needed."""
         job = self.job_store.jobs.get(task.job_id)
--- a/mulberryhitch/dispatch/tracked_worker.py
+++ b/mulberryhitch/dispatch/tracked_worker.py
@@ -32,7 +32,8 @@
         uncertain: Whether a start got no answer and may still take effect.
         stop_acknowledged_at: When the worker acknowledged the stop, seconds on
             the local clock; zero if it has not.
-        stopping: Whether a stop is being sent.
+        stopping_at: When a stop was first sent, seconds on the local clock;
+            zero if none was.
         progressed_at: When the percentage last rose, seconds on the local
             clock.
         inherited: Whether an earlier leader granted the run.
@@ -44,13 +45,18 @@
     confirmed_at: float = 0
     uncertain: bool = False
     stop_acknowledged_at: float = 0
-    stopping: bool = False
+    stopping_at: float = 0
     percent: int = 0
     progressed_at: float = 0
     checkpoint: str = ''
     inherited: bool = False
     estimate_seconds: float = 0
 
+    @property
+    def stopping(self) -> bool:
+        """Whether a stop is being sent, or has been."""
+        return self.stopping_at > 0
+
     def slowdown(self, now: float) -> float:
         """Returns the projected run time over the estimate; zero if unknown."""
         passed = now - self.confirmed_at
--- a/mulberryhitch/dispatch/worker_monitor.py
+++ b/mulberryhitch/dispatch/worker_monitor.py
@@ -189,6 +189,11 @@
                 continue
             if row.outcome in {RunOutcome.done, RunOutcome.failed}:
                 worker.record_end(row.outcome is RunOutcome.failed, now)
+            tracked = worker.tracked_runs.get(row.task)
+            if tracked is not None and tracked.run == row.run:
+                self._term.record_end(
+                    row.task, row.outcome, tracked, row.checkpoint
+                )
             batch.append(
                 changes.end_run(
                     row.task, row.run, row.outcome, row.checkpoint, wall_time
@@ -223,6 +228,9 @@
                 continue
             if not tracked.ended_if_unlisted(sent_at):
                 continue
+            self._term.record_end(
+                task, RunOutcome.void, tracked, tracked.checkpoint
+            )
             batch.append(
                 changes.end_run(
                     task, run, RunOutcome.void, tracked.checkpoint, wall_time
--- a/mulberryhitch/observability/log.py
+++ b/mulberryhitch/observability/log.py
@@ -73,6 +73,14 @@
         """Logs and counts an event."""
         self._write(event, fields, failure=False)
 
+    def summary(self, event: str, **fields: object) -> None:
+        """Logs a periodic summary, from the budget reserved for failures."""
+        self._write(event, fields, failure=True)
+
+    def count(self, event: str) -> None:
+        """Counts an event without logging it."""
+        self.counts[event] += 1
+
     def problem(self, event: str, problem: Problem, **fields: object) -> None:
         """Logs an error as its problem."""
         details: dict[str, object] = {
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import anyio
+import eliot
 import pytest
 
 from mulberryhitch.dispatch.options import DispatchOptions
@@ -522,3 +523,32 @@
             assert set(harness.fleet.permit_client.requests[0]) == set(names)
 
     run_with_mock_clock(main)
+
+
+def test_the_status_report_says_what_each_queue_waits_for() -> None:
+    async def main() -> None:
+        harness = DispatcherHarness()
+        harness.fleet.add_worker('w1', 1000)
+        async with harness.running():
+            await harness.submit('j', Step(3, 1000, 100, estimate_seconds=3))
+            await anyio.sleep(1.5)
+            await harness.cancel('j')
+            await anyio.sleep(1)
+
+    lines: list[dict[str, Any]] = []
+    eliot.add_destinations(lines.append)
+    lines.clear()
+    try:
+        run_with_mock_clock(main)
+    finally:
+        eliot.remove_destination(lines.append)
+    terms = [
+        line for line in lines if line['message_type'] == 'dispatch.status'
+    ]
+    queues = [line for line in lines if line['message_type'] == 'queue.status']
+    assert len(terms) == 2 and terms[0]['usable'] == 1
+    assert queues[0]['waiting'] == 2
+    assert queues[0]['blocked'] == {'room': 2}
+    assert queues[0]['cores'] == 1
+    assert queues[1]['stopped'] == {'job ended': 1}
+    assert queues[1]['ended'] == {'stopped': 1}
