A step of the time of day makes no job overdue or not yet due

A leader whose clock was set back by 1,350 s started no accepted job until its clock had caught up; one whose clock was set ahead by 2,400 s took all jobs for overdue and deleted the state of ended ones at once.

Cause: acceptance and ends were dated by the time of day, and ages were differences of such dates, across steps and across leaders. A job dated in the future was not considered at all.

Change: JobClock reads the time of day once and then follows the clock that counts since boot. A new leader sets it forward to the latest date in the job store if it is behind.

Result: test_a_step_of_the_time_of_day_delays_no_job[2400] and test_a_leader_whose_clock_is_behind_starts_accepted_jobs fail with the time of day in place of the new clock and pass with it. Open: a process that starts while its time of day is ahead keeps that reading.

--- a/mulberryhitch/dispatch/service.py
+++ b/mulberryhitch/dispatch/service.py
@@ -1,6 +1,5 @@
 """Executes operations on the job store while its replica leads."""
 
-import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -34,6 +33,7 @@
     OverloadedError,
 )
 from mulberryhitch.jobs import changes
+from mulberryhitch.jobs.clock import JobClock
 from mulberryhitch.jobs.model import Queue
 from mulberryhitch.jobs.store import JobStore
 from mulberryhitch.membership.peers import PeerConnectionPool
@@ -96,6 +96,7 @@
         self._options = options
         self._log = log
         self._histograms = histograms
+        self._clock = JobClock()
         self._dispatcher: Dispatcher | None = None
 
     async def run(self) -> None:
@@ -138,6 +139,7 @@
             await anyio.sleep(_POLL_SECONDS)
 
     async def _serve_term(self, term: int) -> None:
+        self._clock.advance_to(self.job_store.latest_time)
         dispatcher = Dispatcher(
             Term(
                 self.job_store,
@@ -148,6 +150,7 @@
                 self._options,
                 self._log,
                 self._histograms,
+                self._clock.now,
             ),
         )
         dispatcher.permit_manager.add_client(
@@ -221,7 +224,7 @@
         request.spec.validate()
         job = self.job_store.jobs.get(job_id)
         if job is None:
-            now = time.time()
+            now = self._clock.now()
             accepted = await self._commit(
                 [changes.accept(job_id, queue.name, request.spec, now)]
             )
@@ -255,7 +258,7 @@
         if job is None:
             return JobReply('')
         if job.active:
-            await self._commit([changes.cancel(job_id, time.time())])
+            await self._commit([changes.cancel(job_id, self._clock.now())])
             self._log.event('job.cancelled', job=job_id, state=job.state.value)
         return JobReply(job.state.value)
 
--- a/mulberryhitch/dispatch/term.py
+++ b/mulberryhitch/dispatch/term.py
@@ -1,6 +1,5 @@
 """State shared by the parts of the dispatcher during a leader's term."""
 
-import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -55,7 +54,7 @@
     options: DispatchOptions
     log: Log
     histograms: Histograms
-    wall_time: Callable[[], float] = time.time
+    wall_time: Callable[[], float]
     accounting: RunAccounting = field(default_factory=RunAccounting)
     tracked_workers: dict[str, TrackedWorker] = field(default_factory=dict)
     ended: anyio.Event = field(default_factory=anyio.Event)
--- a/mulberryhitch/jobs/store.py
+++ b/mulberryhitch/jobs/store.py
@@ -71,7 +71,11 @@
 
 
 class JobStore:
-    """State machine replicated by the group of schedulers."""
+    """State machine replicated by the group of schedulers.
+
+    Attributes:
+        latest_time: The latest time of a change, seconds since 1970.
+    """
 
     def __init__(self) -> None:
         """Initialises an empty store."""
@@ -81,6 +85,7 @@
         self.ready_steps: dict[StepKey, StepExecution] = {}
         self.open_runs: dict[str, dict[TaskKey, int]] = {}
         self.listener: JobListener | None = None
+        self.latest_time: float = 0
         self._used_resources: dict[str, Resources] = {}
         self._queues: dict[str, Queue] = {}
 
@@ -151,6 +156,7 @@
         for row in content['jobs']:
             job = decode_job(row)
             self.jobs[job.job_id] = job
+            self._record_time(max(job.accepted_at, job.ended_at))
             self._index_job(job)
         self.listener = listener
 
@@ -169,6 +175,7 @@
         queue = self._queues.get(queue_name)
         if queue is None:
             return False
+        self._record_time(now)
         job = Job(job_id, queue, decode_spec(fields), now)
         self.jobs[job_id] = job
         if not job.spec.repeat_count:
@@ -242,6 +249,7 @@
         checkpoint: str,
         now: float,
     ) -> None:
+        self._record_time(now)
         execution = self.step_execution(StepKey(job_id, occurrence, step))
         unit = execution.unit_of(index) if execution else None
         if execution is None or unit is None:
@@ -292,6 +300,9 @@
             if job is not None and not job.active and not _has_holders(job):
                 self.jobs.pop(job_id)
 
+    def _record_time(self, now: float) -> None:
+        self.latest_time = max(self.latest_time, now)
+
     def _create_occurrence(self, job: Job, occurrence: int) -> None:
         job.occurrences[occurrence] = create_step_executions(
             job.job_id, occurrence, job.spec
--- a/tests/fake_workers.py
+++ b/tests/fake_workers.py
@@ -19,6 +19,7 @@
 from mulberryhitch.dispatch.term import Term
 from mulberryhitch.errors import OutcomeUnknownError, UnreachableError
 from mulberryhitch.jobs import changes
+from mulberryhitch.jobs.clock import JobClock
 from mulberryhitch.jobs.model import (
     JobSpec,
     PermitPolicy,
@@ -304,6 +305,8 @@
         self.job_store = self.fleet.job_store
         self.index = 0
         self.is_leader = True
+        self.time_of_day_step: float = 0
+        self.clock = JobClock(self.time_of_day, anyio.current_time)
         self.task_group: Any = None
         self.queue = Queue(
             'q',
@@ -312,10 +315,20 @@
             'svc',
             **{'maximum_failures': 2, 'permits': policy, **queue},
         )
-        self.apply([changes.configure(QueueTable(1, '{}', (self.queue,)))])
+        self.queues = (self.queue,)
+        self.apply([changes.configure(QueueTable(1, '{}', self.queues))])
+
+    def add_queue(self, name: str, **fields: Any) -> None:
+        queue = Queue(name, 'h', f'/{name}/', 'svc', **fields)
+        self.queues = (*self.queues, queue)
+        version = self.job_store.queue_table.version + 1
+        self.apply([changes.configure(QueueTable(version, '{}', self.queues))])
+
+    def time_of_day(self) -> float:
+        return START_WALL_TIME + self.time_of_day_step + anyio.current_time()
 
     def wall_time(self) -> float:
-        return START_WALL_TIME + anyio.current_time()
+        return self.clock.now()
 
     def apply(self, batch: list[changes.Change]) -> list[Any]:
         self.index += 1
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -15,6 +15,7 @@
 from mulberryhitch.dispatch.options import DispatchOptions
 from mulberryhitch.dispatch.tracked_worker import TrackedRun, TrackedWorker
 from mulberryhitch.jobs import changes
+from mulberryhitch.jobs.clock import JobClock
 from mulberryhitch.jobs.model import (
     PermitPolicy,
     QueueTable,
@@ -552,3 +553,37 @@
     assert queues[0]['cores'] == 1
     assert queues[1]['stopped'] == {'job ended': 1}
     assert queues[1]['ended'] == {'stopped': 1}
+
+
+@pytest.mark.parametrize('step_seconds', [-1350, 2400])
+def test_a_step_of_the_time_of_day_delays_no_job(step_seconds: float) -> None:
+    async def main() -> None:
+        harness = DispatcherHarness()
+        harness.fleet.add_worker('w1', 1000)
+        async with harness.running():
+            await harness.submit('before', SMALL)
+            await harness.wait('before', JobState.completed)
+            await harness.submit('waiting', SMALL)
+            harness.time_of_day_step = step_seconds
+            await anyio.sleep(1)
+            await harness.submit('during', SMALL)
+            harness.time_of_day_step = 0
+            await harness.wait('waiting', JobState.completed)
+            await harness.wait('during', JobState.completed)
+            assert 'before' in harness.job_store.jobs
+
+    run_with_mock_clock(main)
+
+
+def test_a_leader_whose_clock_is_behind_starts_accepted_jobs() -> None:
+    async def main() -> None:
+        harness = DispatcherHarness()
+        harness.fleet.add_worker('w1', 1000)
+        await harness.submit('j', SMALL)
+        harness.time_of_day_step = -1350
+        harness.clock = JobClock(harness.time_of_day, anyio.current_time)
+        harness.clock.advance_to(harness.job_store.latest_time)
+        async with harness.running():
+            await harness.wait('j', JobState.completed)
+
+    run_with_mock_clock(main)
