Workers are called slow by comparison with their siblings

Fewer cores served everyone, and gangs lost workers that they had waited for.

Cause: a run was called slow if it took three times its estimate. Submitters' estimates are off by that much, for all tasks of a step alike, so a worker that ran five tasks of one such step had five proofs. In the log the ratios of a worker are nearly equal: 4.5, 4.5, 4.5; 3.1, 3.1, 3.1.

Change: RunTimes compares a worker's runs with those of the same step on two other workers or more; only without these with the estimate. A step gives one ratio, however many tasks of it a worker runs. Runs that resumed are left out.

--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -1,5 +1,7 @@
 """Places, starts and monitors tasks during a leader's term."""
 
+from collections.abc import Mapping
+
 import anyio
 
 from mulberryhitch.dispatch.permits import PermitManager
@@ -13,7 +15,7 @@
 from mulberryhitch.dispatch.run_controller import RunController
 from mulberryhitch.dispatch.status_report import StatusReporter
 from mulberryhitch.dispatch.term import Term
-from mulberryhitch.dispatch.tracked_worker import TrackedRun
+from mulberryhitch.dispatch.tracked_worker import TrackedRun, TrackedWorker
 from mulberryhitch.dispatch.worker_monitor import WorkerMonitor
 from mulberryhitch.errors import MulberryhitchError
 from mulberryhitch.jobs import changes
@@ -66,6 +68,11 @@
         finally:
             term.job_store.listener = None
 
+    @property
+    def tracked_workers(self) -> Mapping[str, TrackedWorker]:
+        """State of the workers, by id."""
+        return self._term.tracked_workers
+
     def request_round(self) -> None:
         """Requests another placement round."""
         self._term.request_round()
@@ -91,6 +98,7 @@
             for execution in executions:
                 self.permit_manager.remove_step(execution.key)
                 self._estimates.remove_step(execution.key)
+                self._monitor.remove_step(execution.key)
                 if job.cancelled or job.failed:
                     for unit in execution.units:
                         self._run_controller.stop_unit(unit, 'job ended')
--- a/mulberryhitch/dispatch/run_controller.py
+++ b/mulberryhitch/dispatch/run_controller.py
@@ -51,7 +51,10 @@
         execution = self._term.job_store.step_execution(placement.unit.step_key)
         estimate = execution.step.estimate_seconds if execution else 0
         tracked = TrackedRun(
-            placement.unit.run, progressed_at=now, estimate_seconds=estimate
+            placement.unit.run,
+            progressed_at=now,
+            resumed=bool(placement.unit.checkpoint),
+            estimate_seconds=estimate,
         )
         worker.tracked_runs[task] = tracked
         worker.wake_watcher()
--- a/mulberryhitch/dispatch/tracked_worker.py
+++ b/mulberryhitch/dispatch/tracked_worker.py
@@ -1,5 +1,6 @@
 """The leader's view of a worker: its clock, its lease and its runs."""
 
+import math
 import statistics
 from collections import deque
 from dataclasses import dataclass, field
@@ -15,7 +16,7 @@
 _QUARANTINE_SECONDS = 3.0
 _REFUSAL_PAUSE_SECONDS = 0.3
 _SLOW_RATIO = 3.0
-_SLOW_RATIO_SINGLE_RUN = 6.0
+_SLOW_RATIO_SINGLE_STEP = 6.0
 _SLOW_PAUSE_SECONDS = 1.5
 _MIN_RUN_SECONDS = 0.4
 _STALLED_SECONDS = 2.5
@@ -36,7 +37,10 @@
             zero if none was.
         progressed_at: When the percentage last rose, seconds on the local
             clock.
+        first_percent: The first percentage that was listed; -1 before.
+        first_percent_at: When it was, seconds on the local clock.
         inherited: Whether an earlier leader granted the run.
+        resumed: Whether it started from a checkpoint.
         estimate_seconds: Estimated run time; zero if unknown.
     """
 
@@ -48,8 +52,11 @@
     stopping_at: float = 0
     percent: int = 0
     progressed_at: float = 0
+    first_percent: int = -1
+    first_percent_at: float = 0
     checkpoint: str = ''
     inherited: bool = False
+    resumed: bool = False
     estimate_seconds: float = 0
 
     @property
@@ -57,17 +64,30 @@
         """Whether a stop is being sent, or has been."""
         return self.stopping_at > 0
 
-    def slowdown(self, now: float) -> float:
-        """Returns the projected run time over the estimate; zero if unknown."""
+    @property
+    def expected_seconds(self) -> float:
+        """The estimated run time, or the shortest that can be judged."""
+        return max(self.estimate_seconds, _MIN_RUN_SECONDS)
+
+    def projected_seconds(self, now: float) -> float:
+        """Returns the run time at its pace so far; zero if unknown."""
         passed = now - self.confirmed_at
-        known = self.confirmed and not self.inherited and self.percent
+        partial = self.inherited or self.resumed
+        known = self.confirmed and not partial and self.percent
         if not known or passed < _MIN_RUN_SECONDS:
             return 0
-        return (
-            passed
-            / max(self.estimate_seconds, _MIN_RUN_SECONDS)
-            * (_WHOLE_PERCENT / self.percent)
-        )
+        return passed * (_WHOLE_PERCENT / self.percent)
+
+    def projected_end(self) -> float:
+        """Returns when the run will end at its pace so far; infinite if unknown.
+
+        In seconds on the local clock.
+        """
+        risen = self.percent - self.first_percent
+        if self.first_percent < 0 or risen <= 0:
+            return math.inf
+        pace = (self.progressed_at - self.first_percent_at) / risen
+        return self.progressed_at + pace * (_WHOLE_PERCENT - self.percent)
 
     def stalled(self, now: float) -> bool:
         """Whether the run has made no progress for too long."""
@@ -98,6 +118,9 @@
         if not self.confirmed:
             self.confirm(now)
         self.checkpoint = checkpoint or self.checkpoint
+        if self.first_percent < 0:
+            self.first_percent = percent
+            self.first_percent_at = now
         if percent > self.percent:
             self.percent = percent
             self.progressed_at = now
@@ -249,7 +272,7 @@
         """Suspends placement on the worker while its runs are slow.
 
         Args:
-            ratios: Projected run time over the estimate, for each run.
+            ratios: Projected run time over the expected one, for each step.
             now: Seconds on the local clock.
 
         Returns:
@@ -257,7 +280,7 @@
         """
         if not ratios:
             return False
-        limit = _SLOW_RATIO if len(ratios) > 1 else _SLOW_RATIO_SINGLE_RUN
+        limit = _SLOW_RATIO if len(ratios) > 1 else _SLOW_RATIO_SINGLE_STEP
         if statistics.median_low(ratios) < limit:
             return False
         was_healthy = self.slow_until < now
--- a/mulberryhitch/dispatch/worker_monitor.py
+++ b/mulberryhitch/dispatch/worker_monitor.py
@@ -6,6 +6,7 @@
 
 from mulberryhitch.dispatch.ports import WorkerAnswer, WorkerView
 from mulberryhitch.dispatch.run_controller import RunController
+from mulberryhitch.dispatch.run_times import RunTimes
 from mulberryhitch.dispatch.term import Term
 from mulberryhitch.dispatch.tracked_worker import TrackedRun, TrackedWorker
 from mulberryhitch.errors import MulberryhitchError
@@ -41,6 +42,11 @@
         self._term = term
         self._remove_worker = remove_worker
         self.run_controller: RunController | None = None
+        self._run_times = RunTimes()
+
+    def remove_step(self, key: StepKey) -> None:
+        """Discards what is known of a step that has ended."""
+        self._run_times.remove_step(key)
 
     def start_watching(self, record: WorkerRecord) -> TrackedWorker:
         """Starts polling a worker and returns its state."""
@@ -248,17 +254,16 @@
 
     def _update_running(self, worker: TrackedWorker, view: WorkerView) -> None:
         now = anyio.current_time()
-        ratios = []
+        runs: dict[StepKey, list[TrackedRun]] = {}
         for row in view.running:
             tracked = worker.tracked_runs.get(row.task)
             if tracked is None or tracked.run != row.run:
                 self._check_stray(worker, row.task, row.run)
                 continue
             tracked.update_progress(row.percent, row.checkpoint, now)
-            ratio = tracked.slowdown(now)
-            if ratio:
-                ratios.append(ratio)
+            runs.setdefault(StepKey(*row.task[:3]), []).append(tracked)
             self._stop_if_unneeded(worker, row.task, tracked, now)
+        ratios = self._run_times.slowdowns(worker.record.worker_id, runs, now)
         if worker.record_slowdowns(ratios, now):
             self._term.log.event(
                 'worker.slow',
--- a/tests/fake_workers.py
+++ b/tests/fake_workers.py
@@ -135,7 +135,11 @@
             command.run,
             step.resources,
             anyio.current_time()
-            + (1e6 if self.fleet.runs_never_end else step.estimate_seconds),
+            + (
+                1e6
+                if self.fleet.runs_never_end
+                else step.estimate_seconds * self.fleet.slowdown
+            ),
             outcome,
             anyio.current_time(),
         )
@@ -161,6 +165,7 @@
         self.active_runs: dict[TaskKey, int] = {}
         self.outcomes: dict[tuple[TaskKey, int], RunOutcome] = {}
         self.runs_never_end = False
+        self.slowdown = 1.0
 
     def step_of(self, task: TaskKey) -> Step:
         return self.job_store.jobs[task.job_id].spec.steps[task.step]
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -13,6 +13,7 @@
 import pytest
 
 from mulberryhitch.dispatch.options import DispatchOptions
+from mulberryhitch.dispatch.run_times import RunTimes
 from mulberryhitch.dispatch.tracked_worker import TrackedRun, TrackedWorker
 from mulberryhitch.jobs import changes
 from mulberryhitch.jobs.clock import JobClock
@@ -20,6 +21,7 @@
     PermitPolicy,
     QueueTable,
     Step,
+    StepKey,
     TaskKey,
     WorkerRecord,
 )
@@ -369,9 +371,10 @@
     tracked_run = TrackedRun(run=1, estimate_seconds=1)
     tracked_run.confirm(now=0)
     tracked_run.update_progress(20, '', now=1)
-    ratio = tracked_run.slowdown(now=1)
+    step = StepKey('j', 0, 0)
+    (ratio,) = RunTimes().slowdowns('w', {step: [tracked_run]}, now=1)
     assert tracked.usable(now=1)
-    # A single run may have a wrong estimate; two slow runs are evidence.
+    # A single step may have a wrong estimate; two slow steps are evidence.
     assert not tracked.record_slowdowns([ratio], now=1)
     assert tracked.usable(now=1)
     assert tracked.record_slowdowns([ratio, ratio], now=1)
@@ -379,6 +382,35 @@
     assert tracked.usable(now=4)
 
 
+def test_a_wrong_estimate_does_not_make_healthy_workers_slow() -> None:
+    async def main() -> None:
+        harness = DispatcherHarness()
+        for number in range(4):
+            harness.fleet.add_worker(f'w{number}')
+        async with harness.running():
+            harness.fleet.slowdown = 5
+            await harness.submit('j', Step(16, 1000, 100, estimate_seconds=1))
+            for _ in range(40):
+                await anyio.sleep(0.1)
+                now = anyio.current_time()
+                workers = harness.dispatcher.tracked_workers.values()
+                assert all(worker.usable(now) for worker in workers)
+
+    run_with_mock_clock(main)
+
+
+def test_a_worker_is_slow_by_comparison_with_its_siblings() -> None:
+    step = StepKey('j', 0, 0)
+    run_times = RunTimes()
+    ratios = []
+    for worker_id, percent in (('w1', 50), ('w2', 50), ('w3', 5)):
+        run = TrackedRun(run=1, estimate_seconds=10)
+        run.confirm(now=0)
+        run.update_progress(percent, '', now=1)
+        ratios = run_times.slowdowns(worker_id, {step: [run]}, now=1)
+    assert ratios == [pytest.approx(10)]
+
+
 def test_a_departure_before_a_restart_does_not_remove_the_worker() -> None:
     async def main() -> None:
         harness = DispatcherHarness()
