A worker that was filled in a round does not hide free ones

Cause: workers to request permits for are taken from those with the most free processors down, in an order that is computed once a round. The first one with too few ended the search, also if it was among the emptiest when the round began and was reserved for a gang since.

Change: the order remembers what each worker had free. The search ends where that is too little; a worker that was filled since is left out.

--- a/mulberryhitch/dispatch/free_capacity.py
+++ b/mulberryhitch/dispatch/free_capacity.py
@@ -1,6 +1,6 @@
 """Free resources of the workers during a placement round."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 from mulberryhitch.dispatch.tracked_worker import TrackedWorker
 from mulberryhitch.jobs.model import Resources
@@ -51,28 +51,28 @@
         self._job_store = job_store
         self._uncommitted = uncommitted
         self._free: dict[str, Resources] = {}
-        self._order: dict[str, list[TrackedWorker]] = {}
+        self._order: dict[str, list[tuple[int, TrackedWorker]]] = {}
         self.workers = {worker.record.worker_id: worker for worker in workers}
 
-    def emptiest_first(self, service: str) -> list[TrackedWorker]:
-        """Returns a service's workers, the most free processors first.
+    def emptiest_first(
+        self, service: str, minimum_processors: int = 0
+    ) -> Iterator[TrackedWorker]:
+        """Yields a service's workers, the most free processors first.
 
         The order is computed by the first call; later allocations do not
         change it.
+
+        Args:
+            service: The service.
+            minimum_processors: Workers with fewer free processors are left
+                out.
         """
-        order = self._order.get(service)
-        if order is None:
-            order = [
-                worker
-                for worker in self.workers.values()
-                if worker.record.service == service
-            ]
-            order.sort(
-                key=lambda worker: self.of_worker(worker.record.worker_id),
-                reverse=True,
-            )
-            self._order[service] = order
-        return order
+        for processors, worker in self._ordered(service):
+            if processors < minimum_processors:
+                return
+            free = self.of_worker(worker.record.worker_id)
+            if free.processors >= minimum_processors:
+                yield worker
 
     def of_worker(self, worker_id: str) -> Resources:
         """Returns the free resources of a worker."""
@@ -109,3 +109,23 @@
             maximum: Maximum number of tasks; zero for no limit.
         """
         return copies_that_fit(resources, self.of_worker(worker_id), maximum)
+
+    def _ordered(self, service: str) -> list[tuple[int, TrackedWorker]]:
+        """Returns free processors at the first call, and the worker."""
+        order = self._order.get(service)
+        if order is None:
+            workers = [
+                worker
+                for worker in self.workers.values()
+                if worker.record.service == service
+            ]
+            workers.sort(
+                key=lambda worker: self.of_worker(worker.record.worker_id),
+                reverse=True,
+            )
+            order = [
+                (self.of_worker(worker.record.worker_id).processors, worker)
+                for worker in workers
+            ]
+            self._order[service] = order
+        return order
--- a/mulberryhitch/dispatch/permit_selection.py
+++ b/mulberryhitch/dispatch/permit_selection.py
@@ -108,15 +108,11 @@
             chosen.append(known_id)
             expected += known_copies
         for worker in self._free_capacity.emptiest_first(
-            self._waiting.queue.service
+            self._waiting.queue.service, self._resources.processors
         ):
-            worker_id = worker.record.worker_id
-            free = self._free_capacity.of_worker(worker_id)
-            if (
-                expected >= enough
-                or free.processors < self._resources.processors
-            ):
+            if expected >= enough:
                 break
+            worker_id = worker.record.worker_id
             copies = self._free_capacity.copies(
                 worker_id, self._resources, self._limit
             )
--- a/tests/fake_workers.py
+++ b/tests/fake_workers.py
@@ -281,20 +281,32 @@
 
 
 class FakePermitClient:
-    """Grants permits to some workers and records the requests."""
+    """Grants permits to some workers and records the requests.
+
+    Args:
+        allowed: The workers that may run every step.
+        latency_seconds: Time that each request takes.
+        each_seconds: Additional time for each worker in the request.
+    """
 
     def __init__(
-        self, allowed: Sequence[str], latency_seconds: float = 0.05
+        self,
+        allowed: Sequence[str],
+        latency_seconds: float = 0.05,
+        each_seconds: float = 0,
     ) -> None:
         self.allowed = set(allowed)
         self.latency_seconds = latency_seconds
+        self.each_seconds = each_seconds
         self.requests: list[tuple[str, ...]] = []
 
     async def ask(
         self, step: StepKey, worker_ids: Sequence[str], timeout_seconds: float
     ) -> dict[str, str]:
         self.requests.append(tuple(worker_ids))
-        await anyio.sleep(self.latency_seconds)
+        await anyio.sleep(
+            self.latency_seconds + self.each_seconds * len(worker_ids)
+        )
         return {
             worker_id: f'{step.job_id}-{worker_id}'
             for worker_id in worker_ids
@@ -381,10 +393,14 @@
             )
         return dispatcher
 
-    async def submit(self, job_id: str, *steps: Step, **fields: Any) -> None:
+    async def submit(
+        self, job_id: str, *steps: Step, queue: str = 'q', **fields: Any
+    ) -> None:
         spec = JobSpec('argument', steps, **fields)
         spec.validate()
-        await self.commit([changes.accept(job_id, 'q', spec, self.wall_time())])
+        await self.commit(
+            [changes.accept(job_id, queue, spec, self.wall_time())]
+        )
 
     async def cancel(self, job_id: str) -> None:
         await self.commit([changes.cancel(job_id, self.wall_time())])
--- /dev/null
+++ b/tests/test_gang_permits.py
@@ -0,0 +1,33 @@
+"""Gangs that wait for resources while their permits run out."""
+
+import anyio
+
+from mulberryhitch.jobs.model import PermitPolicy, Step
+from mulberryhitch.jobs.state import JobState
+from tests.fake_workers import DispatcherHarness, FakePermitClient
+from tests.replica_group import run_with_mock_clock
+
+POLICY = PermitPolicy(decide_seconds=0.7, each_seconds=0.006, valid_seconds=1.5)
+
+
+def test_workers_reserved_for_a_gang_do_not_hide_free_ones() -> None:
+    async def main() -> None:
+        harness = DispatcherHarness(POLICY, urgency=1, stretch=10)
+        harness.add_queue('batch', urgency=2, permits=PermitPolicy(0, 0, 1.5))
+        for number in range(4):
+            harness.fleet.add_worker(f'w{number}', 8000)
+        harness.fleet.permit_client = FakePermitClient(
+            tuple(harness.fleet.workers)
+        )
+        async with harness.running():
+            occupant = Step(3, 1000, 100, estimate_seconds=9, spread_limit=1)
+            await harness.submit('occupant', occupant)
+            await anyio.sleep(0.5)
+            whole_workers = Step(2, 8000, 100, estimate_seconds=1, gang=True)
+            await harness.submit('gang', whole_workers)
+            await anyio.sleep(0.5)
+            small = Step(4, 1000, 100, estimate_seconds=1)
+            await harness.submit('small', small, queue='batch')
+            assert await harness.wait('small', JobState.completed) < 2
+
+    run_with_mock_clock(main)
