Gangs ask for permits while their workers become free, and keep these workers

Cause: hold and wait with a grant that expires. A gang reserved workers, and preempted runs there, whether or not it could have permits. It asked for permits only once the workers were free; a request takes 0.7 s and more, a permit holds 1.5 s. Meanwhile other gangs and tasks took part of the room, since workers were chosen anew in each round, so the gang did not fit, its permits expired, and it preempted again. It also preempted runs that a later round placed before it.

Change: a gang reserves workers only if permits for them are valid, requested, or can be requested now, and names just these workers. Runs that end within the time of a request count as ended and are not preempted. A gang keeps its workers from round to round; other gangs and tasks take them last. Only runs behind a step in the order of placement are preempted for it. Gangs that still have to wait for runs that can't be preempted share a tenth of the workers. The planning of permits has a module of its own.

--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -9,6 +9,7 @@
 from mulberryhitch.dispatch.plans import (
     EstimateCache,
     Placement,
+    Plan,
     PreemptionCandidates,
     Victim,
 )
@@ -39,6 +40,7 @@
         self._uncommitted: dict[str, Resources] = {}
         self._committing_steps: set[StepKey] = set()
         self._estimates = EstimateCache()
+        self._last_plan = Plan()
         self.permit_manager = PermitManager(
             term.incarnation_of, term.request_round, term.log
         )
@@ -206,6 +208,7 @@
     def _plan_round(self) -> None:
         if not self._term.job_store.ready_steps:
             self.permit_manager.replace_requests(())
+            self._last_plan = Plan()
             return
         now = anyio.current_time()
         usable = [
@@ -222,8 +225,10 @@
             now,
             self._term.wall_time(),
             self._term.options.permit_margin_seconds,
+            self._last_plan.reservations,
         )
         plan = planner.run(self._committing_steps, self._preemption_candidates)
+        self._last_plan = plan
         self._status_reporter.record_round(plan, anyio.current_time() - now)
         self.permit_manager.replace_requests(plan.permit_requests)
         for task, run, worker_id in plan.preempted:
@@ -248,40 +253,53 @@
 
     def _preemption_candidates(self) -> PreemptionCandidates:
         candidates = PreemptionCandidates()
-        confirmed_before = (
-            anyio.current_time() - self._term.options.preemption_grace_seconds
-        )
-        for worker_id, worker in self._term.tracked_workers.items():
+        for worker in self._term.tracked_workers.values():
             for task, tracked in worker.tracked_runs.items():
-                execution = self._term.job_store.step_execution(
-                    StepKey(*task[:3])
-                )
-                if execution is None:
-                    continue
-                if tracked.stopping:
-                    releasing = candidates.releasing.get(worker_id, Resources())
-                    candidates.releasing[worker_id] = releasing.plus(
-                        execution.resources
-                    )
-                elif self._is_preemptible(execution, tracked, confirmed_before):
-                    self._add_victim(
-                        candidates, worker_id, task, execution, tracked
-                    )
-        for victims in candidates.victims.values():
-            victims.sort(key=lambda victim: -victim.urgency)
+                self._add_candidate(candidates, worker, task, tracked)
         return candidates
 
-    def _is_preemptible(
+    def _add_candidate(
         self,
-        execution: StepExecution,
+        candidates: PreemptionCandidates,
+        worker: TrackedWorker,
+        task: TaskKey,
         tracked: TrackedRun,
-        confirmed_before: float,
+    ) -> None:
+        worker_id = worker.record.worker_id
+        execution = self._term.job_store.step_execution(StepKey(*task[:3]))
+        if execution is None:
+            return
+        if tracked.stopping:
+            releasing = candidates.releasing.get(worker_id, Resources())
+            candidates.releasing[worker_id] = releasing.plus(
+                execution.resources
+            )
+            return
+        candidates.ending.setdefault(worker_id, []).append(
+            (tracked.projected_end(), execution.resources)
+        )
+        if self._is_preemptible(execution, tracked):
+            candidates.victims.setdefault(worker_id, []).append(
+                Victim(
+                    task,
+                    tracked.run,
+                    worker_id,
+                    execution,
+                    tracked.projected_end(),
+                )
+            )
+
+    def _is_preemptible(
+        self, execution: StepExecution, tracked: TrackedRun
     ) -> bool:
         """Whether a run may be preempted.
 
-        It must be able to resume from a checkpoint, have been confirmed before
-        the given time, and not exceed the maximum run number.
+        It must be able to resume from a checkpoint, have been confirmed some
+        time ago, and not exceed the maximum run number.
         """
+        confirmed_before = (
+            anyio.current_time() - self._term.options.preemption_grace_seconds
+        )
         if execution.step.gang or not execution.step.checkpointing:
             return False
         past_grace = (
@@ -292,22 +310,6 @@
             and tracked.run <= self._term.options.maximum_preempted_run
         )
 
-    def _add_victim(
-        self,
-        candidates: PreemptionCandidates,
-        worker_id: str,
-        task: TaskKey,
-        execution: StepExecution,
-        tracked: TrackedRun,
-    ) -> None:
-        job = self._term.job_store.jobs.get(task.job_id)
-        if job is None:
-            return
-        urgency = self._term.job_store.current_queue(job).urgency
-        candidates.victims.setdefault(worker_id, []).append(
-            Victim(task, tracked.run, worker_id, execution.resources, urgency)
-        )
-
     async def _grant(
         self, placements: list[Placement], steps: set[StepKey]
     ) -> None:
--- a/mulberryhitch/dispatch/free_capacity.py
+++ b/mulberryhitch/dispatch/free_capacity.py
@@ -1,6 +1,6 @@
 """Free resources of the workers during a placement round."""
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Container, Iterable, Iterator, Mapping
 
 from mulberryhitch.dispatch.tracked_worker import TrackedWorker
 from mulberryhitch.jobs.model import Resources
@@ -39,6 +39,7 @@
         workers: The workers that may receive new runs.
         uncommitted: Resources of placements that are not yet committed, by
             worker id.
+        reserved: Ids of workers that gangs wait for; other steps try them last.
     """
 
     def __init__(
@@ -46,11 +47,13 @@
         job_store: JobStore,
         workers: Iterable[TrackedWorker],
         uncommitted: Mapping[str, Resources],
+        reserved: Container[str] = (),
     ) -> None:
         """Initialises the capacity of the given workers."""
         self._job_store = job_store
         self._uncommitted = uncommitted
         self._free: dict[str, Resources] = {}
+        self._reserved = reserved
         self._order: dict[str, list[tuple[int, TrackedWorker]]] = {}
         self.workers = {worker.record.worker_id: worker for worker in workers}
 
@@ -59,8 +62,8 @@
     ) -> Iterator[TrackedWorker]:
         """Yields a service's workers, the most free processors first.
 
-        The order is computed by the first call; later allocations do not
-        change it.
+        Reserved workers come after all others. The order is computed by the
+        first call; later allocations do not change it.
 
         Args:
             service: The service.
@@ -69,7 +72,7 @@
         """
         for processors, worker in self._ordered(service):
             if processors < minimum_processors:
-                return
+                continue
             free = self.of_worker(worker.record.worker_id)
             if free.processors >= minimum_processors:
                 yield worker
@@ -120,7 +123,10 @@
                 if worker.record.service == service
             ]
             workers.sort(
-                key=lambda worker: self.of_worker(worker.record.worker_id),
+                key=lambda worker: (
+                    worker.record.worker_id not in self._reserved,
+                    self.of_worker(worker.record.worker_id),
+                ),
                 reverse=True,
             )
             order = [
--- /dev/null
+++ b/mulberryhitch/dispatch/permit_planning.py
@@ -0,0 +1,101 @@
+"""Plans the permit requests of one placement round."""
+
+from collections.abc import Sequence
+
+from mulberryhitch.dispatch.free_capacity import FreeCapacity
+from mulberryhitch.dispatch.permit_selection import PermitWorkerSelector
+from mulberryhitch.dispatch.permits import PermitManager, PermitRequest
+from mulberryhitch.dispatch.plans import Plan, WaitingStep
+from mulberryhitch.dispatch.tracked_worker import TrackedWorker
+
+
+class PermitPlanner:
+    """Uses the permits of the waiting steps, and plans requests for more.
+
+    Args:
+        permit_manager: The permits.
+        free_capacity: Free resources of each worker.
+        plan: Receives the requests.
+        valid_at: Permits that expire earlier are not used; seconds on the local
+            clock.
+    """
+
+    def __init__(
+        self,
+        permit_manager: PermitManager,
+        free_capacity: FreeCapacity,
+        plan: Plan,
+        valid_at: float,
+    ) -> None:
+        """Initialises the planner; each idle client can send one request."""
+        self._permit_manager = permit_manager
+        self._free_capacity = free_capacity
+        self._plan = plan
+        self._valid_at = valid_at
+        self._requests_left = permit_manager.idle_clients()
+
+    def request_for_step(self, waiting: WaitingStep) -> None:
+        """Requests the permits that a step needs, if it may send a request."""
+        policy = waiting.queue.permits
+        if policy is None or waiting.permits is None:
+            return
+        if waiting.permits.request_pending or self._requests_left <= 0:
+            return
+        selector = PermitWorkerSelector(
+            waiting,
+            waiting.permits,
+            self._free_capacity,
+            self._permit_manager.allowed_share(waiting.queue.name),
+            self._valid_at + policy.decide_seconds,
+        )
+        worker_ids = selector.select()
+        if worker_ids:
+            self.request(waiting, worker_ids)
+
+    def request(self, waiting: WaitingStep, worker_ids: Sequence[str]) -> bool:
+        """Requests permits for some workers; returns whether that is possible.
+
+        A step has at most one request in progress.
+        """
+        policy = waiting.queue.permits
+        if waiting.permits is None or policy is None:
+            return False
+        if waiting.permits.request_pending or self._requests_left <= 0:
+            return False
+        self._requests_left -= 1
+        self._plan.permit_requests.append(
+            PermitRequest(
+                waiting.execution.key,
+                tuple(worker_ids),
+                policy,
+                waiting.sort_key,
+                waiting.queue.name,
+            ),
+        )
+        return True
+
+    def ticket(self, waiting: WaitingStep, worker: TrackedWorker) -> str | None:
+        """Returns the ticket to present; None if there is no valid permit."""
+        if waiting.permits is None:
+            return ''
+        record = worker.record
+        permit = waiting.permits.valid_permit(
+            record.worker_id, record.born, self._valid_at
+        )
+        return permit.ticket if permit else None
+
+    def is_covered(self, waiting: WaitingStep, worker: TrackedWorker) -> bool:
+        """Whether a permit is valid for as long as the next request takes."""
+        if waiting.permits is None or waiting.queue.permits is None:
+            return True
+        return waiting.permits.covers(
+            worker.record.worker_id,
+            worker.record.born,
+            self._valid_at + waiting.queue.permits.decide_seconds,
+        )
+
+    def blocking_reason(self, waiting: WaitingStep) -> str:
+        """Returns what keeps a step from a permit that it could use."""
+        if waiting.permits is not None and waiting.permits.request_pending:
+            return 'permit pending'
+        return 'permit' if self._requests_left > 0 else 'permit client'
--- a/mulberryhitch/dispatch/permit_selection.py
+++ b/mulberryhitch/dispatch/permit_selection.py
@@ -3,8 +3,9 @@
 A request takes longer with each worker that it names, and a permit soon
 expires. So a request names only as many workers as the waiting tasks are
 expected to need, starting with those known to be allowed that have free
-resources. A gang requests permits for all workers with free resources, since
-it needs many at once.
+resources. A gang needs many workers at once, so it first requests permits for
+as many as one request may name, to learn which are allowed; later requests are
+made for the workers that are reserved for it.
 """
 
 from math import inf
@@ -17,7 +18,8 @@
 from mulberryhitch.dispatch.plans import WaitingStep
 from mulberryhitch.dispatch.tracked_worker import TrackedWorker
 
-_SPARE_FACTOR = 1.5
+SPARE_FACTOR = 1.5
+_GANG_CHOICE_FACTOR = 2
 _MIN_SHARE = 0.1
 _MOST_URGENT = 0
 
@@ -56,14 +58,15 @@
 
     def select(self) -> list[str]:
         """Returns the worker ids to request; empty if a request cannot help."""
+        if self._waiting.execution.step.gang:
+            needed = self._waiting.tasks_left * _GANG_CHOICE_FACTOR
+            enough = self._capacity_when_empty() >= needed
+            return [] if enough else self._select_new(inf)
         expired = self._count_allowed()
         if self._missing <= 0:
             return []
-        gang = self._waiting.execution.step.gang
-        enough = inf if gang else self._missing * _SPARE_FACTOR
-        chosen, expected = self._choose(expired, enough)
-        useful = expected >= self._missing if gang else bool(chosen)
-        return chosen if useful else self._select_ahead()
+        chosen = self._choose(expired, self._missing * SPARE_FACTOR)
+        return chosen or self._select_ahead()
 
     def _count_allowed(self) -> _CopiesById:
         """Subtracts the tasks that valid permits cover from the missing ones.
@@ -91,20 +94,13 @@
         expired.sort(reverse=True)
         return expired
 
-    def _choose(
-        self, expired: _CopiesById, enough: float
-    ) -> tuple[list[str], float]:
-        """Selects free workers until enough tasks are expected to fit.
-
-        Returns:
-            The worker ids, and how many tasks are expected to fit on those
-            workers that will be allowed.
-        """
+    def _choose(self, expired: _CopiesById, enough: float) -> list[str]:
+        """Selects free workers until enough tasks are expected to fit."""
         chosen: list[str] = []
         expected: float = 0
         for known_copies, known_id in expired:
             if expected >= enough:
-                return chosen, expected
+                return chosen
             chosen.append(known_id)
             expected += known_copies
         for worker in self._free_capacity.emptiest_first(
@@ -119,7 +115,7 @@
             if copies and self._is_new(worker):
                 chosen.append(worker_id)
                 expected += copies * self._allowed_share
-        return chosen, expected
+        return chosen
 
     def _capacity_when_empty(self) -> int:
         """Returns how many tasks would fit on the allowed workers when idle."""
@@ -145,20 +141,20 @@
     def _select_ahead(self) -> list[str]:
         """Selects workers in advance, while a step waits for free resources.
 
-        For a gang all new workers are selected: the more of them may run it,
-        the sooner the whole gang fits. For other steps, workers are selected
-        only if the queue has the highest urgency.
+        Workers are selected only if the queue has the highest urgency.
         """
-        gang = self._waiting.execution.step.gang
-        if not gang and self._waiting.queue.urgency != _MOST_URGENT:
+        if self._waiting.queue.urgency != _MOST_URGENT:
             return []
+        missing = self._waiting.tasks_left * SPARE_FACTOR
+        return self._select_new(missing - self._capacity_when_empty())
+
+    def _select_new(self, missing: float) -> list[str]:
+        """Selects workers not asked for yet, whether or not they are free.
+
+        Args:
+            missing: Number of tasks that should fit when they are empty.
+        """
         limit = self._waiting.maximum_per_worker
-        missing = inf
-        if not gang:
-            missing = (
-                self._waiting.tasks_left * _SPARE_FACTOR
-                - self._capacity_when_empty()
-            )
         chosen: list[str] = []
         for worker in self._free_capacity.emptiest_first(
             self._waiting.queue.service
--- a/mulberryhitch/dispatch/permits.py
+++ b/mulberryhitch/dispatch/permits.py
@@ -48,13 +48,25 @@
             worker stays allowed when its permit expires.
         denied: Workers that may not run it.
         permits: The newest permit of each allowed worker.
-        request_pending: Whether a request for the step is in progress.
+        requested: Workers named in the request in progress; empty if there is
+            none.
     """
 
     allowed: dict[str, None] = field(default_factory=dict)
     denied: set[str] = field(default_factory=set)
     permits: dict[str, Permit] = field(default_factory=dict)
-    request_pending: bool = False
+    requested: dict[str, None] = field(default_factory=dict)
+
+    @property
+    def request_pending(self) -> bool:
+        """Whether a request for the step is in progress."""
+        return bool(self.requested)
+
+    def covers(self, worker_id: str, incarnation: int, until: float) -> bool:
+        """Whether a permit is valid until then, or has been requested."""
+        if worker_id in self.requested:
+            return True
+        return self.valid_permit(worker_id, incarnation, until) is not None
 
     def valid_permit(
         self, worker_id: str, incarnation: int, until: float
@@ -204,7 +216,9 @@
                 return
             self._requests.pop(request.step)
             client.busy = True
-            self.of_step(request.step).request_pending = True
+            self.of_step(request.step).requested = dict.fromkeys(
+                request.worker_ids
+            )
             tasks.start_soon(self._request, client, request)
 
     def _idle_client(self) -> _Client | None:
@@ -256,7 +270,7 @@
 
     def _finish_request(self, client: _Client, step: StepKey) -> None:
         client.busy = False
-        self.of_step(step).request_pending = False
+        self.of_step(step).requested = {}
         self._wake()
 
     def _store_permits(
--- a/mulberryhitch/dispatch/planner.py
+++ b/mulberryhitch/dispatch/planner.py
@@ -4,14 +4,11 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping
+from itertools import chain
 
 from mulberryhitch.dispatch.free_capacity import FreeCapacity
-from mulberryhitch.dispatch.permit_selection import PermitWorkerSelector
-from mulberryhitch.dispatch.permits import (
-    PermitManager,
-    PermitRequest,
-    StepPermits,
-)
+from mulberryhitch.dispatch.permit_planning import PermitPlanner
+from mulberryhitch.dispatch.permits import PermitManager
 from mulberryhitch.dispatch.plans import (
     EstimateCache,
     Placement,
@@ -21,8 +18,8 @@
 )
 from mulberryhitch.dispatch.preemption import PreemptionPlanner
 from mulberryhitch.dispatch.tracked_worker import TrackedWorker
-from mulberryhitch.jobs.model import PermitPolicy, Resources, StepKey
-from mulberryhitch.jobs.state import StepExecution
+from mulberryhitch.jobs.model import Queue, Resources, StepKey
+from mulberryhitch.jobs.state import Job, StepExecution
 from mulberryhitch.jobs.store import JobStore
 
 _LATE_FACTOR = 3.0
@@ -45,6 +42,7 @@
         now: Seconds on the local clock.
         wall_time: Seconds since 1970.
         permit_margin: Minimum remaining validity of a permit, seconds.
+        earlier_reservations: The workers reserved for gangs in the last round.
     """
 
     def __init__(  # noqa: WPS211
@@ -57,16 +55,26 @@
         now: float,
         wall_time: float,
         permit_margin: float,
+        earlier_reservations: Mapping[StepKey, tuple[str, ...]],
     ) -> None:
         """Initialises the planner with an empty plan."""
         self._job_store = job_store
-        self._permit_manager = permit_manager
         self._estimates = estimates
         self._wall_time = wall_time
-        self._valid_at = now + permit_margin
-        self._free_capacity = FreeCapacity(job_store, workers, uncommitted)
-        self._requests_left = permit_manager.idle_clients()
+        self._now = now
+        self._earlier_reservations = earlier_reservations
+        self._earlier_reserved = set(
+            chain.from_iterable(earlier_reservations.values())
+        )
+        self._free_capacity = FreeCapacity(
+            job_store, workers, uncommitted, self._earlier_reserved
+        )
+        self._positions: dict[StepKey, tuple[float, ...]] = {}
         self.plan = Plan()
+        self._permit_manager = permit_manager
+        self._permits = PermitPlanner(
+            permit_manager, self._free_capacity, self.plan, now + permit_margin
+        )
 
     def run(
         self,
@@ -81,7 +89,12 @@
                 first use.
         """
         preemption = PreemptionPlanner(
-            self.plan, self._free_capacity, find_candidates
+            self.plan,
+            self._free_capacity,
+            find_candidates,
+            self._position_of,
+            self._earlier_reservations,
+            self._now,
         )
         waiting_steps = [
             waiting
@@ -110,6 +123,16 @@
         due = job.due_at(execution.key.occurrence)
         if due > self._wall_time:
             return None
+        permits = None
+        if queue.permits is not None:
+            permits = self._permit_manager.of_step(execution.key)
+        sort_key = self._sort_key(job, execution, queue)
+        return WaitingStep(execution, job, queue, sort_key, permits)
+
+    def _sort_key(
+        self, job: Job, execution: StepExecution, queue: Queue
+    ) -> tuple[float, ...]:
+        due = job.due_at(execution.key.occurrence)
         age = self._wall_time - due
         objective, remaining = self._estimates.objective_and_critical_path(
             job, execution, queue
@@ -120,17 +143,23 @@
             stage = 2
         elif slack < 0 and age > objective:
             stage = 1
-        sort_key = (stage, queue.urgency, slack, due)
-        permits = None
-        if queue.permits is not None:
-            permits = self._permit_manager.of_step(execution.key)
-        return WaitingStep(execution, job, queue, sort_key, permits)
+        return (stage, queue.urgency, slack, due)
+
+    def _position_of(self, execution: StepExecution) -> tuple[float, ...]:
+        """Returns the lateness and urgency of a step, waiting or not."""
+        position = self._positions.get(execution.key)
+        if position is None:
+            job = self._job_store.jobs[execution.key.job_id]
+            queue = self._job_store.current_queue(job)
+            position = self._sort_key(job, execution, queue)[:2]
+            self._positions[execution.key] = position
+        return position
 
     def _allowed_workers(self, waiting: WaitingStep) -> list[TrackedWorker]:
         """Returns the workers that may run a step, even without a valid permit."""
         if waiting.permits is None or waiting.queue.permits is None:
             return self._eligible_workers(waiting)
-        self._request_permits(waiting, waiting.permits, waiting.queue.permits)
+        self._permits.request_for_step(waiting)
         found = map(self._free_capacity.workers.get, waiting.permits.allowed)
         return [
             worker for worker in found if worker and waiting.is_eligible(worker)
@@ -141,46 +170,6 @@
         workers = self._free_capacity.emptiest_first(waiting.queue.service)
         return [worker for worker in workers if waiting.is_eligible(worker)]
 
-    def _request_permits(
-        self,
-        waiting: WaitingStep,
-        step_permits: StepPermits,
-        policy: PermitPolicy,
-    ) -> None:
-        if step_permits.request_pending or self._requests_left <= 0:
-            return
-        selector = PermitWorkerSelector(
-            waiting,
-            step_permits,
-            self._free_capacity,
-            self._permit_manager.allowed_share(waiting.queue.name),
-            self._valid_at + policy.decide_seconds,
-        )
-        worker_ids = selector.select()
-        if worker_ids:
-            self._requests_left -= 1
-            self.plan.permit_requests.append(
-                PermitRequest(
-                    waiting.execution.key,
-                    tuple(worker_ids),
-                    policy,
-                    waiting.sort_key,
-                    waiting.queue.name,
-                ),
-            )
-
-    def _ticket(
-        self, waiting: WaitingStep, worker: TrackedWorker
-    ) -> str | None:
-        """Returns the ticket to present; None if there is no valid permit."""
-        if waiting.permits is None:
-            return ''
-        record = worker.record
-        permit = waiting.permits.valid_permit(
-            record.worker_id, record.born, self._valid_at
-        )
-        return permit.ticket if permit else None
-
     def _count_startable(
         self, waiting: WaitingStep, eligible: Iterable[TrackedWorker]
     ) -> _WorkerCopies:
@@ -189,7 +178,7 @@
         limit = waiting.execution.step.spread_limit
         counted = []
         for worker in eligible:
-            if self._ticket(waiting, worker) is None:
+            if self._permits.ticket(waiting, worker) is None:
                 continue
             copies = self._free_capacity.copies(
                 worker.record.worker_id, resources, limit
@@ -208,7 +197,10 @@
         self._free_capacity.allocate(worker_id, waiting.execution.resources)
         self.plan.placements.append(
             Placement(
-                unit, index, worker_id, self._ticket(waiting, worker) or ''
+                unit,
+                index,
+                worker_id,
+                self._permits.ticket(waiting, worker) or '',
             )
         )
 
@@ -227,11 +219,41 @@
                 self._blocking_reason(waiting, eligible),
                 waiting.tasks_left,
             )
-            preemption.reserve_for_gang(waiting, eligible)
+            self._reserve_for_gang(waiting, eligible, preemption)
             return
         for index, worker in enumerate(chosen):
             self._place(waiting, index, worker)
 
+    def _reserve_for_gang(
+        self,
+        waiting: WaitingStep,
+        eligible: list[TrackedWorker],
+        preemption: PreemptionPlanner,
+    ) -> None:
+        """Reserves workers for a gang, and requests permits for them.
+
+        A permit request takes most of the time that a permit is valid, so the
+        permits are requested while the workers are still in use. Workers for
+        which no permit can be requested now are not reserved: they would be
+        idle until it is.
+        """
+        reservation = preemption.select_for_gang(
+            waiting,
+            eligible,
+            lambda worker: self._permits.is_covered(waiting, worker),
+        )
+        if reservation is None:
+            return
+        uncovered = [
+            worker.record.worker_id
+            for _, worker in reservation.workers
+            if not self._permits.is_covered(waiting, worker)
+        ]
+        asks = reservation.fits_soon and uncovered
+        if asks and not self._permits.request(waiting, uncovered):
+            return
+        preemption.reserve(waiting, reservation)
+
     def _gang_workers(
         self, waiting: WaitingStep, counted: _WorkerCopies
     ) -> list[TrackedWorker] | None:
@@ -259,12 +281,16 @@
         eligible: list[TrackedWorker],
         preemption: PreemptionPlanner,
     ) -> None:
-        """Places tasks near their data first, then on the fullest workers."""
+        """Places tasks near their data first, then on the fullest workers.
+
+        Workers that were reserved for a gang in the last round come last.
+        """
         step = waiting.execution.step
         counted = self._count_startable(waiting, eligible)
         counted.sort(
             key=lambda pair: (
                 bool(step.data_rack) and pair[1].record.rack != step.data_rack,
+                pair[1].record.worker_id in self._earlier_reserved,
                 self._free_capacity.of_worker(
                     pair[1].record.worker_id
                 ).processors,
@@ -297,9 +323,7 @@
         if waiting.capacity_when_empty(eligible) >= needed:
             if self._free_copies(waiting, eligible) < needed:
                 return 'room'
-        if waiting.permits.request_pending:
-            return 'permit pending'
-        return 'permit' if self._requests_left > 0 else 'permit client'
+        return self._permits.blocking_reason(waiting)
 
     def _free_copies(
         self, waiting: WaitingStep, workers: Iterable[TrackedWorker]
--- a/mulberryhitch/dispatch/plans.py
+++ b/mulberryhitch/dispatch/plans.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from itertools import chain
 
 from mulberryhitch.dispatch.free_capacity import copies_that_fit
 from mulberryhitch.dispatch.permits import PermitRequest, StepPermits
@@ -34,14 +35,19 @@
         preempted: Task, run and worker id of the runs to stop.
         blocked: Waiting tasks that were considered but not placed, by queue
             name and reason.
-        reserved_workers: Number of workers reserved for gangs.
+        reservations: The workers reserved for each gang that waits.
     """
 
     placements: list[Placement] = field(default_factory=list)
     permit_requests: list[PermitRequest] = field(default_factory=list)
     preempted: list[tuple[TaskKey, int, str]] = field(default_factory=list)
     blocked: Counter[tuple[str, str]] = field(default_factory=Counter)
-    reserved_workers: int = 0
+    reservations: dict[StepKey, tuple[str, ...]] = field(default_factory=dict)
+
+    @property
+    def reserved_workers(self) -> set[str]:
+        """All workers that are reserved."""
+        return set(chain.from_iterable(self.reservations.values()))
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,14 +55,15 @@
     """A run that can be preempted and resumed from its checkpoint.
 
     Attributes:
-        urgency: Urgency of its queue; zero is the most urgent.
+        execution: The step that it belongs to.
+        ends_at: When it is projected to end, in seconds on the local clock.
     """
 
     task: TaskKey
     run: int
     worker_id: str
-    resources: Resources
-    urgency: int
+    execution: StepExecution
+    ends_at: float
 
 
 @dataclass(slots=True)
@@ -64,12 +71,17 @@
     """Runs that may be preempted, and resources about to be released.
 
     Attributes:
-        victims: Preemptible runs by worker id, the least urgent first.
+        victims: Preemptible runs by worker id.
         releasing: Resources held by runs that are being stopped, by worker id.
+        ending: When the other runs are projected to end, in seconds on the
+            local clock, and their resources, by worker id.
     """
 
     victims: dict[str, list[Victim]] = field(default_factory=dict)
     releasing: dict[str, Resources] = field(default_factory=dict)
+    ending: dict[str, list[tuple[float, Resources]]] = field(
+        default_factory=dict
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +101,11 @@
     sort_key: tuple[float, ...]
     permits: StepPermits | None
 
+    @property
+    def position(self) -> tuple[float, ...]:
+        """Lateness and urgency; runs of steps behind it may be preempted."""
+        return self.sort_key[:2]
+
     @property
     def tasks_left(self) -> int:
         """Number of tasks still to start; for a gang, all of its tasks."""
--- a/mulberryhitch/dispatch/preemption.py
+++ b/mulberryhitch/dispatch/preemption.py
@@ -1,13 +1,64 @@
 """Reserves workers and selects runs to preempt for steps that do not fit."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from itertools import chain
 
 from mulberryhitch.dispatch.free_capacity import FreeCapacity, copies_that_fit
-from mulberryhitch.dispatch.plans import Plan, PreemptionCandidates, WaitingStep
+from mulberryhitch.dispatch.plans import (
+    Plan,
+    PreemptionCandidates,
+    Victim,
+    WaitingStep,
+)
 from mulberryhitch.dispatch.tracked_worker import TrackedWorker
-from mulberryhitch.jobs.model import Resources
+from mulberryhitch.jobs.model import Resources, StepKey
+from mulberryhitch.jobs.state import StepExecution
 
 _MAX_RESERVED_SHARE = 0.5
+# Gangs that wait for the same runs to end would all keep workers idle.
+_MAX_DRAINED_SHARE = 0.1
+# About as long as a stop takes; such runs are not worth preempting.
+_ENDING_SOON_SECONDS = 0.5
+# A run that is this late against its projection may have stalled.
+_OVERDUE_SECONDS = 0.5
+
+# Workers for a gang are taken in this order, the highest number first.
+_RESERVED_FOR_OTHERS, _UNCOVERED, _COVERED, _KEPT = range(4)
+
+_WorkerCopies = list[tuple[int, TrackedWorker]]
+_GainKey = tuple[tuple[float, ...], str]
+
+
+@dataclass(frozen=True, slots=True)
+class GangReservation:
+    """The workers selected for a gang that can't start yet.
+
+    Attributes:
+        workers: How many of its tasks will fit, and the worker.
+        held: Number of workers, the first ones, that are kept free for it.
+        fits_soon: Whether it fits once runs that end soon have ended and less
+            urgent ones on the held workers are preempted.
+    """
+
+    workers: _WorkerCopies
+    held: int
+    fits_soon: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _Gain:
+    """Resources that a worker can release.
+
+    Attributes:
+        ending: Resources of runs that end soon or are being stopped.
+        preempted: Resources of the runs that may be preempted.
+        victims: These runs, the least urgent first.
+    """
+
+    ending: Resources
+    preempted: Resources
+    victims: list[Victim]
 
 
 class PreemptionPlanner:
@@ -18,67 +69,103 @@
         free_capacity: Free resources of each worker.
         find_candidates: Returns the runs that may be preempted; called on
             first use.
+        position_of: Returns the lateness and urgency of a step.
+        earlier_reservations: The reservations of the last round.
+        now: Seconds on the local clock.
     """
 
-    def __init__(
+    def __init__(  # noqa: WPS211
         self,
         plan: Plan,
         free_capacity: FreeCapacity,
         find_candidates: Callable[[], PreemptionCandidates],
+        position_of: Callable[[StepExecution], tuple[float, ...]],
+        earlier_reservations: Mapping[StepKey, tuple[str, ...]],
+        now: float,
     ) -> None:
         """Initialises the planner with no worker reserved."""
+        self._now = now
+        self._position_of = position_of
+        self._earlier_reservations = earlier_reservations
+        self._earlier_reserved = set(
+            chain.from_iterable(earlier_reservations.values())
+        )
+        self._cached_gains: dict[str, dict[_GainKey, _Gain]] = {}
         self._plan = plan
         self._free_capacity = free_capacity
         self._find_candidates = find_candidates
         self._cached_candidates: PreemptionCandidates | None = None
-        self._reservable_workers = int(
-            len(free_capacity.workers) * _MAX_RESERVED_SHARE
-        )
+        workers = len(free_capacity.workers)
+        self._reservable_workers = int(workers * _MAX_RESERVED_SHARE)
+        self._drainable_workers = max(1, int(workers * _MAX_DRAINED_SHARE))
 
-    def reserve_for_gang(
-        self, waiting: WaitingStep, eligible: Iterable[TrackedWorker]
-    ) -> None:
-        """Reserves workers for a gang that does not fit yet.
+    def select_for_gang(
+        self,
+        waiting: WaitingStep,
+        eligible: list[TrackedWorker],
+        is_covered: Callable[[TrackedWorker], bool],
+    ) -> GangReservation | None:
+        """Selects workers for a gang that can't start yet.
+
+        If it fits soon, once less urgent runs that can resume elsewhere are
+        preempted, such workers are selected. Otherwise it has to wait for
+        other runs to end, and the workers on which most of it will fit are
+        selected. A gang that may not reserve workers gets those that are free
+        now, if it fits.
+
+        Args:
+            waiting: The gang.
+            eligible: The workers that may run it.
+            is_covered: Whether a permit is valid or has been requested.
 
-        The workers that will have the most free resources are reserved, even
-        if they are still in use: less urgent runs that can resume elsewhere
-        are preempted, other runs are left to end, and no later step is placed
-        there in this round. At most half of the workers are reserved. Steps
-        that are far behind their objective reserve none.
+        Returns:
+            None if no selection helps now.
         """
-        if waiting.sort_key[0] > 1:
-            return
-        resources = waiting.execution.resources
         needed = waiting.execution.step.count
-        limit = waiting.execution.step.spread_limit or needed
-        maximum_copies = {
-            worker.record.worker_id: copies_that_fit(
-                resources, worker.capacity, limit
-            )
-            for worker in eligible
-        }
-        if sum(maximum_copies.values()) < needed:
-            return
-        ranked = [
-            (
-                copies_that_fit(
-                    resources, self._free_after_preemption(waiting, worker_id)
-                ),
-                worker_id,
-            )
-            for worker_id in maximum_copies
-        ]
-        ranked.sort(reverse=True)
-        for copies, worker_id in ranked:
-            if needed <= 0 or self._reservable_workers <= 0:
-                return
-            self._reservable_workers -= 1
-            self._plan.reserved_workers += 1
-            kept = min(needed, maximum_copies[worker_id])
-            needed -= kept
-            self._allocate_with_preemption(
-                waiting, worker_id, min(copies, kept)
-            )
+        # Steps that are far behind their objective reserve none.
+        if waiting.sort_key[0] > 1 or self._reservable_workers <= 0:
+            free = self._rank(waiting, eligible, self._free_capacity.of_worker)
+            selected = _first_that_fit(free, needed)
+            if not selected:
+                return None
+            return GangReservation(selected, 0, fits_soon=True)
+        ranked = self._rank(
+            waiting,
+            eligible,
+            lambda worker_id: self._free_after_preemption(waiting, worker_id),
+        )
+        kept = self._earlier_reservations.get(waiting.execution.key, ())
+        ranked.sort(
+            key=lambda row: self._preference(row[1], kept, is_covered),
+            reverse=True,
+        )
+        selected = _first_that_fit(ranked, needed)
+        if selected:
+            held = min(len(selected), self._reservable_workers)
+            return GangReservation(selected, held, fits_soon=True)
+        if waiting.capacity_when_empty(eligible) < needed:
+            return None
+        return self._select_to_drain(waiting, ranked)
+
+    def reserve(
+        self, waiting: WaitingStep, reservation: GangReservation
+    ) -> None:
+        """Keeps workers free: no later step is placed there in this round."""
+        needed = waiting.execution.step.count
+        self._plan.reservations[waiting.execution.key] = tuple(
+            worker.record.worker_id
+            for _, worker in reservation.workers[: reservation.held]
+        )
+        self._reservable_workers -= reservation.held
+        if not reservation.fits_soon:
+            self._drainable_workers -= reservation.held
+        for copies, worker in reservation.workers[: reservation.held]:
+            worker_id = worker.record.worker_id
+            if reservation.fits_soon:
+                self._allocate_with_preemption(
+                    waiting, worker_id, min(copies, needed)
+                )
+                needed -= copies
             self._free_capacity.allocate_all(worker_id)
 
     def preempt_for_tasks(
@@ -102,42 +189,167 @@
                 self._allocate_with_preemption(waiting, worker_id, 1)
                 unplaced -= 1
 
+    def _preference(
+        self,
+        worker: TrackedWorker,
+        kept: tuple[str, ...],
+        is_covered: Callable[[TrackedWorker], bool],
+    ) -> int:
+        """Returns a higher number for a worker that is to be taken earlier.
+
+        A gang keeps its workers from round to round, and leaves those of other
+        gangs to them as long as it fits elsewhere; otherwise gangs would take
+        free resources from each other and none would start.
+        """
+        worker_id = worker.record.worker_id
+        if worker_id in kept:
+            return _KEPT
+        if worker_id in self._earlier_reserved:
+            return _RESERVED_FOR_OTHERS
+        return _COVERED if is_covered(worker) else _UNCOVERED
+
+    def _rank(
+        self,
+        waiting: WaitingStep,
+        eligible: Iterable[TrackedWorker],
+        free_resources: Callable[[str], Resources],
+    ) -> _WorkerCopies:
+        """Returns how many tasks fit on each worker, the most first."""
+        resources = waiting.execution.resources
+        limit = waiting.maximum_per_worker
+        ranked = [
+            (
+                copies_that_fit(
+                    resources, free_resources(worker.record.worker_id), limit
+                ),
+                worker,
+            )
+            for worker in eligible
+        ]
+        ranked.sort(
+            key=lambda row: (row[0], row[1].record.worker_id), reverse=True
+        )
+        return ranked
+
+    def _select_to_drain(
+        self, waiting: WaitingStep, ranked: _WorkerCopies
+    ) -> GangReservation | None:
+        """Selects workers to keep free of new runs until a gang fits.
+
+        The first gang of a round may take all workers that can be reserved,
+        later ones only a small share of them.
+        """
+        if self._drainable_workers <= 0:
+            return None
+        needed = waiting.execution.step.count
+        taken: _WorkerCopies = []
+        for copies, worker in ranked:
+            if needed <= 0:
+                break
+            taken.append((copies, worker))
+            needed -= waiting.capacity_when_empty((worker,))
+        return GangReservation(
+            taken, min(len(taken), self._reservable_workers), fits_soon=False
+        )
+
     def _candidates(self) -> PreemptionCandidates:
         if self._cached_candidates is None:
             self._cached_candidates = self._find_candidates()
         return self._cached_candidates
 
-    def _free_after_stops(self, worker_id: str) -> Resources:
-        """Returns the free resources after the stops in progress."""
-        releasing = self._candidates().releasing.get(worker_id, Resources())
-        return self._free_capacity.of_worker(worker_id).plus(releasing)
+    def _ends_soon(self, waiting: WaitingStep, ends_at: float) -> bool:
+        """Whether the end of a run is waited for, rather than preempting it.
+
+        The step could not start earlier if the run was preempted, or while
+        permits are requested for it.
+        """
+        policy = waiting.queue.permits
+        request_seconds = policy.decide_seconds if policy else 0
+        remaining = ends_at - self._now
+        latest = max(request_seconds, _ENDING_SOON_SECONDS)
+        return -_OVERDUE_SECONDS <= remaining <= latest
+
+    def _free_soon(self, waiting: WaitingStep, worker_id: str) -> Resources:
+        """Returns the free resources once runs that end soon have ended."""
+        gain = self._gain(waiting, worker_id)
+        return self._free_capacity.of_worker(worker_id).plus(gain.ending)
 
     def _free_after_preemption(
         self, waiting: WaitingStep, worker_id: str
     ) -> Resources:
-        """Returns the free resources after preempting all less urgent runs."""
-        free = self._free_after_stops(worker_id)
-        for victim in self._candidates().victims.get(worker_id, ()):
-            if victim.urgency > waiting.queue.urgency:
-                free = free.plus(victim.resources)
-        return free
+        """Returns the free resources after preempting all runs behind it."""
+        gain = self._gain(waiting, worker_id)
+        free = self._free_capacity.of_worker(worker_id)
+        return free.plus(gain.ending).plus(gain.preempted)
+
+    def _gain(self, waiting: WaitingStep, worker_id: str) -> _Gain:
+        """Returns what a worker can release to a step; cached."""
+        cached = self._cached_gains.setdefault(worker_id, {})
+        key = (waiting.position, waiting.queue.name)
+        gain = cached.get(key)
+        if gain is None:
+            gain = self._compute_gain(waiting, worker_id)
+            cached[key] = gain
+        return gain
+
+    def _compute_gain(self, waiting: WaitingStep, worker_id: str) -> _Gain:
+        candidates = self._candidates()
+        ending = candidates.releasing.get(worker_id, Resources())
+        for ends_at, resources in candidates.ending.get(worker_id, ()):
+            if self._ends_soon(waiting, ends_at):
+                ending = ending.plus(resources)
+        victims = self._victims(waiting, worker_id)
+        preempted = Resources()
+        for victim in victims:
+            preempted = preempted.plus(victim.execution.resources)
+        return _Gain(ending, preempted, victims)
+
+    def _victims(self, waiting: WaitingStep, worker_id: str) -> list[Victim]:
+        """Returns the runs that a step may preempt, the least urgent first.
+
+        They are less urgent and behind the step in the order of placement;
+        otherwise they would be placed again before it. Runs that end soon are
+        left to end.
+        """
+        positions = [
+            (self._position_of(victim.execution), victim)
+            for victim in self._candidates().victims.get(worker_id, ())
+            if not self._ends_soon(waiting, victim.ends_at)
+        ]
+        behind = [
+            (position, victim)
+            for position, victim in positions
+            if position > waiting.position
+            and position[1] > waiting.queue.urgency
+        ]
+        behind.sort(key=lambda row: row[0], reverse=True)
+        return [victim for _, victim in behind]
 
     def _allocate_with_preemption(
         self, waiting: WaitingStep, worker_id: str, copies: int
     ) -> None:
         """Allocates resources to the tasks, preempting runs as needed."""
         needed = waiting.execution.resources.times(copies)
-        free = self._free_after_stops(worker_id)
-        victims = self._candidates().victims.get(worker_id, [])
-        for victim in tuple(victims):
+        free = self._free_soon(waiting, worker_id)
+        for victim in self._gain(waiting, worker_id).victims:
             if needed.fits(free):
                 break
-            if victim.urgency > waiting.queue.urgency:
-                victims.remove(victim)
-                free = free.plus(victim.resources)
-                self._plan.preempted.append(
-                    (victim.task, victim.run, worker_id)
-                )
+            self._candidates().victims[worker_id].remove(victim)
+            free = free.plus(victim.execution.resources)
+            self._plan.preempted.append((victim.task, victim.run, worker_id))
+        self._cached_gains.pop(worker_id, None)
         self._free_capacity.allocate(
             worker_id, waiting.execution.resources, copies
         )
+
+
+def _first_that_fit(ranked: _WorkerCopies, needed: int) -> _WorkerCopies:
+    """Returns the first workers on which a gang fits, or none."""
+    taken: _WorkerCopies = []
+    for copies, worker in ranked:
+        if needed <= 0:
+            break
+        if copies:
+            taken.append((copies, worker))
+            needed -= copies
+    return taken if needed <= 0 else []
--- a/mulberryhitch/dispatch/status_report.py
+++ b/mulberryhitch/dispatch/status_report.py
@@ -94,7 +94,7 @@
             workers=len(workers),
             usable=len(usable),
             free_cores=free // MILLICORES_PER_CORE,
-            reserved_workers=self._last_plan.reserved_workers,
+            reserved_workers=len(self._last_plan.reserved_workers),
             idle_permit_clients=self._permit_manager.idle_clients(),
             permit_clients=self._permit_manager.client_count,
         )
--- a/tests/test_gang_permits.py
+++ b/tests/test_gang_permits.py
@@ -8,6 +8,39 @@
 from tests.replica_group import run_with_mock_clock
 
 POLICY = PermitPolicy(decide_seconds=0.7, each_seconds=0.006, valid_seconds=1.5)
+GANG = Step(4, 9000, 100, estimate_seconds=4, gang=True)
+
+
+def make_harness(workers: int) -> DispatcherHarness:
+    harness = DispatcherHarness(
+        POLICY, urgency=1, stretch=2.2, target_seconds=1
+    )
+    harness.add_queue('batch', urgency=2, stretch=4, target_seconds=3)
+    for number in range(workers):
+        harness.fleet.add_worker(f'w{number}', 32000)
+    harness.fleet.permit_client = FakePermitClient(
+        tuple(harness.fleet.workers),
+        POLICY.decide_seconds,
+        POLICY.each_seconds,
+    )
+    return harness
+
+
+def test_a_gang_starts_as_soon_as_the_workers_reserved_for_it_are_free() -> (
+    None
+):
+    async def main() -> None:
+        harness = make_harness(2)
+        async with harness.running():
+            await harness.submit('first', GANG)
+            await anyio.sleep(1)
+            await harness.submit('second', GANG)
+            await harness.wait('first', JobState.completed)
+            assert await harness.wait('second', JobState.completed) < (
+                GANG.estimate_seconds + 0.2
+            )
+
+    run_with_mock_clock(main)
 
 
 def test_workers_reserved_for_a_gang_do_not_hide_free_ones() -> None:
