Waiting steps do not all request permits for the same room

Cause: each waiting step asked for permits on every worker that had room, 40 steps for the same few workers. One of them started there, the permits of the others expired unused, and they asked again.

Change: a step that waits for its request has the room that its tasks need promised on the workers named. Steps behind it ask for other room only; a step with a valid permit may still start there.

--- a/mulberryhitch/dispatch/free_capacity.py
+++ b/mulberryhitch/dispatch/free_capacity.py
@@ -54,6 +54,7 @@
         self._uncommitted = uncommitted
         self._free: dict[str, Resources] = {}
         self._reserved = reserved
+        self._promised: dict[str, Resources] = {}
         self._order: dict[str, list[tuple[int, TrackedWorker]]] = {}
         self.workers = {worker.record.worker_id: worker for worker in workers}
 
@@ -97,6 +98,33 @@
         free = self.of_worker(worker_id)
         self._free[worker_id] = free.minus(resources.times(copies))
 
+    def promise(
+        self, worker_id: str, resources: Resources, copies: int
+    ) -> None:
+        """Promises resources to tasks that wait for a permit.
+
+        They can still be allocated to tasks that have one, but later steps
+        request no permits for them.
+        """
+        promised = self._promised.get(worker_id, Resources())
+        self._promised[worker_id] = promised.plus(resources.times(copies))
+
+    def unpromised_copies(
+        self, worker_id: str, resources: Resources, maximum: int = 0
+    ) -> int:
+        """Returns how many tasks fit besides those that have a promise.
+
+        Args:
+            worker_id: The worker.
+            resources: Resources of one task.
+            maximum: Maximum number of tasks; zero for no limit.
+        """
+        free = self.of_worker(worker_id)
+        promised = self._promised.get(worker_id)
+        if promised is not None:
+            free = free.minus(promised)
+        return copies_that_fit(resources, free, maximum)
+
     def allocate_all(self, worker_id: str) -> None:
         """Allocates a worker's free resources, so that later steps get none."""
         self._free[worker_id] = Resources()
--- a/mulberryhitch/dispatch/permit_planning.py
+++ b/mulberryhitch/dispatch/permit_planning.py
@@ -1,6 +1,6 @@
 """Plans the permit requests of one placement round."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from mulberryhitch.dispatch.free_capacity import FreeCapacity
 from mulberryhitch.dispatch.permit_selection import PermitWorkerSelector
@@ -99,3 +99,30 @@
         if waiting.permits is not None and waiting.permits.request_pending:
             return 'permit pending'
         return 'permit' if self._requests_left > 0 else 'permit client'
+
+    def promise_requested(self, waiting: WaitingStep, tasks: int) -> None:
+        """Promises the tasks room on the workers that permits are requested for.
+
+        Otherwise all waiting steps would request permits for the same few free
+        workers, and most of these permits would expire unused.
+        """
+        resources = waiting.execution.resources
+        for worker_id in self._requested_workers(waiting):
+            if tasks <= 0:
+                return
+            if worker_id not in self._free_capacity.workers:
+                continue
+            copies = self._free_capacity.unpromised_copies(
+                worker_id, resources, min(waiting.maximum_per_worker, tasks)
+            )
+            self._free_capacity.promise(worker_id, resources, copies)
+            tasks -= copies
+
+    def _requested_workers(self, waiting: WaitingStep) -> Iterable[str]:
+        """Returns the workers named in a step's pending or planned request."""
+        if waiting.permits is not None and waiting.permits.request_pending:
+            return waiting.permits.requested
+        newest = self._plan.permit_requests[-1:]
+        if newest and newest[0].step == waiting.execution.key:
+            return newest[0].worker_ids
+        return ()
--- a/mulberryhitch/dispatch/permit_selection.py
+++ b/mulberryhitch/dispatch/permit_selection.py
@@ -80,7 +80,7 @@
             worker = self._free_capacity.workers.get(worker_id)
             if worker is None or not self._waiting.is_eligible(worker):
                 continue
-            copies = self._free_capacity.copies(
+            copies = self._free_capacity.unpromised_copies(
                 worker_id, self._resources, self._limit
             )
             if not copies:
@@ -109,7 +109,7 @@
             if expected >= enough:
                 break
             worker_id = worker.record.worker_id
-            copies = self._free_capacity.copies(
+            copies = self._free_capacity.unpromised_copies(
                 worker_id, self._resources, self._limit
             )
             if copies and self._is_new(worker):
--- a/mulberryhitch/dispatch/planner.py
+++ b/mulberryhitch/dispatch/planner.py
@@ -310,6 +310,7 @@
         self._count_blocked(
             waiting, self._blocking_reason(waiting, eligible), len(unplaced)
         )
+        self._permits.promise_requested(waiting, len(unplaced))
         if waiting.queue.urgency == _MOST_URGENT:
             preemption.preempt_for_tasks(waiting, eligible, len(unplaced))
 
--- a/tests/test_gang_permits.py
+++ b/tests/test_gang_permits.py
@@ -64,3 +64,27 @@
             assert await harness.wait('small', JobState.completed) < 2
 
     run_with_mock_clock(main)
+
+
+def test_waiting_steps_do_not_all_request_permits_for_the_same_worker() -> None:
+    async def main() -> None:
+        harness = DispatcherHarness(PermitPolicy(0.2, 0, 1.5), urgency=2)
+        harness.fleet.add_worker('w', 1000)
+        client = FakePermitClient(['w'], 0.2)
+        harness.fleet.permit_client = client
+        jobs = [f'j{number}' for number in range(8)]
+        async with harness.running():
+            for number in range(8):
+                harness.dispatcher.permit_manager.add_client(
+                    f'remote-{number}', client, local=True
+                )
+            for job in jobs:
+                await harness.submit(
+                    job, Step(1, 1000, 100, estimate_seconds=2)
+                )
+            for job in jobs:
+                await harness.wait(job, JobState.completed)
+        # One request for each task, and one that was sent too early.
+        assert len(client.requests) <= 2 * len(jobs)
+
+    run_with_mock_clock(main)
