One way to count the tasks that fit, and a name for the permit tests

Change: FreeCapacity.unpromised gives the resources, copies_that_fit counts; the tests are in test_permit_planning.py. No behaviour is changed.

--- a/mulberryhitch/dispatch/free_capacity.py
+++ b/mulberryhitch/dispatch/free_capacity.py
@@ -109,21 +109,10 @@
         promised = self._promised.get(worker_id, Resources())
         self._promised[worker_id] = promised.plus(resources.times(copies))
 
-    def unpromised_copies(
-        self, worker_id: str, resources: Resources, maximum: int = 0
-    ) -> int:
-        """Returns how many tasks fit besides those that have a promise.
-
-        Args:
-            worker_id: The worker.
-            resources: Resources of one task.
-            maximum: Maximum number of tasks; zero for no limit.
-        """
-        free = self.of_worker(worker_id)
-        promised = self._promised.get(worker_id)
-        if promised is not None:
-            free = free.minus(promised)
-        return copies_that_fit(resources, free, maximum)
+    def unpromised(self, worker_id: str) -> Resources:
+        """Returns the free resources of a worker that are not promised."""
+        promised = self._promised.get(worker_id, Resources())
+        return self.of_worker(worker_id).minus(promised)
 
     def allocate_all(self, worker_id: str) -> None:
         """Allocates a worker's free resources, so that later steps get none."""
--- a/mulberryhitch/dispatch/permit_planning.py
+++ b/mulberryhitch/dispatch/permit_planning.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 
-from mulberryhitch.dispatch.free_capacity import FreeCapacity
+from mulberryhitch.dispatch.free_capacity import FreeCapacity, copies_that_fit
 from mulberryhitch.dispatch.permit_selection import PermitWorkerSelector
 from mulberryhitch.dispatch.permits import PermitManager, PermitRequest
 from mulberryhitch.dispatch.plans import Plan, WaitingStep
@@ -112,8 +112,10 @@
                 return
             if worker_id not in self._free_capacity.workers:
                 continue
-            copies = self._free_capacity.unpromised_copies(
-                worker_id, resources, min(waiting.maximum_per_worker, tasks)
+            copies = copies_that_fit(
+                resources,
+                self._free_capacity.unpromised(worker_id),
+                min(waiting.maximum_per_worker, tasks),
             )
             self._free_capacity.promise(worker_id, resources, copies)
             tasks -= copies
--- a/mulberryhitch/dispatch/permit_selection.py
+++ b/mulberryhitch/dispatch/permit_selection.py
@@ -18,7 +18,7 @@
 from mulberryhitch.dispatch.plans import WaitingStep
 from mulberryhitch.dispatch.tracked_worker import TrackedWorker
 
-SPARE_FACTOR = 1.5
+_SPARE_FACTOR = 1.5
 _GANG_CHOICE_FACTOR = 2
 _MIN_SHARE = 0.1
 _MOST_URGENT = 0
@@ -65,7 +65,7 @@
         expired = self._count_allowed()
         if self._missing <= 0:
             return []
-        chosen = self._choose(expired, self._missing * SPARE_FACTOR)
+        chosen = self._choose(expired, self._missing * _SPARE_FACTOR)
         return chosen or self._select_ahead()
 
     def _count_allowed(self) -> _CopiesById:
@@ -80,8 +80,10 @@
             worker = self._free_capacity.workers.get(worker_id)
             if worker is None or not self._waiting.is_eligible(worker):
                 continue
-            copies = self._free_capacity.unpromised_copies(
-                worker_id, self._resources, self._limit
+            copies = copies_that_fit(
+                self._resources,
+                self._free_capacity.unpromised(worker_id),
+                self._limit,
             )
             if not copies:
                 continue
@@ -109,8 +111,10 @@
             if expected >= enough:
                 break
             worker_id = worker.record.worker_id
-            copies = self._free_capacity.unpromised_copies(
-                worker_id, self._resources, self._limit
+            copies = copies_that_fit(
+                self._resources,
+                self._free_capacity.unpromised(worker_id),
+                self._limit,
             )
             if copies and self._is_new(worker):
                 chosen.append(worker_id)
@@ -145,7 +149,7 @@
         """
         if self._waiting.queue.urgency != _MOST_URGENT:
             return []
-        missing = self._waiting.tasks_left * SPARE_FACTOR
+        missing = self._waiting.tasks_left * _SPARE_FACTOR
         return self._select_new(missing - self._capacity_when_empty())
 
     def _select_new(self, missing: float) -> list[str]:
--- a/tests/test_gang_permits.py
+++ b/tests/test_permit_planning.py
@@ -1,4 +1,4 @@
-"""Gangs that wait for resources while their permits run out."""
+"""How permits are requested for gangs and tasks that wait for resources."""
 
 import anyio
 
