A test that a run about to end is not preempted

Cause: the change of gangs and permits lets runs end that end within half a second or the time of a permit request; only its effect on gangs was tested. Change: a test with a single urgent task.

--- a/tests/test_permit_planning.py
+++ b/tests/test_permit_planning.py
@@ -88,3 +88,19 @@
         assert len(client.requests) <= 2 * len(jobs)
 
     run_with_mock_clock(main)
+
+
+def test_a_run_that_ends_soon_is_not_preempted() -> None:
+    async def main() -> None:
+        harness = DispatcherHarness(urgency=0)
+        harness.add_queue('batch', urgency=2)
+        harness.fleet.add_worker('w', 1000)
+        task = Step(1, 1000, 100, estimate_seconds=3, checkpointing=True)
+        async with harness.running():
+            await harness.submit('long', task, queue='batch')
+            await anyio.sleep(2.7)
+            await harness.submit('urgent', Step(1, 1000, 100))
+            await harness.wait('urgent', JobState.completed)
+            assert harness.start_count('long') == 1
+
+    run_with_mock_clock(main)
