The status report of an idle leader shows nothing as blocked

What operators saw: queue.status kept the blocked tasks of the last round that had work, with no task waiting. Cause: rounds without a ready step were not reported. Change: they are, with an empty plan. Placement is not changed. Result: the test of the status report looks at the line after the work is gone.

--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -208,7 +208,7 @@
     def _plan_round(self) -> None:
         if not self._term.job_store.ready_steps:
             self.permit_manager.replace_requests(())
-            self._last_plan = Plan()
+            self._record_plan(Plan(), 0)
             return
         now = anyio.current_time()
         usable = [
@@ -228,8 +228,7 @@
             self._last_plan.reservations,
         )
         plan = planner.run(self._committing_steps, self._preemption_candidates)
-        self._last_plan = plan
-        self._status_reporter.record_round(plan, anyio.current_time() - now)
+        self._record_plan(plan, anyio.current_time() - now)
         self.permit_manager.replace_requests(plan.permit_requests)
         for task, run, worker_id in plan.preempted:
             self._run_controller.stop(task, run, worker_id, 'preempted')
@@ -240,6 +239,10 @@
                 self._adjust_uncommitted(placement, 1)
             self._term.start_soon(self._grant, plan.placements, steps)
 
+    def _record_plan(self, plan: Plan, seconds: float) -> None:
+        self._last_plan = plan
+        self._status_reporter.record_round(plan, seconds)
+
     def _adjust_uncommitted(self, placement: Placement, sign: int) -> None:
         execution = self._term.job_store.step_execution(placement.unit.step_key)
         resources = execution.resources if execution else Resources()
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -585,6 +585,7 @@
     assert queues[0]['cores'] == 1
     assert queues[1]['stopped'] == {'job ended': 1}
     assert queues[1]['ended'] == {'stopped': 1}
+    assert not queues[1]['blocked']
 
 
 @pytest.mark.parametrize('step_seconds', [-1350, 2400])
