A run that a list has shown is not given up when its start gets no answer

Cause: a start that got no answer is uncertain until a list shows the run; then it is confirmed. If the next try of the start could not be sent, the controller took the run for one that never began and gave its task away. The times of run 2 fit: a time-out of 0.4 s, a pause, a second try that fails.

Change: a run that is confirmed counts as started, whatever became of its start.

Result: test_a_run_that_was_listed_is_not_given_up_when_its_start_fails starts the task twice before, once now.

--- a/mulberryhitch/dispatch/run_controller.py
+++ b/mulberryhitch/dispatch/run_controller.py
@@ -120,6 +120,9 @@
         self, worker: TrackedWorker, tracked: TrackedRun, command: StartCommand
     ) -> None:
         answer = await self._send_start(worker, tracked, command)
+        if answer is None and tracked.confirmed:
+            # A list has shown the run, although no start was answered.
+            answer = WorkerAnswer.started
         self._term.log_task(
             'task.ordered',
             command.task,
--- a/tests/fake_workers.py
+++ b/tests/fake_workers.py
@@ -39,6 +39,8 @@
 
 COMMIT_SECONDS = 0.01
 STOP_SECONDS = 0.2
+# Longer than a poll waits, so that a list shows the run first.
+LOST_ANSWER_SECONDS = 1.2
 START_WALL_TIME = 1_000_000.0
 
 
@@ -67,6 +69,8 @@
         unresponsive: Whether each call to the worker fails.
         unanswered_starts: Number of starts left to delay by 3 s and to leave
             without an answer.
+        lost_answers: Number of starts left to carry out and to leave without
+            an answer; the start after the last of them can't be sent.
         delayed_starts: Commands to carry out later, with their due times.
     """
 
@@ -82,6 +86,8 @@
         self.changed = anyio.Event()
         self.unresponsive = False
         self.unanswered_starts = 0
+        self.lost_answers = 0
+        self.refuses_starts = False
         self.delayed_starts: list[tuple[float, StartCommand]] = []
         self.clock_base = anyio.current_time() - 5
 
@@ -226,6 +232,14 @@
     ) -> tuple[WorkerAnswer, int]:
         worker = self._responsive_worker(record)
         await anyio.sleep(0.002)
+        if worker.refuses_starts:
+            raise UnreachableError('no connection', where=record.worker_id)
+        if worker.lost_answers:
+            worker.lost_answers -= 1
+            worker.refuses_starts = not worker.lost_answers
+            worker.handle_start(command)
+            await anyio.sleep(LOST_ANSWER_SECONDS)
+            raise OutcomeUnknownError('no answer')
         if worker.unanswered_starts:
             worker.unanswered_starts -= 1
             worker.delayed_starts.append((anyio.current_time() + 3, command))
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -89,6 +89,25 @@
     run_with_mock_clock(main)
 
 
+def test_a_run_that_was_listed_is_not_given_up_when_its_start_fails() -> None:
+    async def main() -> None:
+        harness = DispatcherHarness()
+        harness.fleet.add_worker('w1')
+        harness.fleet.add_worker('w2')
+        async with harness.running():
+            for worker in harness.fleet.workers.values():
+                worker.lost_answers = 1
+            await harness.submit('j', Step(1, 1000, 100, estimate_seconds=5))
+            await anyio.sleep(2)
+            for worker in harness.fleet.workers.values():
+                worker.lost_answers = 0
+                worker.refuses_starts = False
+            await harness.wait('j', JobState.completed)
+            assert harness.start_count('j') == 1
+
+    run_with_mock_clock(main)
+
+
 def test_a_task_that_fails_too_often_fails_its_job_and_no_more_starts() -> None:
     async def main() -> None:
         harness = DispatcherHarness()
