Log lines that say which replicas have synced what, and why members change

What callers saw: something acknowledged was reported lost, with no record of which replicas had it. The log had the elections, but not which replicas had synced an acknowledged entry, what each disk held at its next start, or when and why the voters of the group changed.

Change: replica.loaded at a start, replica.voted, replica.members for each committed change, members.proposed with the silence of each member, and one replica.status a second at the leader. configuration.in_force and job.accepted name the commit index and who had synced it. No decision changes.

Volume: one line a second at the leader, one a change, vote or start; within the limiter of lines. tests/test_replication.py, test_random_runs.py and test_dispatch.py pass.

--- a/mulberryhitch/dispatch/service.py
+++ b/mulberryhitch/dispatch/service.py
@@ -196,6 +196,14 @@
         )
         return outcomes
 
+    def _commit_fields(self) -> dict[str, Any]:
+        """Returns where the log stands, and which replicas have synced it."""
+        index = self.replica.state.commit_index
+        return {
+            'commit_index': index,
+            'synced_by': self.replica.replicas_with(index),
+        }
+
     def _active_dispatcher(self) -> Dispatcher:
         if self._dispatcher is None:
             raise NotLeaderError('this VM has not started its term as leader')
@@ -240,6 +248,7 @@
                 version=self.job_store.queue_table.version,
                 steps=len(request.spec.steps),
                 tasks=sum(step.count for step in request.spec.steps),
+                **self._commit_fields(),
             )
         return JobReply(job.state.value)
 
@@ -281,7 +290,9 @@
         if request.table.version > self.job_store.queue_table.version:
             await self._commit([changes.configure(request.table)])
             self._log.event(
-                'configuration.in_force', version=request.table.version
+                'configuration.in_force',
+                version=request.table.version,
+                **self._commit_fields(),
             )
             if self._dispatcher is not None:
                 self._dispatcher.request_round()
--- a/mulberryhitch/replication/leadership.py
+++ b/mulberryhitch/replication/leadership.py
@@ -123,6 +123,19 @@
         """Returns each peer's replication progress, by replica id."""
         return self._peers
 
+    def synced_indexes(self) -> dict[str, int]:
+        """Returns the last index that each member is known to have synced."""
+        peers = {name: peer.match_index for name, peer in self._peers.items()}
+        return {self._state.replica_id: self._own_match_index, **peers}
+
+    def silent_seconds(self) -> dict[str, float]:
+        """Returns the time since each peer last answered, in seconds."""
+        now = self._options.now()
+        return {
+            name: round(now - max(peer.last_contact, self._started_at), 3)
+            for name, peer in self._peers.items()
+        }
+
     async def run(self) -> None:
         """Runs the leader role until :meth:`step_down`.
 
--- a/mulberryhitch/replication/reconciler.py
+++ b/mulberryhitch/replication/reconciler.py
@@ -5,6 +5,7 @@
 import anyio
 
 from mulberryhitch.errors import MulberryhitchError
+from mulberryhitch.observability.log import Log
 from mulberryhitch.replication.leadership import Leadership
 from mulberryhitch.replication.members import Members, vm_of
 from mulberryhitch.replication.options import ReplicationOptions
@@ -28,15 +29,17 @@
         join_requests: Ids of replicas that asked to join, with the time of
             their latest request.
         target_voters: Number of voters in a complete group.
+        log: Receives each change that is proposed.
     """
 
-    def __init__(
+    def __init__(  # noqa: WPS211
         self,
         state: ReplicaState,
         leadership: Leadership,
         options: ReplicationOptions,
         join_requests: dict[str, float],
         target_voters: int,
+        log: Log,
     ) -> None:
         """Initialises the reconciler for the current leadership."""
         self._state = state
@@ -44,6 +47,7 @@
         self._options = options
         self._join_requests = join_requests
         self._target_voters = target_voters
+        self._log = log
         self._started_at = self._options.now()
 
     async def run(self) -> None:
@@ -53,6 +57,13 @@
             new_members = self._next_members()
             if new_members is None or not self._leadership.has_authority:
                 continue
+            self._log.event(
+                'members.proposed',
+                term=self._leadership.term,
+                voters=list(new_members.voters),
+                learners=list(new_members.learners),
+                silent_seconds=self._leadership.silent_seconds(),
+            )
             with contextlib.suppress(MulberryhitchError):
                 await self._leadership.change_members(new_members)
 
--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -26,6 +26,7 @@
 from mulberryhitch.replication.members import Members, vm_of
 from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.reconciler import MembershipReconciler
+from mulberryhitch.replication.reporting import ReplicationReporter
 from mulberryhitch.replication.state import ReplicaState
 from mulberryhitch.rpc.messages import (
     AppendReply,
@@ -87,6 +88,7 @@
         self._failed = anyio.Event()
         self._follower = Follower(state)
         self._fail_stop = FailStop(self._record_fatal_error)
+        self._reporter = ReplicationReporter(state, log)
         self._tasks: TaskGroup | None = None
         self._target_voters = options.target_voters or len(initial_vms)
         self._bootstrap = Bootstrap(state, transport, initial_vms, options)
@@ -160,6 +162,7 @@
             StorageError: The disk failed; the process must stop.
         """
         self._last_contact = anyio.current_time()
+        self._reporter.report_loaded()
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(self._run_election_timer)
@@ -170,6 +173,16 @@
         if self._fatal_error is not None:
             raise self._fatal_error
 
+    def replicas_with(self, index: int) -> list[str]:
+        """Returns the members that are known to have synced an entry.
+
+        Empty if this replica does not lead.
+        """
+        if self._leadership is None:
+            return []
+        synced = self._leadership.synced_indexes()
+        return [name for name, last in synced.items() if last >= index]
+
     async def propose(self, kind: str, body: bytes) -> Any:
         """Commits an entry and returns the state machine's result.
 
@@ -294,6 +307,7 @@
     def _complete_proposal(
         self, entry: LogEntry, result: Any, failure: Any
     ) -> None:
+        self._reporter.report_applied(entry)
         if self._leadership is not None:
             self._leadership.complete_proposal(entry, result, failure)
 
@@ -342,6 +356,7 @@
             }:
                 return VoteReply(self._state.term, granted=False)
             await self._state.save_term(request.term, request.candidate)
+        self._reporter.report_vote(request.candidate)
         self._last_contact = anyio.current_time()
         return VoteReply(self._state.term, granted=True)
 
@@ -439,10 +454,12 @@
             self._options,
             self._join_requests,
             self._target_voters,
+            self._log,
         )
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(reconciler.run)
+                tasks.start_soon(self._reporter.report_periodically, leadership)
                 tasks.start_soon(self._transfer_when_disk_full, leadership)
                 with self._fail_stop:
                     await leadership.run()
