A silent voter is removed only after its replacement votes

What callers saw: everything acknowledged could be gone for good: no leader is elected again, changes and reads get no answer, jobs are unknown.

Cause: a voter that was silent for repair_seconds was removed first, and the learner was promoted 0.3 s and two commits later. In between the group of 2f+1 voters had 2f, whose majority survives the loss of f-1 disks only. The disk of the silent voter, which comes back, no longer counts. If the learner fails in between, the group stays that small.

Change: the learner becomes a voter before a silent voter is removed, so the group has 2f+2 voters for a moment, never fewer than 2f+1. A voter whose disk is certainly lost, since a new replica on its VM has caught up, is removed first as before: it can't contribute to a majority, so that changes nothing that the group survives, and the group doesn't depend on the new replica. If the silent voter comes back meanwhile, the one that lags most leaves.

--- a/mulberryhitch/replication/reconciler.py
+++ b/mulberryhitch/replication/reconciler.py
@@ -18,9 +18,13 @@
     """Makes one membership change at a time to restore a complete group.
 
     A replica that asked to join becomes a learner. A learner that has caught
-    up becomes a voter if the group lacks one. An unreachable voter is removed
-    when a new replica on its VM has caught up, or, after ``repair_seconds``,
-    when any other learner has.
+    up becomes a voter if the group lacks one.
+
+    A voter whose disk was lost is removed once the new replica on its VM has
+    caught up. A voter that is silent for ``repair_seconds`` may still have its
+    disk, so another learner becomes a voter before it is removed: with one
+    voter fewer, even for a moment, fewer lost disks would lose the majority
+    for good.
 
     Args:
         state: The replica's state.
@@ -76,16 +80,65 @@
             for learner in members.learners
             if self._is_caught_up(learner)
         ]
-        if caught_up and len(members.voters) < self._target_voters:
-            return members.with_voter(caught_up[0])
-        failed_voter = self._voter_to_remove(members, caught_up)
-        if failed_voter:
-            return members.without(failed_voter)
+        replaced = self._voter_to_remove(members)
+        if replaced:
+            return members.without(replaced)
+        promoted = self._learner_to_promote(members, caught_up)
+        if promoted:
+            return members.with_voter(promoted)
         new_learner = self._next_join_request(members)
         if new_learner:
             return members.with_learner(new_learner)
         return self._without_failed_learner(members)
 
+    def _voter_to_remove(self, members: Members) -> str:
+        """Returns a voter that is superseded or surplus, or an empty string.
+
+        If all voters of a group with a surplus one are alive, it is the one
+        that lags most.
+        """
+        unreachable = self._unreachable_voters(members)
+        for voter in unreachable:
+            if self._is_superseded(voter, members):
+                return voter
+        if len(members.voters) <= self._target_voters:
+            return ''
+        silent = max(unreachable, key=self._silent_seconds, default='')
+        if silent:
+            return silent if self._is_timed_out(silent) else ''
+        peers = self._leadership.peers
+        return min(
+            (voter for voter in members.voters if voter in peers),
+            key=lambda voter: peers[voter].match_index,
+        )
+
+    def _learner_to_promote(
+        self, members: Members, caught_up: list[str]
+    ) -> str:
+        """Returns a learner that the group lacks, or that replaces a voter."""
+        if not caught_up or len(members.voters) > self._target_voters:
+            return ''
+        is_incomplete = len(members.voters) < self._target_voters
+        unreachable = self._unreachable_voters(members)
+        if is_incomplete or any(map(self._is_timed_out, unreachable)):
+            return caught_up[0]
+        return ''
+
+    def _unreachable_voters(self, members: Members) -> list[str]:
+        return [voter for voter in members.voters if not self._is_alive(voter)]
+
+    def _is_superseded(self, replica_id: str, members: Members) -> bool:
+        """Whether another replica on the same VM has caught up."""
+        return any(
+            vm_of(other) == vm_of(replica_id) and self._is_caught_up(other)
+            for other in members.replica_ids
+            if other != replica_id
+        )
+
+    def _is_timed_out(self, replica_id: str) -> bool:
+        silent_seconds = self._silent_seconds(replica_id)
+        return silent_seconds > self._options.repair_seconds
+
     def _is_caught_up(self, replica_id: str) -> bool:
         peer = self._leadership.peers.get(replica_id)
         if peer is None or not self._is_alive(replica_id):
@@ -100,18 +153,13 @@
         elapsed = self._options.now() - peer.last_contact
         return elapsed < self._options.election_seconds * 2
 
-    def _voter_to_remove(self, members: Members, caught_up: list[str]) -> str:
-        caught_up_vms = {vm_of(learner) for learner in caught_up}
-        now = self._options.now()
-        for voter in members.voters:
-            peer = self._leadership.peers.get(voter)
-            if peer is None or self._is_alive(voter):
-                continue
-            elapsed = now - max(peer.last_contact, self._started_at)
-            timed_out = caught_up and elapsed > self._options.repair_seconds
-            if vm_of(voter) in caught_up_vms or timed_out:
-                return voter
-        return ''
+    def _silent_seconds(self, replica_id: str) -> float:
+        """Returns the time since a peer last answered this leader, seconds."""
+        peer = self._leadership.peers.get(replica_id)
+        if peer is None:
+            return 0
+        last_contact = max(peer.last_contact, self._started_at)
+        return self._options.now() - last_contact
 
     def _next_join_request(self, members: Members) -> str:
         now = anyio.current_time()
@@ -124,12 +172,7 @@
         return ''
 
     def _without_failed_learner(self, members: Members) -> Members | None:
-        now = self._options.now()
         for learner in members.learners:
-            peer = self._leadership.peers.get(learner)
-            if peer is None:
-                continue
-            elapsed = now - max(peer.last_contact, self._started_at)
-            if elapsed > self._options.repair_seconds:
+            if self._is_timed_out(learner):
                 return members.without(learner)
         return None
