--- a/mulberryhitch/replication/bootstrap.py
+++ b/mulberryhitch/replication/bootstrap.py
@@ -1,10 +1,11 @@
 """Bootstraps a new group, or requests to join an existing one."""
 
 from collections.abc import Callable
+from contextlib import suppress
 
 import anyio
 
-from mulberryhitch.errors import MulberryhitchError
+from mulberryhitch.errors import DiskFullError, MulberryhitchError
 from mulberryhitch.replication.interfaces import Transport
 from mulberryhitch.replication.members import Members, vm_of
 from mulberryhitch.replication.options import ReplicationOptions
@@ -50,7 +51,8 @@
         """
         while True:
             if not self._state.configured:
-                await self._try_bootstrap()
+                with suppress(DiskFullError):
+                    await self._try_bootstrap()
             elif is_detached():
                 await self._query_peers()
             await anyio.sleep(self._options.election_seconds / 2)
--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -18,6 +18,7 @@
 )
 from mulberryhitch.observability.log import Log
 from mulberryhitch.replication.bootstrap import Bootstrap
+from mulberryhitch.replication.compaction import Compaction
 from mulberryhitch.replication.election import Election
 from mulberryhitch.replication.failstop import FailStop
 from mulberryhitch.replication.follower import Follower
@@ -87,6 +88,7 @@
         self._failed = anyio.Event()
         self._follower = Follower(state)
         self._fail_stop = FailStop(self._record_fatal_error)
+        self._compaction = Compaction(state, options, self._fail_stop, log)
         self._tasks: TaskGroup | None = None
         self._target_voters = options.target_voters or len(initial_vms)
         self._bootstrap = Bootstrap(state, transport, initial_vms, options)
@@ -164,7 +166,7 @@
             self._tasks = tasks
             tasks.start_soon(self._run_election_timer)
             tasks.start_soon(self._bootstrap.run, self._is_detached)
-            tasks.start_soon(self._compact)
+            tasks.start_soon(self._compaction.run)
             await self._failed.wait()
             tasks.cancel_scope.cancel()
         if self._fatal_error is not None:
@@ -470,16 +472,6 @@
             'replica.leads_no_more', group=self.group, term=leadership.term
         )
 
-    async def _compact(self) -> None:
-        while True:
-            await anyio.sleep(self._options.election_seconds)
-            uncompacted = self._state.commit_index - self._state.snapshot_index
-            if uncompacted < self._options.compact_entries:
-                continue
-            async with self._state.lock:
-                with self._fail_stop:
-                    await self._state.compact()
-
     async def _call(self, replica_id: str, method: str, request: Any) -> Any:
         return await self._transport.call(
             vm_of(replica_id),
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -39,6 +39,14 @@
         """Discards all writes that have not been synced."""
         self._written = list(self._stored.entries)
 
+    def fill(self) -> None:
+        """Refuses every write from now on, as a full disk does."""
+        self.failing_operation = 'write'
+
+    def free(self) -> None:
+        """Accepts writes again."""
+        self.failing_operation = ''
+
     def load(self) -> StoredState:
         return replace(self._stored, entries=list(self._stored.entries))
 
@@ -73,6 +81,8 @@
         self, snapshot: Snapshot, entries: list[LogEntry]
     ) -> None:
         await anyio.sleep(SYNC_SECONDS)
+        if self.failing_operation == 'write':
+            raise DiskFullError('no space left', where=self.vm)
         self._stored.snapshot = snapshot
         self._written = list(entries)
         self._stored.entries = list(entries)
--- a/tests/replica_group.py
+++ b/tests/replica_group.py
@@ -12,6 +12,7 @@
 
 from mulberryhitch.errors import MulberryhitchError, StorageError
 from mulberryhitch.observability.log import Log
+from mulberryhitch.replication.members import vm_of
 from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.replica import Replica
 from mulberryhitch.replication.state import ReplicaState
@@ -92,6 +93,10 @@
         self.replicas.pop(vm, None)
         self.disks[vm].crash()
 
+    def vm_of(self, replica: Replica) -> str:
+        """Returns the VM that a replica runs on."""
+        return vm_of(replica.replica_id)
+
     def leader(self) -> Replica | None:
         for replica in self.replicas.values():
             if replica.has_authority:
