A log that can't be rewritten leaves no file behind, and none is written in vain

Where the sync of the folder failed after the new log was renamed, the storage kept the descriptor of the former, unlinked log: later entries were written and synced to it, acknowledged, and gone after a restart.

Cause: _rewrite_log had no error path, and swapped the descriptor last.

Fix: a new file is closed and removed if it can't be completed. After the rename the descriptor is swapped at once; a failed sync of the folder is a StorageError, never DiskFullError, as the former log may return: the replica stops. The translation of OSError is a module of its own.

Evidence: before, test_a_log_that_could_not_be_rewritten_leaves_no_file_behind failed with "assert not True" (log.aside exists), and test_a_renamed_log_whose_folder_is_not_synced_stops_the_replica with "assert [3, 4, 5] == [3, 4, 5, 6]" (the acknowledged entry 6 is lost).

--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -7,12 +7,12 @@
 after which the replica must be replaced by a new one.
 """
 
-import errno
 import os
 import secrets
 import struct
 import zlib
 from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -25,6 +25,7 @@
     ProtocolError,
     StorageError,
 )
+from mulberryhitch.replication.disk_errors import typed_disk_errors
 from mulberryhitch.replication.failpoints import FailPoints
 from mulberryhitch.replication.members import Members
 from mulberryhitch.replication.storage import Snapshot, StoredState
@@ -40,7 +41,6 @@
 _CHECKSUM = struct.Struct('>I')
 _CREATE_FLAGS = os.O_RDWR | os.O_CREAT
 _FILE_MODE = 0o600
-_DISK_FULL_ERRNOS = frozenset((errno.ENOSPC, errno.EDQUOT))
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,13 +103,11 @@
     """
     temporary_path = path.with_suffix('.aside')
     record = content + _CHECKSUM.pack(zlib.crc32(content))
-    descriptor = os.open(temporary_path, _CREATE_FLAGS | os.O_TRUNC, _FILE_MODE)
-    try:
+    with _new_file(temporary_path) as descriptor:
         _write_all(descriptor, record)
         os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
-    temporary_path.rename(path)
+        temporary_path.rename(path)
+    os.close(descriptor)
     sync_folder(path.parent)
 
 
@@ -137,6 +135,19 @@
         os.close(descriptor)
 
 
+@contextmanager
+def _new_file(path: Path) -> Iterator[int]:
+    """Yields a new file's descriptor; closes and removes it on an error."""
+    descriptor = os.open(path, _CREATE_FLAGS | os.O_TRUNC, _FILE_MODE)
+    try:
+        yield descriptor
+    except BaseException:
+        os.close(descriptor)
+        with suppress(OSError):
+            path.unlink()
+        raise
+
+
 def _write_all(descriptor: int, content: bytes) -> None:
     written = 0
     while written < len(content):
@@ -303,25 +314,30 @@
 
     def _rewrite_log(self, entries: list[LogEntry]) -> None:
         temporary_path = self._folder / 'log.aside'
-        descriptor = os.open(
-            temporary_path, _CREATE_FLAGS | os.O_TRUNC, _FILE_MODE
-        )
         records: list[_LogRecord] = []
         chain_checksum = 0
         offset = 0
-        for entry in entries:
-            encoded_record, chain_checksum = encode_log_record(
-                encode_record(entry), chain_checksum
-            )
-            _write_all(descriptor, encoded_record)
-            offset += len(encoded_record)
-            records.append(_LogRecord(entry, offset, chain_checksum))
-        os.fsync(descriptor)
-        temporary_path.rename(self._log_path)
-        sync_folder(self._folder)
+        with _new_file(temporary_path) as descriptor:
+            for entry in entries:
+                encoded_record, chain_checksum = encode_log_record(
+                    encode_record(entry), chain_checksum
+                )
+                _write_all(descriptor, encoded_record)
+                offset += len(encoded_record)
+                records.append(_LogRecord(entry, offset, chain_checksum))
+            os.fsync(descriptor)
+            temporary_path.rename(self._log_path)
         os.close(self._descriptor)
         self._descriptor = descriptor
         self._records = records
+        self._sync_renamed_log()
+
+    def _sync_renamed_log(self) -> None:
+        """Syncs the folder; the former log may return if that fails."""
+        try:
+            sync_folder(self._folder)
+        except OSError as error:
+            raise StorageError(str(error), where=str(self._log_path)) from error
 
     def _load_identity(self) -> str:
         path = self._folder / 'identity'
@@ -369,15 +385,11 @@
         self, function: Callable[..., None], *args: object
     ) -> None:
         try:
-            with anyio.CancelScope(shield=True):
+            with (
+                anyio.CancelScope(shield=True),
+                typed_disk_errors(self._folder),
+            ):
                 async with self._disk_lock:
                     await run_sync(function, *args)
-        except OSError as error:
-            error_type = (
-                DiskFullError
-                if error.errno in _DISK_FULL_ERRNOS
-                else StorageError
-            )
-            raise error_type(str(error), where=str(self._folder)) from error
         except ProtocolError as error:
             raise StorageError(str(error), where=str(self._folder)) from error
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -5,13 +5,19 @@
 """
 
 import errno
+import os
 from pathlib import Path
 from typing import Any
 
 import anyio
 import pytest
 
-from mulberryhitch.errors import DamagedFileError, StorageError
+from mulberryhitch.errors import (
+    DamagedFileError,
+    DiskFullError,
+    StorageError,
+)
+from mulberryhitch.replication import file_storage
 from mulberryhitch.replication.failpoints import FailPoints
 from mulberryhitch.replication.file_storage import FileStorage
 from mulberryhitch.replication.members import Members
@@ -31,6 +37,18 @@
     raise OSError(errno.ENOSPC, 'no space left on device')
 
 
+def refuse_writes(*arguments: Any) -> None:
+    disk_full()
+
+
+def open_files() -> set[str]:
+    return {
+        os.readlink(link)
+        for link in Path('/proc/self/fd').iterdir()
+        if link.is_symlink()
+    }
+
+
 def entries(first: int, last: int) -> list[LogEntry]:
     return [
         LogEntry(index, 1, 'put', f'value {index}'.encode())
@@ -151,3 +169,42 @@
     run(storage.save_vote, 2, '')
     run(storage.sync)
     assert load_indexes(tmp_path) == [1, 2, 3, 4]
+
+
+def test_a_log_that_could_not_be_rewritten_leaves_no_file_behind(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    points = FailPoints()
+    storage = make_storage(tmp_path, points)
+    points.arm(
+        'compact', lambda: monkeypatch.setattr(os, 'write', refuse_writes)
+    )
+    snapshot = Snapshot(2, 1, Members(('vm-1#x',)), b'state')
+    with pytest.raises(DiskFullError):
+        run(storage.save_snapshot, snapshot, entries(3, 5))
+    monkeypatch.undo()
+    aside = tmp_path / 'log.aside'
+    assert not aside.exists()
+    assert not [name for name in open_files() if name.startswith(str(aside))]
+    storage.write(entries(6, 6))
+    run(storage.sync)
+    assert load_indexes(tmp_path) == [3, 4, 5, 6]
+
+
+def test_a_renamed_log_whose_folder_is_not_synced_stops_the_replica(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    points = FailPoints()
+    storage = make_storage(tmp_path, points)
+    points.arm(
+        'compact',
+        lambda: monkeypatch.setattr(file_storage, 'sync_folder', refuse_writes),
+    )
+    snapshot = Snapshot(2, 1, Members(('vm-1#x',)), b'state')
+    with pytest.raises(StorageError) as raised:
+        run(storage.save_snapshot, snapshot, entries(3, 5))
+    monkeypatch.undo()
+    storage.write(entries(6, 6))
+    run(storage.sync)
+    assert load_indexes(tmp_path) == [3, 4, 5, 6]
+    assert not isinstance(raised.value, DiskFullError)
