--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -195,6 +195,8 @@
         self._records = list(
             read_log_records(self._log_path.read_bytes(), str(self._log_path))
         )
+        if snapshot and not self._log_continues(snapshot):
+            self._records.clear()
         os.ftruncate(self._descriptor, self._end_offset)
         os.fsync(self._descriptor)
         entries = [record.entry for record in self._records]
@@ -366,6 +368,20 @@
             record.last_index, record.last_term, members, record.state
         )
 
+    def _log_continues(self, snapshot: Snapshot) -> bool:
+        """Whether the log matches a snapshot at its end, or starts after it.
+
+        It does neither if a snapshot of the leader was stored and the log was
+        not rewritten.
+        """
+        if self._records and self._records[0].entry.index > snapshot.last_index:
+            return True
+        return any(
+            record.entry.index == snapshot.last_index
+            and record.entry.term == snapshot.last_term
+            for record in self._records
+        )
+
     def _check_contiguous(self, entries: list[LogEntry]) -> None:
         expected = entries[0].index if entries else 0
         if entries and expected > self._snapshot_index + 1:
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -208,3 +208,23 @@
     run(storage.sync)
     assert load_indexes(tmp_path) == [3, 4, 5, 6]
     assert not isinstance(raised.value, DiskFullError)
+
+
+@pytest.mark.parametrize(('last_index', 'last_term'), [(9, 1), (4, 2), (5, 2)])
+def test_a_log_that_a_stored_snapshot_does_not_match_is_dropped(
+    tmp_path: Path, last_index: int, last_term: int
+) -> None:
+    """The leader's snapshot was stored, and the log was not rewritten."""
+    points = FailPoints()
+    storage = make_storage(tmp_path, points)
+    run(storage.save_vote, 2, 'vm-1#x')
+    points.arm('compact', crash)
+    snapshot = Snapshot(last_index, last_term, Members(('vm-1#x',)), b'state')
+    with pytest.raises(CrashError):
+        run(storage.save_snapshot, snapshot, [])
+    restarted = FileStorage(tmp_path, 'vm-1')
+    assert restarted.load().entries == []
+    following = LogEntry(last_index + 1, 2, 'put', b'value')
+    restarted.write([following])
+    run(restarted.sync)
+    assert FileStorage(tmp_path, 'vm-1').load().entries == [following]
