A repeated SIGTERM no longer cuts off the requests of a stopping process

Callers saw 500, a status that says nothing of the outcome, for requests that the process had read, where it was sent SIGTERM twice; and it ended with exit status 6. Overlapping rolling restarts and a supervisor that repeats its signal do that. The cause: watch_signals ended the process on any second signal.

SIGTERM only sets the stop event now, however often it comes; the drain goes on. A second SIGINT, from an operator at a terminal, still cuts off, with exit status 6 and a line that counts what was cut off. SIGHUP is ignored by the kernel from then on, so that it can't end the process between the end of the event loop and the exit either; so is SIGTERM after the drain, but for the moment in which anyio takes its handler away.

tests/test_signals.py sends an entry with six requests in hand SIGTERM, SIGHUP and SIGTERM, and once more after the answers. It failed before: "assert 500 == 503" in test_a_repeated_sigterm_does_not_cut_off_requests, and no entry.cut_off line in test_a_second_sigint_logs_what_it_cuts_off. No test asserted the old behaviour; docs/runbooks/planned-stop.md stated it.

--- a/mulberryhitch/composition.py
+++ b/mulberryhitch/composition.py
@@ -223,6 +223,12 @@
             await self._http_stopped.wait()
             tasks.cancel_scope.cancel()
 
+    def log_cut_off(self) -> None:
+        """Logs how many requests an immediate exit cuts off."""
+        self.node.log.event(
+            'entry.cut_off', requests=self.entry.router.in_flight
+        )
+
     def _make_entry(self) -> Entry:
         environment = self._environment
         node = self.node
@@ -391,6 +397,12 @@
             self.node.log.event('scheduler.stopped')
             tasks.cancel_scope.cancel()
 
+    def log_cut_off(self) -> None:
+        """Logs how many calls an immediate exit cuts off."""
+        self.node.log.event(
+            'scheduler.cut_off', calls=self.node.server.active_calls
+        )
+
     def _add_cell(self) -> None:
         settings = self._environment.settings
         state = CellState()
--- a/mulberryhitch/core.py
+++ b/mulberryhitch/core.py
@@ -1,7 +1,6 @@
 """Entry points of the programs; each returns an exit status."""
 
 import random
-import signal
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -12,6 +11,7 @@
 
 from mulberryhitch.errors import InvalidSettingsError, MulberryhitchError
 from mulberryhitch.exit_status import ExitStatus, exit_status_of
+from mulberryhitch.signals import watch_signals
 
 _SETTINGS = Annotated[
     Path, typer.Option(help='Folder with base.json and its overlays.')
@@ -103,25 +103,6 @@
     return None
 
 
-async def watch_signals(stop: anyio.Event) -> None:
-    """Sets the event on the first signal; exits on the second.
-
-    SIGHUP is ignored: changed files are reloaded without it.
-
-    Raises:
-        SystemExit: A second SIGTERM or SIGINT was received.
-    """
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
-        async for received in signals:
-            if received == signal.SIGHUP:
-                continue
-            if stop.is_set():
-                sys.exit(int(ExitStatus.cut_off))
-            stop.set()
-
-
 def _program_app(
     run: Callable[[Path, str], Awaitable[None]],
 ) -> typer.Typer:
@@ -170,9 +151,10 @@
         )
     tune_garbage_collector()
     stop = anyio.Event()
+    program = PROGRAMS[name](load_platform_settings(), stop)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(watch_signals, stop)
-        await PROGRAMS[name](load_platform_settings(), stop).run()
+        tasks.start_soon(watch_signals, stop, program.log_cut_off)
+        await program.run()
         tasks.cancel_scope.cancel()
 
 
@@ -203,7 +185,8 @@
             'this VM has no disk; a scheduler needs one', where=vm
         )
     environment = Environment(settings, vm, anyio.Event(), random.Random())
+    process = process_type(environment)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(watch_signals, environment.stop)
-        await process_type(environment).run()
+        tasks.start_soon(watch_signals, environment.stop, process.log_cut_off)
+        await process.run()
         tasks.cancel_scope.cancel()
--- a/mulberryhitch/exit_status.py
+++ b/mulberryhitch/exit_status.py
@@ -22,7 +22,7 @@
         settings: A settings file is invalid.
         storage: The data folder can't be used.
         invariant: An invariant would have been violated.
-        cut_off: A second signal ended the graceful shutdown.
+        cut_off: A second SIGINT ended the graceful shutdown.
         not_run: The request did not run.
         unknown: The request may have run.
     """
--- a/mulberryhitch/local.py
+++ b/mulberryhitch/local.py
@@ -19,8 +19,8 @@
     Settings,
     VmSettings,
 )
-from mulberryhitch.core import watch_signals
 from mulberryhitch.observability.log import start_logging
+from mulberryhitch.signals import watch_signals
 from mulberryhitch.standins.programs import AnnouncementTarget, run_fleet
 from mulberryhitch.workloads.model import Size
 
@@ -115,8 +115,9 @@
         _DEMO_TOKENS['worker'],
         _DEMO_TOKENS['backend_server'],
     )
+    entry = EntryProcess(environment)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(watch_signals, stop)
+        tasks.start_soon(watch_signals, stop, entry.log_cut_off)
         tasks.start_soon(SchedulerProcess(environment).run)
         tasks.start_soon(
             run_fleet,
@@ -133,7 +134,7 @@
         print(  # noqa: WPS421
             _WELCOME.format(host=_HOST, port=port, data=folder), flush=True
         )
-        await EntryProcess(environment).run()
+        await entry.run()
         tasks.cancel_scope.cancel()
 
 
--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -206,6 +206,12 @@
             self._shared.log.event('entry.stopped')
             tasks.cancel_scope.cancel()
 
+    def log_cut_off(self) -> None:
+        """Logs how many requests an immediate exit cuts off."""
+        self._shared.log.event(
+            'entry.cut_off', requests=self._application.in_flight
+        )
+
     async def _respond(self, request: HttpRequest) -> HttpResponse:
         return await self._ingress.respond(request)
 
@@ -282,6 +288,14 @@
             self._shared.log.event('scheduler.stopped')
             tasks.cancel_scope.cancel()
 
+    def log_cut_off(self) -> None:
+        """Logs how many requests and calls an immediate exit cuts off."""
+        self._shared.log.event(
+            'scheduler.cut_off',
+            requests=self._application.in_flight,
+            calls=self._shared.rpc.active_calls,
+        )
+
     def _make_service(self) -> JobsService:
         settings = self._settings
         log = self._shared.log
--- a/mulberryhitch/rpc/server.py
+++ b/mulberryhitch/rpc/server.py
@@ -50,6 +50,11 @@
         self._handlers: dict[str, Handler] = {}
         self._active_calls = 0
 
+    @property
+    def active_calls(self) -> int:
+        """Calls whose handlers are running."""
+        return self._active_calls
+
     def register(self, method: str, handler: Handler) -> None:
         """Sets the handler of a method."""
         self._handlers[method] = handler
--- /dev/null
+++ b/tests/raw_client.py
@@ -0,0 +1,57 @@
+"""A client that sees where a connection's answers end."""
+
+import asyncio
+import re
+
+import orjson
+
+from tests.platform_harness import HOST
+
+_CONTENT_LENGTH = re.compile(rb'\r\ncontent-length: *(\d+)', re.IGNORECASE)
+
+
+class NoCompleteAnswer(Exception):
+    """A connection ended before the answer to a request was complete."""
+
+
+def request_bytes(method: str, path: str, content: object = None) -> bytes:
+    body = b'' if content is None else orjson.dumps(content)
+    return (
+        f'{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    ).encode() + body
+
+
+class RawConnection:
+    """An open connection; answers are read in the order of the requests."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def open(cls, host: str, port: int) -> 'RawConnection':
+        return cls(*await asyncio.open_connection(host, port))
+
+    async def send(self, data: bytes) -> None:
+        self._writer.write(data)
+        await self._writer.drain()
+
+    async def read_answer(self) -> tuple[int, bytes]:
+        """Returns the status and the headers of a complete answer.
+
+        Raises:
+            NoCompleteAnswer: The connection ended before.
+        """
+        try:
+            headers = await self._reader.readuntil(b'\r\n\r\n')
+            length = _CONTENT_LENGTH.search(headers)
+            await self._reader.readexactly(int(length[1]) if length else 0)
+        except (OSError, asyncio.IncompleteReadError) as error:
+            raise NoCompleteAnswer(repr(error)) from error
+        return int(headers.split()[1]), headers.lower()
+
+    def close(self) -> None:
+        self._writer.close()
