A worker that missed a poll is polled until it answers again

Callers saw an accepted job wait although workers had room: a worker whose one poll failed stayed unusable for up to the longest lease (10 s) after it answered again, and was then removed and had to register anew.

Cause: only workers with runs, or not listed yet, are polled. When the run whose start failed is given up, the worker has no run left, so nothing ever clears missed_polls, without which nothing is placed on it.

A worker with missed polls is now polled like one with runs, without waiting for an end, until it answers or is removed.

--- a/mulberryhitch/dispatch/tracked_worker.py
+++ b/mulberryhitch/dispatch/tracked_worker.py
@@ -179,6 +179,11 @@
         """Sets the total resources from the record."""
         self.capacity = self.record.capacity
 
+    @property
+    def needs_poll(self) -> bool:
+        """Whether its list is needed now; an idle worker is not polled."""
+        return bool(self.tracked_runs or not self.listed or self.missed_polls)
+
     def update_record(self, record: WorkerRecord) -> None:
         """Replaces the record, and the total resources with it."""
         self.record = record
--- a/mulberryhitch/dispatch/worker_monitor.py
+++ b/mulberryhitch/dispatch/worker_monitor.py
@@ -77,7 +77,7 @@
     async def _watch(self, worker: TrackedWorker) -> None:
         while not worker.removed and not self._term.ended.is_set():
             woken = worker.wake_event
-            if worker.tracked_runs or not worker.listed:
+            if worker.needs_poll:
                 pause = await self._poll_once(worker)
             else:
                 pause = self._term.options.lease_seconds
@@ -88,8 +88,9 @@
     async def _poll_once(self, worker: TrackedWorker) -> float:
         if not self._term.may_act():
             return _NO_LEASE_PAUSE_SECONDS
+        answers = worker.listed and not worker.missed_polls
         wait = self._term.options.poll_wait_seconds
-        await self._poll(worker, wait if worker.listed else 0)
+        await self._poll(worker, wait if answers else 0)
         return _MISSED_POLL_PAUSE_SECONDS if worker.missed_polls else 0
 
     async def _poll(self, worker: TrackedWorker, wait_seconds: float) -> None:
