Steps that no worker can run no longer keep others from starting

What callers saw: an accepted job lay waiting for good although workers were idle, once 200 steps were before it in the order of placement that could not be placed: larger than any worker, wider than all workers together, permitted on none, or waiting for the same busy workers.

Cause: a round considers the 200 most urgent steps only, whether or not they can be placed; the same ones in each round, so the others never had a turn.

Evidence: both new tests of tests/test_stuck_jobs.py failed before, the first with TimeoutError after 10 s on an idle worker, the second with an idle worker whose label only a step behind 250 others asks for.

Change: a step that would not fit if all present workers were idle is left out of the round and counted as blocked by 'no worker'. The round has 160 places for the most urgent of the rest, and 40 that the others take in turn, so its length is as before.

--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -41,6 +41,7 @@
         self._committing_steps: set[StepKey] = set()
         self._estimates = EstimateCache()
         self._last_plan = Plan()
+        self._rounds = 0
         self.permit_manager = PermitManager(
             term.incarnation_of, term.request_round, term.log
         )
@@ -226,7 +227,9 @@
             self._term.wall_time(),
             self._term.options.permit_margin_seconds,
             self._last_plan.reservations,
+            self._rounds,
         )
+        self._rounds += 1
         plan = planner.run(self._committing_steps, self._preemption_candidates)
         self._record_plan(plan, anyio.current_time() - now)
         self.permit_manager.replace_requests(plan.permit_requests)
--- a/mulberryhitch/dispatch/planner.py
+++ b/mulberryhitch/dispatch/planner.py
@@ -23,10 +23,12 @@
 from mulberryhitch.jobs.store import JobStore
 
 _LATE_FACTOR = 3.0
-_MAX_STEPS_PER_ROUND = 200
+_MOST_URGENT_STEPS = 160
+_STEPS_IN_TURN = 40
 _MOST_URGENT = 0
 
 _WorkerCopies = list[tuple[int, TrackedWorker]]
+_Shape = tuple[str, str, Resources]
 
 
 class Planner:
@@ -43,6 +45,7 @@
         wall_time: Seconds since 1970.
         permit_margin: Minimum remaining validity of a permit, seconds.
         earlier_reservations: The workers reserved for gangs in the last round.
+        round_number: Number of the round.
     """
 
     def __init__(  # noqa: WPS211
@@ -56,8 +59,11 @@
         wall_time: float,
         permit_margin: float,
         earlier_reservations: Mapping[StepKey, tuple[str, ...]],
+        round_number: int,
     ) -> None:
         """Initialises the planner with an empty plan."""
+        self._round_number = round_number
+        self._suitable_workers: dict[_Shape, list[TrackedWorker]] = {}
         self._job_store = job_store
         self._estimates = estimates
         self._wall_time = wall_time
@@ -105,16 +111,64 @@
             and waiting.execution.key not in committing_steps
         ]
         waiting_steps.sort(key=lambda waiting: waiting.sort_key)
-        for waiting in waiting_steps[:_MAX_STEPS_PER_ROUND]:
+        for waiting in self._steps_of_round(waiting_steps):
             eligible = self._allowed_workers(waiting)
             if waiting.execution.step.gang:
                 self._place_gang(waiting, eligible, preemption)
             else:
                 self._place_tasks(waiting, eligible, preemption)
-        for waiting in waiting_steps[_MAX_STEPS_PER_ROUND:]:
-            self._count_blocked(waiting, 'round', waiting.tasks_left)
         return self.plan
 
+    def _steps_of_round(
+        self, waiting_steps: list[WaitingStep]
+    ) -> list[WaitingStep]:
+        """Returns the steps to consider in this round.
+
+        They are the most urgent ones, and a few of the others in turn: the
+        most urgent ones may all wait for the same busy workers. Steps that the
+        present workers could not run even if idle are left out, as they would
+        take the places of steps that can start.
+        """
+        feasible = []
+        for waiting in waiting_steps:
+            if self._fits_when_empty(waiting):
+                feasible.append(waiting)
+            else:
+                self._count_blocked(waiting, 'no worker', waiting.tasks_left)
+        others = feasible[_MOST_URGENT_STEPS:]
+        start = self._round_number * _STEPS_IN_TURN % max(1, len(others))
+        in_turn = others[start:] + others[:start]
+        for skipped in in_turn[_STEPS_IN_TURN:]:
+            self._count_blocked(skipped, 'round', skipped.tasks_left)
+        return feasible[:_MOST_URGENT_STEPS] + in_turn[:_STEPS_IN_TURN]
+
+    def _fits_when_empty(self, waiting: WaitingStep) -> bool:
+        """Whether a task of a step, or a whole gang, fits on idle workers."""
+        step = waiting.execution.step
+        missing = step.count if step.gang else 1
+        denied = waiting.permits.denied if waiting.permits else ()
+        for worker in self._suitable(waiting):
+            if worker.record.worker_id not in denied:
+                missing -= waiting.capacity_when_empty((worker,))
+            if missing <= 0:
+                return True
+        return False
+
+    def _suitable(self, waiting: WaitingStep) -> list[TrackedWorker]:
+        """Returns the workers that suit a step, whether or not permitted."""
+        execution = waiting.execution
+        shape = (
+            waiting.queue.service,
+            execution.step.label,
+            execution.resources,
+        )
+        suitable = self._suitable_workers.get(shape)
+        if suitable is None:
+            workers = self._free_capacity.workers.values()
+            suitable = list(filter(waiting.is_eligible, workers))
+            self._suitable_workers[shape] = suitable
+        return suitable
+
     def _waiting_step(self, execution: StepExecution) -> WaitingStep | None:
         job = self._job_store.jobs.get(execution.key.job_id)
         if job is None or not execution.waiting_units:
--- a/tests/test_stuck_jobs.py
+++ b/tests/test_stuck_jobs.py
@@ -1,5 +1,7 @@
 """Accepted jobs are not left waiting, and not forgotten."""
 
+from dataclasses import replace
+
 import anyio
 
 from mulberryhitch.jobs.model import Step
@@ -24,3 +26,35 @@
             assert await harness.wait('j', JobState.completed) < 2
 
     run_with_mock_clock(main)
+
+
+def test_steps_that_fit_no_worker_do_not_keep_others_from_starting() -> None:
+    async def main() -> None:
+        harness = DispatcherHarness(target_seconds=1000)
+        harness.fleet.add_worker('w1', 2000)
+        too_large = Step(1, 4000, 100, estimate_seconds=0.5)
+        too_wide = Step(3, 1000, 100, estimate_seconds=0.5, gang=True)
+        async with harness.running():
+            for number in range(100):
+                await harness.submit(f'large-{number}', too_large)
+                await harness.submit(f'wide-{number}', too_wide)
+            await harness.submit('j', replace(SMALL, estimate_seconds=5))
+            await harness.wait('j', JobState.completed, 10)
+
+    run_with_mock_clock(main)
+
+
+def test_steps_that_wait_for_busy_workers_do_not_hide_idle_ones() -> None:
+    async def main() -> None:
+        harness = DispatcherHarness(target_seconds=1000)
+        harness.fleet.add_worker('busy', 1000, labels=('busy',))
+        harness.fleet.add_worker('idle', 1000, labels=('idle',))
+        for_busy = Step(1, 1000, 100, estimate_seconds=5, label='busy')
+        for_idle = replace(for_busy, estimate_seconds=6, label='idle')
+        async with harness.running():
+            for number in range(250):
+                await harness.submit(f'busy-{number}', for_busy)
+            await harness.submit('j', for_idle)
+            await harness.wait('j', JobState.completed, 10)
+
+    run_with_mock_clock(main)
