A gang asks for idle workers once those that it is allowed on are busy

What callers saw: accepted gangs lay waiting while half of the workers were idle, above all behind their objective, when they reserve no workers.

Cause: a gang asks for permits on 100 workers at most, and for more only while the allowed ones would not hold it twice even if idle. Gangs that wait at the same time ask for the same 100; if these are busy, the other workers are never asked for.

Evidence: the new test of tests/test_permit_planning.py failed before with TimeoutError after 10 s: 30 idle workers, each allowed, and a gang that fits on 20. Not shown to be the loss that was reported.

Change: once the allowed workers would do if idle, but the gang does not fit on them now, it asks for free workers not asked for yet, provided that it fits if all of them allow it.

--- a/mulberryhitch/dispatch/permit_selection.py
+++ b/mulberryhitch/dispatch/permit_selection.py
@@ -59,15 +59,45 @@
     def select(self) -> list[str]:
         """Returns the worker ids to request; empty if a request cannot help."""
         if self._waiting.execution.step.gang:
-            needed = self._waiting.tasks_left * _GANG_CHOICE_FACTOR
-            enough = self._capacity_when_empty() >= needed
-            return [] if enough else self._select_new(inf)
+            return self._select_for_gang()
         expired = self._count_allowed()
         if self._missing <= 0:
             return []
         chosen = self._choose(expired, self._missing * _SPARE_FACTOR)
         return chosen or self._select_ahead()
 
+    def _select_for_gang(self) -> list[str]:
+        """Selects workers to learn which ones a gang is allowed on.
+
+        Once the allowed workers would do if they were idle, it selects free
+        ones that were not asked for yet, provided that the gang fits if all of
+        them allow it.
+        """
+        needed = self._waiting.tasks_left
+        if self._capacity_when_empty() < needed * _GANG_CHOICE_FACTOR:
+            return self._select_new(inf)
+        missing = needed - self._free_on_allowed()
+        if missing <= 0:
+            return []
+        chosen = self._choose([], missing * _SPARE_FACTOR)
+        fits = sum(map(self._copies_now, chosen)) >= missing
+        return chosen if fits else []
+
+    def _free_on_allowed(self) -> int:
+        """Returns how many tasks fit now on the workers known to be allowed."""
+        return sum(
+            self._copies_now(worker_id)
+            for worker_id in self._step_permits.allowed
+            if worker_id in self._free_capacity.workers
+        )
+
+    def _copies_now(self, worker_id: str) -> int:
+        return copies_that_fit(
+            self._resources,
+            self._free_capacity.unpromised(worker_id),
+            self._waiting.maximum_per_worker,
+        )
+
     def _count_allowed(self) -> _CopiesById:
         """Subtracts the tasks that valid permits cover from the missing ones.
 
--- a/tests/test_permit_planning.py
+++ b/tests/test_permit_planning.py
@@ -1,5 +1,7 @@
 """How permits are requested for gangs and tasks that wait for resources."""
 
+from dataclasses import replace
+
 import anyio
 
 from mulberryhitch.jobs.model import PermitPolicy, Step
@@ -104,3 +106,20 @@
             assert harness.start_count('long') == 1
 
     run_with_mock_clock(main)
+
+
+def test_a_gang_asks_for_idle_workers_once_the_allowed_ones_are_busy() -> None:
+    async def main() -> None:
+        harness = make_harness(130)
+        harness.add_queue('fast', permits=PermitPolicy(0, 0, 5))
+        fast_client = FakePermitClient(tuple(harness.fleet.workers), 0.01)
+        async with harness.running():
+            await harness.submit('gang', replace(GANG, count=60))
+            await anyio.sleep(0.1)
+            harness.dispatcher.permit_manager.add_client('2', fast_client)
+            # Takes the workers that the gang has just asked for.
+            task = Step(100, 32000, 100, estimate_seconds=20)
+            await harness.submit('tasks', task, queue='fast')
+            await harness.wait('gang', JobState.completed, 10)
+
+    run_with_mock_clock(main)
