A refusal after a lost reply no longer says that nothing ran

Callers saw 503 (or 404) for a job that was accepted and started: the entry's first call to the leader was sent and got no reply, the leader committed the job, and a second call, to another scheduler or over a full connection, was rejected: too many calls, a full disk, no configuration, a queue just removed. The rejection went to the caller as it was, although it spoke of the second call only.

LeaderClient.execute kept whether a call may have been executed for its own time-out alone; any other rejection left the loop past it. The failed calls of an operation are now kept together (_Attempts): a rejection whose outcome is not_run becomes OutcomeUnknownError, 502, at once, if an earlier call was left without a reply. A rejection of the first call keeps its type.

--- a/mulberryhitch/membership/leader_client.py
+++ b/mulberryhitch/membership/leader_client.py
@@ -1,5 +1,6 @@
 """A client that finds the leader of a group and calls it."""
 
+from dataclasses import dataclass
 from typing import Any, Protocol
 
 import anyio
@@ -15,6 +16,7 @@
     ProtocolError,
     UnreachableError,
 )
+from mulberryhitch.outcomes import Outcome
 from mulberryhitch.rpc.messages import ExecuteReply, ExecuteRequest
 from mulberryhitch.rpc.records import decode_as, encode, kind_of
 
@@ -25,6 +27,7 @@
 _AVOID_NON_LEADER_SECONDS = 0.15
 
 _NOT_EXECUTED_ERRORS = (
+    NotLeaderError,
     UnreachableError,
     DeadlinePassedError,
     LostAuthorityError,
@@ -62,6 +65,58 @@
     return decode_as(reply_type, reply.body)
 
 
+@dataclass(slots=True)
+class _Attempts:
+    """The failed calls of one operation.
+
+    Attributes:
+        maybe_executed: Whether one of them may have executed the operation.
+    """
+
+    group: str
+    maybe_executed: bool = False
+    last_error: MulberryhitchError | None = None
+
+    def record_failure(self, error: MulberryhitchError) -> None:
+        """Records a failed call.
+
+        Raises:
+            OutcomeUnknownError: The call was rejected, but an earlier one may
+                have executed the operation.
+            MulberryhitchError: The call was rejected with this error.
+        """
+        self.last_error = error
+        if isinstance(error, _UNKNOWN_OUTCOME_ERRORS):
+            self.maybe_executed = True
+        elif not isinstance(error, _NOT_EXECUTED_ERRORS):
+            raise self._rejection(error)
+
+    def timeout_error(self) -> MulberryhitchError:
+        """Returns the error of an operation that ran out of time."""
+        cause = (
+            self.last_error.what
+            if self.last_error
+            else 'the timeout had already expired'
+        )
+        if self.maybe_executed:
+            return OutcomeUnknownError(
+                f'the leader did not reply: {cause}', where=self.group
+            )
+        return NoQuorumError(
+            f'no leader was found: {cause}',
+            where=self.group,
+            retry_after_seconds=_RETRY_AFTER_SECONDS,
+        )
+
+    def _rejection(self, error: MulberryhitchError) -> MulberryhitchError:
+        if self.maybe_executed and error.outcome is Outcome.not_run:
+            return OutcomeUnknownError(
+                f'rejected after a call without a reply: {error.what}',
+                where=self.group,
+            )
+        return error
+
+
 class LeaderClient:
     """Executes operations on the current leader of a group.
 
@@ -96,13 +151,14 @@
 
         Raises:
             NoQuorumError: No leader was found; nothing was executed.
-            OutcomeUnknownError: The operation may have been executed.
-            MulberryhitchError: The leader rejected the operation.
+            OutcomeUnknownError: The operation may have been executed, also if
+                a later call was rejected.
+            MulberryhitchError: The leader rejected the operation, and no
+                earlier call was left without a reply.
         """
         request = ExecuteRequest(group, kind_of(operation), encode(operation))
         deadline = anyio.current_time() + timeout_seconds
-        maybe_executed = False
-        last_error: MulberryhitchError | None = None
+        attempts = _Attempts(group)
         while anyio.current_time() < deadline:
             remaining_seconds = deadline - anyio.current_time()
             vm = self._select_vm(group)
@@ -113,17 +169,9 @@
                     request,
                     min(remaining_seconds, self._call_timeout_seconds),
                 )
-            except NotLeaderError as error:
-                last_error = error
-                self._last_leaders[group] = error.where.partition('#')[0]
-                self._avoid(vm, _AVOID_NON_LEADER_SECONDS)
-            except _NOT_EXECUTED_ERRORS as error:
-                last_error = error
-                self._avoid(vm)
-            except _UNKNOWN_OUTCOME_ERRORS as error:
-                last_error = error
-                maybe_executed = True
-                self._avoid(vm)
+            except MulberryhitchError as error:
+                attempts.record_failure(error)
+                self._leave(group, vm, error)
             else:
                 self._last_leaders[group] = vm
                 self._avoided_until.pop(vm, None)
@@ -131,7 +179,7 @@
             await anyio.sleep(
                 min(_RETRY_INTERVAL_SECONDS, max(remaining_seconds, 0))
             )
-        raise self._make_error(group, maybe_executed, last_error)
+        raise attempts.timeout_error()
 
     def _select_vm(self, group: str) -> str:
         """Returns the known leader, or else the next voter in turn.
@@ -151,29 +199,13 @@
                 break
         return vm
 
-    def _avoid(
-        self, vm: str, seconds: float = _AVOID_UNRESPONSIVE_SECONDS
-    ) -> None:
+    def _leave(self, group: str, vm: str, error: MulberryhitchError) -> None:
+        """Avoids a VM for a while; follows it to the leader that it names."""
+        seconds = _AVOID_UNRESPONSIVE_SECONDS
+        if isinstance(error, NotLeaderError):
+            self._last_leaders[group] = error.where.partition('#')[0]
+            seconds = _AVOID_NON_LEADER_SECONDS
         self._avoided_until[vm] = anyio.current_time() + seconds
 
     def _is_avoided(self, vm: str) -> bool:
         return self._avoided_until.get(vm, 0) > anyio.current_time()
-
-    def _make_error(
-        self,
-        group: str,
-        maybe_executed: bool,
-        last_error: MulberryhitchError | None,
-    ) -> MulberryhitchError:
-        cause = (
-            last_error.what if last_error else 'the timeout had already expired'
-        )
-        if maybe_executed:
-            return OutcomeUnknownError(
-                f'the leader did not reply: {cause}', where=group
-            )
-        return NoQuorumError(
-            f'no leader was found: {cause}',
-            where=group,
-            retry_after_seconds=_RETRY_AFTER_SECONDS,
-        )
--- a/tests/test_leader_client.py
+++ b/tests/test_leader_client.py
@@ -11,9 +11,15 @@
 
 from mulberryhitch.dispatch.operations import JobReply, ReadJob
 from mulberryhitch.errors import (
+    ConnectionLostError,
     DeadlinePassedError,
+    DiskFullError,
+    MulberryhitchError,
     NoQuorumError,
+    NotFoundError,
     NotLeaderError,
+    OutcomeUnknownError,
+    OverloadedError,
 )
 from mulberryhitch.membership.leader_client import LeaderClient
 from mulberryhitch.rpc.messages import ExecuteReply
@@ -52,6 +58,19 @@
         return VMS
 
 
+class ScriptedSchedulers(FakeSchedulers):
+    """Each call fails with the next error."""
+
+    def __init__(self, *failures: MulberryhitchError) -> None:
+        super().__init__('a', set())
+        self._failures = list(failures)
+
+    async def call(
+        self, vm: str, method: str, request: Any, timeout_seconds: float
+    ) -> Any:
+        raise self._failures.pop(0)
+
+
 async def measure_execute(
     leader_client: LeaderClient, seconds: float = 0.9
 ) -> float:
@@ -111,3 +130,34 @@
         assert await measure_execute(leader_client) < 0.8
 
     run_with_mock_clock(main)
+
+
+@pytest.mark.parametrize(
+    'refusal', [OverloadedError, DiskFullError, NotFoundError]
+)
+def test_a_refusal_after_a_lost_reply_does_not_say_that_nothing_ran(
+    refusal: type[MulberryhitchError],
+) -> None:
+    async def main() -> None:
+        leader_client = LeaderClient(
+            ScriptedSchedulers(ConnectionLostError('reset'), refusal('no')),
+            0.6,
+        )
+        with pytest.raises(OutcomeUnknownError):
+            await measure_execute(leader_client)
+
+    run_with_mock_clock(main)
+
+
+def test_a_refusal_without_a_lost_reply_keeps_its_type() -> None:
+    async def main() -> None:
+        leader_client = LeaderClient(
+            ScriptedSchedulers(
+                NotLeaderError('not the leader'), NotFoundError('no queue')
+            ),
+            0.6,
+        )
+        with pytest.raises(NotFoundError):
+            await measure_execute(leader_client)
+
+    run_with_mock_clock(main)
