A call while no scheduler is known gets 503 and ends no process

Callers saw a process end with UnboundLocalError where its settings named no seed and no scheduler had reported yet: LeaderClient._select_vm returned a name that its loop over no voters never set, and LeaderReporter handles the errors of this project only. A client's request got 502, though nothing was sent.

No voter is now an UnreachableError, which is retried until the deadline and then is NoQuorumError, 503: the seeds may be reloaded meanwhile.

--- a/mulberryhitch/membership/leader_client.py
+++ b/mulberryhitch/membership/leader_client.py
@@ -163,12 +163,7 @@
             remaining_seconds = deadline - anyio.current_time()
             vm = self._select_vm(group)
             try:
-                reply = await self._transport.call(
-                    vm,
-                    'execute',
-                    request,
-                    min(remaining_seconds, self._call_timeout_seconds),
-                )
+                reply = await self._call(vm, request, remaining_seconds)
             except MulberryhitchError as error:
                 attempts.record_failure(error)
                 self._leave(group, vm, error)
@@ -181,10 +176,23 @@
             )
         raise attempts.timeout_error()
 
+    async def _call(
+        self, vm: str, request: ExecuteRequest, remaining_seconds: float
+    ) -> Any:
+        if not vm:
+            raise UnreachableError('no scheduler is known', where=request.group)
+        return await self._transport.call(
+            vm,
+            'execute',
+            request,
+            min(remaining_seconds, self._call_timeout_seconds),
+        )
+
     def _select_vm(self, group: str) -> str:
         """Returns the known leader, or else the next voter in turn.
 
-        A VM that recently failed is chosen only if all voters did.
+        A VM that recently failed is chosen only if all voters did. Empty if
+        no voter is known.
         """
         known = self._last_leaders.get(group) or self._transport.leader_of(
             group
@@ -192,6 +200,7 @@
         if known and not self._is_avoided(known):
             return known
         voters = self._transport.voters_of(group)
+        vm = ''
         for _ in voters:
             self._voter_index += 1
             vm = voters[self._voter_index % len(voters)]
--- a/tests/test_leader_client.py
+++ b/tests/test_leader_client.py
@@ -58,6 +58,16 @@
         return VMS
 
 
+class NoSchedulers(FakeSchedulers):
+    """No scheduler is known, as with settings that name no seed."""
+
+    def __init__(self) -> None:
+        super().__init__('', set())
+
+    def voters_of(self, group: str) -> tuple[str, ...]:
+        return ()
+
+
 class ScriptedSchedulers(FakeSchedulers):
     """Each call fails with the next error."""
 
@@ -161,3 +171,11 @@
             await measure_execute(leader_client)
 
     run_with_mock_clock(main)
+
+
+def test_a_call_while_no_scheduler_is_known_finds_no_quorum() -> None:
+    async def main() -> None:
+        with pytest.raises(NoQuorumError):
+            await measure_execute(LeaderClient(NoSchedulers()))
+
+    run_with_mock_clock(main)
