A malformed answer of a worker no longer ends the leader's process

Callers saw every request that the leading scheduler held cut off, and then those of its successor, when one worker answered a poll with a list that is no list, a row that is an object or names its task by a number, or a start with a clock of null: the process ended. One with a number beyond 64 bits ended it at the next poll, which sends the number back.

The cause: read_worker_view and PlatformWorkerClient.start raised TypeError, AttributeError, KeyError or ValueError, and the dispatcher handles the errors of this project only; anything else leaves its task group, and the process.

Parsing the lists has a module of its own, platform/run_lists.py. Lists are checked to be lists and numbers to be in range; a field that isn't is a ProtocolError, which the dispatcher takes for a poll or start without a usable answer. A malformed row is counted and skipped, whatever its type.

tests/test_platform.py, before: test_a_malformed_list_of_runs_is_a_typed_error failed for 5 of 8 cases, test_rows_of_any_other_type_are_counted_and_skipped with AttributeError, test_a_start_answered_with_a_malformed_clock_is_uncertain for all 5 (TypeError, ValueError, none raised). The file passes.

--- a/mulberryhitch/platform/wire.py
+++ b/mulberryhitch/platform/wire.py
@@ -3,14 +3,13 @@
 The platform calls a queue a route, and its permit policy advice.
 """
 
-from typing import Any, TypeVar
+from typing import TypeVar
 
 import orjson
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from mulberryhitch.constants import MILLISECONDS_PER_SECOND
-from mulberryhitch.dispatch.ports import EndedRow, RunningRow, WorkerView
-from mulberryhitch.errors import InvalidInputError, ProtocolError
+from mulberryhitch.errors import InvalidInputError
 from mulberryhitch.jobs.model import (
     JobSpec,
     Limits,
@@ -22,7 +21,6 @@
     TaskKey,
     WorkerRecord,
 )
-from mulberryhitch.jobs.state import RunOutcome
 
 _MAX_ARGUMENT_BYTES = 4000
 _MAX_COUNT = 20_000
@@ -32,15 +30,6 @@
 
 BodyType = TypeVar('BodyType', bound=BaseModel)
 
-_RUN_OUTCOMES = {
-    'done': RunOutcome.done,
-    'failed': RunOutcome.failed,
-    'stopped': RunOutcome.stopped,
-    'lapsed': RunOutcome.expired,
-    'broken': RunOutcome.broken,
-    'alone': RunOutcome.incomplete,
-}
-
 
 class _Body(BaseModel):
     model_config = ConfigDict(strict=True, extra='ignore')
@@ -261,58 +250,6 @@
     return f'{step.job_id}.{step.occurrence}.{step.step}'
 
 
-def read_worker_view(content: dict[str, Any]) -> tuple[WorkerView, int]:
-    """Returns a worker's lists of runs and the number of malformed rows.
-
-    Raises:
-        ProtocolError: A list or the clock is missing, or the clock or the
-            incarnation is not an integer.
-    """
-    try:
-        clock = int(content['clock_ms'])
-        running = content['running']
-        ended = content['ended']
-        born = int(content.get('born', 0))
-    except (KeyError, TypeError, ValueError) as error:
-        raise ProtocolError(repr(error), where='lists of runs') from error
-    unreadable = 0
-    running_rows: list[RunningRow] = []
-    ended_rows: list[EndedRow] = []
-    for row in running:
-        try:
-            running_rows.append(_running_row(row))
-        except (ValueError, TypeError, IndexError):
-            unreadable += 1
-    for row in ended:
-        try:
-            ended_rows.append(_ended_row(row))
-        except (ValueError, TypeError, IndexError, KeyError):
-            unreadable += 1
-    view = WorkerView(clock, born, tuple(running_rows), tuple(ended_rows))
-    return view, unreadable
-
-
-def _running_row(row: list[Any]) -> RunningRow:
-    return RunningRow(
-        _task_key(row[0]), int(row[1]), str(row[2] or ''), int(row[3])
-    )
-
-
-def _ended_row(row: list[Any]) -> EndedRow:
-    return EndedRow(
-        int(row[0]),
-        _task_key(row[1]),
-        int(row[2]),
-        _RUN_OUTCOMES[row[3]],
-        str(row[4] or ''),
-    )
-
-
-def _task_key(name: str) -> TaskKey:
-    job_id, occurrence, step, index = name.rsplit('.', 3)
-    return TaskKey(job_id, int(occurrence), int(step), int(index))
-
-
 def _step(body: _StepBody) -> Step:
     return Step(
         body.count,
--- a/mulberryhitch/platform/workers.py
+++ b/mulberryhitch/platform/workers.py
@@ -14,7 +14,8 @@
 from mulberryhitch.jobs.model import StepKey, TaskKey, WorkerRecord
 from mulberryhitch.observability.log import Log
 from mulberryhitch.platform.client import JsonResponse, PlatformClient
-from mulberryhitch.platform.wire import read_worker_view, step_name, task_name
+from mulberryhitch.platform.run_lists import read_integer, read_worker_view
+from mulberryhitch.platform.wire import step_name, task_name
 
 _POLL_MARGIN_SECONDS = 0.6
 
@@ -52,6 +53,9 @@
         Returns:
             The answer, and the time on the worker's clock in milliseconds;
             zero if the response did not contain it.
+
+        Raises:
+            ProtocolError: The clock in the response is not an integer.
         """
         content: dict[str, Any] = {
             'task': task_name(command.task),
@@ -74,7 +78,7 @@
                 status=response.status,
                 told=response.content,
             )
-        return worker_answer, int(response.content.get('clock_ms', 0))
+        return worker_answer, read_integer(response.content, 'clock_ms', 0)
 
     async def stop(
         self, worker: WorkerRecord, task: TaskKey, run: int, fence: int
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,16 +13,20 @@
     NotFoundError,
     NotLeaderError,
     OutcomeUnknownError,
+    ProtocolError,
     StorageError,
 )
 from mulberryhitch.jobs.model import Step
+from mulberryhitch.observability.log import Log
 from mulberryhitch.platform.asgi import http_status_of
+from mulberryhitch.platform.run_lists import read_worker_view
 from mulberryhitch.platform.wire import (
     read_heartbeat,
     read_job,
     read_table,
-    read_worker_view,
 )
+from mulberryhitch.platform.workers import PlatformWorkerClient
+from tests.fake_platform import START, AnsweringClient, make_worker
 from tests.platform_harness import (
     ENTRY,
     SCHEDULERS,
@@ -240,6 +244,48 @@
     assert [row.number for row in view.ended] == [1]
 
 
+def test_rows_of_any_other_type_are_counted_and_skipped() -> None:
+    rows = [[7, 1, '', 5], {'task': 'a.0.0.1'}, None, ['a.0.0.1', 2**64, '', 5]]
+    view, unreadable = read_worker_view(
+        {'clock_ms': 5, 'running': rows, 'ended': rows}
+    )
+    assert unreadable == 2 * len(rows)
+    assert (view.running, view.ended) == ((), ())
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'running': None},
+        {'running': 5},
+        {'ended': None},
+        {'ended': True},
+        {'clock_ms': None},
+        {'clock_ms': [1]},
+        {'clock_ms': 2**64 - 1},
+        {'born': None},
+    ],
+)
+def test_a_malformed_list_of_runs_is_a_typed_error(change: dict) -> None:
+    view = {'clock_ms': 5, 'running': [], 'ended': [], 'born': 1}
+    with pytest.raises(ProtocolError):
+        read_worker_view({**view, **change})
+
+
+@pytest.mark.parametrize('clock', [None, 'soon', [], {}, 2**64 - 1])
+def test_a_start_answered_with_a_malformed_clock_is_uncertain(
+    clock: object,
+) -> None:
+    async def main() -> None:
+        client = PlatformWorkerClient(
+            AnsweringClient({'clock_ms': clock}), 1, Log('test')
+        )
+        with pytest.raises(ProtocolError):
+            await client.start(make_worker(), START)
+
+    anyio.run(main)
+
+
 @pytest.mark.parametrize(
     ('error', 'status'),
     [
