A heartbeat with an unusable address or id no longer ends each leader

Callers saw the leading scheduler end, and then each successor, after one heartbeat whose address had a port over 65535, whose worker id (percent-encoded in the path) had a line break or a letter outside ASCII, or whose numbers had more than 53 bits: the record was committed, and the first request to that worker raised OverflowError in an ExceptionGroup, h11.LocalProtocolError, UnicodeEncodeError or TypeError, which no handler of a failed call covers. The record stayed, so the next leader ended in the same way.

Such a heartbeat is now refused with 400: the address is checked by check_address, which checks the port's range, and the id must be visible ASCII. PlatformClient reports a request that can't be built or addressed as UnreachableError, so that a record that is stored already does no harm.

tests/test_platform.py, before: 8 cases of test_an_invalid_heartbeat_is_refused and all 5 of test_a_worker_id_that_no_header_can_carry_is_refused raised nothing; test_a_worker_that_no_request_can_name_is_unreachable failed with ExceptionGroup, LocalProtocolError and UnicodeEncodeError. They pass now.

--- a/mulberryhitch/configuration/addresses.py
+++ b/mulberryhitch/configuration/addresses.py
@@ -1,9 +1,13 @@
 """Validation of addresses: IP addresses with ports, not host names."""
 
 import ipaddress
+import re
 
 from mulberryhitch.errors import InvalidInputError
 
+_MAX_PORT = 65_535
+_PORT_DIGITS = re.compile('[0-9]{1,5}')
+
 
 def check_address(address: str) -> str:
     """Returns an address if it is an IP address with a port.
@@ -18,7 +22,8 @@
         raise InvalidInputError(
             f'"{host}" is not an IP address', where='address'
         ) from error
-    if not port.isdigit():
+    is_number = _PORT_DIGITS.fullmatch(port) is not None
+    if not is_number or not 0 < int(port) <= _MAX_PORT:
         raise InvalidInputError(
             f'"{port}" is not a port number', where='address'
         )
--- a/mulberryhitch/platform/client.py
+++ b/mulberryhitch/platform/client.py
@@ -14,7 +14,9 @@
 import orjson
 from anyio.abc import SocketAttribute, SocketStream
 
+from mulberryhitch.configuration.addresses import check_address
 from mulberryhitch.errors import (
+    InvalidInputError,
     OutcomeUnknownError,
     ProtocolError,
     UnreachableError,
@@ -114,21 +116,22 @@
             host: Host header; the address if empty.
 
         Raises:
-            UnreachableError: The connection failed; nothing was sent.
+            UnreachableError: The connection failed, or the address or a
+                header is malformed; nothing was sent.
             OutcomeUnknownError: The request was sent, but no complete
                 response was received.
             ProtocolError: The response body is not valid JSON.
         """
         body = orjson.dumps(content)
-        head = h11.Request(
-            method=method,
-            target=path,
-            headers=[
+        head = _make_head(
+            method,
+            path,
+            (
                 ('Host', host or address),
                 ('Content-Type', 'application/json'),
                 ('Content-Length', str(len(body))),
                 *headers,
-            ],
+            ),
         )
         connection = await self._acquire(address)
         try:
@@ -155,11 +158,11 @@
         idle = self._idle.get(address)
         if idle:
             return idle.pop()
-        host, _, port = address.rpartition(':')
+        host, port = _host_and_port(address)
         try:
             with anyio.fail_after(_CONNECT_TIMEOUT_SECONDS):
-                stream = await anyio.connect_tcp(host, int(port))
-        except (OSError, TimeoutError, ValueError) as error:
+                stream = await anyio.connect_tcp(host, port)
+        except (OSError, TimeoutError) as error:
             raise UnreachableError(
                 f'connection failed: {error!r}', where=address
             ) from error
@@ -180,6 +183,26 @@
             await connection.close()
 
 
+def _make_head(
+    method: str, path: str, headers: tuple[tuple[str, str], ...]
+) -> h11.Request:
+    try:
+        return h11.Request(method=method, target=path, headers=list(headers))
+    except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+        raise UnreachableError(
+            f'request cannot be sent: {error}', where=path
+        ) from error
+
+
+def _host_and_port(address: str) -> tuple[str, int]:
+    try:
+        check_address(address)
+    except InvalidInputError as error:
+        raise UnreachableError(error.what, where=address) from error
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
 def _decode(body: bytes, where: str) -> dict[str, Any]:
     if not body:
         return {}
--- a/mulberryhitch/platform/wire.py
+++ b/mulberryhitch/platform/wire.py
@@ -3,12 +3,14 @@
 The platform calls a queue a route, and its permit policy advice.
 """
 
-from typing import TypeVar
+import re
+from typing import Annotated, TypeVar
 
 import orjson
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from mulberryhitch.constants import MILLISECONDS_PER_SECOND
+from mulberryhitch.configuration.addresses import check_address
 from mulberryhitch.errors import InvalidInputError
 from mulberryhitch.jobs.model import (
     JobSpec,
@@ -25,6 +27,7 @@
 _MAX_ARGUMENT_BYTES = 4000
 _MAX_COUNT = 20_000
 _MAX_NUMBER = 2**53
+_HEADER_TEXT = re.compile('[!-~]+')
 _READY = 'ready'
 _DRAINING = 'draining'
 
@@ -103,9 +106,12 @@
 
 
 class _CapacityBody(_Body):
-    cpu: int = Field(ge=0)
-    mem_mb: int = Field(ge=0)
-    gpu: int = Field(0, ge=0)
+    cpu: int = Field(ge=0, le=_MAX_NUMBER)
+    mem_mb: int = Field(ge=0, le=_MAX_NUMBER)
+    gpu: int = Field(0, ge=0, le=_MAX_NUMBER)
+
+
+_Integer = Annotated[int, Field(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
 
 
 class _HeartbeatBody(_Body):
@@ -115,9 +121,9 @@
     state: str
     capacity: _CapacityBody
     labels: list[str]
-    clock_ms: int
-    sequence: int
-    born: int = 0
+    clock_ms: _Integer
+    sequence: _Integer
+    born: _Integer = 0
 
 
 def read_body(
@@ -216,12 +222,7 @@
         raise InvalidInputError(
             f'unknown state {body.state!r}', where='heartbeat.state'
         )
-    host, _, port = body.address.rpartition(':')
-    if not host or not port.isdigit():
-        raise InvalidInputError(
-            f'{body.address!r} is not of the form host:port',
-            where='heartbeat.address',
-        )
+    _check_worker_names(worker_id, body.address)
     # The first label is the worker's kind, the second its rack.
     rack = body.labels[1] if len(body.labels) > 1 else ''
     record = WorkerRecord(
@@ -240,6 +241,16 @@
     return record, body.clock_ms, body.sequence
 
 
+def _check_worker_names(worker_id: str, address: str) -> None:
+    """Checks that a request can be sent to the worker under these names."""
+    if not _HEADER_TEXT.fullmatch(worker_id):
+        raise InvalidInputError(
+            f'{worker_id!r} has characters other than visible ASCII',
+            where='worker id',
+        )
+    check_address(address)
+
+
 def task_name(task: TaskKey) -> str:
     """Returns a task's name in the platform's messages."""
     return f'{task.job_id}.{task.occurrence}.{task.step}.{task.number}'
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,10 +15,12 @@
     OutcomeUnknownError,
     ProtocolError,
     StorageError,
+    UnreachableError,
 )
-from mulberryhitch.jobs.model import Step
+from mulberryhitch.jobs.model import Step, WorkerRecord
 from mulberryhitch.observability.log import Log
 from mulberryhitch.platform.asgi import http_status_of
+from mulberryhitch.platform.client import PlatformClient
 from mulberryhitch.platform.run_lists import read_worker_view
 from mulberryhitch.platform.wire import (
     read_heartbeat,
@@ -48,6 +50,17 @@
     ],
 }
 JOB_ID = '5c0e7a21d94b36f8'
+HEARTBEAT = {
+    'service': 'svc',
+    'address': '10.0.0.1:80',
+    'zone': 'a',
+    'state': 'ready',
+    'capacity': {'cpu': 1, 'mem_mb': 1},
+    'labels': ['a', 'r1'],
+    'clock_ms': 1,
+    'sequence': 1,
+    'born': 7,
+}
 
 
 def test_a_posted_job_completes(tmp_path: Path) -> None:
@@ -207,28 +220,52 @@
     [
         {'state': 'asleep'},
         {'address': 'nowhere'},
+        {'address': '10.0.0.1:99999'},
+        {'address': '10.0.0.1:0'},
+        {'address': '10.0.0.1:²'},
+        {'address': '10.0.0.1\r\nX: y:80'},
         {'capacity': {'cpu': 'much', 'mem_mb': 1}},
         {'labels': 'a'},
         {'clock_ms': None},
+        {'clock_ms': 2**64 - 1},
+        {'sequence': 2**64 - 1},
+        {'born': 2**64 - 1},
+        {'capacity': {'cpu': 2**64 - 1, 'mem_mb': 1}},
         {'born': 1.5},
     ],
 )
 def test_an_invalid_heartbeat_is_refused(change: dict) -> None:
-    heartbeat = {
-        'service': 'svc',
-        'address': '10.0.0.1:80',
-        'zone': 'a',
-        'state': 'ready',
-        'capacity': {'cpu': 1, 'mem_mb': 1},
-        'labels': ['a', 'r1'],
-        'clock_ms': 1,
-        'sequence': 1,
-        'born': 7,
-    }
-    record, _, _ = read_heartbeat('i-1', orjson.dumps(heartbeat))
+    record, _, _ = read_heartbeat('i-1', orjson.dumps(HEARTBEAT))
     assert (record.rack, record.born) == ('r1', 7)
     with pytest.raises(InvalidInputError):
-        read_heartbeat('i-1', orjson.dumps({**heartbeat, **change}))
+        read_heartbeat('i-1', orjson.dumps({**HEARTBEAT, **change}))
+
+
+@pytest.mark.parametrize('worker_id', ['', 'i 1', 'i\n1', 'é', 'i-1\x00'])
+def test_a_worker_id_that_no_header_can_carry_is_refused(
+    worker_id: str,
+) -> None:
+    with pytest.raises(InvalidInputError):
+        read_heartbeat(worker_id, orjson.dumps(HEARTBEAT))
+
+
+@pytest.mark.parametrize(
+    'worker',
+    [
+        make_worker(address='127.0.0.1:99999'),
+        make_worker('i\n1'),
+        make_worker('é'),
+    ],
+)
+def test_a_worker_that_no_request_can_name_is_unreachable(
+    worker: WorkerRecord,
+) -> None:
+    async def main() -> None:
+        client = PlatformWorkerClient(PlatformClient(), 1, Log('test'))
+        with pytest.raises(UnreachableError):
+            await client.start(worker, START)
+
+    anyio.run(main)
 
 
 def test_unreadable_rows_are_counted_and_skipped() -> None:
