A malformed frame ends its connection, not the process

Callers saw every request of a process cut off when a stranger's bytes reached its internal port, for example a line of HTTP: the process ended with ProtocolError. RpcServer._handle_connection has always meant to log that error and go on, but the error leaves the connection's task group inside an ExceptionGroup, which its except clause doesn't match.

_read_calls now ends the connection where the frame is read, with the same rpc.connection line.

tests/test_rpc.py: test_a_malformed_frame_ends_only_its_connection failed before for an overlong and for an unreadable frame (ExceptionGroup with ProtocolError out of the server's task group); it passes now.

--- a/mulberryhitch/rpc/server.py
+++ b/mulberryhitch/rpc/server.py
@@ -15,6 +15,7 @@
     OutcomeUnknownError,
     OverloadedError,
     Problem,
+    ProtocolError,
 )
 from mulberryhitch.observability.log import Log
 from mulberryhitch.rpc.client import TlsContextProvider
@@ -104,6 +105,9 @@
                 call = decode_call(await frames.receive())
             except _CONNECTION_ERRORS:
                 return
+            except ProtocolError as error:
+                self._log.problem('rpc.connection', error.problem)
+                return
             tasks.start_soon(self._serve_call, frames, send_lock, call)
 
     async def _serve_call(
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -11,6 +11,7 @@
 from mulberryhitch.rpc.client import PeerConnection
 from mulberryhitch.rpc.messages import HelloReply, HelloRequest
 from mulberryhitch.rpc.server import RpcServer
+from tests.local_cell import find_free_ports
 
 HELLO = HelloRequest('group', 'replica', configured=False)
 
@@ -87,3 +88,43 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(main)
+
+
+async def _serve_and_wait(server: RpcServer, port: int, tasks: Any) -> None:
+    tasks.start_soon(server.serve, '127.0.0.1', port)
+    with anyio.fail_after(20):
+        while True:
+            try:
+                stream = await anyio.connect_tcp('127.0.0.1', port)
+            except OSError:
+                await anyio.sleep(0.01)
+                continue
+            await stream.aclose()
+            return
+
+
+async def _assert_serves(port: int, tasks: Any) -> None:
+    peer = PeerConnection('caller', '127.0.0.1', port)
+    tasks.start_soon(peer.run)
+    await anyio.sleep(0)
+    assert isinstance(await peer.call('hello', HELLO, 20), HelloReply)
+
+
+@pytest.mark.parametrize(
+    'sent', [b'GET / HTTP/1.1\r\n\r\n', (5).to_bytes(4, 'big') + b'aaaaa']
+)
+def test_a_malformed_frame_ends_only_its_connection(sent: bytes) -> None:
+    async def main() -> None:
+        server = RpcServer(Log('test'))
+        server.register('hello', _reply_to_hello)
+        port = find_free_ports()
+        async with anyio.create_task_group() as tasks:
+            await _serve_and_wait(server, port, tasks)
+            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
+                await stream.send(sent)
+                with anyio.fail_after(20), pytest.raises(anyio.EndOfStream):
+                    await stream.receive()
+            await _assert_serves(port, tasks)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
