A connection that can't be accepted no longer ends the process

Callers would see every request of a process cut off when its internal port could not accept a connection: no descriptor left in a burst of clients (EMFILE), or a connection that was reset before it was accepted (ECONNABORTED). anyio's listener.serve passes such an error on, and it ended the process; the HTTP server's loop has always survived both.

RpcServer accepts in a loop of its own now: it logs the failure (rpc.accept, code unreachable), pauses for 0.1 s and accepts again.

tests/test_rpc.py: test_a_failed_accept_does_not_end_the_server failed before (ConnectionAbortedError in an ExceptionGroup out of RpcServer.serve); it passes now.

--- a/mulberryhitch/rpc/server.py
+++ b/mulberryhitch/rpc/server.py
@@ -2,10 +2,10 @@
 
 import ssl
 from collections.abc import Awaitable, Callable
-from typing import Any, TypeAlias
+from typing import Any, TypeAlias, cast
 
 import anyio
-from anyio.abc import ByteStream, TaskGroup
+from anyio.abc import ByteStream, SocketListener, TaskGroup
 from anyio.streams.tls import TLSStream
 
 from mulberryhitch.constants import RPC_MAX_PENDING_CALLS
@@ -16,6 +16,7 @@
     OverloadedError,
     Problem,
     ProtocolError,
+    UnreachableError,
 )
 from mulberryhitch.observability.log import Log
 from mulberryhitch.rpc.client import TlsContextProvider
@@ -24,6 +25,7 @@
 
 Handler: TypeAlias = Callable[[Any], Awaitable[Any]]
 
+_ACCEPT_RETRY_SECONDS = 0.1
 _CONNECTION_ERRORS = (
     OSError,
     ssl.SSLError,
@@ -65,8 +67,22 @@
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=port, reuse_port=False
         )
-        async with listener:
-            await listener.serve(self._handle_connection)
+        async with listener, anyio.create_task_group() as tasks:
+            for part in cast('list[SocketListener]', listener.listeners):
+                tasks.start_soon(self._accept_connections, part, tasks)
+
+    async def _accept_connections(
+        self, listener: SocketListener, tasks: TaskGroup
+    ) -> None:
+        while True:
+            try:
+                stream = await listener.accept()
+            except OSError as error:
+                failure = UnreachableError(f'connection not accepted: {error}')
+                self._log.problem('rpc.accept', failure.problem)
+                await anyio.sleep(_ACCEPT_RETRY_SECONDS)
+            else:
+                tasks.start_soon(self._handle_connection, stream)
 
     async def _handle_connection(self, stream: ByteStream) -> None:
         try:
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -1,5 +1,7 @@
 """RPC calls over connections that are closed or unresponsive."""
 
+import asyncio
+import errno
 from typing import Any
 
 import anyio
@@ -128,3 +130,32 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(main)
+
+
+def test_a_failed_accept_does_not_end_the_server(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        failures = [
+            OSError(errno.EMFILE, 'too many open files'),
+            OSError(errno.ECONNABORTED, 'connection aborted'),
+        ]
+        accept = loop.sock_accept
+
+        async def fail_first(listener: Any) -> Any:
+            if failures:
+                raise failures.pop()
+            return await accept(listener)
+
+        monkeypatch.setattr(loop, 'sock_accept', fail_first)
+        server = RpcServer(Log('test'))
+        server.register('hello', _reply_to_hello)
+        port = find_free_ports()
+        async with anyio.create_task_group() as tasks:
+            await _serve_and_wait(server, port, tasks)
+            await _assert_serves(port, tasks)
+            assert not failures
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
