--- a/mulberryhitch/platform/wire.py
+++ b/mulberryhitch/platform/wire.py
@@ -3,14 +3,15 @@
 The platform calls a queue a route, and its permit policy advice.
 """
 
-from typing import Any, TypeVar
+import re
+from typing import Annotated, TypeVar
 
 import orjson
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from mulberryhitch.constants import MILLISECONDS_PER_SECOND
-from mulberryhitch.dispatch.ports import EndedRow, RunningRow, WorkerView
-from mulberryhitch.errors import InvalidInputError, ProtocolError
+from mulberryhitch.configuration.addresses import check_address
+from mulberryhitch.errors import InvalidInputError
 from mulberryhitch.jobs.model import (
     JobSpec,
     Limits,
@@ -22,25 +23,16 @@
     TaskKey,
     WorkerRecord,
 )
-from mulberryhitch.jobs.state import RunOutcome
 
 _MAX_ARGUMENT_BYTES = 4000
 _MAX_COUNT = 20_000
 _MAX_NUMBER = 2**53
+_HEADER_TEXT = re.compile('[!-~]+')
 _READY = 'ready'
 _DRAINING = 'draining'
 
 BodyType = TypeVar('BodyType', bound=BaseModel)
 
-_RUN_OUTCOMES = {
-    'done': RunOutcome.done,
-    'failed': RunOutcome.failed,
-    'stopped': RunOutcome.stopped,
-    'lapsed': RunOutcome.expired,
-    'broken': RunOutcome.broken,
-    'alone': RunOutcome.incomplete,
-}
-
 
 class _Body(BaseModel):
     model_config = ConfigDict(strict=True, extra='ignore')
@@ -114,9 +106,12 @@
 
 
 class _CapacityBody(_Body):
-    cpu: int = Field(ge=0)
-    mem_mb: int = Field(ge=0)
-    gpu: int = Field(0, ge=0)
+    cpu: int = Field(ge=0, le=_MAX_NUMBER)
+    mem_mb: int = Field(ge=0, le=_MAX_NUMBER)
+    gpu: int = Field(0, ge=0, le=_MAX_NUMBER)
+
+
+_Integer = Annotated[int, Field(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
 
 
 class _HeartbeatBody(_Body):
@@ -126,9 +121,9 @@
     state: str
     capacity: _CapacityBody
     labels: list[str]
-    clock_ms: int
-    sequence: int
-    born: int = 0
+    clock_ms: _Integer
+    sequence: _Integer
+    born: _Integer = 0
 
 
 def read_body(
@@ -227,12 +222,7 @@
         raise InvalidInputError(
             f'unknown state {body.state!r}', where='heartbeat.state'
         )
-    host, _, port = body.address.rpartition(':')
-    if not host or not port.isdigit():
-        raise InvalidInputError(
-            f'{body.address!r} is not of the form host:port',
-            where='heartbeat.address',
-        )
+    _check_worker_names(worker_id, body.address)
     # The first label is the worker's kind, the second its rack.
     rack = body.labels[1] if len(body.labels) > 1 else ''
     record = WorkerRecord(
@@ -251,6 +241,16 @@
     return record, body.clock_ms, body.sequence
 
 
+def _check_worker_names(worker_id: str, address: str) -> None:
+    """Checks that a request can be sent to the worker under these names."""
+    if not _HEADER_TEXT.fullmatch(worker_id):
+        raise InvalidInputError(
+            f'{worker_id!r} has characters other than visible ASCII',
+            where='worker id',
+        )
+    check_address(address)
+
+
 def task_name(task: TaskKey) -> str:
     """Returns a task's name in the platform's messages."""
     return f'{task.job_id}.{task.occurrence}.{task.step}.{task.number}'
@@ -261,58 +261,6 @@
     return f'{step.job_id}.{step.occurrence}.{step.step}'
 
 
-def read_worker_view(content: dict[str, Any]) -> tuple[WorkerView, int]:
-    """Returns a worker's lists of runs and the number of malformed rows.
-
-    Raises:
-        ProtocolError: A list or the clock is missing, or the clock or the
-            incarnation is not an integer.
-    """
-    try:
-        clock = int(content['clock_ms'])
-        running = content['running']
-        ended = content['ended']
-        born = int(content.get('born', 0))
-    except (KeyError, TypeError, ValueError) as error:
-        raise ProtocolError(repr(error), where='lists of runs') from error
-    unreadable = 0
-    running_rows: list[RunningRow] = []
-    ended_rows: list[EndedRow] = []
-    for row in running:
-        try:
-            running_rows.append(_running_row(row))
-        except (ValueError, TypeError, IndexError):
-            unreadable += 1
-    for row in ended:
-        try:
-            ended_rows.append(_ended_row(row))
-        except (ValueError, TypeError, IndexError, KeyError):
-            unreadable += 1
-    view = WorkerView(clock, born, tuple(running_rows), tuple(ended_rows))
-    return view, unreadable
-
-
-def _running_row(row: list[Any]) -> RunningRow:
-    return RunningRow(
-        _task_key(row[0]), int(row[1]), str(row[2] or ''), int(row[3])
-    )
-
-
-def _ended_row(row: list[Any]) -> EndedRow:
-    return EndedRow(
-        int(row[0]),
-        _task_key(row[1]),
-        int(row[2]),
-        _RUN_OUTCOMES[row[3]],
-        str(row[4] or ''),
-    )
-
-
-def _task_key(name: str) -> TaskKey:
-    job_id, occurrence, step, index = name.rsplit('.', 3)
-    return TaskKey(job_id, int(occurrence), int(step), int(index))
-
-
 def _step(body: _StepBody) -> Step:
     return Step(
         body.count,
