The choice of the steps of a placement round is a module of its own

What callers saw: nothing changes for them. Change: the choice, and the test that a step fits on idle workers, move to dispatch/step_selection.py. Result: the tests of the dispatcher pass.

--- a/mulberryhitch/dispatch/planner.py
+++ b/mulberryhitch/dispatch/planner.py
@@ -17,18 +17,16 @@
     WaitingStep,
 )
 from mulberryhitch.dispatch.preemption import PreemptionPlanner
+from mulberryhitch.dispatch.step_selection import StepSelector
 from mulberryhitch.dispatch.tracked_worker import TrackedWorker
 from mulberryhitch.jobs.model import Queue, Resources, StepKey
 from mulberryhitch.jobs.state import Job, StepExecution
 from mulberryhitch.jobs.store import JobStore
 
 _LATE_FACTOR = 3.0
-_MOST_URGENT_STEPS = 160
-_STEPS_IN_TURN = 40
 _MOST_URGENT = 0
 
 _WorkerCopies = list[tuple[int, TrackedWorker]]
-_Shape = tuple[str, str, Resources]
 
 
 class Planner:
@@ -62,8 +60,6 @@
         round_number: int,
     ) -> None:
         """Initialises the planner with an empty plan."""
-        self._round_number = round_number
-        self._suitable_workers: dict[_Shape, list[TrackedWorker]] = {}
         self._job_store = job_store
         self._estimates = estimates
         self._wall_time = wall_time
@@ -75,6 +71,9 @@
         self._free_capacity = FreeCapacity(
             job_store, workers, uncommitted, self._earlier_reserved
         )
+        self._step_selector = StepSelector(
+            self._free_capacity.workers.values(), round_number
+        )
         self._positions: dict[StepKey, tuple[float, ...]] = {}
         self.plan = Plan()
         self._permit_manager = permit_manager
@@ -111,64 +110,17 @@
             and waiting.execution.key not in committing_steps
         ]
         waiting_steps.sort(key=lambda waiting: waiting.sort_key)
-        for waiting in self._steps_of_round(waiting_steps):
+        selection = self._step_selector.select(waiting_steps)
+        for waiting in selection.considered:
             eligible = self._allowed_workers(waiting)
             if waiting.execution.step.gang:
                 self._place_gang(waiting, eligible, preemption)
             else:
                 self._place_tasks(waiting, eligible, preemption)
+        self._count_all_blocked(selection.skipped, 'round')
+        self._count_all_blocked(selection.unsuited, 'no worker')
         return self.plan
 
-    def _steps_of_round(
-        self, waiting_steps: list[WaitingStep]
-    ) -> list[WaitingStep]:
-        """Returns the steps to consider in this round.
-
-        They are the most urgent ones, and a few of the others in turn: the
-        most urgent ones may all wait for the same busy workers. Steps that the
-        present workers could not run even if idle are left out, as they would
-        take the places of steps that can start.
-        """
-        feasible = []
-        for waiting in waiting_steps:
-            if self._fits_when_empty(waiting):
-                feasible.append(waiting)
-            else:
-                self._count_blocked(waiting, 'no worker', waiting.tasks_left)
-        others = feasible[_MOST_URGENT_STEPS:]
-        start = self._round_number * _STEPS_IN_TURN % max(1, len(others))
-        in_turn = others[start:] + others[:start]
-        for skipped in in_turn[_STEPS_IN_TURN:]:
-            self._count_blocked(skipped, 'round', skipped.tasks_left)
-        return feasible[:_MOST_URGENT_STEPS] + in_turn[:_STEPS_IN_TURN]
-
-    def _fits_when_empty(self, waiting: WaitingStep) -> bool:
-        """Whether a task of a step, or a whole gang, fits on idle workers."""
-        step = waiting.execution.step
-        missing = step.count if step.gang else 1
-        denied = waiting.permits.denied if waiting.permits else ()
-        for worker in self._suitable(waiting):
-            if worker.record.worker_id not in denied:
-                missing -= waiting.capacity_when_empty((worker,))
-            if missing <= 0:
-                return True
-        return False
-
-    def _suitable(self, waiting: WaitingStep) -> list[TrackedWorker]:
-        """Returns the workers that suit a step, whether or not permitted."""
-        execution = waiting.execution
-        shape = (
-            waiting.queue.service,
-            execution.step.label,
-            execution.resources,
-        )
-        suitable = self._suitable_workers.get(shape)
-        if suitable is None:
-            workers = self._free_capacity.workers.values()
-            suitable = list(filter(waiting.is_eligible, workers))
-            self._suitable_workers[shape] = suitable
-        return suitable
-
     def _waiting_step(self, execution: StepExecution) -> WaitingStep | None:
         job = self._job_store.jobs.get(execution.key.job_id)
         if job is None or not execution.waiting_units:
@@ -398,6 +350,12 @@
     ) -> None:
         self.plan.blocked[waiting.queue.name, reason] += tasks
 
+    def _count_all_blocked(
+        self, steps: Iterable[WaitingStep], reason: str
+    ) -> None:
+        for waiting in steps:
+            self._count_blocked(waiting, reason, waiting.tasks_left)
+
     def _tasks_per_worker(self, waiting: WaitingStep) -> dict[str, int]:
         counts: dict[str, int] = {}
         if waiting.execution.step.spread_limit:
