An entry that stops under load ends before it is killed

Callers whose request reached a stopping entry late saw their connection end without an answer. While requests keep coming and none can be answered quickly, for example while no leader is known, the drain lasted until 1.5 s before the end of the grace period. A request takes up to 1.5 s itself, and one that came just before the socket was closed was still in hand when the process was killed.

The drain now ends 2.5 s before the grace period does: 2 s for the last answers, longer than any request may take, and half a second to end. The HTTP server's own wait is these 2 s; at a grace period of 6 s it was 5 s, more than was left.

tests/test_signals.py: test_an_entry_that_stops_under_load_ends_before_it_is_ killed sends a request each 50 ms to an entry without a leader, from SIGTERM until none is accepted.

--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -58,7 +58,9 @@
 _READINESS_TIMEOUT_SECONDS = 3.0
 _CONTROL_LIMITS = Limits(body_bytes=8 * 1024 * 1024)
 _SETTINGS_POLL_SECONDS = 1.0
-_STOP_MARGIN_SECONDS = 1.5
+# Longer than any request takes, and than the exit after the last answer.
+_LAST_ANSWER_SECONDS = 2
+_EXIT_SECONDS = 0.5
 _READINESS_NOTICE_SECONDS = 2.2
 _COMMIT_NOTIFY_SECONDS = 0.15
 _RECONCILE_SECONDS = 0.3
@@ -136,9 +138,7 @@
                 server_header=False,
                 date_header=False,
                 timeout_keep_alive=60,
-                timeout_graceful_shutdown=max(
-                    1, int(self.settings.drain_seconds - 1)
-                ),
+                timeout_graceful_shutdown=_LAST_ANSWER_SECONDS,
             ),
         )
 
@@ -238,7 +238,8 @@
         self, server: HttpServer, readiness_server: HttpServer
     ) -> None:
         await self._shared.stop.wait()
-        drain_timeout = self._settings.drain_seconds - _STOP_MARGIN_SECONDS
+        exit_seconds = _LAST_ANSWER_SECONDS + _EXIT_SECONDS
+        drain_timeout = max(self._settings.drain_seconds - exit_seconds, 0)
         with anyio.move_on_after(drain_timeout):
             await anyio.sleep(min(_READINESS_NOTICE_SECONDS, drain_timeout))
             while self._application.in_flight:
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -8,7 +8,7 @@
 import orjson
 
 from mulberryhitch.exit_status import ExitStatus
-from tests.process_cell import ProcessCell, ProgramProcess
+from tests.process_cell import DRAIN_SECONDS, ProcessCell, ProgramProcess
 from tests.raw_client import RawConnection, request_bytes
 
 REQUESTS = 6
@@ -29,6 +29,21 @@
         await process.kill()
 
 
+async def send_until_closed(process: ProgramProcess) -> list[RawConnection]:
+    """Sends a request on a new connection each 50 ms while any is accepted."""
+    connections = []
+    while True:
+        try:
+            connection = await RawConnection.open(
+                process.vm, process.cell.port + 38
+            )
+            await connection.send(request_bytes('DELETE', f'/q/{JOB_ID}'))
+        except OSError:
+            return connections
+        connections.append(connection)
+        await anyio.sleep(0.05)
+
+
 async def send_requests(process: ProgramProcess) -> list[RawConnection]:
     """Sends each request in full on a connection of its own."""
     connections = []
@@ -66,6 +81,25 @@
     anyio.run(main)
 
 
+def test_an_entry_that_stops_under_load_ends_before_it_is_killed(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        async with lone_entry(tmp_path) as process:
+            await send_requests(process)
+            began = anyio.current_time()
+            process.signal(signal.SIGTERM)
+            connections = await send_until_closed(process)
+            remaining = began + DRAIN_SECONDS - anyio.current_time()
+            assert await process.wait_exit(remaining)
+            assert process.popen is not None
+            assert process.popen.returncode == 0
+            for connection in connections[:-1]:
+                assert (await connection.read_answer())[0] == 503
+
+    anyio.run(main)
+
+
 def test_a_second_sigint_logs_what_it_cuts_off(tmp_path: Path) -> None:
     async def main() -> None:
         async with lone_entry(tmp_path) as process:
