A test that a stopping server answers each request that it read

Whether a request is lost between its reading and the close of its connection was not tested. Thirty clients send requests one after another while the server is told to stop; each request that its handler saw must have been answered, with and without 'Connection: close' in the answers.

--- /dev/null
+++ b/tests/test_requests_at_a_stop.py
@@ -0,0 +1,106 @@
+"""Requests that a server reads while it stops."""
+
+import random
+
+import anyio
+import pytest
+import uvicorn
+
+from mulberryhitch.http.protocol import FirstRequestTimeoutProtocol
+from mulberryhitch.http.server import HttpServer, listen
+from mulberryhitch.jobs.model import Limits
+from mulberryhitch.observability.histograms import Histograms
+from mulberryhitch.observability.log import Log
+from mulberryhitch.platform.asgi import (
+    AsgiApplication,
+    HttpRequest,
+    HttpResponse,
+)
+from tests.local_cell import find_free_ports
+from tests.raw_client import NoCompleteAnswer, RawConnection, request_bytes
+
+CLIENTS = 30
+LOAD_SECONDS = 0.4
+HANDLING_SECONDS = (0.0, 0.001, 0.02, 0.3)
+
+
+class StoppedServer:
+    """A server that records which requests it read and which were answered."""
+
+    def __init__(self, seed: int, *, announces_close: bool) -> None:
+        self.port = find_free_ports()
+        self.read: set[str] = set()
+        self.answered: set[str] = set()
+        self._rng = random.Random(seed)
+        application = AsgiApplication(
+            self._handle,
+            Log('test'),
+            Limits,
+            lambda: announces_close and self._server.should_exit,
+            Histograms(),
+        )
+        self._server = HttpServer(
+            uvicorn.Config(
+                application,
+                http=FirstRequestTimeoutProtocol,
+                lifespan='off',
+                log_config=None,
+                timeout_graceful_shutdown=10,
+            )
+        )
+
+    async def run(self) -> None:
+        """Serves the clients, and stops while they send requests."""
+        sockets = [listen('127.0.0.1', self.port)]
+        with anyio.fail_after(30):
+            async with anyio.create_task_group() as tasks:
+                for number in range(CLIENTS):
+                    tasks.start_soon(self._send_requests, number)
+                tasks.start_soon(self._stop)
+                await self._server.serve(sockets=sockets)
+
+    async def _stop(self) -> None:
+        await anyio.sleep(LOAD_SECONDS)
+        self._server.should_exit = True
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        self.read.add(request.path)
+        await anyio.sleep(self._rng.choice(HANDLING_SECONDS))
+        return HttpResponse(200)
+
+    async def _send_requests(self, number: int) -> None:
+        sent = 0
+        while True:
+            try:
+                connection = await RawConnection.open('127.0.0.1', self.port)
+            except OSError:
+                return
+            is_open = True
+            while is_open:
+                sent += 1
+                path = f'/{number}/{sent}'
+                is_open = await self._exchange(connection, path)
+            connection.close()
+
+    async def _exchange(self, connection: RawConnection, path: str) -> bool:
+        try:
+            await connection.send(request_bytes('POST', path, {}))
+            _, headers = await connection.read_answer()
+        except (OSError, NoCompleteAnswer):
+            return False
+        self.answered.add(path)
+        return b'connection: close' not in headers
+
+
+@pytest.mark.parametrize('announces_close', [True, False])
+@pytest.mark.parametrize('seed', [1, 2])
+def test_a_stopping_server_answers_each_request_that_it_read(
+    seed: int, announces_close: bool
+) -> None:
+    async def main() -> None:
+        server = StoppedServer(seed, announces_close=announces_close)
+        await server.run()
+        assert len(server.answered) > CLIENTS
+        assert server.read - server.answered == set()
+
+    anyio.run(main)
