--- a/tests/raw_client.py
+++ b/tests/raw_client.py
@@ -53,5 +53,9 @@
             raise NoCompleteAnswer(repr(error)) from error
         return int(headers.split()[1]), headers.lower()
 
+    def end_sending(self) -> None:
+        """Closes this side of the connection; answers can still be read."""
+        self._writer.write_eof()
+
     def close(self) -> None:
         self._writer.close()
--- a/tests/test_requests_at_a_stop.py
+++ b/tests/test_requests_at_a_stop.py
@@ -1,4 +1,4 @@
-"""Requests that a server reads while it stops."""
+"""Requests that a server reads before it stops or a client's side closes."""
 
 import random
 
@@ -51,13 +51,25 @@
 
     async def run(self) -> None:
         """Serves the clients, and stops while they send requests."""
-        sockets = [listen('127.0.0.1', self.port)]
         with anyio.fail_after(30):
             async with anyio.create_task_group() as tasks:
                 for number in range(CLIENTS):
                     tasks.start_soon(self._send_requests, number)
                 tasks.start_soon(self._stop)
-                await self._server.serve(sockets=sockets)
+                await self.serve()
+
+    async def serve(self) -> None:
+        """Serves until it is told to stop."""
+        await self._server.serve(sockets=[listen('127.0.0.1', self.port)])
+
+    async def connect(self) -> RawConnection:
+        """Opens a connection as soon as the server listens."""
+        with anyio.fail_after(20):
+            while True:
+                try:
+                    return await RawConnection.open('127.0.0.1', self.port)
+                except OSError:
+                    await anyio.sleep(0.01)
 
     async def _stop(self) -> None:
         await anyio.sleep(LOAD_SECONDS)
@@ -70,17 +82,18 @@
 
     async def _send_requests(self, number: int) -> None:
         sent = 0
+        connection = await self.connect()
         while True:
-            try:
-                connection = await RawConnection.open('127.0.0.1', self.port)
-            except OSError:
-                return
             is_open = True
             while is_open:
                 sent += 1
                 path = f'/{number}/{sent}'
                 is_open = await self._exchange(connection, path)
             connection.close()
+            try:
+                connection = await RawConnection.open('127.0.0.1', self.port)
+            except OSError:
+                return
 
     async def _exchange(self, connection: RawConnection, path: str) -> bool:
         try:
@@ -104,3 +117,20 @@
         assert server.read - server.answered == set()
 
     anyio.run(main)
+
+
+def test_a_client_that_closes_its_sending_side_is_answered() -> None:
+    async def main() -> None:
+        server = StoppedServer(1, announces_close=False)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.serve)
+            connection = await server.connect()
+            await connection.send(request_bytes('POST', '/x', {}))
+            connection.end_sending()
+            with anyio.fail_after(20):
+                assert (await connection.read_answer())[0] == 200
+                with pytest.raises(NoCompleteAnswer):
+                    await connection.read_answer()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
