--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -117,6 +117,7 @@
         self.fleet = FakeFleet()
         self.log = Log('platform')
         self.stop_events: dict[str, anyio.Event] = {}
+        self.schedulers: dict[str, SchedulerProgram] = {}
         self.advice_requests: list[Any] = []
         self.worker: FakeWorker | None = None
         self.sequence = 0
@@ -139,7 +140,18 @@
     def _start(self, tasks: Any, program: Any, vm: str) -> None:
         self.stop_events[vm] = anyio.Event()
         settings = make_settings(vm, self.port, self.folder, vm)
-        tasks.start_soon(program(settings, self.stop_events[vm]).run)
+        started = program(settings, self.stop_events[vm])
+        if vm in SCHEDULERS:
+            self.schedulers[vm] = started
+        tasks.start_soon(started.run)
+
+    def stop_leader(self) -> str:
+        """Tells the leading scheduler to stop and returns its VM."""
+        for vm, scheduler in self.schedulers.items():
+            if scheduler.service.replica.has_authority:
+                self.stop_events[vm].set()
+                return vm
+        raise RuntimeError('no scheduler leads')
 
     async def _serve(self, vm: str, handler: Any) -> None:
         application = AsgiApplication(
