A replica confirms only what it has synced, and writes behind nothing unsynced

With a storage whose sync stalls apart from its votes, a former leader confirmed entries, to a bare heartbeat too, that it had written and not synced. A commit could then count a disk that did not have the entry. A second write behind an unsynced one, or behind a failed one that was cut back without a sync, was read as damage after a loss of power (the first write missing, the second present), and the whole log was dropped, synced entries too.

Cause: the follower and the leader each called the storage's sync, and nobody knew up to which index the log is durable. FileStorage kept the order only because a vote waits for its disk lock behind a sync that is in progress: with the stall inside the sync's thread, the answer came after it (probe in the thread: no answer in 1 s of stall). So the fault was latent there, except for the failed write.

The state knows the synced index, and that a log with unsynced writes takes no further one.

An empty batch is no longer synced, and a write whose outcome is unknown no longer leaves its proposers waiting.

Evidence: all tests of tests/test_durability.py failed before, two with "last_index <= synced_index", one with DamagedFileError, one as a second write was let through. The fake disk now refuses a write behind an unsynced one in all tests of groups. test_durability, test_files, test_replication, test_full_disks, test_replacing_voters, test_data_centre and the random runs of three and five replicas passed.

--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -176,8 +176,14 @@
         self._descriptor = self._open_log()
         self._records: list[_LogRecord] = []
         self._snapshot_index = 0
+        self._is_synced = False
         self._disk_lock = anyio.Lock()
 
+    @property
+    def is_synced(self) -> bool:
+        """Whether the last sync covers everything done to the log file."""
+        return self._is_synced
+
     def close(self) -> None:
         """Closes the log file."""
         os.close(self._descriptor)
@@ -199,6 +205,7 @@
             self._records.clear()
         os.ftruncate(self._descriptor, self._end_offset)
         os.fsync(self._descriptor)
+        self._is_synced = True
         entries = [record.entry for record in self._records]
         self._check_contiguous(entries)
         if entries and entries[-1].term > vote.term:
@@ -218,6 +225,7 @@
 
         Raises:
             DiskFullError: The write failed for any reason; nothing was added.
+            StorageError: What a failed write left could not be removed.
         """
         end = self._end_offset
         chain_checksum = (
@@ -238,10 +246,11 @@
             os.lseek(self._descriptor, end, os.SEEK_SET)
             _write_all(self._descriptor, b''.join(encoded))
         except OSError as error:
-            os.ftruncate(self._descriptor, end)
+            self._remove_failed_write(end)
             raise DiskFullError(
                 str(error), where=str(self._log_path)
             ) from error
+        self._is_synced = False
         self._records.extend(new_records)
 
     async def sync(self) -> None:
@@ -254,6 +263,7 @@
             await self._run_in_thread(self._sync)
         except DiskFullError as error:
             raise StorageError(error.what, where=error.where) from error
+        self._is_synced = True
 
     async def truncate(self, index: int) -> None:
         """Removes all entries from an index on and syncs.
@@ -263,7 +273,7 @@
         """
         while self._records and self._records[-1].entry.index >= index:
             self._records.pop()
-        os.ftruncate(self._descriptor, self._end_offset)
+        self._cut_log(self._end_offset)
         await self.sync()
 
     async def save_vote(self, term: int, voted_for: str) -> None:
@@ -307,6 +317,18 @@
     def _end_offset(self) -> int:
         return self._records[-1].end if self._records else 0
 
+    def _remove_failed_write(self, end: int) -> None:
+        """Cuts off the part of a failed write that the file received."""
+        if os.fstat(self._descriptor).st_size > end:
+            self._cut_log(end)
+
+    def _cut_log(self, end: int) -> None:
+        self._is_synced = False
+        try:
+            os.ftruncate(self._descriptor, end)
+        except OSError as error:
+            raise StorageError(str(error), where=str(self._log_path)) from error
+
     def _open_log(self) -> int:
         return os.open(self._log_path, _CREATE_FLAGS, _FILE_MODE)
 
@@ -332,6 +354,7 @@
         os.close(self._descriptor)
         self._descriptor = descriptor
         self._records = records
+        self._is_synced = True
         self._sync_renamed_log()
 
     def _sync_renamed_log(self) -> None:
--- a/mulberryhitch/replication/follower.py
+++ b/mulberryhitch/replication/follower.py
@@ -30,7 +30,8 @@
     async def append(self, request: AppendRequest) -> AppendReply:
         """Appends entries that match the log and advances the commit index.
 
-        On a mismatch the reply's ``last_index`` is where to try next.
+        A success confirms synced entries only. On a mismatch the reply's
+        ``last_index`` is where to try next.
 
         Raises:
             StorageError: The entries were not stored.
@@ -41,6 +42,7 @@
             hint = min(self._state.last_index, request.previous_index - 1)
             hint = max(hint, self._state.commit_index)
             return AppendReply(self._state.term, False, hint)
+        await self._state.sync()
         await self._append_entries(request.entries)
         last = request.previous_index + len(request.entries)
         last = min(max(last, self._state.commit_index), self._state.last_index)
@@ -76,13 +78,14 @@
             if local_term is not None:
                 await self._state.truncate(entry.index)
             self._state.write(entries[position:])
-            await self._state.storage.sync()
+            await self._state.sync()
             return
 
     async def _install_snapshot(self, request: SnapshotRequest) -> None:
         content = bytes(self._snapshot_buffer)
         self._snapshot_buffer.clear()
         if request.last_index <= self._state.commit_index:
+            await self._state.sync()
             return
         members = Members(tuple(request.voters), tuple(request.learners))
         await self._state.install(
--- a/mulberryhitch/replication/leadership.py
+++ b/mulberryhitch/replication/leadership.py
@@ -16,12 +16,12 @@
 
 from mulberryhitch.errors import (
     ConflictError,
+    DiskFullError,
     LostAuthorityError,
     MulberryhitchError,
     NotLeaderError,
     OutcomeUnknownError,
     OverloadedError,
-    StorageError,
 )
 from mulberryhitch.replication.interfaces import Transport
 from mulberryhitch.replication.members import MEMBERS_KIND, Members, vm_of
@@ -96,7 +96,6 @@
         self._ready = anyio.Event()
         self.disk_full = anyio.Event()
         self._tasks: TaskGroup | None = None
-        self._own_match_index = 0
         self._started_at = self._options.now()
         self._transferring = False
 
@@ -126,7 +125,7 @@
     def synced_indexes(self) -> dict[str, int]:
         """Returns the last index that each member is known to have synced."""
         peers = {name: peer.match_index for name, peer in self._peers.items()}
-        return {self._state.replica_id: self._own_match_index, **peers}
+        return {self._state.replica_id: self._state.synced_index, **peers}
 
     def silent_seconds(self) -> dict[str, float]:
         """Returns the time since each peer last answered, in seconds."""
@@ -275,14 +274,16 @@
                 if self._state.term != self.term:
                     self.step_down()
                     return
-                last_index = self._write_batch()
+                await self._state.sync()
+                self._write_batch()
             for peer in self._peers.values():
                 peer.wake()
-            await self._state.storage.sync()
-            self._own_match_index = max(self._own_match_index, last_index)
+            await self._state.sync()
             self._advance_commit_index()
 
-    def _write_batch(self) -> int:
+    def _write_batch(self) -> None:
+        if not self._queue:
+            return
         batch = list(self._queue)
         self._queue.clear()
         entries = [
@@ -294,25 +295,24 @@
             )
             for position, proposal in enumerate(batch, start=1)
         ]
+        for entry, proposal in zip(entries, batch, strict=True):
+            self._pending[entry.index] = proposal
         try:
             self._state.write(entries)
-        except StorageError as error:
-            for rejected in batch:
-                rejected.complete(None, error)
+        except DiskFullError as error:
+            for rejected in entries:
+                self._pending.pop(rejected.index).complete(None, error)
             self.disk_full.set()
             if not self.ready:
                 self.step_down()
-            return self._own_match_index
-        for entry, proposal in zip(entries, batch, strict=True):
-            self._pending[entry.index] = proposal
+            return
         if any(entry.kind == MEMBERS_KIND for entry in entries):
             self._update_peers()
-        return self._state.last_index
 
     def _advance_commit_index(self) -> None:
         members = self._state.members
         matches = [
-            self._own_match_index
+            self._state.synced_index
             if replica_id == self._state.replica_id
             else self._match_index_of(replica_id)
             for replica_id in members.voters
--- a/mulberryhitch/replication/state.py
+++ b/mulberryhitch/replication/state.py
@@ -45,10 +45,12 @@
         self.commit_index = 0
         self.snapshot = stored.snapshot
         self._entries = stored.entries
+        self._sync_lock = anyio.Lock()
         self._member_changes: list[tuple[int, Members]] = []
         self._on_applied: Callable[[LogEntry, Any, Any], None] | None = None
         if stored.snapshot is not None:
             self._restore(stored.snapshot)
+        self._index_before_write = self.last_index
         self._rebuild_member_changes()
 
     @property
@@ -80,6 +82,16 @@
         """Returns the index of the last entry."""
         return self.snapshot_index + len(self._entries)
 
+    @property
+    def synced_index(self) -> int:
+        """Returns the index up to which the log survives a loss of power.
+
+        Replies to other replicas must not confirm later entries.
+        """
+        if self.storage.is_synced:
+            return self.last_index
+        return self._index_before_write
+
     @property
     def last_term(self) -> int:
         """Returns the term of the last entry."""
@@ -132,15 +144,26 @@
     def write(self, entries: list[LogEntry]) -> None:
         """Appends entries without syncing.
 
+        All earlier writes must be synced: after a loss of power, entries
+        behind a missing write can't be read.
+
         Raises:
-            InvariantError: The entries don't follow the last entry.
-            StorageError: The write failed; nothing was added.
+            InvariantError: The entries don't follow the last entry, or earlier
+                writes are not synced.
+            DiskFullError: The write failed; nothing was added.
+            StorageError: The write failed; what is on the disk is unknown.
         """
+        if not self.storage.is_synced:
+            raise InvariantError(
+                f'cannot write: the log is synced up to {self.synced_index} '
+                f'of {self.last_index}'
+            )
         if entries and entries[0].index != self.last_index + 1:
             raise InvariantError(
                 f'entry {entries[0].index} does not follow the last log index '
                 f'{self.last_index}'
             )
+        self._index_before_write = self.last_index
         self.storage.write(entries)
         self._entries.extend(entries)
         for entry in entries:
@@ -148,8 +171,20 @@
                 members = Members.decode(entry.body)
                 self._member_changes.append((entry.index, members))
 
+    async def sync(self) -> None:
+        """Makes all entries of the log durable.
+
+        Raises:
+            StorageError: The sync failed; what is durable is unknown.
+        """
+        if self.storage.is_synced:
+            return
+        async with self._sync_lock:
+            if not self.storage.is_synced:
+                await self.storage.sync()
+
     async def truncate(self, index: int) -> None:
-        """Removes uncommitted entries from an index on.
+        """Removes uncommitted entries from an index on, after a sync.
 
         Raises:
             InvariantError: A committed entry would be removed.
@@ -160,6 +195,8 @@
                 f'cannot truncate at entry {index}: entries up to '
                 f'{self.commit_index} are committed'
             )
+        await self.sync()
+        self._index_before_write = index - 1
         await self.storage.truncate(index)
         self._entries = self._entries[: index - self.snapshot_index - 1]
         self._rebuild_member_changes()
@@ -196,6 +233,7 @@
             InvariantError: The snapshot is older than the commit index.
             StorageError: The snapshot was not stored.
         """
+        await self.sync()
         retained: list[LogEntry] = []
         if self.term_at(snapshot.last_index) == snapshot.last_term:
             retained = self.entries_from(
@@ -216,6 +254,7 @@
         index = self.commit_index
         if index <= self.snapshot_index:
             return
+        await self.sync()
         snapshot = Snapshot(
             index,
             self.term_at(index) or 0,
--- a/mulberryhitch/replication/storage.py
+++ b/mulberryhitch/replication/storage.py
@@ -38,9 +38,14 @@
     """The persistent storage of a replica.
 
     A failed ``write`` leaves the log unchanged. After a failed ``sync`` the
-    state of the disk is unknown and the replica must stop.
+    state of the disk is unknown and the replica must stop. After a loss of
+    power each write since the last sync may be missing.
     """
 
+    @property
+    def is_synced(self) -> bool:
+        """Whether the last sync covers everything done to the log."""
+
     def load(self) -> StoredState:
         """Reads the stored state.
 
@@ -52,7 +57,8 @@
         """Appends entries to the log without syncing.
 
         Raises:
-            StorageError: The disk is full or faulty; nothing was added.
+            DiskFullError: Nothing was added.
+            StorageError: What the disk holds is unknown.
         """
 
     async def sync(self) -> None:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -26,9 +26,22 @@
         self.vm = vm
         self.generation = 0
         self.failing_operation = ''
+        self.sync_seconds = SYNC_SECONDS
         self._stored = StoredState(f'{vm}#0')
         self._written = list(self._stored.entries)
 
+    @property
+    def is_synced(self) -> bool:
+        return self._written == self._stored.entries
+
+    @property
+    def synced_index(self) -> int:
+        """Returns the last index that a loss of power leaves on the disk."""
+        if self._stored.entries:
+            return self._stored.entries[-1].index
+        snapshot = self._stored.snapshot
+        return snapshot.last_index if snapshot else 0
+
     def wipe(self) -> None:
         """Replaces the disk by an empty one, with a new replica id."""
         self.generation += 1
@@ -53,11 +66,12 @@
     def write(self, entries: list[LogEntry]) -> None:
         if self.failing_operation == 'write':
             raise DiskFullError('no space left', where=self.vm)
+        assert self.is_synced, f'{self.vm}: a write behind an unsynced one'
         self._written.extend(entries)
 
     async def sync(self) -> None:
         syncing = list(self._written)
-        await anyio.sleep(SYNC_SECONDS)
+        await anyio.sleep(self.sync_seconds)
         if self.failing_operation == 'sync':
             raise StorageError('fsync failed', where=self.vm)
         self._stored.entries = syncing
--- /dev/null
+++ b/tests/test_durability.py
@@ -0,0 +1,137 @@
+"""What a replica confirms, and what a loss of power leaves of its log."""
+
+import errno
+import os
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+
+from mulberryhitch.errors import DiskFullError, InvariantError
+from mulberryhitch.replication.failpoints import FailPoints
+from mulberryhitch.replication.file_storage import FileStorage
+from mulberryhitch.replication.replica import Replica
+from mulberryhitch.replication.state import ReplicaState
+from mulberryhitch.rpc.messages import AppendReply, AppendRequest, LogEntry
+from tests.fakes import KeyValueStateMachine
+from tests.replica_group import ReplicaGroup, run_with_mock_clock
+
+STALL_SECONDS = 3
+
+
+def _put(index: int, term: int = 0) -> LogEntry:
+    return LogEntry(index, term, 'put', b'["key", 1]')
+
+
+async def _depose_during_a_sync(
+    group: ReplicaGroup, new_entries: int
+) -> tuple[Replica, AppendReply]:
+    """A leader's disk stalls after a write; another leader sends an append."""
+    former = await group.wait_leader()
+    group.network.isolate(group.vm_of(former))
+    group.disks[group.vm_of(former)].sync_seconds = STALL_SECONDS
+    group.task_group.start_soon(group.put, 'key', 1, 1)
+    await anyio.sleep(0.01)
+    last, term = former.state.last_index, former.state.last_term
+    successor = next(
+        voter for voter in former.members.voters if voter != former.replica_id
+    )
+    request = AppendRequest(
+        former.group,
+        former.replica_id,
+        former.term + 1,
+        successor,
+        last,
+        term,
+        0,
+        [_put(last + 1 + each, term + 1) for each in range(new_entries)],
+    )
+    return former, await former.append(request)
+
+
+@pytest.mark.parametrize('new_entries', [0, 1])
+def test_a_former_leader_confirms_no_entry_that_it_has_not_synced(
+    new_entries: int,
+) -> None:
+    async def main() -> None:
+        async with ReplicaGroup(3, seed=1).running() as group:
+            former, reply = await _depose_during_a_sync(group, new_entries)
+            disk = group.disks[group.vm_of(former)]
+            assert reply.success
+            assert reply.last_index <= disk.synced_index
+
+    run_with_mock_clock(main)
+
+
+def _load(folder: Path, points: FailPoints | None = None) -> ReplicaState:
+    storage = FileStorage(folder, 'vm-1', points)
+    return ReplicaState('group', storage, KeyValueStateMachine())
+
+
+async def _state_with_entries(
+    folder: Path, last: int, points: FailPoints | None = None
+) -> ReplicaState:
+    state = _load(folder, points)
+    state.write([_put(index) for index in range(1, last + 1)])
+    await state.storage.sync()
+    return state
+
+
+def _lose_write(path: Path, start: int, end: int) -> None:
+    """Removes a write from a file; a later one leaves a gap before it."""
+    content = path.read_bytes()
+    gap = bytes(end - start) if len(content) > end else b''
+    path.write_bytes(content[:start] + gap + content[end:])
+
+
+def test_synced_entries_survive_the_loss_of_an_unsynced_write(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        log = tmp_path / 'log'
+        state = await _state_with_entries(tmp_path, last=5)
+        start = log.stat().st_size
+        state.write([_put(6)])
+        end = log.stat().st_size
+        with suppress(InvariantError):
+            state.write([_put(7)])
+        _lose_write(log, start, end)
+        assert _load(tmp_path).last_index == 5
+
+    anyio.run(main)
+
+
+def test_what_a_failed_write_left_is_removed_durably_before_the_next_write(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    points = FailPoints()
+    syncs: list[str] = []
+    points.arm('sync', lambda: syncs.append('sync'))
+    write = os.write
+
+    def write_half(descriptor: int, content: bytes) -> int:
+        monkeypatch.setattr(os, 'write', _refuse)
+        return write(descriptor, content[: len(content) // 2])
+
+    async def main() -> None:
+        state = await _state_with_entries(tmp_path, 5, points)
+        syncs.clear()
+        monkeypatch.setattr(os, 'write', write_half)
+        with pytest.raises(DiskFullError):
+            state.write([_put(6)])
+        monkeypatch.undo()
+        with pytest.raises(InvariantError):
+            state.write([_put(6)])
+        await state.sync()
+        assert syncs == ['sync']
+        state.write([_put(6)])
+        await state.sync()
+        assert _load(tmp_path).last_index == 6
+
+    anyio.run(main)
+
+
+def _refuse(*arguments: Any) -> int:
+    raise OSError(errno.ENOSPC, 'no space left on device')
