The dispatcher does not try a full disk again in each placement round

What callers saw: nothing but slower answers. In the 0.35 s until a leader with a full disk hands over, grants.uncommitted and changes.disk came each 4 ms; a leader that keeps its term would go on so.

Cause: a failed grant requested the next round at once, 4 ms later, and each worker's ends were tried again on their own.

After a storage error the term waits 0.2 s, before placement rounds and before changes that are tried again; then one caller tries and the others wait for its outcome. 0.2 s is less than the 0.3 s in which a second refusal makes a leader hand over, so the hand-over is not delayed.

--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -196,6 +196,7 @@
     async def _run_rounds(self) -> None:
         while True:
             await self._term.round_due.wait()
+            await self._term.wait_until_writable()
             self._term.round_due = anyio.Event()
             began = anyio.current_time()
             if self._term.may_act():
@@ -325,7 +326,7 @@
             for placement in placements
         ]
         try:
-            outcomes = await self._term.commit(batch)
+            outcomes = await self._term.commit_unless_full(batch)
         except MulberryhitchError as error:
             self._term.log.problem('grants.uncommitted', error.problem)
             return
--- a/mulberryhitch/dispatch/term.py
+++ b/mulberryhitch/dispatch/term.py
@@ -19,7 +19,8 @@
 from mulberryhitch.observability.histograms import Histograms
 from mulberryhitch.observability.log import Log
 
-_STORAGE_RETRY_SECONDS = 0.3
+# Shorter than the time after which a leader with a full disk hands over.
+_STORAGE_RETRY_SECONDS = 0.2
 
 Commit = Callable[[list[Change]], Awaitable[list[Any]]]
 
@@ -43,6 +44,8 @@
         tracked_workers: State of the workers, by id.
         ended: Set when a worker has reported a newer leader.
         round_due: Set when another placement round is due.
+        writable_at: When changes may be committed again after a storage error,
+            in seconds of the monotonic clock.
         task_group: Runs the term's tasks; None until the dispatcher runs.
     """
 
@@ -59,12 +62,32 @@
     tracked_workers: dict[str, TrackedWorker] = field(default_factory=dict)
     ended: anyio.Event = field(default_factory=anyio.Event)
     round_due: anyio.Event = field(default_factory=anyio.Event)
+    writable_at: float = 0
     task_group: TaskGroup | None = None
 
     def request_round(self) -> None:
         """Requests another placement round."""
         self.round_due.set()
 
+    async def commit_unless_full(self, batch: list[Change]) -> list[Any]:
+        """Commits changes; a storage error delays further ones.
+
+        Raises:
+            MulberryhitchError: The changes could not be committed.
+        """
+        try:
+            outcomes = await self.commit(batch)
+        except StorageError:
+            self._delay_changes()
+            raise
+        self.writable_at = 0
+        return outcomes
+
+    async def wait_until_writable(self) -> None:
+        """Waits while the disk has just refused a change."""
+        while anyio.current_time() < self.writable_at:
+            await anyio.sleep(self.writable_at - anyio.current_time())
+
     def start_soon(self, function: Callable[..., Any], *args: Any) -> None:
         """Starts a task that is cancelled at the end of the term."""
         if self.task_group is not None:
@@ -144,13 +167,19 @@
             Whether the changes are committed.
         """
         while True:
+            await self.wait_until_writable()
+            if self.writable_at:
+                # The other callers wait for the outcome of this attempt.
+                self._delay_changes()
             try:
-                await self.commit(batch)
+                await self.commit_unless_full(batch)
             except StorageError as error:
                 self.log.problem('changes.disk', error.problem)
-                await anyio.sleep(_STORAGE_RETRY_SECONDS)
             except MulberryhitchError as error:
                 self.log.problem('changes.uncommitted', error.problem)
                 return False
             else:
                 return True
+
+    def _delay_changes(self) -> None:
+        self.writable_at = anyio.current_time() + _STORAGE_RETRY_SECONDS
--- a/tests/fake_workers.py
+++ b/tests/fake_workers.py
@@ -17,7 +17,11 @@
     WorkerView,
 )
 from mulberryhitch.dispatch.term import Term
-from mulberryhitch.errors import OutcomeUnknownError, UnreachableError
+from mulberryhitch.errors import (
+    DiskFullError,
+    OutcomeUnknownError,
+    UnreachableError,
+)
 from mulberryhitch.jobs import changes
 from mulberryhitch.jobs.clock import JobClock
 from mulberryhitch.jobs.model import (
@@ -339,6 +343,8 @@
         self.time_of_day_step: float = 0
         self.clock = JobClock(self.time_of_day, anyio.current_time)
         self.task_group: Any = None
+        self.is_disk_full = False
+        self.refused_commits = 0
         self.queue = Queue(
             'q',
             'h',
@@ -369,6 +375,9 @@
         )
 
     async def commit(self, batch: list[changes.Change]) -> list[Any]:
+        if self.is_disk_full:
+            self.refused_commits += 1
+            raise DiskFullError('no space left')
         await anyio.sleep(COMMIT_SECONDS)
         return self.apply(batch)
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -639,3 +639,35 @@
             await harness.wait('j', JobState.completed)
 
     run_with_mock_clock(main)
+
+
+def test_a_full_disk_is_not_tried_again_in_each_placement_round() -> None:
+    async def main() -> None:
+        harness = DispatcherHarness()
+        harness.fleet.add_worker('w1')
+        async with harness.running():
+            await harness.submit('j', SMALL)
+            harness.is_disk_full = True
+            await anyio.sleep(3)
+            assert 3 <= harness.refused_commits <= 3 / 0.2 + 1
+            harness.is_disk_full = False
+            assert await harness.wait('j', JobState.completed) < 1.2
+
+    run_with_mock_clock(main)
+
+
+def test_ends_of_many_workers_do_not_each_try_a_full_disk() -> None:
+    async def main() -> None:
+        harness = DispatcherHarness()
+        for number in range(15):
+            harness.fleet.add_worker(f'w{number}', 1000)
+        async with harness.running():
+            await harness.submit('j', Step(15, 1000, 100, estimate_seconds=0.5))
+            await anyio.sleep(0.3)
+            harness.is_disk_full = True
+            await anyio.sleep(3)
+            assert 3 <= harness.refused_commits <= 3 / 0.2 + 15
+            harness.is_disk_full = False
+            assert await harness.wait('j', JobState.completed) < 0.5
+
+    run_with_mock_clock(main)
