A restarted worker's ends are not taken for those of its former incarnation

What callers saw: a task whose end was listed was run again, each time a restarted worker had listed it, so that an accepted job stayed unfinished for many times its run time.

Cause: the number of the last committed end was set after the commit of a list, also if the worker's restart had been recorded while that commit waited (it is repeated while the leader's disk is full). The next polls then told the new incarnation, which numbers its ends from 1, to discard up to the former number. Its ends were discarded unread, their runs found unlisted, voided and granted again, until the numbers exceeded the former one.

Fix: after the commit, the number is taken over only if the worker is still of the incarnation that sent the list. The new one keeps zero, and its ends are listed again until they are committed.

--- a/mulberryhitch/dispatch/worker_monitor.py
+++ b/mulberryhitch/dispatch/worker_monitor.py
@@ -162,8 +162,12 @@
         batch = self._new_ends(worker, view)
         batch.extend(self._unlisted_ends(worker, view, sent_at))
         self._update_running(worker, view)
+        born = worker.record.born
         if batch and not await self._term.commit_or_log(batch):
             return
+        if worker.record.born != born:
+            # Its numbers of ends have started anew meanwhile.
+            return
         worker.numbering_uncertain = False
         newest = max((row.number for row in view.ended), default=0)
         worker.acknowledged_end = max(worker.acknowledged_end, newest)
--- a/tests/fake_workers.py
+++ b/tests/fake_workers.py
@@ -17,7 +17,11 @@
     WorkerView,
 )
 from mulberryhitch.dispatch.term import Term
-from mulberryhitch.errors import OutcomeUnknownError, UnreachableError
+from mulberryhitch.errors import (
+    DiskFullError,
+    OutcomeUnknownError,
+    UnreachableError,
+)
 from mulberryhitch.jobs import changes
 from mulberryhitch.jobs.clock import JobClock
 from mulberryhitch.jobs.model import (
@@ -329,7 +333,11 @@
 
 
 class DispatcherHarness:
-    """Runs a dispatcher over a job store that applies changes directly."""
+    """Runs a dispatcher over a job store that applies changes directly.
+
+    Attributes:
+        refused_ends: Number of commits of ends left to refuse for a full disk.
+    """
 
     def __init__(self, policy: PermitPolicy | None = None, **queue: Any):
         self.fleet = FakeFleet()
@@ -337,6 +345,7 @@
         self.index = 0
         self.is_leader = True
         self.time_of_day_step: float = 0
+        self.refused_ends = 0
         self.clock = JobClock(self.time_of_day, anyio.current_time)
         self.task_group: Any = None
         self.queue = Queue(
@@ -370,6 +379,9 @@
 
     async def commit(self, batch: list[changes.Change]) -> list[Any]:
         await anyio.sleep(COMMIT_SECONDS)
+        if self.refused_ends and batch[0][0] == 'end':
+            self.refused_ends -= 1
+            raise DiskFullError('no space left')
         return self.apply(batch)
 
     @asynccontextmanager
--- a/tests/test_stuck_jobs.py
+++ b/tests/test_stuck_jobs.py
@@ -24,3 +24,25 @@
             assert await harness.wait('j', JobState.completed) < 2
 
     run_with_mock_clock(main)
+
+
+def test_the_ends_of_a_restarted_worker_are_not_taken_for_former_ones() -> None:
+    async def main() -> None:
+        harness = DispatcherHarness()
+        harness.fleet.add_worker('w1')
+        async with harness.running():
+            harness.refused_ends = 1
+            await harness.submit('former', Step(3, 1000, estimate_seconds=0.5))
+            while harness.refused_ends:
+                await anyio.sleep(0.01)
+            harness.fleet.add_worker('w1', born=2)
+            restarted = harness.fleet.workers['w1']
+            await harness.dispatcher.handle_heartbeat(
+                restarted.record, restarted.clock
+            )
+            await harness.wait('former', JobState.completed)
+            await harness.submit('next', SMALL)
+            await harness.wait('next', JobState.completed, 2)
+            assert harness.start_count('next') == 1
+
+    run_with_mock_clock(main)
