A request for permits for few tasks does not rely on one or two workers

What callers saw: an accepted job had nothing running for seconds, although workers that may run it had room for many such tasks, in a queue that allows few workers and takes long to decide.

Cause: a request names workers until one and a half times the missing tasks are expected to fit, and counted all tasks that a worker has room for, times the share of workers that are allowed. One worker with room for ten tasks so stood for three tasks of a single missing one; but it is allowed or denied as a whole. Requests for the last tasks of a step named one or two workers each, and each denial cost another request.

Fix: a worker counts for the missing tasks at most, as for steps that wait for room.

--- a/mulberryhitch/dispatch/permit_selection.py
+++ b/mulberryhitch/dispatch/permit_selection.py
@@ -118,7 +118,10 @@
             )
             if copies and self._is_new(worker):
                 chosen.append(worker_id)
-                expected += copies * self._allowed_share
+                # A worker with room for more than is missing may be denied
+                # like any other.
+                usable = min(copies, self._missing)
+                expected += usable * self._allowed_share
         return chosen
 
     def _capacity_when_empty(self) -> int:
--- a/tests/test_permit_planning.py
+++ b/tests/test_permit_planning.py
@@ -104,3 +104,16 @@
             assert harness.start_count('long') == 1
 
     run_with_mock_clock(main)
+
+
+def test_a_task_is_not_left_waiting_by_permits_asked_for_one_by_one() -> None:
+    async def main() -> None:
+        harness = DispatcherHarness(PermitPolicy(0.5, 0.006, 2))
+        for number in range(20):
+            harness.fleet.add_worker(f'w{number}')
+        harness.fleet.permit_client = FakePermitClient(['w18', 'w19'], 0.5)
+        async with harness.running():
+            await harness.submit('j', Step(1, 1000, 100, estimate_seconds=0.5))
+            assert await harness.wait('j', JobState.completed) < 3.5
+
+    run_with_mock_clock(main)
