--- a/tests/fake_workers.py
+++ b/tests/fake_workers.py
@@ -333,7 +333,11 @@
 
 
 class DispatcherHarness:
-    """Runs a dispatcher over a job store that applies changes directly."""
+    """Runs a dispatcher over a job store that applies changes directly.
+
+    Attributes:
+        refused_ends: Number of commits of ends left to refuse for a full disk.
+    """
 
     def __init__(self, policy: PermitPolicy | None = None, **queue: Any):
         self.fleet = FakeFleet()
@@ -341,6 +345,7 @@
         self.index = 0
         self.is_leader = True
         self.time_of_day_step: float = 0
+        self.refused_ends = 0
         self.clock = JobClock(self.time_of_day, anyio.current_time)
         self.task_group: Any = None
         self.is_disk_full = False
@@ -379,6 +384,9 @@
             self.refused_commits += 1
             raise DiskFullError('no space left')
         await anyio.sleep(COMMIT_SECONDS)
+        if self.refused_ends and batch[0][0] == 'end':
+            self.refused_ends -= 1
+            raise DiskFullError('no space left')
         return self.apply(batch)
 
     @asynccontextmanager
