A step no longer waits for permits from a process that fell silent

What callers saw: an accepted job had nothing running for seconds, although workers were idle, after a machine had gone dark.

Cause: permits are requested through other processes, one request at a time for a step. A request through a process that lost power or was cut off was waited for until it timed out: twice the expected time and a second, 3.7 s for a gang that names 100 workers where deciding takes 0.56 s and 8 ms a worker. Only idle clients were removed when they stopped reporting.

Evidence: the new test of tests/test_permit_planning.py failed before with TimeoutError: the gang had not started after 2.8 s; it starts within that now. Not shown to be the loss that was reported.

Change: a client that has not reported for 1.5 s is removed, also while it has a request; the request fails at once, and the step asks through another client. It was 2.5 s; processes report each 0.5 s.

--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -23,7 +23,8 @@
 from mulberryhitch.jobs.model import Resources, StepKey, TaskKey, WorkerRecord
 from mulberryhitch.jobs.state import Job, RunOutcome, StepExecution
 
-_CLIENT_SILENCE_SECONDS = 2.5
+# Three reports of a client, or one that had to be repeated.
+_CLIENT_SILENCE_SECONDS = 1.5
 _PAUSE_FACTOR = 2
 
 
--- a/mulberryhitch/dispatch/permits.py
+++ b/mulberryhitch/dispatch/permits.py
@@ -13,7 +13,7 @@
 from anyio.abc import TaskGroup
 
 from mulberryhitch.dispatch.ports import PermitClient
-from mulberryhitch.errors import MulberryhitchError
+from mulberryhitch.errors import MulberryhitchError, UnreachableError
 from mulberryhitch.jobs.model import PermitPolicy, StepKey
 from mulberryhitch.observability.log import Log
 
@@ -102,9 +102,13 @@
     permit_client: PermitClient
     local: bool
     last_contact_at: float = 0
-    busy: bool = False
+    request_scope: anyio.CancelScope | None = None
     failed_at: float = -_FAILED_PAUSE_SECONDS
 
+    @property
+    def busy(self) -> bool:
+        return self.request_scope is not None
+
 
 class PermitManager:
     """Requests permits and stores them.
@@ -144,12 +148,18 @@
         client.last_contact_at = anyio.current_time()
 
     def remove_silent_clients(self, silence_seconds: float) -> None:
-        """Removes idle remote clients that have not reported for this long."""
+        """Removes remote clients that have not reported for this long.
+
+        A request sent through such a client fails, so that the step can
+        request its permits through another one.
+        """
         now = anyio.current_time()
         for name, client in tuple(self._clients.items()):
-            silent = now - client.last_contact_at > silence_seconds
-            if silent and not client.local and not client.busy:
-                self._clients.pop(name)
+            if client.local or now - client.last_contact_at <= silence_seconds:
+                continue
+            self._clients.pop(name)
+            if client.request_scope is not None:
+                client.request_scope.cancel()
 
     def of_step(self, step: StepKey) -> StepPermits:
         """Returns the permits of a step."""
@@ -215,7 +225,7 @@
             if client is None:
                 return
             self._requests.pop(request.step)
-            client.busy = True
+            client.request_scope = anyio.CancelScope()
             self.of_step(request.step).requested = dict.fromkeys(
                 request.worker_ids
             )
@@ -244,10 +254,9 @@
         policy = request.policy
         began = anyio.current_time()
         expected = policy.decide_seconds + policy.each_seconds * len(worker_ids)
+        timeout = expected * 2 + _EXTRA_TIMEOUT_SECONDS
         try:
-            granted = await client.permit_client.ask(
-                request.step, worker_ids, expected * 2 + _EXTRA_TIMEOUT_SECONDS
-            )
+            granted = await self._ask(client, request.step, worker_ids, timeout)
         except MulberryhitchError as error:
             client.failed_at = anyio.current_time()
             self._log.problem(
@@ -263,13 +272,26 @@
             self._finish_request(client, request.step)
         self._on_request_done()
 
+    async def _ask(
+        self,
+        client: _Client,
+        step: StepKey,
+        worker_ids: Sequence[str],
+        timeout_seconds: float,
+    ) -> dict[str, str]:
+        with client.request_scope or anyio.CancelScope():
+            return await client.permit_client.ask(
+                step, worker_ids, timeout_seconds
+            )
+        raise UnreachableError('the client fell silent during the request')
+
     def _record_client_seconds(self, queue_name: str, began: float) -> None:
         taken = self._client_seconds.get(queue_name, 0)
         taken += anyio.current_time() - began
         self._client_seconds[queue_name] = taken
 
     def _finish_request(self, client: _Client, step: StepKey) -> None:
-        client.busy = False
+        client.request_scope = None
         self.of_step(step).requested = {}
         self._wake()
 
--- a/tests/fake_workers.py
+++ b/tests/fake_workers.py
@@ -332,6 +332,17 @@
         }
 
 
+class SilentPermitClient(FakePermitClient):
+    """Leaves each request without an answer until it times out."""
+
+    async def ask(
+        self, step: StepKey, worker_ids: Sequence[str], timeout_seconds: float
+    ) -> dict[str, str]:
+        self.requests.append(tuple(worker_ids))
+        await anyio.sleep(timeout_seconds)
+        raise OutcomeUnknownError('no answer')
+
+
 class DispatcherHarness:
     """Runs a dispatcher over a job store that applies changes directly.
 
--- a/tests/test_permit_planning.py
+++ b/tests/test_permit_planning.py
@@ -6,7 +6,11 @@
 
 from mulberryhitch.jobs.model import PermitPolicy, Step
 from mulberryhitch.jobs.state import JobState
-from tests.fake_workers import DispatcherHarness, FakePermitClient
+from tests.fake_workers import (
+    DispatcherHarness,
+    FakePermitClient,
+    SilentPermitClient,
+)
 from tests.replica_group import run_with_mock_clock
 
 POLICY = PermitPolicy(decide_seconds=0.7, each_seconds=0.006, valid_seconds=1.5)
@@ -136,3 +140,19 @@
             assert await harness.wait('j', JobState.completed) < 3.5
 
     run_with_mock_clock(main)
+
+
+def test_a_step_does_not_wait_for_permits_from_a_client_that_fell_silent() -> (
+    None
+):
+    async def main() -> None:
+        harness = make_harness(4)
+        silent_client = SilentPermitClient(())
+        async with harness.running():
+            manager = harness.dispatcher.permit_manager
+            manager.add_client('remote', silent_client)
+            await harness.submit('gang', GANG)
+            await harness.wait('gang', JobState.running, 2.8)
+            assert len(silent_client.requests) == 1
+
+    run_with_mock_clock(main)
