Long requests for permits are split among clients that would be idle

Cause: a gang learned which workers it is allowed on by one request at a time, each for 100 workers at most; one of 0.56 s and 8 ms a worker takes 1.37 s, and permits of the first request expire while the next ones are made.

Evidence: the new test failed before with TimeoutError after 1.2 s.

Change: a gang names as many workers as it is expected to need. A request is sent in parts through clients that no other request waits for, so that naming the workers of a part takes no longer than deciding.

--- a/mulberryhitch/dispatch/permit_selection.py
+++ b/mulberryhitch/dispatch/permit_selection.py
@@ -4,12 +4,11 @@
 expires. So a request names only as many workers as the waiting tasks are
 expected to need, starting with those known to be allowed that have free
 resources. A gang needs many workers at once, so it first requests permits for
-as many as one request may name, to learn which are allowed; later requests are
-made for the workers that are reserved for it.
+as many as one request may name, or more if it needs them, to learn which are
+allowed; later requests are made for the workers that are reserved for it, or
+for free ones if the allowed ones are busy.
 """
 
-from math import inf
-
 from mulberryhitch.dispatch.free_capacity import FreeCapacity, copies_that_fit
 from mulberryhitch.dispatch.permits import (
     MAX_WORKERS_PER_REQUEST,
@@ -74,8 +73,9 @@
         them allow it.
         """
         needed = self._waiting.tasks_left
-        if self._capacity_when_empty() < needed * _GANG_CHOICE_FACTOR:
-            return self._select_new(inf)
+        lacking = needed * _GANG_CHOICE_FACTOR - self._capacity_when_empty()
+        if lacking > 0:
+            return self._select_new(lacking, MAX_WORKERS_PER_REQUEST)
         missing = needed - self._free_on_allowed()
         if missing <= 0:
             return []
@@ -183,20 +183,22 @@
         if self._waiting.queue.urgency != _MOST_URGENT:
             return []
         missing = self._waiting.tasks_left * _SPARE_FACTOR
-        return self._select_new(missing - self._capacity_when_empty())
+        chosen = self._select_new(missing - self._capacity_when_empty(), 0)
+        return chosen[:MAX_WORKERS_PER_REQUEST]
 
-    def _select_new(self, missing: float) -> list[str]:
+    def _select_new(self, missing: float, at_least: int) -> list[str]:
         """Selects workers not asked for yet, whether or not they are free.
 
         Args:
             missing: Number of tasks that should fit when they are empty.
+            at_least: Number of workers to select even if fewer would do.
         """
         limit = self._waiting.maximum_per_worker
         chosen: list[str] = []
         for worker in self._free_capacity.emptiest_first(
             self._waiting.queue.service
         ):
-            if missing <= 0 or len(chosen) >= MAX_WORKERS_PER_REQUEST:
+            if missing <= 0 and len(chosen) >= at_least:
                 break
             copies = copies_that_fit(self._resources, worker.capacity, limit)
             if copies and self._is_new(worker):
--- a/mulberryhitch/dispatch/permits.py
+++ b/mulberryhitch/dispatch/permits.py
@@ -3,11 +3,12 @@
 The permit service processes one request at a time for each client machine, and
 a long request delays those queued behind it. So each machine of the cluster
 that is alive sends at most one request at a time, and the most urgent request
-goes first.
+goes first. A long request is split among machines that would be idle.
 """
 
+import math
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 from anyio.abc import TaskGroup
@@ -48,8 +49,8 @@
             worker stays allowed when its permit expires.
         denied: Workers that may not run it.
         permits: The newest permit of each allowed worker.
-        requested: Workers named in the request in progress; empty if there is
-            none.
+        requested: Workers named in the requests in progress; empty if there
+            are none.
     """
 
     allowed: dict[str, None] = field(default_factory=dict)
@@ -96,6 +97,27 @@
     sort_key: tuple[float, ...]
     queue_name: str = ''
 
+    def split(self, maximum_parts: int) -> list['PermitRequest']:
+        """Splits the request into parts that are sent side by side.
+
+        Naming the workers of a part takes about as long as deciding, or less,
+        if that many parts are allowed. Workers that do not fit into them are
+        left out.
+        """
+        named = len(self.worker_ids)
+        naming_seconds = named * self.policy.each_seconds
+        decide_seconds = self.policy.decide_seconds or naming_seconds or 1
+        wanted = max(
+            naming_seconds / decide_seconds, named / MAX_WORKERS_PER_REQUEST
+        )
+        parts = max(1, min(maximum_parts, math.ceil(wanted)))
+        size = min(MAX_WORKERS_PER_REQUEST, math.ceil(named / parts))
+        return [
+            replace(self, worker_ids=self.worker_ids[start : start + size])
+            for start in range(0, size * parts, max(1, size))
+            if start < named
+        ]
+
 
 @dataclass(slots=True)
 class _Client:
@@ -187,11 +209,7 @@
 
     def idle_clients(self) -> int:
         """Returns how many clients could send a request now."""
-        now = anyio.current_time()
-        return sum(
-            not client.busy and self._is_available(client, now)
-            for client in self._clients.values()
-        )
+        return len(self._sorted_idle_clients())
 
     def discard_permit(self, step: StepKey, worker_id: str) -> None:
         """Removes a permit that its worker did not accept."""
@@ -220,25 +238,32 @@
         waiting = sorted(
             self._requests.values(), key=lambda request: request.sort_key
         )
-        for request in waiting:
-            client = self._idle_client()
-            if client is None:
+        idle = self._sorted_idle_clients()
+        for position, request in enumerate(waiting):
+            if not idle:
                 return
             self._requests.pop(request.step)
-            client.request_scope = anyio.CancelScope()
-            self.of_step(request.step).requested = dict.fromkeys(
-                request.worker_ids
-            )
-            tasks.start_soon(self._request, client, request)
+            spare = len(idle) - (len(waiting) - position)
+            for part in request.split(1 + max(0, spare)):
+                self._send(idle.pop(0), part, tasks)
+
+    def _send(
+        self, client: _Client, request: PermitRequest, tasks: TaskGroup
+    ) -> None:
+        client.request_scope = anyio.CancelScope()
+        requested = dict.fromkeys(request.worker_ids)
+        self.of_step(request.step).requested.update(requested)
+        tasks.start_soon(self._request, client, request)
 
-    def _idle_client(self) -> _Client | None:
+    def _sorted_idle_clients(self) -> list[_Client]:
+        """Returns the clients that could send a request now, local ones last."""
         now = anyio.current_time()
-        free = [
+        idle = [
             client
             for client in self._clients.values()
             if not client.busy and self._is_available(client, now)
         ]
-        return min(free, key=lambda client: client.local) if free else None
+        return sorted(idle, key=lambda client: client.local)
 
     def _is_available(self, client: _Client, now: float) -> bool:
         """Whether a client may be used again after a failed request.
@@ -250,7 +275,7 @@
         return client.local or client.last_contact_at > client.failed_at
 
     async def _request(self, client: _Client, request: PermitRequest) -> None:
-        worker_ids = request.worker_ids[:MAX_WORKERS_PER_REQUEST]
+        worker_ids = request.worker_ids
         policy = request.policy
         began = anyio.current_time()
         expected = policy.decide_seconds + policy.each_seconds * len(worker_ids)
@@ -269,7 +294,7 @@
             self._store_permits(request, worker_ids, granted)
         finally:
             self._record_client_seconds(request.queue_name, began)
-            self._finish_request(client, request.step)
+            self._finish_request(client, request)
         self._on_request_done()
 
     async def _ask(
@@ -290,9 +315,11 @@
         taken += anyio.current_time() - began
         self._client_seconds[queue_name] = taken
 
-    def _finish_request(self, client: _Client, step: StepKey) -> None:
+    def _finish_request(self, client: _Client, request: PermitRequest) -> None:
         client.request_scope = None
-        self.of_step(step).requested = {}
+        requested = self.of_step(request.step).requested
+        for worker_id in request.worker_ids:
+            requested.pop(worker_id, None)
         self._wake()
 
     def _store_permits(
--- a/tests/test_permit_planning.py
+++ b/tests/test_permit_planning.py
@@ -156,3 +156,23 @@
             assert len(silent_client.requests) == 1
 
     run_with_mock_clock(main)
+
+
+def test_a_wide_gang_asks_many_workers_side_by_side_through_idle_clients() -> (
+    None
+):
+    async def main() -> None:
+        harness = make_harness(150)
+        client = harness.fleet.permit_client
+        assert client is not None
+        # So few are allowed that the gang needs more than one request names.
+        client.allowed = {f'w{number}' for number in range(0, 150, 3)}
+        wide_gang = replace(GANG, count=120)
+        async with harness.running():
+            manager = harness.dispatcher.permit_manager
+            for number in range(3):
+                manager.add_client(f'remote-{number}', client)
+            await harness.submit('gang', wide_gang)
+            await harness.wait('gang', JobState.running, 1.2)
+
+    run_with_mock_clock(main)
