An idle worker that has fallen silent is polled before it gets a task

What callers saw: an accepted job had nothing running for 5 s and more, although other workers had room.

Cause: a worker without runs was never polled, and nothing looked at when it last sent a heartbeat. One that was cut off or had died while idle stayed usable for good, and as an empty one it was chosen early. A start that gets no answer may still take effect, so its task waits until the worker's lease has expired.

Fix: a worker that was not heard from for 3 s, about two heartbeats, is polled; a missed poll makes it unusable until it answers or is removed. Heartbeats count as contact, so workers that send them are not polled when idle.

--- a/mulberryhitch/dispatch/tracked_worker.py
+++ b/mulberryhitch/dispatch/tracked_worker.py
@@ -20,6 +20,8 @@
 _SLOW_PAUSE_SECONDS = 1.5
 _MIN_RUN_SECONDS = 0.4
 _STALLED_SECONDS = 2.5
+# Longer than a worker takes for a heartbeat and a second attempt.
+_SILENT_SECONDS = 3.0
 _WHOLE_PERCENT = 100
 
 
@@ -179,10 +181,14 @@
         """Sets the total resources from the record."""
         self.capacity = self.record.capacity
 
-    @property
-    def needs_poll(self) -> bool:
-        """Whether its list is needed now; an idle worker is not polled."""
-        return bool(self.tracked_runs or not self.listed or self.missed_polls)
+    def seconds_until_poll(self, now: float) -> float:
+        """Returns when its list is needed; zero if it is needed now.
+
+        An idle worker is polled only if it has been silent for some time.
+        """
+        if self.tracked_runs or not self.listed or self.missed_polls:
+            return 0
+        return max(0, self.last_contact_at + _SILENT_SECONDS - now)
 
     def update_record(self, record: WorkerRecord) -> None:
         """Replaces the record, and the total resources with it."""
--- a/mulberryhitch/dispatch/worker_monitor.py
+++ b/mulberryhitch/dispatch/worker_monitor.py
@@ -77,10 +77,9 @@
     async def _watch(self, worker: TrackedWorker) -> None:
         while not worker.removed and not self._term.ended.is_set():
             woken = worker.wake_event
-            if worker.needs_poll:
+            pause = worker.seconds_until_poll(anyio.current_time())
+            if not pause:
                 pause = await self._poll_once(worker)
-            else:
-                pause = self._term.options.lease_seconds
             if pause:
                 with anyio.move_on_after(pause):
                     await woken.wait()
@@ -89,8 +88,9 @@
         if not self._term.may_act():
             return _NO_LEASE_PAUSE_SECONDS
         answers = worker.listed and not worker.missed_polls
+        waits = answers and worker.tracked_runs
         wait = self._term.options.poll_wait_seconds
-        await self._poll(worker, wait if answers else 0)
+        await self._poll(worker, wait if waits else 0)
         return _MISSED_POLL_PAUSE_SECONDS if worker.missed_polls else 0
 
     async def _poll(self, worker: TrackedWorker, wait_seconds: float) -> None:
@@ -117,6 +117,7 @@
             await self._handle_refusal(worker, view)
         elif not worker.removed:
             worker.missed_polls = 0
+            worker.last_contact_at = anyio.current_time()
             await self._apply_view(worker, view, now)
 
     def _handle_missed_poll(
--- a/tests/fake_workers.py
+++ b/tests/fake_workers.py
@@ -71,6 +71,8 @@
         highest_runs: Highest ended or stopped run of each task; a start with
             this number or a lower one is stale.
         unresponsive: Whether each call to the worker fails.
+        silent: Whether calls reach the worker, which does nothing, without an
+            answer.
         unanswered_starts: Number of starts left to delay by 3 s and to leave
             without an answer.
         lost_answers: Number of starts left to carry out and to leave without
@@ -89,6 +91,7 @@
         self.last_end_number = 0
         self.changed = anyio.Event()
         self.unresponsive = False
+        self.silent = False
         self.unanswered_starts = 0
         self.lost_answers = 0
         self.refuses_starts = False
@@ -236,6 +239,8 @@
     ) -> tuple[WorkerAnswer, int]:
         worker = self._responsive_worker(record)
         await anyio.sleep(0.002)
+        if worker.silent:
+            raise OutcomeUnknownError('no answer')
         if worker.refuses_starts:
             raise UnreachableError('no connection', where=record.worker_id)
         if worker.lost_answers:
@@ -255,6 +260,8 @@
     ) -> WorkerAnswer:
         worker = self._responsive_worker(record)
         await anyio.sleep(0.002)
+        if worker.silent:
+            raise OutcomeUnknownError('no answer')
         if fence < worker.fence:
             return WorkerAnswer.fenced
         worker.fence = fence
@@ -275,6 +282,8 @@
     ) -> WorkerView | WorkerAnswer:
         worker = self._responsive_worker(record)
         await anyio.sleep(0.002)
+        if worker.silent:
+            raise OutcomeUnknownError('no answer')
         if fence < worker.fence:
             return WorkerAnswer.fenced
         worker.fence = fence
--- a/tests/test_stuck_jobs.py
+++ b/tests/test_stuck_jobs.py
@@ -46,3 +46,17 @@
             assert harness.start_count('next') == 1
 
     run_with_mock_clock(main)
+
+
+def test_a_job_is_not_placed_on_an_idle_worker_that_has_fallen_silent() -> None:
+    async def main() -> None:
+        harness = DispatcherHarness()
+        harness.fleet.add_worker('w1')
+        harness.fleet.add_worker('w2')
+        async with harness.running():
+            harness.fleet.workers['w1'].silent = True
+            await anyio.sleep(5)
+            await harness.submit('j', SMALL)
+            assert await harness.wait('j', JobState.completed) < 1
+
+    run_with_mock_clock(main)
