--- a/tests/replica_group.py
+++ b/tests/replica_group.py
@@ -19,6 +19,14 @@
 from tests.fakes import FakeDisk, FakeNetwork, KeyValueStateMachine
 
 OPTIONS = ReplicationOptions(compact_entries=50, repair_seconds=20)
+QUICK_OPTIONS = ReplicationOptions(
+    heartbeat_seconds=0.1,
+    election_seconds=0.5,
+    commit_notify_seconds=0.15,
+    reconcile_seconds=0.3,
+    repair_seconds=2,
+    compact_entries=50,
+)
 
 
 def run_with_mock_clock(main: Callable[..., Awaitable[Any]], *args: Any) -> Any:
@@ -40,8 +48,15 @@
 class ReplicaGroup:
     """A group of replicas, each on its own VM, which can be killed."""
 
-    def __init__(self, size: int, seed: int, spares: int = 0) -> None:
+    def __init__(
+        self,
+        size: int,
+        seed: int,
+        spares: int = 0,
+        options: ReplicationOptions = OPTIONS,
+    ) -> None:
         self.rng = random.Random(seed)
+        self.options = options
         self.network = FakeNetwork(self.rng)
         self.vms = tuple(f'vm-{number}' for number in range(1, size + 1))
         spare_vms = tuple(f'spare-{number}' for number in range(1, spares + 1))
@@ -68,7 +83,7 @@
             state,
             self.network.transport(vm),
             self.vms,
-            OPTIONS,
+            self.options,
             Log(vm),
             self.rng,
         )
