A proposal ends with its leadership, not when the former leader's disk does

What callers saw: a request whose leader has lost its leadership waits as long as that machine's disk hangs, though its outcome can't be learnt there any more.

Cause: the proposals of a leadership were ended after its tasks, and the task that writes waits for its sync, which is not cancelled.

Stepping down now ends them at once: those in the log with an unknown outcome, those not yet written as refused. Nothing is committed by a leadership that has ended, so none is answered twice. With this no proposal outlives the first change of its leadership, so a second change can't strand it; each other wait of a leadership (its confirmation, the hand-over, calls) has a limit.

Evidence: the new test (an isolated leader whose disk hangs for 20 s) failed before with TimeoutError after three election times, and passes. The random runs and the tests of data centres, replication, replaced voters, full and lost disks, durability, files, job store and leader client passed.

--- a/mulberryhitch/replication/leadership.py
+++ b/mulberryhitch/replication/leadership.py
@@ -152,12 +152,12 @@
                 await self._ended.wait()
                 tasks.cancel_scope.cancel()
         finally:
-            self._ended.set()
-            self._fail_pending()
+            self.step_down()
 
     def step_down(self) -> None:
-        """Ends the leadership."""
+        """Ends the leadership and all proposals that are open."""
         self._ended.set()
+        self._fail_pending()
 
     async def propose(self, kind: str, body: bytes) -> Any:
         """Commits an entry and returns the state machine's result.
--- a/tests/test_durability.py
+++ b/tests/test_durability.py
@@ -9,7 +9,11 @@
 import anyio
 import pytest
 
-from mulberryhitch.errors import DiskFullError, InvariantError
+from mulberryhitch.errors import (
+    DiskFullError,
+    InvariantError,
+    OutcomeUnknownError,
+)
 from mulberryhitch.replication.failpoints import FailPoints
 from mulberryhitch.replication.file_storage import FileStorage
 from mulberryhitch.replication.replica import Replica
@@ -19,6 +23,7 @@
 from tests.replica_group import ReplicaGroup, run_with_mock_clock
 
 STALL_SECONDS = 3
+HANG_SECONDS = 20
 
 
 def _put(index: int, term: int = 0) -> LogEntry:
@@ -135,3 +140,26 @@
 
 def _refuse(*arguments: Any) -> int:
     raise OSError(errno.ENOSPC, 'no space left on device')
+
+
+def test_a_proposal_ends_with_the_leadership_and_not_with_a_disk_that_hangs() -> (
+    None
+):
+    async def main() -> None:
+        async with ReplicaGroup(3, seed=1).running() as group:
+            leader = await group.wait_leader()
+            disk = group.disks[group.vm_of(leader)]
+            sync = disk.sync
+
+            async def hang() -> None:
+                with anyio.CancelScope(shield=True):
+                    await anyio.sleep(HANG_SECONDS)
+                    await sync()
+
+            disk.sync = hang
+            group.network.isolate(group.vm_of(leader))
+            with anyio.fail_after(3 * group.options.election_seconds):
+                with pytest.raises(OutcomeUnknownError):
+                    await leader.propose('put', b'["key", 1]')
+
+    run_with_mock_clock(main)
