--- a/mulberryhitch/replication/follower.py
+++ b/mulberryhitch/replication/follower.py
@@ -26,6 +26,7 @@
         """Initialises the follower with an empty snapshot buffer."""
         self._state = state
         self._snapshot_buffer = bytearray()
+        self._buffered_snapshot = (0, 0)
 
     async def append(self, request: AppendRequest) -> AppendReply:
         """Appends entries that match the log and advances the commit index.
@@ -54,11 +55,16 @@
     async def receive_chunk(self, request: SnapshotRequest) -> SnapshotReply:
         """Adds a chunk of a snapshot and installs it after the last chunk.
 
-        An unexpected offset discards the chunks received so far.
+        A chunk of another snapshot, or at an unexpected offset, discards the
+        chunks received so far.
 
         Raises:
             StorageError: The snapshot was not stored.
         """
+        snapshot = (request.last_index, request.last_term)
+        if snapshot != self._buffered_snapshot:
+            self._snapshot_buffer.clear()
+            self._buffered_snapshot = snapshot
         if request.offset != len(self._snapshot_buffer):
             self._snapshot_buffer.clear()
             return SnapshotReply(self._state.term, 0)
