Records of the log and durable files are modules of their own

What callers saw: nothing changes for them. Change: replication/log_records.py, replication/durable_files.py, and ReplicaGroup.lose_power.

--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -1,19 +1,13 @@
 """Stores a replica's log, vote, snapshot and identity in checksummed files.
 
-A log record consists of the payload's length, the length's checksum, the
-payload and the payload's checksum. Both checksums are chained to the previous
-record. A tail that is too short for its record comes from a torn write; it
+A tail of the log that is too short for its record comes from a torn write; it
 was never acknowledged and is truncated. Any other mismatch is corruption,
 after which the replica must be replaced by a new one.
 """
 
 import os
 import secrets
-import struct
-import zlib
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager, suppress
-from dataclasses import dataclass
+from collections.abc import Callable
 from pathlib import Path
 
 import anyio
@@ -26,7 +20,21 @@
     StorageError,
 )
 from mulberryhitch.replication.disk_errors import typed_disk_errors
+from mulberryhitch.replication.durable_files import (
+    CREATE_FLAGS,
+    FILE_MODE,
+    new_file,
+    read_checked,
+    sync_folder,
+    write_all,
+    write_atomically,
+)
 from mulberryhitch.replication.failpoints import FailPoints
+from mulberryhitch.replication.log_records import (
+    LogRecord,
+    encode_log_record,
+    read_log_records,
+)
 from mulberryhitch.replication.members import Members
 from mulberryhitch.replication.storage import Snapshot, StoredState
 from mulberryhitch.rpc.codec import decode_record, encode_record
@@ -37,122 +45,6 @@
     VoteRecord,
 )
 
-_HEADER = struct.Struct('>II')
-_CHECKSUM = struct.Struct('>I')
-_CREATE_FLAGS = os.O_RDWR | os.O_CREAT
-_FILE_MODE = 0o600
-
-
-@dataclass(frozen=True, slots=True)
-class _LogRecord:
-    """A log entry with its record's end offset and payload checksum.
-
-    The checksum is the initial value of both checksums of the next record.
-    """
-
-    entry: LogEntry
-    end: int
-    chain_checksum: int
-
-
-def encode_log_record(payload: bytes, chain_checksum: int) -> tuple[bytes, int]:
-    """Returns the encoded record and the checksum to chain the next one to."""
-    length = struct.pack('>I', len(payload))
-    header = _HEADER.pack(len(payload), zlib.crc32(length, chain_checksum))
-    checksum = zlib.crc32(payload, chain_checksum)
-    return header + payload + _CHECKSUM.pack(checksum), checksum
-
-
-def read_log_records(content: bytes, where: str) -> Iterator[_LogRecord]:
-    """Yields all complete records and stops at a torn tail.
-
-    Raises:
-        DamagedFileError: A checksum does not match.
-    """
-    offset = 0
-    chain_checksum = 0
-    while len(content) - offset >= _HEADER.size:
-        length, header_checksum = _HEADER.unpack_from(content, offset)
-        expected = zlib.crc32(struct.pack('>I', length), chain_checksum)
-        if header_checksum != expected:
-            raise DamagedFileError(
-                'log record header checksum mismatch', where=f'{where}@{offset}'
-            )
-        payload_start = offset + _HEADER.size
-        end = payload_start + length + _CHECKSUM.size
-        if end > len(content):
-            return
-        payload = content[payload_start : payload_start + length]
-        chain_checksum = zlib.crc32(payload, chain_checksum)
-        if _CHECKSUM.unpack_from(content, payload_start + length) != (
-            chain_checksum,
-        ):
-            raise DamagedFileError(
-                'log record payload checksum mismatch',
-                where=f'{where}@{offset}',
-            )
-        yield _LogRecord(decode_record(LogEntry, payload), end, chain_checksum)
-        offset = end
-
-
-def write_atomically(path: Path, content: bytes) -> None:
-    """Replaces a file atomically and durably.
-
-    Writes the content and its checksum to a temporary file, syncs and renames
-    it, then syncs the folder.
-    """
-    temporary_path = path.with_suffix('.aside')
-    record = content + _CHECKSUM.pack(zlib.crc32(content))
-    with _new_file(temporary_path) as descriptor:
-        _write_all(descriptor, record)
-        os.fsync(descriptor)
-        temporary_path.rename(path)
-    os.close(descriptor)
-    sync_folder(path.parent)
-
-
-def read_checked(path: Path) -> bytes | None:
-    """Reads a file written by :func:`write_atomically`, or returns ``None``.
-
-    Raises:
-        DamagedFileError: The checksum does not match.
-    """
-    if not path.exists():
-        return None
-    record = path.read_bytes()
-    content = record[: -_CHECKSUM.size]
-    if record[-_CHECKSUM.size :] != _CHECKSUM.pack(zlib.crc32(content)):
-        raise DamagedFileError('checksum mismatch', where=str(path))
-    return content
-
-
-def sync_folder(folder: Path) -> None:
-    """Syncs a folder, so that renamed and new files in it are durable."""
-    descriptor = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
-
-
-@contextmanager
-def _new_file(path: Path) -> Iterator[int]:
-    """Yields a new file's descriptor; closes and removes it on an error."""
-    descriptor = os.open(path, _CREATE_FLAGS | os.O_TRUNC, _FILE_MODE)
-    try:
-        yield descriptor
-    except BaseException:
-        os.close(descriptor)
-        with suppress(OSError):
-            path.unlink()
-        raise
-
-
-def _write_all(descriptor: int, content: bytes) -> None:
-    written = 0
-    while written < len(content):
-        written += os.write(descriptor, content[written:])
-
 
 class FileStorage:
     """File-based storage of one replica.
@@ -174,7 +66,7 @@
         sync_folder(folder.parent)
         self._log_path = folder / 'log'
         self._descriptor = self._open_log()
-        self._records: list[_LogRecord] = []
+        self._records: list[LogRecord] = []
         self._snapshot_index = 0
         self._is_synced = False
         self._disk_lock = anyio.Lock()
@@ -239,12 +131,12 @@
                 encode_record(entry), chain_checksum
             )
             offset += len(encoded_record)
-            new_records.append(_LogRecord(entry, offset, chain_checksum))
+            new_records.append(LogRecord(entry, offset, chain_checksum))
             encoded.append(encoded_record)
         try:
             self._fail_points.reach('write')
             os.lseek(self._descriptor, end, os.SEEK_SET)
-            _write_all(self._descriptor, b''.join(encoded))
+            write_all(self._descriptor, b''.join(encoded))
         except OSError as error:
             self._remove_failed_write(end)
             raise DiskFullError(
@@ -330,7 +222,7 @@
             raise StorageError(str(error), where=str(self._log_path)) from error
 
     def _open_log(self) -> int:
-        return os.open(self._log_path, _CREATE_FLAGS, _FILE_MODE)
+        return os.open(self._log_path, CREATE_FLAGS, FILE_MODE)
 
     def _sync(self) -> None:
         self._fail_points.reach('sync')
@@ -338,17 +230,17 @@
 
     def _rewrite_log(self, entries: list[LogEntry]) -> None:
         temporary_path = self._folder / 'log.aside'
-        records: list[_LogRecord] = []
+        records: list[LogRecord] = []
         chain_checksum = 0
         offset = 0
-        with _new_file(temporary_path) as descriptor:
+        with new_file(temporary_path) as descriptor:
             for entry in entries:
                 encoded_record, chain_checksum = encode_log_record(
                     encode_record(entry), chain_checksum
                 )
-                _write_all(descriptor, encoded_record)
+                write_all(descriptor, encoded_record)
                 offset += len(encoded_record)
-                records.append(_LogRecord(entry, offset, chain_checksum))
+                records.append(LogRecord(entry, offset, chain_checksum))
             os.fsync(descriptor)
             temporary_path.rename(self._log_path)
         os.close(self._descriptor)
--- a/mulberryhitch/replication/inspection.py
+++ b/mulberryhitch/replication/inspection.py
@@ -4,10 +4,8 @@
 from pathlib import Path
 
 from mulberryhitch.errors import DamagedFileError
-from mulberryhitch.replication.file_storage import (
-    read_checked,
-    read_log_records,
-)
+from mulberryhitch.replication.durable_files import read_checked
+from mulberryhitch.replication.log_records import read_log_records
 from mulberryhitch.replication.members import Members
 from mulberryhitch.replication.storage import Snapshot
 from mulberryhitch.rpc.codec import decode_record
--- /dev/null
+++ b/mulberryhitch/replication/log_records.py
@@ -0,0 +1,69 @@
+"""Records of a replica's log file.
+
+A record consists of the payload's length, the length's checksum, the payload
+and the payload's checksum. Both checksums are chained to the previous record.
+"""
+
+import struct
+import zlib
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from mulberryhitch.errors import DamagedFileError
+from mulberryhitch.rpc.codec import decode_record
+from mulberryhitch.rpc.messages import LogEntry
+
+_HEADER = struct.Struct('>II')
+_CHECKSUM = struct.Struct('>I')
+
+
+@dataclass(frozen=True, slots=True)
+class LogRecord:
+    """A log entry with its record's end offset and payload checksum.
+
+    The checksum is the initial value of both checksums of the next record.
+    """
+
+    entry: LogEntry
+    end: int
+    chain_checksum: int
+
+
+def encode_log_record(payload: bytes, chain_checksum: int) -> tuple[bytes, int]:
+    """Returns the encoded record and the checksum to chain the next one to."""
+    length = struct.pack('>I', len(payload))
+    header = _HEADER.pack(len(payload), zlib.crc32(length, chain_checksum))
+    checksum = zlib.crc32(payload, chain_checksum)
+    return header + payload + _CHECKSUM.pack(checksum), checksum
+
+
+def read_log_records(content: bytes, where: str) -> Iterator[LogRecord]:
+    """Yields all complete records and stops at a torn tail.
+
+    Raises:
+        DamagedFileError: A checksum does not match.
+    """
+    offset = 0
+    chain_checksum = 0
+    while len(content) - offset >= _HEADER.size:
+        length, header_checksum = _HEADER.unpack_from(content, offset)
+        expected = zlib.crc32(struct.pack('>I', length), chain_checksum)
+        if header_checksum != expected:
+            raise DamagedFileError(
+                'log record header checksum mismatch', where=f'{where}@{offset}'
+            )
+        payload_start = offset + _HEADER.size
+        end = payload_start + length + _CHECKSUM.size
+        if end > len(content):
+            return
+        payload = content[payload_start : payload_start + length]
+        chain_checksum = zlib.crc32(payload, chain_checksum)
+        if _CHECKSUM.unpack_from(content, payload_start + length) != (
+            chain_checksum,
+        ):
+            raise DamagedFileError(
+                'log record payload checksum mismatch',
+                where=f'{where}@{offset}',
+            )
+        yield LogRecord(decode_record(LogEntry, payload), end, chain_checksum)
+        offset = end
--- a/tests/replica_group.py
+++ b/tests/replica_group.py
@@ -1,7 +1,7 @@
 """Groups of replicas on fake disks and a fake network."""
 
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -108,6 +108,15 @@
         self.replicas.pop(vm, None)
         self.disks[vm].crash()
 
+    def lose_power(self, wiped: Collection[str]) -> None:
+        """Stops all replicas at once and starts them, some on empty disks."""
+        for vm in tuple(self.replicas):
+            self.kill(vm)
+        for vm in wiped:
+            self.disks[vm].wipe()
+        for vm in self.disks:
+            self.start(vm)
+
     def vm_of(self, replica: Replica) -> str:
         """Returns the VM that a replica runs on."""
         return vm_of(replica.replica_id)
--- a/tests/test_lost_disks.py
+++ b/tests/test_lost_disks.py
@@ -18,15 +18,6 @@
 SECONDS_AFTER_THE_KILL = (0.05, 1, 1.7, 1.8, 1.9, 2, 2.1, 2.2, 2.3, 2.6, 3.5)
 
 
-def _lose_power(group: ReplicaGroup, lost: list[str]) -> None:
-    for vm in tuple(group.replicas):
-        group.kill(vm)
-    for vm in lost:
-        group.disks[vm].wipe()
-    for vm in group.disks:
-        group.start(vm)
-
-
 async def _change_while_a_voter_is_replaced(
     group: ReplicaGroup, seconds: float
 ) -> ChangeClient:
@@ -55,7 +46,7 @@
             client = await _change_while_a_voter_is_replaced(group, seconds)
             assert client.acknowledged
             lost = group.rng.sample(sorted(group.disks), TOLERATED_DISKS)
-            _lose_power(group, lost)
+            group.lose_power(lost)
             assert await group.put('after', 0, RECOVERY_SECONDS)
             leader = await group.wait_leader()
             assert not client.lost_at(group.vm_of(leader))
--- a/tests/test_replacing_voters.py
+++ b/tests/test_replacing_voters.py
@@ -93,12 +93,7 @@
             voters = [vm_of(name) for name in before.voters]
             voters.remove(down)
             lost = group.rng.sample(voters, TOLERATED_DISKS)
-            for vm in tuple(group.replicas):
-                group.kill(vm)
-            for vm in lost:
-                group.disks[vm].wipe()
-            for vm in group.disks:
-                group.start(vm)
+            group.lose_power(lost)
             leader = await group.wait_leader()
             machine = group.state_machines[vm_of(leader.replica_id)]
             assert machine.values['key'] == 2
