--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -41,6 +41,7 @@
         self._committing_steps: set[StepKey] = set()
         self._estimates = EstimateCache()
         self._last_plan = Plan()
+        self._rounds = 0
         self.permit_manager = PermitManager(
             term.incarnation_of, term.request_round, term.log
         )
@@ -196,6 +197,7 @@
     async def _run_rounds(self) -> None:
         while True:
             await self._term.round_due.wait()
+            await self._term.wait_until_writable()
             self._term.round_due = anyio.Event()
             began = anyio.current_time()
             if self._term.may_act():
@@ -226,7 +228,9 @@
             self._term.wall_time(),
             self._term.options.permit_margin_seconds,
             self._last_plan.reservations,
+            self._rounds,
         )
+        self._rounds += 1
         plan = planner.run(self._committing_steps, self._preemption_candidates)
         self._record_plan(plan, anyio.current_time() - now)
         self.permit_manager.replace_requests(plan.permit_requests)
@@ -325,7 +329,7 @@
             for placement in placements
         ]
         try:
-            outcomes = await self._term.commit(batch)
+            outcomes = await self._term.commit_unless_full(batch)
         except MulberryhitchError as error:
             self._term.log.problem('grants.uncommitted', error.problem)
             return
--- a/mulberryhitch/dispatch/planner.py
+++ b/mulberryhitch/dispatch/planner.py
@@ -17,13 +17,13 @@
     WaitingStep,
 )
 from mulberryhitch.dispatch.preemption import PreemptionPlanner
+from mulberryhitch.dispatch.step_selection import StepSelector
 from mulberryhitch.dispatch.tracked_worker import TrackedWorker
 from mulberryhitch.jobs.model import Queue, Resources, StepKey
 from mulberryhitch.jobs.state import Job, StepExecution
 from mulberryhitch.jobs.store import JobStore
 
 _LATE_FACTOR = 3.0
-_MAX_STEPS_PER_ROUND = 200
 _MOST_URGENT = 0
 
 _WorkerCopies = list[tuple[int, TrackedWorker]]
@@ -43,6 +43,7 @@
         wall_time: Seconds since 1970.
         permit_margin: Minimum remaining validity of a permit, seconds.
         earlier_reservations: The workers reserved for gangs in the last round.
+        round_number: Number of the round.
     """
 
     def __init__(  # noqa: WPS211
@@ -56,6 +57,7 @@
         wall_time: float,
         permit_margin: float,
         earlier_reservations: Mapping[StepKey, tuple[str, ...]],
+        round_number: int,
     ) -> None:
         """Initialises the planner with an empty plan."""
         self._job_store = job_store
@@ -69,6 +71,9 @@
         self._free_capacity = FreeCapacity(
             job_store, workers, uncommitted, self._earlier_reserved
         )
+        self._step_selector = StepSelector(
+            self._free_capacity.workers.values(), round_number
+        )
         self._positions: dict[StepKey, tuple[float, ...]] = {}
         self.plan = Plan()
         self._permit_manager = permit_manager
@@ -105,14 +110,15 @@
             and waiting.execution.key not in committing_steps
         ]
         waiting_steps.sort(key=lambda waiting: waiting.sort_key)
-        for waiting in waiting_steps[:_MAX_STEPS_PER_ROUND]:
+        selection = self._step_selector.select(waiting_steps)
+        for waiting in selection.considered:
             eligible = self._allowed_workers(waiting)
             if waiting.execution.step.gang:
                 self._place_gang(waiting, eligible, preemption)
             else:
                 self._place_tasks(waiting, eligible, preemption)
-        for waiting in waiting_steps[_MAX_STEPS_PER_ROUND:]:
-            self._count_blocked(waiting, 'round', waiting.tasks_left)
+        self._count_all_blocked(selection.skipped, 'round')
+        self._count_all_blocked(selection.unsuited, 'no worker')
         return self.plan
 
     def _waiting_step(self, execution: StepExecution) -> WaitingStep | None:
@@ -344,6 +350,12 @@
     ) -> None:
         self.plan.blocked[waiting.queue.name, reason] += tasks
 
+    def _count_all_blocked(
+        self, steps: Iterable[WaitingStep], reason: str
+    ) -> None:
+        for waiting in steps:
+            self._count_blocked(waiting, reason, waiting.tasks_left)
+
     def _tasks_per_worker(self, waiting: WaitingStep) -> dict[str, int]:
         counts: dict[str, int] = {}
         if waiting.execution.step.spread_limit:
