Steps in turn keep their permits, and a silent client keeps its request

What callers saw: with 1,200 steps that wait for a busy worker, one for an idle worker started after 6 s, and with permits not within 60 s. A live process whose one report was lost lost its request for permits, and was asked again at once when it reported, behind the request that it still worked on.

Cause, both in changes since: 40 of the less urgent steps had a turn in each round, and none while their permits came and expired; a client that had not reported for 1.5 s was removed together with its request, while a lost report alone takes 2.5 s. Both were found by a review. So was that a gang short of a few tasks asked for two or three workers at a time, one request after the other, and that it took a second request of a round from the other steps.

Change: a step that holds permits or workers is considered in each round, and each other step in one of four. A request whose client fell silent for 1.2 s is overdue: the step may ask through another client, the answer still counts, and the client stays busy until it comes or times out. A gang names 20 new workers at least, and has one request a round. Whether a step fits on idle workers is worked out once for each shape.

--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -23,8 +23,9 @@
 from mulberryhitch.jobs.model import Resources, StepKey, TaskKey, WorkerRecord
 from mulberryhitch.jobs.state import Job, RunOutcome, StepExecution
 
-# Three reports of a client, or one that had to be repeated.
-_CLIENT_SILENCE_SECONDS = 1.5
+_CLIENT_SILENCE_SECONDS = 2.5
+# Two reports of a client are missing.
+_OVERDUE_SECONDS = 1.2
 _PAUSE_FACTOR = 2
 
 
@@ -352,6 +353,7 @@
         while True:
             await anyio.sleep(self._term.options.maintenance_seconds)
             self.permit_manager.remove_silent_clients(_CLIENT_SILENCE_SECONDS)
+            self.permit_manager.release_overdue_requests(_OVERDUE_SECONDS)
             if not self._term.may_act():
                 continue
             await self._start_due_occurrences()
--- a/mulberryhitch/dispatch/permit_planning.py
+++ b/mulberryhitch/dispatch/permit_planning.py
@@ -55,15 +55,19 @@
     def request(self, waiting: WaitingStep, worker_ids: Sequence[str]) -> bool:
         """Requests permits for some workers; returns whether that is possible.
 
-        A step has at most one request in progress.
+        A step has at most one request; a new one replaces that of this round.
         """
         policy = waiting.queue.permits
         if waiting.permits is None or policy is None:
             return False
+        planned = self._plan.permit_requests
+        if planned and planned[-1].step == waiting.execution.key:
+            planned.pop()
+            self._requests_left += 1
         if waiting.permits.request_pending or self._requests_left <= 0:
             return False
         self._requests_left -= 1
-        self._plan.permit_requests.append(
+        planned.append(
             PermitRequest(
                 waiting.execution.key,
                 tuple(worker_ids),
--- a/mulberryhitch/dispatch/permit_selection.py
+++ b/mulberryhitch/dispatch/permit_selection.py
@@ -20,6 +20,8 @@
 _SPARE_FACTOR = 1.5
 _GANG_CHOICE_FACTOR = 2
 _MIN_SHARE = 0.1
+# Naming them takes less time than another request.
+_MIN_NEW_WORKERS = 20
 _MOST_URGENT = 0
 
 _CopiesById = list[tuple[int, str]]
@@ -79,7 +81,8 @@
         missing = needed - self._free_on_allowed()
         if missing <= 0:
             return []
-        chosen = self._choose([], missing * _SPARE_FACTOR)
+        self._missing = missing
+        chosen = self._choose([], missing * _SPARE_FACTOR, _MIN_NEW_WORKERS)
         fits = sum(map(self._copies_now, chosen)) >= missing
         return chosen if fits else []
 
@@ -126,8 +129,16 @@
         expired.sort(reverse=True)
         return expired
 
-    def _choose(self, expired: _CopiesById, enough: float) -> list[str]:
-        """Selects free workers until enough tasks are expected to fit."""
+    def _choose(
+        self, expired: _CopiesById, enough: float, at_least: int = 0
+    ) -> list[str]:
+        """Selects free workers until enough tasks are expected to fit.
+
+        Args:
+            expired: Allowed workers without a valid permit, taken first.
+            enough: Number of tasks.
+            at_least: Number of new workers to select even if fewer would do.
+        """
         chosen: list[str] = []
         expected: float = 0
         for known_copies, known_id in expired:
@@ -138,7 +149,7 @@
         for worker in self._free_capacity.emptiest_first(
             self._waiting.queue.service, self._resources.processors
         ):
-            if expected >= enough:
+            if expected >= enough and len(chosen) >= at_least:
                 break
             worker_id = worker.record.worker_id
             copies = copies_that_fit(
@@ -148,8 +159,7 @@
             )
             if copies and self._is_new(worker):
                 chosen.append(worker_id)
-                # A worker with room for more than is missing may be denied
-                # like any other.
+                # A worker is allowed or denied as a whole.
                 usable = min(copies, self._missing)
                 expected += usable * self._allowed_share
         return chosen
--- a/mulberryhitch/dispatch/permits.py
+++ b/mulberryhitch/dispatch/permits.py
@@ -14,7 +14,7 @@
 from anyio.abc import TaskGroup
 
 from mulberryhitch.dispatch.ports import PermitClient
-from mulberryhitch.errors import MulberryhitchError, UnreachableError
+from mulberryhitch.errors import MulberryhitchError
 from mulberryhitch.jobs.model import PermitPolicy, StepKey
 from mulberryhitch.observability.log import Log
 
@@ -58,6 +58,12 @@
     permits: dict[str, Permit] = field(default_factory=dict)
     requested: dict[str, None] = field(default_factory=dict)
 
+    def in_use(self, now: float) -> bool:
+        """Whether a request is in progress or a permit is valid."""
+        return self.request_pending or any(
+            permit.valid_until > now for permit in self.permits.values()
+        )
+
     @property
     def request_pending(self) -> bool:
         """Whether a request for the step is in progress."""
@@ -124,12 +130,19 @@
     permit_client: PermitClient
     local: bool
     last_contact_at: float = 0
-    request_scope: anyio.CancelScope | None = None
+    request: PermitRequest | None = None
+    overdue: bool = False
     failed_at: float = -_FAILED_PAUSE_SECONDS
 
     @property
     def busy(self) -> bool:
-        return self.request_scope is not None
+        """Whether a request sent through it is in progress."""
+        return self.request is not None
+
+    def is_silent(self, seconds: float) -> bool:
+        """Whether it is remote and has not reported for this long."""
+        silence = anyio.current_time() - self.last_contact_at
+        return not self.local and silence > seconds
 
 
 class PermitManager:
@@ -170,18 +183,32 @@
         client.last_contact_at = anyio.current_time()
 
     def remove_silent_clients(self, silence_seconds: float) -> None:
-        """Removes remote clients that have not reported for this long.
+        """Removes idle remote clients that have not reported for this long."""
+        for name, client in tuple(self._clients.items()):
+            if not client.busy and client.is_silent(silence_seconds):
+                self._clients.pop(name)
 
-        A request sent through such a client fails, so that the step can
-        request its permits through another one.
+    def release_overdue_requests(self, silence_seconds: float) -> None:
+        """Lets a step ask again if the client of its request fell silent.
+
+        The answer is still used if it comes.
+
+        Args:
+            silence_seconds: Time since the client's last report.
         """
-        now = anyio.current_time()
-        for name, client in tuple(self._clients.items()):
-            if client.local or now - client.last_contact_at <= silence_seconds:
+        for client in self._clients.values():
+            request = client.request
+            if request is None or client.overdue:
                 continue
-            self._clients.pop(name)
-            if client.request_scope is not None:
-                client.request_scope.cancel()
+            if client.is_silent(silence_seconds):
+                client.overdue = True
+                self._log.event(
+                    'permits.overdue',
+                    job=request.step.job_id,
+                    step=request.step.step,
+                )
+                self._remove_requested(request)
+                self._on_request_done()
 
     def of_step(self, step: StepKey) -> StepPermits:
         """Returns the permits of a step."""
@@ -250,7 +277,8 @@
     def _send(
         self, client: _Client, request: PermitRequest, tasks: TaskGroup
     ) -> None:
-        client.request_scope = anyio.CancelScope()
+        client.request = request
+        client.overdue = False
         requested = dict.fromkeys(request.worker_ids)
         self.of_step(request.step).requested.update(requested)
         tasks.start_soon(self._request, client, request)
@@ -281,7 +309,9 @@
         expected = policy.decide_seconds + policy.each_seconds * len(worker_ids)
         timeout = expected * 2 + _EXTRA_TIMEOUT_SECONDS
         try:
-            granted = await self._ask(client, request.step, worker_ids, timeout)
+            granted = await client.permit_client.ask(
+                request.step, worker_ids, timeout
+            )
         except MulberryhitchError as error:
             client.failed_at = anyio.current_time()
             self._log.problem(
@@ -297,30 +327,21 @@
             self._finish_request(client, request)
         self._on_request_done()
 
-    async def _ask(
-        self,
-        client: _Client,
-        step: StepKey,
-        worker_ids: Sequence[str],
-        timeout_seconds: float,
-    ) -> dict[str, str]:
-        with client.request_scope or anyio.CancelScope():
-            return await client.permit_client.ask(
-                step, worker_ids, timeout_seconds
-            )
-        raise UnreachableError('the client fell silent during the request')
-
     def _record_client_seconds(self, queue_name: str, began: float) -> None:
         taken = self._client_seconds.get(queue_name, 0)
         taken += anyio.current_time() - began
         self._client_seconds[queue_name] = taken
 
     def _finish_request(self, client: _Client, request: PermitRequest) -> None:
-        client.request_scope = None
+        client.request = None
+        if not client.overdue:
+            self._remove_requested(request)
+        self._wake()
+
+    def _remove_requested(self, request: PermitRequest) -> None:
         requested = self.of_step(request.step).requested
         for worker_id in request.worker_ids:
             requested.pop(worker_id, None)
-        self._wake()
 
     def _store_permits(
         self,
--- a/mulberryhitch/dispatch/planner.py
+++ b/mulberryhitch/dispatch/planner.py
@@ -72,7 +72,9 @@
             job_store, workers, uncommitted, self._earlier_reserved
         )
         self._step_selector = StepSelector(
-            self._free_capacity.workers.values(), round_number
+            self._free_capacity.workers.values(),
+            round_number,
+            self._is_prepared,
         )
         self._positions: dict[StepKey, tuple[float, ...]] = {}
         self.plan = Plan()
@@ -121,6 +123,13 @@
         self._count_all_blocked(selection.unsuited, 'no worker')
         return self.plan
 
+    def _is_prepared(self, waiting: WaitingStep) -> bool:
+        """Whether a step holds permits or workers, or has asked for permits."""
+        if waiting.execution.key in self._earlier_reservations:
+            return True
+        permits = waiting.permits
+        return permits is not None and permits.in_use(self._now)
+
     def _waiting_step(self, execution: StepExecution) -> WaitingStep | None:
         job = self._job_store.jobs.get(execution.key.job_id)
         if job is None or not execution.waiting_units:
--- a/mulberryhitch/dispatch/step_selection.py
+++ b/mulberryhitch/dispatch/step_selection.py
@@ -1,6 +1,6 @@
 """Selects the waiting steps that a placement round considers."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 from mulberryhitch.dispatch.plans import WaitingStep
@@ -8,7 +8,9 @@
 from mulberryhitch.jobs.model import Resources
 
 _MOST_URGENT_STEPS = 160
-_STEPS_IN_TURN = 40
+_MIN_STEPS_IN_TURN = 40
+# An idle leader makes four rounds a second, so each step has a turn by then.
+_ROUNDS_PER_TURN = 4
 
 _Shape = tuple[str, str, Resources]
 
@@ -31,22 +33,30 @@
 class StepSelector:
     """Selects the most urgent steps, and a few of the others in turn.
 
-    The most urgent ones may all wait for the same busy workers. Steps that no
-    worker suits are left out, as they would take the places of steps that can
-    start.
+    The most urgent ones may all wait for the same busy workers. A step that
+    holds permits or workers is selected in each round, as it would lose them
+    before its next turn. Steps that no worker suits are left out, as they would
+    take the places of steps that can start.
 
     Args:
         workers: The workers that may receive new runs.
         round_number: Number of the round.
+        is_prepared: Whether a step holds permits or workers, or has requested
+            permits.
     """
 
     def __init__(
-        self, workers: Collection[TrackedWorker], round_number: int
+        self,
+        workers: Collection[TrackedWorker],
+        round_number: int,
+        is_prepared: Callable[[WaitingStep], bool],
     ) -> None:
         """Initialises the selector."""
         self._workers = workers
         self._round_number = round_number
+        self._is_prepared = is_prepared
         self._suitable_workers: dict[_Shape, list[TrackedWorker]] = {}
+        self._fitting_shapes: dict[tuple[_Shape, int, int], bool] = {}
 
     def select(self, waiting_steps: list[WaitingStep]) -> StepSelection:
         """Selects from the waiting steps, which are sorted by urgency."""
@@ -55,19 +65,35 @@
         for waiting in waiting_steps:
             fits = self._fits_when_idle(waiting)
             (suited if fits else selection.unsuited).append(waiting)
-        others = suited[_MOST_URGENT_STEPS:]
-        start = self._round_number * _STEPS_IN_TURN % max(1, len(others))
-        in_turn = others[start:] + others[:start]
         selection.considered = suited[:_MOST_URGENT_STEPS]
-        selection.considered += in_turn[:_STEPS_IN_TURN]
-        selection.skipped = in_turn[_STEPS_IN_TURN:]
+        others: list[WaitingStep] = []
+        for later in suited[_MOST_URGENT_STEPS:]:
+            prepared = self._is_prepared(later)
+            (selection.considered if prepared else others).append(later)
+        count = max(_MIN_STEPS_IN_TURN, len(others) // _ROUNDS_PER_TURN + 1)
+        start = self._round_number * count % max(1, len(others))
+        in_turn = others[start:] + others[:start]
+        selection.considered += in_turn[:count]
+        selection.skipped = in_turn[count:]
         return selection
 
     def _fits_when_idle(self, waiting: WaitingStep) -> bool:
         """Whether a task of a step, or a whole gang, fits on idle workers."""
         step = waiting.execution.step
         missing = step.count if step.gang else 1
-        denied = waiting.permits.denied if waiting.permits else ()
+        denied = waiting.permits.denied if waiting.permits else set()
+        if denied:
+            return self._fits_without(waiting, missing, denied)
+        key = (_shape_of(waiting), missing, step.spread_limit)
+        fits = self._fitting_shapes.get(key)
+        if fits is None:
+            fits = self._fits_without(waiting, missing, denied)
+            self._fitting_shapes[key] = fits
+        return fits
+
+    def _fits_without(
+        self, waiting: WaitingStep, missing: int, denied: set[str]
+    ) -> bool:
         for worker in self._suitable(waiting):
             if worker.record.worker_id not in denied:
                 missing -= waiting.capacity_when_empty((worker,))
@@ -77,14 +103,15 @@
 
     def _suitable(self, waiting: WaitingStep) -> list[TrackedWorker]:
         """Returns the workers that suit a step, whether or not permitted."""
-        execution = waiting.execution
-        shape = (
-            waiting.queue.service,
-            execution.step.label,
-            execution.resources,
-        )
+        shape = _shape_of(waiting)
         suitable = self._suitable_workers.get(shape)
         if suitable is None:
             suitable = list(filter(waiting.is_eligible, self._workers))
             self._suitable_workers[shape] = suitable
         return suitable
+
+
+def _shape_of(waiting: WaitingStep) -> _Shape:
+    execution = waiting.execution
+    label = execution.step.label
+    return (waiting.queue.service, label, execution.resources)
