A listed run no longer starts twice after its repeated start is refused

What callers saw: nothing yet; a task could run on two workers at the same time.

Cause: a start whose answer is lost is sent once more. If a list of the worker shows the run before that, the run is confirmed and no longer uncertain. A worker that refuses the repeated start, being unhealthy or because a permit or a lease has just ended, was then taken not to have the run: its end was committed and the task started on another worker, beside the run that was listed.

Change: once a list has shown a run, the outcome of its start is that it started, unless the worker has seen a newer leader or the run has ended there.

--- a/mulberryhitch/dispatch/run_controller.py
+++ b/mulberryhitch/dispatch/run_controller.py
@@ -18,6 +18,7 @@
 _RETRY_PAUSE_SECONDS = 0.1
 _STOP_RETRY_SECONDS = 0.25
 _START_ATTEMPTS = 2
+_ANSWERS_ABOUT_RUN = frozenset((WorkerAnswer.fenced, WorkerAnswer.stale))
 
 
 class RunController:
@@ -120,8 +121,9 @@
         self, worker: TrackedWorker, tracked: TrackedRun, command: StartCommand
     ) -> None:
         answer = await self._send_start(worker, tracked, command)
-        if answer is None and tracked.confirmed:
-            # A list has shown the run, although no start was answered.
+        if tracked.confirmed and answer not in _ANSWERS_ABOUT_RUN:
+            # A list has shown the run; a repeated start's refusal or silence
+            # does not undo that.
             answer = WorkerAnswer.started
         self._term.log_task(
             'task.ordered',
--- a/tests/fake_workers.py
+++ b/tests/fake_workers.py
@@ -77,6 +77,8 @@
             without an answer.
         lost_answers: Number of starts left to carry out and to leave without
             an answer; the start after the last of them can't be sent.
+        answer_loss_seconds: After how long a start's lost answer is given up.
+        refusal: Answer to the starts that otherwise could not be sent.
         delayed_starts: Commands to carry out later, with their due times.
     """
 
@@ -94,7 +96,9 @@
         self.silent = False
         self.unanswered_starts = 0
         self.lost_answers = 0
+        self.answer_loss_seconds = LOST_ANSWER_SECONDS
         self.refuses_starts = False
+        self.refusal: WorkerAnswer | None = None
         self.delayed_starts: list[tuple[float, StartCommand]] = []
         self.clock_base = anyio.current_time() - 5
 
@@ -241,13 +245,15 @@
         await anyio.sleep(0.002)
         if worker.silent:
             raise OutcomeUnknownError('no answer')
+        if worker.refuses_starts and worker.refusal is not None:
+            return worker.refusal, worker.clock
         if worker.refuses_starts:
             raise UnreachableError('no connection', where=record.worker_id)
         if worker.lost_answers:
             worker.lost_answers -= 1
             worker.refuses_starts = not worker.lost_answers
             worker.handle_start(command)
-            await anyio.sleep(LOST_ANSWER_SECONDS)
+            await anyio.sleep(worker.answer_loss_seconds)
             raise OutcomeUnknownError('no answer')
         if worker.unanswered_starts:
             worker.unanswered_starts -= 1
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -13,6 +13,7 @@
 import pytest
 
 from mulberryhitch.dispatch.options import DispatchOptions
+from mulberryhitch.dispatch.ports import WorkerAnswer
 from mulberryhitch.dispatch.run_times import RunTimes
 from mulberryhitch.dispatch.tracked_worker import TrackedRun, TrackedWorker
 from mulberryhitch.jobs import changes
@@ -108,6 +109,35 @@
     run_with_mock_clock(main)
 
 
+@pytest.mark.parametrize(
+    'refusal',
+    [
+        WorkerAnswer.refused,
+        WorkerAnswer.expired,
+        WorkerAnswer.no_room,
+        WorkerAnswer.no_permit,
+    ],
+)
+def test_a_listed_run_does_not_start_twice_when_its_repeated_start_is_refused(
+    refusal: WorkerAnswer,
+) -> None:
+    async def main() -> None:
+        harness = DispatcherHarness()
+        harness.fleet.add_worker('w1')
+        harness.fleet.add_worker('w2')
+        async with harness.running():
+            for worker in harness.fleet.workers.values():
+                worker.lost_answers = 1
+                # A list shows the run between the two starts.
+                worker.answer_loss_seconds = 0.95
+                worker.refusal = refusal
+            await harness.submit('j', Step(1, 1000, 100, estimate_seconds=5))
+            await harness.wait('j', JobState.completed)
+            assert harness.start_count('j') == 1
+
+    run_with_mock_clock(main)
+
+
 def test_a_task_that_fails_too_often_fails_its_job_and_no_more_starts() -> None:
     async def main() -> None:
         harness = DispatcherHarness()
