A run whose row can't be read no longer starts twice

What callers saw: nothing known; a task could run on two workers at once if a worker's list had a row that can't be read.

Cause: rows that can't be read are counted and skipped. A run that was confirmed and whose row was skipped looked as if the list omitted it, so its end was committed and it started on another worker, beside the run that went on.

Evidence: the new test failed before with "already running".

Change: a list says whether all its rows were read. If not, it proves nothing about the runs that it doesn't show; the rows that were read count as before.

Not changed: a row of an end that can't be read is still acknowledged with the next higher number.

--- a/mulberryhitch/dispatch/ports.py
+++ b/mulberryhitch/dispatch/ports.py
@@ -89,12 +89,15 @@
         clock: Time on the worker's own clock, milliseconds.
         incarnation: Incarnation of the worker that answered; zero if the
             answer did not contain it.
+        complete: Whether every row could be read; if not, the lists prove
+            nothing about runs that they do not show.
     """
 
     clock: int
     incarnation: int
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
+    complete: bool = True
 
 
 class WorkerClient(Protocol):
--- a/mulberryhitch/dispatch/worker_monitor.py
+++ b/mulberryhitch/dispatch/worker_monitor.py
@@ -225,7 +225,7 @@
         self, worker: TrackedWorker, view: WorkerView, sent_at: float
     ) -> list[changes.Change]:
         """Returns changes for runs not listed that can no longer start."""
-        if len(view.ended) >= _MAX_LISTED_ENDS:
+        if not view.complete or len(view.ended) >= _MAX_LISTED_ENDS:
             return []
         listed = {(row.task, row.run) for row in view.running}
         listed |= {(row.task, row.run) for row in view.ended}
--- a/mulberryhitch/platform/run_lists.py
+++ b/mulberryhitch/platform/run_lists.py
@@ -35,14 +35,15 @@
     ended = _list_of(content, 'ended')
     running_rows = _readable_rows(running, _running_row)
     ended_rows = _readable_rows(ended, _ended_row)
+    unreadable = len(running) - len(running_rows)
+    unreadable += len(ended) - len(ended_rows)
     view = WorkerView(
         read_integer(content, 'clock_ms'),
         read_integer(content, 'born', 0),
         running_rows,
         ended_rows,
+        complete=not unreadable,
     )
-    unreadable = len(running) - len(running_rows)
-    unreadable += len(ended) - len(ended_rows)
     return view, unreadable
 
 
--- a/tests/fake_workers.py
+++ b/tests/fake_workers.py
@@ -78,6 +78,7 @@
         lost_answers: Number of starts left to carry out and to leave without
             an answer; the start after the last of them can't be sent.
         answer_loss_seconds: After how long a start's lost answer is given up.
+        unreadable_until: Until when its rows of running runs can't be read.
         refusal: Answer to the starts that otherwise could not be sent.
         delayed_starts: Commands to carry out later, with their due times.
     """
@@ -97,6 +98,7 @@
         self.unanswered_starts = 0
         self.lost_answers = 0
         self.answer_loss_seconds = LOST_ANSWER_SECONDS
+        self.unreadable_until = 0.0
         self.refuses_starts = False
         self.refusal: WorkerAnswer | None = None
         self.delayed_starts: list[tuple[float, StartCommand]] = []
@@ -302,14 +304,17 @@
             with anyio.move_on_after(wait_seconds):
                 await changed.wait()
         self._responsive_worker(record)
+        readable = anyio.current_time() >= worker.unreadable_until
         return WorkerView(
             worker.clock,
             worker.record.born,
             tuple(
                 RunningRow(task, run.run, '', run.percent())
                 for task, run in worker.running.items()
+                if readable
             ),
             tuple(worker.ended),
+            complete=readable or not worker.running,
         )
 
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -138,6 +138,21 @@
     run_with_mock_clock(main)
 
 
+def test_a_run_whose_row_cannot_be_read_does_not_start_twice() -> None:
+    async def main() -> None:
+        harness = DispatcherHarness()
+        harness.fleet.add_worker('w1')
+        harness.fleet.add_worker('w2')
+        async with harness.running():
+            await harness.submit('j', Step(1, 1000, 100, estimate_seconds=5))
+            for worker in harness.fleet.workers.values():
+                worker.unreadable_until = anyio.current_time() + 3
+            await harness.wait('j', JobState.completed)
+            assert harness.start_count('j') == 1
+
+    run_with_mock_clock(main)
+
+
 def test_a_task_that_fails_too_often_fails_its_job_and_no_more_starts() -> None:
     async def main() -> None:
         harness = DispatcherHarness()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -277,6 +277,7 @@
         },
     )
     assert unreadable == 3
+    assert not view.complete
     assert [row.task.number for row in view.running] == [1]
     assert [row.number for row in view.ended] == [1]
 
