A start is not repeated once its run is listed or has ended

What callers saw: nothing known; a task could run on two workers at once.

Cause: a start without an answer was sent again, even if a list had shown its run meanwhile and a later list, of the restarted worker, had shown that it was lost. Its end was committed and the next run had started on another worker; the restarted worker knew nothing of the old run and started it as well.

The new test failed before with "already running".

Change: a start is repeated only while its run is open and no list has shown it.

--- a/mulberryhitch/dispatch/run_controller.py
+++ b/mulberryhitch/dispatch/run_controller.py
@@ -152,6 +152,9 @@
         for _ in range(_START_ATTEMPTS):
             if worker.removed or not self._term.may_act() or tracked.stopping:
                 return None
+            is_open = worker.tracked_runs.get(command.task) is tracked
+            if tracked.confirmed or not is_open:
+                return None
             answer = await self._try_start(worker, tracked, command)
             if answer is not None:
                 return answer
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -138,6 +138,32 @@
     run_with_mock_clock(main)
 
 
+def test_a_start_is_not_repeated_after_its_run_was_lost_in_a_restart() -> None:
+    async def main() -> None:
+        harness = DispatcherHarness()
+        harness.fleet.add_worker('w1')
+        harness.fleet.workers['w1'].lost_answers = 1
+        harness.fleet.workers['w1'].answer_loss_seconds = 3
+        async with harness.running():
+            await harness.submit('j', Step(1, 1000, 100, estimate_seconds=5))
+            await anyio.sleep(1.2)
+            harness.fleet.add_worker('w2', born=2)
+            harness.fleet.add_worker('w1', born=2)
+            task = TaskKey('j', 0, 0, 0)
+            harness.fleet.record_end(task, 1, RunOutcome.void)
+            for worker in harness.fleet.workers.values():
+                await harness.dispatcher.handle_heartbeat(
+                    worker.record.as_draining()
+                    if worker.record.worker_id == 'w1'
+                    else worker.record,
+                    worker.clock,
+                )
+            await harness.wait('j', JobState.completed)
+            assert harness.start_count('j') == 2
+
+    run_with_mock_clock(main)
+
+
 def test_a_run_whose_row_cannot_be_read_does_not_start_twice() -> None:
     async def main() -> None:
         harness = DispatcherHarness()
