--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -24,7 +24,7 @@
 from mulberryhitch.jobs.state import Job, RunOutcome, StepExecution
 
 _CLIENT_SILENCE_SECONDS = 2.5
-# Two reports of a client are missing.
+# A client reports each 0.5 s, so two reports are missing by then.
 _OVERDUE_SECONDS = 1.2
 _PAUSE_FACTOR = 2
 
--- a/mulberryhitch/dispatch/permit_selection.py
+++ b/mulberryhitch/dispatch/permit_selection.py
@@ -20,7 +20,7 @@
 _SPARE_FACTOR = 1.5
 _GANG_CHOICE_FACTOR = 2
 _MIN_SHARE = 0.1
-# Naming them takes less time than another request.
+# Naming this many takes less time than a second request.
 _MIN_NEW_WORKERS = 20
 _MOST_URGENT = 0
 
@@ -159,7 +159,8 @@
             )
             if copies and self._is_new(worker):
                 chosen.append(worker_id)
-                # A worker is allowed or denied as a whole.
+                # One answer covers all tasks on a worker, so its room for
+                # more than are missing counts for nothing.
                 usable = min(copies, self._missing)
                 expected += usable * self._allowed_share
         return chosen
--- a/mulberryhitch/dispatch/run_controller.py
+++ b/mulberryhitch/dispatch/run_controller.py
@@ -122,8 +122,8 @@
     ) -> None:
         answer = await self._send_start(worker, tracked, command)
         if tracked.confirmed and answer not in _ANSWERS_ABOUT_RUN:
-            # A list has shown the run; a repeated start's refusal or silence
-            # does not undo that.
+            # A list has shown the run, so it started, whatever became of a
+            # repeated start.
             answer = WorkerAnswer.started
         self._term.log_task(
             'task.ordered',
--- a/mulberryhitch/dispatch/step_selection.py
+++ b/mulberryhitch/dispatch/step_selection.py
@@ -9,7 +9,7 @@
 
 _MOST_URGENT_STEPS = 160
 _MIN_STEPS_IN_TURN = 40
-# An idle leader makes four rounds a second, so each step has a turn by then.
+# An idle leader makes four rounds a second: each step has a turn in each.
 _ROUNDS_PER_TURN = 4
 
 _Shape = tuple[str, str, Resources]
