The group's status is logged by the host of the replicas, not by each replica

A replica that is given a log with only events and problems, as embedders and the probes of the incident do, ended as soon as it led: its status report of each second asks for a summary. The host now reports for the replicas that it runs.

--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -44,6 +44,7 @@
 )
 
 _DISK_FULL_RETRY_SECONDS = 0.3
+_STATUS_INTERVAL_SECONDS = 1.0
 
 
 class Role(str, Enum):  # noqa: WPS600
@@ -185,6 +186,16 @@
         synced = self._leadership.synced_indexes()
         return [name for name, last in synced.items() if last >= index]
 
+    async def report_status(self) -> None:
+        """Logs each second, while this replica leads, what is synced where.
+
+        Runs until cancelled.
+        """
+        while True:
+            if self._leadership is not None:
+                self._reporter.report_status(self._leadership)
+            await anyio.sleep(_STATUS_INTERVAL_SECONDS)
+
     async def propose(self, kind: str, body: bytes) -> Any:
         """Commits an entry and returns the state machine's result.
 
@@ -461,7 +472,6 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(reconciler.run)
-                tasks.start_soon(self._reporter.report_periodically, leadership)
                 tasks.start_soon(self._transfer_when_disk_full, leadership)
                 with self._fail_stop:
                     await leadership.run()
--- a/mulberryhitch/replication/reporting.py
+++ b/mulberryhitch/replication/reporting.py
@@ -1,18 +1,14 @@
 """Log lines that show who holds which entries, and why members change."""
 
-import anyio
-
 from mulberryhitch.observability.log import Log
 from mulberryhitch.replication.leadership import Leadership
 from mulberryhitch.replication.members import MEMBERS_KIND, Members
 from mulberryhitch.replication.state import ReplicaState
 from mulberryhitch.rpc.messages import LogEntry
 
-_STATUS_INTERVAL_SECONDS = 1.0
-
 
 class ReplicationReporter:
-    """Logs the state of a replica, and once a second that of its group.
+    """Logs the state of a replica, and of its group while it leads.
 
     Args:
         state: The replica's state.
@@ -62,16 +58,14 @@
             learners=list(members.learners),
         )
 
-    async def report_periodically(self, leadership: Leadership) -> None:
-        """Logs each second what the members of the group have synced."""
-        while True:
-            self._log.summary(
-                'replica.status',
-                group=self._state.group,
-                term=leadership.term,
-                commit_index=self._state.commit_index,
-                last_index=self._state.last_index,
-                synced=leadership.synced_indexes(),
-                silent_seconds=leadership.silent_seconds(),
-            )
-            await anyio.sleep(_STATUS_INTERVAL_SECONDS)
+    def report_status(self, leadership: Leadership) -> None:
+        """Logs which entries each member of the group has synced."""
+        self._log.summary(
+            'replica.status',
+            group=self._state.group,
+            term=leadership.term,
+            commit_index=self._state.commit_index,
+            last_index=self._state.last_index,
+            synced=leadership.synced_indexes(),
+            silent_seconds=leadership.silent_seconds(),
+        )
--- a/mulberryhitch/scheduler/host.py
+++ b/mulberryhitch/scheduler/host.py
@@ -146,10 +146,11 @@
         ]
 
     async def run(self) -> None:
-        """Runs all groups added so far until cancelled."""
+        """Runs and reports all groups added so far until cancelled."""
         async with anyio.create_task_group() as task_group:
             for service in self._groups.values():
                 task_group.start_soon(service.run)
+                task_group.start_soon(service.replica.report_status)
 
     async def transfer_leadership(self) -> None:
         """Transfers the leadership of each group led here to another VM."""
