--- a/mulberryhitch/replication/state.py
+++ b/mulberryhitch/replication/state.py
@@ -251,10 +251,10 @@
         Raises:
             StorageError: The snapshot was not stored.
         """
+        await self.sync()
         index = self.commit_index
         if index <= self.snapshot_index:
             return
-        await self.sync()
         snapshot = Snapshot(
             index,
             self.term_at(index) or 0,
--- a/tests/test_durability.py
+++ b/tests/test_durability.py
@@ -16,10 +16,11 @@
 )
 from mulberryhitch.replication.failpoints import FailPoints
 from mulberryhitch.replication.file_storage import FileStorage
+from mulberryhitch.replication.members import Members
 from mulberryhitch.replication.replica import Replica
 from mulberryhitch.replication.state import ReplicaState
 from mulberryhitch.rpc.messages import AppendReply, AppendRequest, LogEntry
-from tests.fakes import KeyValueStateMachine
+from tests.fakes import SYNC_SECONDS, FakeDisk, KeyValueStateMachine
 from tests.replica_group import ReplicaGroup, run_with_mock_clock
 
 STALL_SECONDS = 3
@@ -163,3 +164,32 @@
                     await leader.propose('put', b'["key", 1]')
 
     run_with_mock_clock(main)
+
+
+def test_a_snapshot_holds_no_entry_that_is_committed_while_it_waits_for_a_sync() -> (
+    None
+):
+    async def main() -> None:
+        disk = FakeDisk('vm-1')
+        machine = KeyValueStateMachine()
+        state = ReplicaState('group', disk, machine)
+        await state.bootstrap(Members(('vm-1#0',)))
+        state.write([_put(2)])
+        await state.sync()
+        state.commit(2)
+        state.write([_put(3)])
+
+        async def commit_after_sync() -> None:
+            await state.sync()
+            state.commit(3)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(commit_after_sync)
+            await anyio.sleep(SYNC_SECONDS / 2)
+            await state.compact()
+        loaded_machine = KeyValueStateMachine()
+        loaded = ReplicaState('group', disk, loaded_machine)
+        loaded.commit(3)
+        assert loaded_machine.applied == machine.applied
+
+    run_with_mock_clock(main)
