A list that names a task with a huge number no longer ends the leader

A worker's list with an ended row whose task has a number beyond 64 bits ended the dispatcher's task group, and the process with it; the next leader read the same list.

Cause: the other numbers of a row are checked, the three in a task's name were not. The row's end went into a log entry, which can't be encoded: TypeError ('Integer exceeds 64-bit range'), which no caller of a commit expects.

Evidence: encode_changes raises that error for such a row; the end of a process is from reading. The new test failed before, with the row counted as readable.

Change: these numbers are checked as the others, so such a row is skipped.

--- a/mulberryhitch/platform/run_lists.py
+++ b/mulberryhitch/platform/run_lists.py
@@ -108,4 +108,5 @@
     if not isinstance(name, str):
         raise TypeError(f'{name!r} is not the name of a task')
     job_id, occurrence, step, index = name.rsplit('.', 3)
-    return TaskKey(job_id, int(occurrence), int(step), int(index))
+    numbers = map(_integer, (occurrence, step, index))
+    return TaskKey(job_id, *numbers)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -291,6 +291,16 @@
     assert (view.running, view.ended) == ((), ())
 
 
+@pytest.mark.parametrize('name', ['a.{}.0.0', 'a.0.{}.0', 'a.0.0.{}'])
+def test_a_row_whose_task_no_change_can_name_is_skipped(name: str) -> None:
+    row = [1, name.format(2**64), 1, 'done', '']
+    view, unreadable = read_worker_view(
+        {'clock_ms': 5, 'running': [row[1:]], 'ended': [row]}
+    )
+    assert unreadable == 2
+    assert (view.running, view.ended) == ((), ())
+
+
 @pytest.mark.parametrize(
     'change',
     [
