--- a/mulberryhitch/replication/leadership.py
+++ b/mulberryhitch/replication/leadership.py
@@ -11,7 +11,6 @@
 from typing import Any
 
 import anyio
-from anyio import lowlevel
 from anyio.abc import TaskGroup
 
 from mulberryhitch.errors import (
@@ -24,17 +23,12 @@
     OverloadedError,
 )
 from mulberryhitch.replication.interfaces import Transport
-from mulberryhitch.replication.members import MEMBERS_KIND, Members, vm_of
+from mulberryhitch.replication.log_sender import LogSender
+from mulberryhitch.replication.members import MEMBERS_KIND, Members
 from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.progress import Progress
 from mulberryhitch.replication.state import NOOP_KIND, ReplicaState
-from mulberryhitch.rpc.messages import (
-    AppendReply,
-    AppendRequest,
-    LogEntry,
-    SnapshotReply,
-    SnapshotRequest,
-)
+from mulberryhitch.rpc.messages import LogEntry
 
 _MAX_QUEUED_PROPOSALS = 20_000
 
@@ -86,8 +80,14 @@
         """Initialises the leadership for the current term, without peers."""
         self.term = state.term
         self._state = state
-        self._transport = transport
         self._options = options
+        self._sender = LogSender(
+            state,
+            transport,
+            options,
+            on_match=self._advance_commit_index,
+            on_newer_term=self.step_down,
+        )
         self._peers: dict[str, Progress] = {}
         self._queue: deque[Proposal] = deque()
         self._pending: dict[int, Proposal] = {}
@@ -278,7 +278,7 @@
             peer = Progress(replica_id, self._state.last_index + 1)
             self._peers[replica_id] = peer
             if self._tasks is not None:
-                self._tasks.start_soon(self._replicate, peer)
+                self._tasks.start_soon(self._sender.run, peer)
 
     async def _write_proposals(self) -> None:
         while True:
@@ -365,131 +365,6 @@
             if now - last_quorum_contact > timeout:
                 self.step_down()
 
-    async def _replicate(self, peer: Progress) -> None:
-        with peer.scope:
-            async with anyio.create_task_group() as send_tasks:
-                while True:
-                    delay = self._seconds_until_send(peer)
-                    if delay > 0:
-                        with anyio.move_on_after(delay):
-                            await peer.wait_until_woken()
-                    else:
-                        await self._send_next(peer, send_tasks)
-                        await lowlevel.checkpoint()
-
-    def _seconds_until_send(self, peer: Progress) -> float:
-        interval = self._options.heartbeat_seconds
-        if not peer.may_send(self._options.window):
-            return interval
-        has_unsent_entries = peer.next_index <= self._state.last_index
-        if has_unsent_entries and not peer.unreachable:
-            return 0
-        commit_unsent = peer.sent_commit_index < self._state.commit_index
-        if commit_unsent and not peer.unreachable:
-            interval = min(self._options.commit_notify_seconds, interval)
-        return peer.last_sent + interval - anyio.current_time()
-
-    async def _send_next(self, peer: Progress, send_tasks: TaskGroup) -> None:
-        if peer.next_index <= self._state.snapshot_index:
-            await self._send_snapshot(peer)
-            return
-        previous = peer.next_index - 1
-        limit = self._options.batch_entries
-        entries = self._state.entries_from(peer.next_index, limit)
-        request = AppendRequest(
-            self._state.group,
-            peer.replica_id,
-            self.term,
-            self._state.replica_id,
-            previous,
-            self._state.term_at(previous) or 0,
-            self._state.commit_index,
-            entries,
-        )
-        peer.record_sent(len(entries), self._state.commit_index)
-        send_tasks.start_soon(self._send, peer, request)
-
-    async def _send(self, peer: Progress, request: AppendRequest) -> None:
-        sent_at = self._options.now()
-        try:
-            reply = await self._transport.call(
-                vm_of(peer.replica_id),
-                'append',
-                request,
-                self._options.election_seconds,
-            )
-        except MulberryhitchError:
-            peer.record_failure()
-            return
-        finally:
-            peer.in_flight -= 1
-        if isinstance(reply, AppendReply):
-            self._handle_append_reply(peer, request, reply, sent_at)
-
-    def _handle_append_reply(
-        self,
-        peer: Progress,
-        request: AppendRequest,
-        reply: AppendReply,
-        sent_at: float,
-    ) -> None:
-        if reply.term > self.term:
-            self.step_down()
-            return
-        peer.last_contact = max(peer.last_contact, sent_at)
-        if reply.success:
-            matched = request.previous_index + len(request.entries)
-            peer.record_match(min(matched, reply.last_index))
-            self._advance_commit_index()
-        else:
-            peer.record_rejection(reply.last_index)
-        peer.wake()
-
-    async def _send_snapshot(self, peer: Progress) -> None:
-        snapshot = self._state.snapshot
-        if snapshot is None:
-            return
-        offset = 0
-        peer.record_sent(0, 0)
-        peer.in_flight -= 1
-        while True:
-            end = offset + self._options.chunk_bytes
-            done = end >= len(snapshot.state)
-            request = SnapshotRequest(
-                self._state.group,
-                peer.replica_id,
-                self.term,
-                self._state.replica_id,
-                snapshot.last_index,
-                snapshot.last_term,
-                list(snapshot.members.voters),
-                list(snapshot.members.learners),
-                snapshot.state[offset:end],
-                offset,
-                done,
-            )
-            sent_at = self._options.now()
-            try:
-                reply = await self._transport.call(
-                    vm_of(peer.replica_id),
-                    'install_snapshot',
-                    request,
-                    self._options.call_seconds,
-                )
-            except MulberryhitchError:
-                peer.record_failure()
-                return
-            if not isinstance(reply, SnapshotReply):
-                return
-            if reply.term > self.term:
-                self.step_down()
-                return
-            peer.last_contact = max(peer.last_contact, sent_at)
-            if done and reply.next_offset >= len(snapshot.state):
-                peer.record_match(snapshot.last_index)
-                return
-            offset = reply.next_offset
-
     def _fail_pending(self) -> None:
         for queued in self._queue:
             queued.complete(None, NotLeaderError('no longer the leader'))
--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -19,6 +19,7 @@
 from mulberryhitch.observability.log import Log
 from mulberryhitch.replication.bootstrap import Bootstrap
 from mulberryhitch.replication.compaction import Compaction
+from mulberryhitch.replication.disk_watch import DiskWatch
 from mulberryhitch.replication.election import Election
 from mulberryhitch.replication.failstop import FailStop
 from mulberryhitch.replication.follower import Follower
@@ -43,7 +44,6 @@
     VoteRequest,
 )
 
-_DISK_FULL_RETRY_SECONDS = 0.3
 _STATUS_INTERVAL_SECONDS = 1.0
 
 
@@ -469,11 +469,17 @@
             self._target_voters,
             self._log,
         )
+        disk_watch = DiskWatch(
+            self.group,
+            leadership,
+            self._options,
+            self._log,
+            self.transfer_leadership,
+        )
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(reconciler.run)
-                tasks.start_soon(self._transfer_when_disk_full, leadership)
-                tasks.start_soon(self._transfer_when_disk_stalls, leadership)
+                tasks.start_soon(disk_watch.run)
                 with self._fail_stop:
                     await leadership.run()
                 tasks.cancel_scope.cancel()
@@ -481,24 +487,6 @@
             self._last_contact = anyio.current_time()
             self._clear_leadership(leadership)
 
-    async def _transfer_when_disk_full(self, leadership: Leadership) -> None:
-        """Transfers leadership if writes keep failing on a full disk."""
-        while True:
-            await leadership.disk_full.wait()
-            self._log.event('replica.disk_full', group=self.group)
-            leadership.disk_full = anyio.Event()
-            await anyio.sleep(_DISK_FULL_RETRY_SECONDS)
-            if leadership.ready and leadership.disk_full.is_set():
-                await self.transfer_leadership()
-
-    async def _transfer_when_disk_stalls(self, leadership: Leadership) -> None:
-        while not leadership.disk_stalled:
-            await anyio.sleep(self._options.heartbeat_seconds)
-        self._log.event(
-            'replica.disk_stalled', group=self.group, term=leadership.term
-        )
-        await self.transfer_leadership()
-
     def _clear_leadership(self, leadership: Leadership) -> None:
         if self._leadership is leadership:
             self._leadership = None
