A write that a loss of power has torn no longer makes the log count as damaged

What callers saw: if all machines lost power while a write was in progress, what had been acknowledged could be gone: several replicas at once set their folder aside and came back empty. Cause: only a tail too short for its record counted as torn. Zeros or old bytes inside the last write, or a file extended with zeros, counted as damage. Change: each record says how much of the file was synced when it was written, and is checked by itself. Damage that an intact later record declares to have been synced still is damage; otherwise it is cut off. The file is only appended to, truncations included, and has a salt, so that old bytes do not pass for later records.

--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -1,13 +1,14 @@
 """Stores a replica's log, vote, snapshot and identity in checksummed files.
 
-A tail of the log that is too short for its record comes from a torn write; it
-was never acknowledged and is truncated. Any other mismatch is corruption,
-after which the replica must be replaced by a new one.
+The tail of the log that the last write has left torn was never acknowledged; it
+is cut off. Damage to what was synced is corruption, after which the replica must
+be replaced by a new one.
 """
 
 import os
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
 from pathlib import Path
 
 import anyio
@@ -31,9 +32,10 @@
 )
 from mulberryhitch.replication.failpoints import FailPoints
 from mulberryhitch.replication.log_records import (
-    LogRecord,
-    encode_log_record,
-    read_log_records,
+    LogEncoder,
+    encode_new_log,
+    read_log,
+    remove_from,
 )
 from mulberryhitch.replication.members import Members
 from mulberryhitch.replication.storage import Snapshot, StoredState
@@ -66,7 +68,11 @@
         sync_folder(folder.parent)
         self._log_path = folder / 'log'
         self._descriptor = self._open_log()
-        self._records: list[LogRecord] = []
+        # None if the log file must be rewritten before the next write.
+        self._encoder: LogEncoder | None = None
+        self._entries: list[LogEntry] = []
+        self._end = 0
+        self._synced_end = 0
         self._snapshot_index = 0
         self._is_synced = False
         self._disk_lock = anyio.Lock()
@@ -81,7 +87,7 @@
         os.close(self._descriptor)
 
     def load(self) -> StoredState:
-        """Reads all files and truncates a torn tail of the log.
+        """Reads all files and cuts off a torn tail of the log.
 
         Raises:
             DamagedFileError: A checksum does not match, or the files are
@@ -90,26 +96,27 @@
         vote = self._read_vote()
         snapshot = self._read_snapshot()
         self._snapshot_index = snapshot.last_index if snapshot else 0
-        self._records = list(
-            read_log_records(self._log_path.read_bytes(), str(self._log_path))
-        )
+        self._load_log()
         if snapshot and not self._log_continues(snapshot):
-            self._records.clear()
-        os.ftruncate(self._descriptor, self._end_offset)
-        os.fsync(self._descriptor)
-        self._is_synced = True
-        entries = [record.entry for record in self._records]
-        self._check_contiguous(entries)
-        if entries and entries[-1].term > vote.term:
+            self._entries.clear()
+            self._encoder = None
+        self._check_contiguous()
+        if self._entries and self._entries[-1].term > vote.term:
             raise DamagedFileError(
                 f'vote has term {vote.term}, older than the log', where='vote'
             )
+        if self._encoder is None and snapshot:
+            self._rewrite_log_if_possible()
         return StoredState(
             self._load_identity(),
             vote.term,
             vote.voted_for,
             snapshot,
-            [entry for entry in entries if entry.index > self._snapshot_index],
+            [
+                entry
+                for entry in self._entries
+                if entry.index > self._snapshot_index
+            ],
         )
 
     def write(self, entries: list[LogEntry]) -> None:
@@ -119,31 +126,14 @@
             DiskFullError: The write failed for any reason; nothing was added.
             StorageError: What a failed write left could not be removed.
         """
-        end = self._end_offset
-        chain_checksum = (
-            self._records[-1].chain_checksum if self._records else 0
-        )
-        new_records = []
-        encoded = []
-        offset = end
-        for entry in entries:
-            encoded_record, chain_checksum = encode_log_record(
-                encode_record(entry), chain_checksum
-            )
-            offset += len(encoded_record)
-            new_records.append(LogRecord(entry, offset, chain_checksum))
-            encoded.append(encoded_record)
-        try:
+        with self._write_errors():
             self._fail_points.reach('write')
-            os.lseek(self._descriptor, end, os.SEEK_SET)
-            write_all(self._descriptor, b''.join(encoded))
-        except OSError as error:
-            self._remove_failed_write(end)
-            raise DiskFullError(
-                str(error), where=str(self._log_path)
-            ) from error
-        self._is_synced = False
-        self._records.extend(new_records)
+            self._append(
+                self._present_encoder().encode_entries(
+                    entries, self._end, self._synced_end
+                )
+            )
+        self._entries.extend(entries)
 
     async def sync(self) -> None:
         """Syncs the written entries to disk.
@@ -161,11 +151,16 @@
         """Removes all entries from an index on and syncs.
 
         Raises:
+            DiskFullError: Nothing was removed.
             StorageError: The sync failed; what is durable is unknown.
         """
-        while self._records and self._records[-1].entry.index >= index:
-            self._records.pop()
-        self._cut_log(self._end_offset)
+        with self._write_errors():
+            self._append(
+                self._present_encoder().encode_truncation(
+                    index, self._end, self._synced_end
+                )
+            )
+        remove_from(self._entries, index)
         await self.sync()
 
     async def save_vote(self, term: int, voted_for: str) -> None:
@@ -205,14 +200,48 @@
         self._snapshot_index = snapshot.last_index
         await self._run_in_thread(self._rewrite_log, entries)
 
-    @property
-    def _end_offset(self) -> int:
-        return self._records[-1].end if self._records else 0
+    def _load_log(self) -> None:
+        stored = read_log(self._log_path.read_bytes(), str(self._log_path))
+        self._entries = stored.entries
+        self._encoder = LogEncoder(stored.salt) if stored.salt else None
+        self._end = stored.end
+        os.ftruncate(self._descriptor, self._end)
+        os.fsync(self._descriptor)
+        self._synced_end = self._end
+        self._is_synced = True
+
+    def _rewrite_log_if_possible(self) -> None:
+        """Rewrites the log, unless the disk is full; the next write tries."""
+        with suppress(DiskFullError), typed_disk_errors(self._log_path):
+            self._rewrite_log(self._entries)
+
+    def _present_encoder(self) -> LogEncoder:
+        """Returns the encoder; creates the log file first if necessary."""
+        if self._encoder is None:
+            return self._rewrite_log(self._entries)
+        return self._encoder
+
+    @contextmanager
+    def _write_errors(self) -> Iterator[None]:
+        """Removes what a failed write left, and raises a typed error."""
+        try:
+            yield
+        except OSError as error:
+            self._remove_failed_write()
+            raise DiskFullError(
+                str(error), where=str(self._log_path)
+            ) from error
 
-    def _remove_failed_write(self, end: int) -> None:
+    def _append(self, records: bytes) -> None:
+        os.lseek(self._descriptor, self._end, os.SEEK_SET)
+        write_all(self._descriptor, records)
+        self._end += len(records)
+        self._is_synced = False
+
+    def _remove_failed_write(self) -> None:
         """Cuts off the part of a failed write that the file received."""
-        if os.fstat(self._descriptor).st_size > end:
-            self._cut_log(end)
+        if os.fstat(self._descriptor).st_size > self._end:
+            self._cut_log(self._end)
 
     def _cut_log(self, end: int) -> None:
         self._is_synced = False
@@ -225,29 +254,28 @@
         return os.open(self._log_path, CREATE_FLAGS, FILE_MODE)
 
     def _sync(self) -> None:
+        end = self._end
         self._fail_points.reach('sync')
         os.fsync(self._descriptor)
+        self._synced_end = end
 
-    def _rewrite_log(self, entries: list[LogEntry]) -> None:
+    def _rewrite_log(self, entries: list[LogEntry]) -> LogEncoder:
+        """Replaces the log file by a new, synced one."""
         temporary_path = self._folder / 'log.aside'
-        records: list[LogRecord] = []
-        chain_checksum = 0
-        offset = 0
+        salt, content = encode_new_log(entries)
         with new_file(temporary_path) as descriptor:
-            for entry in entries:
-                encoded_record, chain_checksum = encode_log_record(
-                    encode_record(entry), chain_checksum
-                )
-                write_all(descriptor, encoded_record)
-                offset += len(encoded_record)
-                records.append(LogRecord(entry, offset, chain_checksum))
+            write_all(descriptor, content)
             os.fsync(descriptor)
             temporary_path.rename(self._log_path)
         os.close(self._descriptor)
         self._descriptor = descriptor
-        self._records = records
+        self._encoder = LogEncoder(salt)
+        self._entries = list(entries)
+        self._end = len(content)
+        self._synced_end = self._end
         self._is_synced = True
         self._sync_renamed_log()
+        return self._encoder
 
     def _sync_renamed_log(self) -> None:
         """Syncs the folder; the former log may return if that fails."""
@@ -261,7 +289,7 @@
         content = read_checked(path)
         if content is not None:
             return decode_record(IdentityRecord, content).replica_id
-        if self._records or self._snapshot_index:
+        if self._entries or self._snapshot_index:
             raise DamagedFileError('identity file is missing', where=str(path))
         replica_id = f'{self._vm}#{secrets.token_hex(4)}'
         write_atomically(path, encode_record(IdentityRecord(replica_id)))
@@ -289,22 +317,22 @@
         It does neither if a snapshot of the leader was stored and the log was
         not rewritten.
         """
-        if self._records and self._records[0].entry.index > snapshot.last_index:
+        if self._entries and self._entries[0].index > snapshot.last_index:
             return True
         return any(
-            record.entry.index == snapshot.last_index
-            and record.entry.term == snapshot.last_term
-            for record in self._records
+            entry.index == snapshot.last_index
+            and entry.term == snapshot.last_term
+            for entry in self._entries
         )
 
-    def _check_contiguous(self, entries: list[LogEntry]) -> None:
-        expected = entries[0].index if entries else 0
-        if entries and expected > self._snapshot_index + 1:
+    def _check_contiguous(self) -> None:
+        expected = self._entries[0].index if self._entries else 0
+        if self._entries and expected > self._snapshot_index + 1:
             raise DamagedFileError(
                 f'log starts at index {expected}, after a gap',
                 where=str(self._log_path),
             )
-        for entry in entries:
+        for entry in self._entries:
             if entry.index != expected:
                 raise DamagedFileError(
                     f'expected log index {expected}, got {entry.index}',
@@ -313,7 +341,7 @@
             expected += 1
 
     async def _run_in_thread(
-        self, function: Callable[..., None], *args: object
+        self, function: Callable[..., object], *args: object
     ) -> None:
         try:
             with (
--- a/mulberryhitch/replication/inspection.py
+++ b/mulberryhitch/replication/inspection.py
@@ -5,7 +5,7 @@
 
 from mulberryhitch.errors import DamagedFileError
 from mulberryhitch.replication.durable_files import read_checked
-from mulberryhitch.replication.log_records import read_log_records
+from mulberryhitch.replication.log_records import read_log
 from mulberryhitch.replication.members import Members
 from mulberryhitch.replication.storage import Snapshot
 from mulberryhitch.rpc.codec import decode_record
@@ -42,13 +42,11 @@
         DamagedFileError: A checksum does not match, or there is no identity.
     """
     log_path = folder / 'log'
-    records = read_log_records(log_path.read_bytes(), str(log_path))
+    stored_log = read_log(log_path.read_bytes(), str(log_path))
     snapshot = _read_snapshot(folder)
     snapshot_index = snapshot.last_index if snapshot else 0
     entries = [
-        record.entry
-        for record in records
-        if record.entry.index > snapshot_index
+        entry for entry in stored_log.entries if entry.index > snapshot_index
     ]
     identity = read_checked(folder / 'identity')
     if identity is None:
--- a/mulberryhitch/replication/log_records.py
+++ b/mulberryhitch/replication/log_records.py
@@ -1,69 +1,216 @@
-"""Records of a replica's log file.
+"""Records of a replica's log file, which is only appended to.
 
-A record consists of the payload's length, the length's checksum, the payload
-and the payload's checksum. Both checksums are chained to the previous record.
+The file header holds a salt that no other file has, and the size that was
+synced before the file got its name. Each record begins with the salt and says
+how much of the file was synced when it was written. Its checksums include its
+offset. So a damaged record was synced if a later one, or the file header, says
+so; otherwise it belongs to a write that a loss of power has torn.
 """
 
+import secrets
 import struct
 import zlib
-from collections.abc import Iterator
 from dataclasses import dataclass
+from enum import IntEnum
 
 from mulberryhitch.errors import DamagedFileError
-from mulberryhitch.rpc.codec import decode_record
+from mulberryhitch.replication.former_log_records import (
+    read_former_log_records,
+)
+from mulberryhitch.rpc.codec import decode_record, encode_record
 from mulberryhitch.rpc.messages import LogEntry
 
-_HEADER = struct.Struct('>II')
+_MAGIC = b'MULBLOG2'
+_SALT_BYTES = 8
+# Magic number, salt and synced size.
+_FILE_HEADER = struct.Struct('>8s8sQ')
+# Salt, kind, payload length and synced size.
+_RECORD_HEADER = struct.Struct('>8sBIQ')
+_OFFSET = struct.Struct('>Q')
+_INDEX = struct.Struct('>Q')
 _CHECKSUM = struct.Struct('>I')
+_FIRST_RECORD_OFFSET = _FILE_HEADER.size + _CHECKSUM.size
+
+
+class _Kind(IntEnum):
+    """What a record holds: an entry, or the index to truncate from."""
+
+    entry = 1
+    truncation = 2
 
 
 @dataclass(frozen=True, slots=True)
-class LogRecord:
-    """A log entry with its record's end offset and payload checksum.
+class StoredLog:
+    """The intact content of a log file.
 
-    The checksum is the initial value of both checksums of the next record.
+    Attributes:
+        entries: The entries that no later record has truncated.
+        end: The offset in bytes up to which the file is intact.
+        salt: The file's salt; empty if the file has the former format.
     """
 
-    entry: LogEntry
+    entries: list[LogEntry]
     end: int
-    chain_checksum: int
+    salt: bytes = b''
 
 
-def encode_log_record(payload: bytes, chain_checksum: int) -> tuple[bytes, int]:
-    """Returns the encoded record and the checksum to chain the next one to."""
-    length = struct.pack('>I', len(payload))
-    header = _HEADER.pack(len(payload), zlib.crc32(length, chain_checksum))
-    checksum = zlib.crc32(payload, chain_checksum)
-    return header + payload + _CHECKSUM.pack(checksum), checksum
+@dataclass(frozen=True, slots=True)
+class _Record:
+    kind: int
+    payload: bytes
+    synced_size: int
+    end: int
 
+    def replay(self, entries: list[LogEntry]) -> None:
+        """Adds the entry, or removes the entries that are truncated."""
+        if self.kind == _Kind.entry:
+            entries.append(decode_record(LogEntry, self.payload))
+            return
+        remove_from(entries, _INDEX.unpack(self.payload)[0])
 
-def read_log_records(content: bytes, where: str) -> Iterator[LogRecord]:
-    """Yields all complete records and stops at a torn tail.
 
-    Raises:
-        DamagedFileError: A checksum does not match.
+class LogEncoder:
+    """Encodes the records of one log file.
+
+    Args:
+        salt: The file's salt.
     """
-    offset = 0
-    chain_checksum = 0
-    while len(content) - offset >= _HEADER.size:
-        length, header_checksum = _HEADER.unpack_from(content, offset)
-        expected = zlib.crc32(struct.pack('>I', length), chain_checksum)
-        if header_checksum != expected:
-            raise DamagedFileError(
-                'log record header checksum mismatch', where=f'{where}@{offset}'
-            )
-        payload_start = offset + _HEADER.size
-        end = payload_start + length + _CHECKSUM.size
-        if end > len(content):
-            return
-        payload = content[payload_start : payload_start + length]
-        chain_checksum = zlib.crc32(payload, chain_checksum)
-        if _CHECKSUM.unpack_from(content, payload_start + length) != (
-            chain_checksum,
-        ):
-            raise DamagedFileError(
-                'log record payload checksum mismatch',
-                where=f'{where}@{offset}',
+
+    def __init__(self, salt: bytes) -> None:
+        """Initialises the encoder."""
+        self._salt = salt
+
+    def encode_entries(
+        self, entries: list[LogEntry], offset: int, synced_size: int
+    ) -> bytes:
+        """Returns the records of entries.
+
+        Args:
+            entries: The entries.
+            offset: Where the first record will be written, in bytes.
+            synced_size: How much of the file is synced, in bytes.
+        """
+        records = []
+        for entry in entries:
+            payload = encode_record(entry)
+            record = self._encode(_Kind.entry, payload, offset, synced_size)
+            offset += len(record)
+            records.append(record)
+        return b''.join(records)
+
+    def encode_truncation(
+        self, index: int, offset: int, synced_size: int
+    ) -> bytes:
+        """Returns the record that removes all entries from an index on."""
+        return self._encode(
+            _Kind.truncation, _INDEX.pack(index), offset, synced_size
+        )
+
+    def _encode(
+        self, kind: _Kind, payload: bytes, offset: int, synced_size: int
+    ) -> bytes:
+        header = _RECORD_HEADER.pack(
+            self._salt, kind, len(payload), synced_size
+        )
+        checksum = _header_checksum(header, offset)
+        return b''.join(
+            (
+                header,
+                _CHECKSUM.pack(checksum),
+                payload,
+                _CHECKSUM.pack(zlib.crc32(payload, checksum)),
             )
-        yield LogRecord(decode_record(LogEntry, payload), end, chain_checksum)
-        offset = end
+        )
+
+
+def encode_new_log(entries: list[LogEntry]) -> tuple[bytes, bytes]:
+    """Returns the salt and the content of a new log file.
+
+    The file must be synced before it replaces the former one.
+    """
+    salt = secrets.token_bytes(_SALT_BYTES)
+    records = LogEncoder(salt).encode_entries(
+        entries, _FIRST_RECORD_OFFSET, _FIRST_RECORD_OFFSET
+    )
+    size = _FIRST_RECORD_OFFSET + len(records)
+    header = _FILE_HEADER.pack(_MAGIC, salt, size)
+    checksum = _CHECKSUM.pack(zlib.crc32(header))
+    return salt, b''.join((header, checksum, records))
+
+
+def read_log(content: bytes, where: str) -> StoredLog:
+    """Returns the intact part of a log file, without a torn last write.
+
+    Raises:
+        DamagedFileError: What was synced is damaged.
+    """
+    if not content or not content.startswith(_MAGIC[: len(content)]):
+        return _read_former_log(content, where)
+    salt, synced_size = _read_file_header(content, where)
+    entries: list[LogEntry] = []
+    end = _FIRST_RECORD_OFFSET
+    record = _record_at(content, end, salt)
+    while record is not None:
+        record.replay(entries)
+        end = record.end
+        record = _record_at(content, end, salt)
+    if synced_size > end or _was_synced(content, end, salt):
+        raise DamagedFileError(
+            'synced log record is damaged', where=f'{where}@{end}'
+        )
+    return StoredLog(entries, end, salt)
+
+
+def remove_from(entries: list[LogEntry], index: int) -> None:
+    """Removes all entries from an index on."""
+    while entries and entries[-1].index >= index:
+        entries.pop()
+
+
+def _read_former_log(content: bytes, where: str) -> StoredLog:
+    records = list(read_former_log_records(content, where))
+    end = records[-1].end if records else 0
+    return StoredLog([record.entry for record in records], end)
+
+
+def _read_file_header(content: bytes, where: str) -> tuple[bytes, int]:
+    header = content[: _FILE_HEADER.size]
+    checksum = content[_FILE_HEADER.size : _FIRST_RECORD_OFFSET]
+    if checksum != _CHECKSUM.pack(zlib.crc32(header)):
+        raise DamagedFileError('log file header checksum mismatch', where=where)
+    _, salt, synced_size = _FILE_HEADER.unpack(header)
+    return salt, synced_size
+
+
+def _record_at(content: bytes, offset: int, salt: bytes) -> _Record | None:
+    """Returns the record at an offset if it is complete and intact."""
+    payload_start = offset + _RECORD_HEADER.size + _CHECKSUM.size
+    if payload_start > len(content):
+        return None
+    header = content[offset : offset + _RECORD_HEADER.size]
+    checksum = _header_checksum(header, offset)
+    stored_checksum = content[payload_start - _CHECKSUM.size : payload_start]
+    record_salt, kind, length, synced_size = _RECORD_HEADER.unpack(header)
+    if record_salt != salt or stored_checksum != _CHECKSUM.pack(checksum):
+        return None
+    end = payload_start + length + _CHECKSUM.size
+    payload = content[payload_start : payload_start + length]
+    payload_checksum = _CHECKSUM.pack(zlib.crc32(payload, checksum))
+    if content[end - _CHECKSUM.size : end] != payload_checksum:
+        return None
+    return _Record(kind, payload, synced_size, end)
+
+
+def _was_synced(content: bytes, offset: int, salt: bytes) -> bool:
+    """Whether an intact record behind an offset says that it was synced."""
+    position = content.find(salt, offset + 1)
+    while position >= 0:
+        record = _record_at(content, position, salt)
+        if record is not None and record.synced_size > offset:
+            return True
+        position = content.find(salt, position + 1)
+    return False
+
+
+def _header_checksum(header: bytes, offset: int) -> int:
+    return zlib.crc32(header, zlib.crc32(_OFFSET.pack(offset)))
