A start on a full disk waits for room in place of ending the process

What callers saw: a scheduler that was started while its disk was full, with a new folder, a torn log or a damaged folder, ended with an OSError, and did so at each new start. Cause: errors of the disk while a folder was created or loaded were not typed, and a full disk counted as a failed one there. Change: load_state tries again each second while the disk is full, logs storage.full, and closes the log of a failed attempt; another error is a StorageError. A folder that can be read is served at once: the log is cut only if there is something to cut. A full disk has the exit status of storage in the command line too. Evidence: tests/test_starts_on_full_disks.py; before, five of its tests failed with "OSError: [Errno 28] no space left on device".

--- a/mulberryhitch/exit_status.py
+++ b/mulberryhitch/exit_status.py
@@ -3,6 +3,7 @@
 from enum import IntEnum
 
 from mulberryhitch.errors import (
+    DiskFullError,
     InvalidInputError,
     InvalidSettingsError,
     InvariantError,
@@ -42,6 +43,7 @@
     InvalidInputError: ExitStatus.usage,
     InvalidSettingsError: ExitStatus.settings,
     StorageError: ExitStatus.storage,
+    DiskFullError: ExitStatus.storage,
     InvariantError: ExitStatus.invariant,
 }
 
--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -205,7 +205,8 @@
         self._entries = stored.entries
         self._encoder = LogEncoder(stored.salt) if stored.salt else None
         self._end = stored.end
-        os.ftruncate(self._descriptor, self._end)
+        if os.fstat(self._descriptor).st_size > self._end:
+            os.ftruncate(self._descriptor, self._end)
         os.fsync(self._descriptor)
         self._synced_end = self._end
         self._is_synced = True
--- a/mulberryhitch/replication/loading.py
+++ b/mulberryhitch/replication/loading.py
@@ -3,28 +3,60 @@
 import time
 from pathlib import Path
 
-from mulberryhitch.errors import DamagedFileError
+from mulberryhitch.errors import DamagedFileError, DiskFullError
 from mulberryhitch.observability.log import Log
+from mulberryhitch.replication.disk_errors import typed_disk_errors
 from mulberryhitch.replication.file_storage import FileStorage
 from mulberryhitch.replication.interfaces import StateMachine
 from mulberryhitch.replication.state import ReplicaState
 
+_DISK_FULL_RETRY_SECONDS = 1.0
+
 
 def load_state(
     group: str, folder: Path, vm: str, machine: StateMachine, log: Log
 ) -> ReplicaState:
     """Loads a replica's state, or starts empty if its folder is damaged.
 
+    Waits while the disk is too full to load it: a process that ended would be
+    started again on the same disk.
+
     Args:
         group: The group's name.
         folder: The replica's data folder.
         vm: The VM's name, used as the prefix of a new replica id.
         machine: The state machine that the log drives.
-        log: Receives the damage report.
+        log: Receives the damage report, and each wait for a full disk.
+
+    Raises:
+        StorageError: The disk failed.
     """
+    while True:
+        try:
+            return _load_or_replace(group, folder, vm, machine, log)
+        except DiskFullError as error:
+            log.problem('storage.full', error.problem)
+            time.sleep(_DISK_FULL_RETRY_SECONDS)
+
+
+def _load_or_replace(
+    group: str, folder: Path, vm: str, machine: StateMachine, log: Log
+) -> ReplicaState:
+    with typed_disk_errors(folder):
+        try:
+            return _load(group, folder, vm, machine)
+        except DamagedFileError as error:
+            log.problem('storage.damaged', error.problem)
+            folder.rename(f'{folder}.damaged-{int(time.time())}')
+        return _load(group, folder, vm, machine)
+
+
+def _load(
+    group: str, folder: Path, vm: str, machine: StateMachine
+) -> ReplicaState:
+    storage = FileStorage(folder, vm)
     try:
-        return ReplicaState(group, FileStorage(folder, vm), machine)
-    except DamagedFileError as error:
-        log.problem('storage.damaged', error.problem)
-        folder.rename(f'{folder}.damaged-{int(time.time())}')
-    return ReplicaState(group, FileStorage(folder, vm), machine)
+        return ReplicaState(group, storage, machine)
+    except BaseException:
+        storage.close()
+        raise
