A full disk no longer ends a leader that cancels late tasks

In a data centre's own scheduler, the leader's process ended if a task passed its start deadline, or the history was due to be pruned, while the leader's disk was full or its queue of proposals was long. The deadline was forgotten as well.

Cause: these two loops of a term proposed their commands without handling a refusal, and a term only expects the errors that end its leadership. The deadlines were taken off the heap before the proposal.

Change: a refusal is logged, and refused deadlines are tried again a quarter of a second later. The event term.grant_refused is now term.refused, for all three.

--- a/mulberryhitch/scheduler/term.py
+++ b/mulberryhitch/scheduler/term.py
@@ -41,6 +41,7 @@
 _TICK_SECONDS = 0.25
 _HISTORY_RETENTION_SECONDS = 86_400.0
 _PRUNE_INTERVAL_SECONDS = 600.0
+_TERM_ENDED_ERRORS = (LostAuthorityError, NotLeaderError, OutcomeUnknownError)
 
 
 _CommandHandler: TypeAlias = Callable[[Any, Any], None]
@@ -112,7 +113,7 @@
                 task_group.start_soon(self._cancel_late_tasks_forever)
                 await self._wait_for_lost_authority()
                 task_group.cancel_scope.cancel()
-        except* (LostAuthorityError, NotLeaderError, OutcomeUnknownError):
+        except* _TERM_ENDED_ERRORS:
             self._log.event('term.lost_authority', term=self._term)
         finally:
             remove_listener()
@@ -295,12 +296,7 @@
             for item in placed
             for task, worker_id in item.tasks
         )
-        try:
-            await self._propose(commands.LeasesGranted(grants))
-        except (LostAuthorityError, NotLeaderError, OutcomeUnknownError):
-            raise
-        except MulberryhitchError as error:
-            self._log.problem('term.grant_refused', error.problem)
+        if not await self._try_propose(commands.LeasesGranted(grants)):
             self._roll_back_grants(grants)
             return
         for grant in grants:
@@ -417,18 +413,24 @@
         while True:
             await anyio.sleep(_PRUNE_INTERVAL_SECONDS)
             before = time.time() - _HISTORY_RETENTION_SECONDS
-            await self._propose(commands.HistoryPruned(before))
+            await self._try_propose(commands.HistoryPruned(before))
 
     async def _cancel_late_tasks_forever(self) -> None:
         while True:
             await anyio.sleep(_TICK_SECONDS)
-            late = self._pop_late_tasks()
-            if late:
-                await self._propose(
-                    commands.TasksGivenUp(
-                        late, 'not started before its deadline', time.time()
-                    ),
-                )
+            passed = self._pop_passed_deadlines()
+            late = self._late_tasks(passed)
+            if late and not await self._give_up(late):
+                for deadline in passed:
+                    heapq.heappush(self._deadlines, deadline)
+
+    async def _give_up(self, late: tuple[TaskKey, ...]) -> bool:
+        """Cancels tasks that are late; returns whether it was not refused."""
+        return await self._try_propose(
+            commands.TasksGivenUp(
+                late, 'not started before its deadline', time.time()
+            ),
+        )
 
     def _add_deadline(self, spec: WorkloadSpec) -> None:
         if spec.start_within_seconds:
@@ -438,16 +440,41 @@
             due_at = anyio.current_time() + remaining
             heapq.heappush(self._deadlines, (due_at, spec.workload_id))
 
-    def _pop_late_tasks(self) -> tuple[TaskKey, ...]:
-        late: list[TaskKey] = []
+    def _pop_passed_deadlines(self) -> list[tuple[float, str]]:
+        passed: list[tuple[float, str]] = []
         now = anyio.current_time()
         while self._deadlines and self._deadlines[0][0] <= now:
-            _, workload_id = heapq.heappop(self._deadlines)
+            passed.append(heapq.heappop(self._deadlines))
+        return passed
+
+    def _late_tasks(
+        self, passed: list[tuple[float, str]]
+    ) -> tuple[TaskKey, ...]:
+        late: list[TaskKey] = []
+        for _, workload_id in passed:
             workload = self._state.workloads.get(workload_id)
             queued = workload.queued() if workload else ()
             late.extend(TaskKey(workload_id, task.number) for task in queued)
         return tuple(late)
 
+    async def _try_propose(self, command: Any) -> bool:
+        """Proposes a command; logs a refusal, such as that of a full disk.
+
+        Returns:
+            Whether it was not refused.
+
+        Raises:
+            MulberryhitchError: The term has ended.
+        """
+        try:
+            await self._propose(command)
+        except _TERM_ENDED_ERRORS:
+            raise
+        except MulberryhitchError as error:
+            self._log.problem('term.refused', error.problem)
+            return False
+        return True
+
     async def _propose(self, command: Any) -> Any:
         self._replica.require_authority()
         return await self._replica.propose(kind_of(command), encode(command))
--- /dev/null
+++ b/tests/test_data_centre_full_disks.py
@@ -0,0 +1,31 @@
+"""A data centre whose leader's disk is full for some time."""
+
+import anyio
+
+from mulberryhitch.scheduler import operations as ops
+from tests.data_centre import DataCentre, make_spec
+from tests.fakes import FakeDisk
+from tests.replica_group import run_with_mock_clock
+
+FULL_SECONDS = 1
+
+
+async def _fill(disk: FakeDisk) -> None:
+    disk.fill()
+    await anyio.sleep(FULL_SECONDS)
+    disk.free()
+
+
+def test_a_deadline_that_passes_while_the_disk_is_full_ends_no_leader() -> None:
+    async def main() -> None:
+        async with DataCentre(seed=9, vms=1, workers=1).running() as centre:
+            long = make_spec(1, task_count=4, run_seconds=60)
+            await centre.execute(ops.Submit(long))
+            await anyio.sleep(3)
+            late = make_spec(2, start_within_seconds=5)
+            await centre.execute(ops.Submit(late))
+            await anyio.sleep(4.5)
+            await _fill(centre.disks['vm-1'])
+            assert await centre.wait_ended('home.2', 20) == ['cancelled']
+
+    run_with_mock_clock(main)
