A worker lost while the disk is full no longer ends the leader

In a data centre's own scheduler, the leader's process ended if the leases of a silent worker expired while the leader's disk was full.

Cause: a session handles each error of an exchange, and ends the expired leases in that handler; an error of their commit left the session, and so the process.

Evidence: the new test failed before: the service ended with DiskFullError, and the task's end was never recorded. test_data_centre and test_worker_sessions passed.

The errors that end a leadership still end the session.

--- a/mulberryhitch/scheduler/sessions.py
+++ b/mulberryhitch/scheduler/sessions.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass
 
 import anyio
@@ -15,7 +16,12 @@
     TASK_LEASE_RENEWAL_SECONDS,
     TASK_LEASE_SECONDS,
 )
-from mulberryhitch.errors import LostAuthorityError, MulberryhitchError
+from mulberryhitch.errors import (
+    DiskFullError,
+    LostAuthorityError,
+    MulberryhitchError,
+    OverloadedError,
+)
 from mulberryhitch.scheduler.commands import AttemptEnd
 from mulberryhitch.scheduler.state import DataCentreState
 from mulberryhitch.workers.gateway import WorkerGateway
@@ -138,7 +144,9 @@
                 raise
             except MulberryhitchError:
                 self._callbacks.set_reachable(self.worker.worker_id, False)
-                await self._expire_leases()
+                # They are ended later if they can't be recorded now.
+                with suppress(DiskFullError, OverloadedError):
+                    await self._expire_leases()
                 await anyio.sleep(TASK_LEASE_RENEWAL_SECONDS)
                 continue
             with anyio.move_on_after(self._pause_seconds()):
--- a/tests/test_data_centre_full_disks.py
+++ b/tests/test_data_centre_full_disks.py
@@ -29,3 +29,16 @@
             assert await centre.wait_ended('home.2', 20) == ['cancelled']
 
     run_with_mock_clock(main)
+
+
+def test_a_worker_that_is_lost_while_the_disk_is_full_ends_no_leader() -> None:
+    async def main() -> None:
+        async with DataCentre(seed=9, vms=1, workers=1).running() as centre:
+            await centre.execute(ops.Submit(make_spec(1, run_seconds=60)))
+            await anyio.sleep(3)
+            centre.kill_worker('worker-1')
+            await anyio.sleep(5)
+            await _fill(centre.disks['vm-1'])
+            assert await centre.wait_ended('home.1', 20) == ['unknown']
+
+    run_with_mock_clock(main)
