Leases that a full disk refused are granted again after a pause only

In a data centre's own scheduler, a leader with a full disk tried the same grants again without a pause, until it handed over, and used its processor for that.

Cause: a placement round counted as useful if it had placed tasks, also if their grants were refused and rolled back, so the next round began at once.

Change: rounds pause for a tick after a refusal.

--- a/mulberryhitch/scheduler/term.py
+++ b/mulberryhitch/scheduler/term.py
@@ -279,9 +279,7 @@
         placed = [item for item in decisions if isinstance(item, Placed)]
         for decision in decisions:
             self._preempt(decision)
-        if placed:
-            await self._grant(placed)
-        return bool(placed)
+        return bool(placed) and await self._grant(placed)
 
     def _preempt(self, decision: Decision) -> None:
         if isinstance(decision, Placed):
@@ -290,7 +288,8 @@
         session = self._sessions[decision.worker_id]
         session.stop_task(decision.task, _stop_mode(running.spec))
 
-    async def _grant(self, placed: list[Placed]) -> None:
+    async def _grant(self, placed: list[Placed]) -> bool:
+        """Grants leases; returns whether they were not refused."""
         grants = tuple(
             self._make_grant(task, worker_id)
             for item in placed
@@ -298,7 +297,7 @@
         )
         if not await self._try_propose(commands.LeasesGranted(grants)):
             self._roll_back_grants(grants)
-            return
+            return False
         for grant in grants:
             spec = self._state.workload(grant.task.workload_id).spec
             self._histograms.record(
@@ -311,6 +310,7 @@
                 self._health.begin_probe(grant.worker_id)
                 self._refresh_worker(grant.worker_id)
             self._sessions[grant.worker_id].wake()
+        return True
 
     def _make_grant(self, task: TaskKey, worker_id: str) -> commands.Grant:
         workload = self._state.workloads.get(task.workload_id)
