A worker's report of a huge size no longer ends the scheduler's leader

A worker that reported the use of an amount beyond the range of a float ended the leader's process of its data centre. One that announced itself with such a size did so for each leader, as its record is in the log.

Cause: the sizes that workers send had no upper bound, unlike those of submitted workloads. The share of a size and the free capacity that a heartbeat carries are floats; OverflowError is no error that the leader expects.

Evidence: the new test failed before, with the values accepted.

Change: an amount is at most 2**53. A longer one is an invalid response, or an invalid announcement, which is refused.

--- a/mulberryhitch/workers/protocol.py
+++ b/mulberryhitch/workers/protocol.py
@@ -4,6 +4,9 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
+# A float can hold each integer up to here.
+_MAX_AMOUNT = 2**53
+
 
 class _Message(BaseModel):
     model_config = ConfigDict(extra='ignore', frozen=True)
@@ -12,9 +15,9 @@
 class SizeModel(_Message):
     """An amount of each resource."""
 
-    millicores: int = Field(ge=0)
-    memory_mebibytes: int = Field(ge=0)
-    accelerators: int = Field(default=0, ge=0)
+    millicores: int = Field(ge=0, le=_MAX_AMOUNT)
+    memory_mebibytes: int = Field(ge=0, le=_MAX_AMOUNT)
+    accelerators: int = Field(default=0, ge=0, le=_MAX_AMOUNT)
 
 
 class AttemptName(_Message):
--- a/tests/test_worker_sessions.py
+++ b/tests/test_worker_sessions.py
@@ -5,12 +5,17 @@
 
 import anyio
 import pytest
+from pydantic import ValidationError
 
 from mulberryhitch.scheduler.commands import AttemptEnd
 from mulberryhitch.scheduler.sessions import SessionCallbacks, WorkerSession
 from mulberryhitch.standins.worker import StandinWorker
 from mulberryhitch.workers.leases import Lease, LeaseTable, TaskKey, Worker
-from mulberryhitch.workers.protocol import StopMode
+from mulberryhitch.workers.protocol import (
+    LeaseResponse,
+    StopMode,
+    WorkerAnnouncement,
+)
 from mulberryhitch.workloads.model import Size
 from tests.data_centre import FakeGateway, make_spec
 from tests.fakes import FakeNetwork
@@ -79,3 +84,28 @@
 @pytest.mark.timeout(60)
 def test_gangs_end_after_workers_were_lost_and_runs_stopped() -> None:
     run_with_mock_clock(DataCentrePlayer(SEED).play, list(STEPS))
+
+
+@pytest.mark.parametrize(
+    'resource', ['millicores', 'memory_mebibytes', 'accelerators']
+)
+def test_an_amount_that_no_float_can_hold_is_refused(resource: str) -> None:
+    size = (
+        f'{{"millicores": 1, "memory_mebibytes": 1, "{resource}": {10**400}}}'
+    )
+    report = (
+        '{"workload_id": "home.1", "task": 0, "attempt": 1, '
+        f'"state": "running", "used": {size}}}'
+    )
+    response = (
+        '{"worker_id": "worker", "incarnation": 1, "clock": 1, "term": 1, '
+        f'"accepted": true, "attempts": [{report}]}}'
+    )
+    announcement = (
+        '{"address": "10.0.0.1:80", "data_centre": "home", "rack": "rack", '
+        f'"incarnation": 1, "size": {size}}}'
+    )
+    with pytest.raises(ValidationError, match=resource):
+        LeaseResponse.model_validate_json(response)
+    with pytest.raises(ValidationError, match=resource):
+        WorkerAnnouncement.model_validate_json(announcement)
