A backend server's announcement with a huge number no longer ends an entry

In a cell, the process of the entry that received such an announcement ended, with the requests in its hands.

Cause: the numbers of an announcement had no upper bound. Heartbeats carry them as 64-bit integers; encoding a larger one raises thriftpy's TDecodeException in the task that sends heartbeats, which expects the project's errors only.

That this ends the process is from reading.

Change: each number is at most 2**53; a larger one is refused as invalid.

--- a/mulberryhitch/http/announcements.py
+++ b/mulberryhitch/http/announcements.py
@@ -34,6 +34,7 @@
 from mulberryhitch.workloads.model import Size
 
 _OPERATION_TIMEOUT_SECONDS = 3.0
+_MAX_NUMBER = 2**53
 
 
 class BackendServerBody(BaseModel):
@@ -53,13 +54,15 @@
     data_centre: str
     address: str
     state: ServerState = ServerState.ready
-    slots: int = Field(default=SLOTS_PER_BACKEND_SERVER, ge=1)
-    connections: int = Field(default=CONNECTIONS_PER_BACKEND_SERVER, ge=1)
-    busy: int = Field(default=0, ge=0)
+    slots: int = Field(default=SLOTS_PER_BACKEND_SERVER, ge=1, le=_MAX_NUMBER)
+    connections: int = Field(
+        default=CONNECTIONS_PER_BACKEND_SERVER, ge=1, le=_MAX_NUMBER
+    )
+    busy: int = Field(default=0, ge=0, le=_MAX_NUMBER)
     owner: str = ''
     owner_anchor: float = 0
-    incarnation: int = Field(ge=0)
-    sequence: int = Field(ge=0)
+    incarnation: int = Field(ge=0, le=_MAX_NUMBER)
+    sequence: int = Field(ge=0, le=_MAX_NUMBER)
 
     @field_validator('address')
     @classmethod
--- a/tests/test_inputs.py
+++ b/tests/test_inputs.py
@@ -5,9 +5,11 @@
 
 import anyio
 import pytest
+from pydantic import ValidationError
 
 from mulberryhitch.configuration.settings import load_settings
 from mulberryhitch.errors import InvalidSettingsError
+from mulberryhitch.http.announcements import BackendServerBody
 from mulberryhitch.http.protocol import FirstRequestTimeoutProtocol
 from tests.local_cell import running_cell
 
@@ -154,3 +156,21 @@
                     assert await _send_raw(port, sent, 60) == b''
 
     anyio.run(main)
+
+
+@pytest.mark.parametrize(
+    'name', ['slots', 'connections', 'busy', 'incarnation', 'sequence']
+)
+def test_an_announced_number_that_no_heartbeat_can_carry_is_refused(
+    name: str,
+) -> None:
+    announcement: dict[str, Any] = {
+        'service': 'returns',
+        'data_centre': 'home',
+        'address': '10.0.0.1:80',
+        'incarnation': 1,
+        'sequence': 1,
+    }
+    BackendServerBody.model_validate(announcement)
+    with pytest.raises(ValidationError, match=name):
+        BackendServerBody.model_validate({**announcement, name: 2**63})
