--- a/mulberryhitch/scheduler/term.py
+++ b/mulberryhitch/scheduler/term.py
@@ -41,6 +41,7 @@
 _TICK_SECONDS = 0.25
 _HISTORY_RETENTION_SECONDS = 86_400.0
 _PRUNE_INTERVAL_SECONDS = 600.0
+_TERM_ENDED_ERRORS = (LostAuthorityError, NotLeaderError, OutcomeUnknownError)
 
 
 _CommandHandler: TypeAlias = Callable[[Any, Any], None]
@@ -112,7 +113,7 @@
                 task_group.start_soon(self._cancel_late_tasks_forever)
                 await self._wait_for_lost_authority()
                 task_group.cancel_scope.cancel()
-        except* (LostAuthorityError, NotLeaderError, OutcomeUnknownError):
+        except* _TERM_ENDED_ERRORS:
             self._log.event('term.lost_authority', term=self._term)
         finally:
             remove_listener()
@@ -278,9 +279,7 @@
         placed = [item for item in decisions if isinstance(item, Placed)]
         for decision in decisions:
             self._preempt(decision)
-        if placed:
-            await self._grant(placed)
-        return bool(placed)
+        return bool(placed) and await self._grant(placed)
 
     def _preempt(self, decision: Decision) -> None:
         if isinstance(decision, Placed):
@@ -289,20 +288,16 @@
         session = self._sessions[decision.worker_id]
         session.stop_task(decision.task, _stop_mode(running.spec))
 
-    async def _grant(self, placed: list[Placed]) -> None:
+    async def _grant(self, placed: list[Placed]) -> bool:
+        """Grants leases; returns whether they were not refused."""
         grants = tuple(
             self._make_grant(task, worker_id)
             for item in placed
             for task, worker_id in item.tasks
         )
-        try:
-            await self._propose(commands.LeasesGranted(grants))
-        except (LostAuthorityError, NotLeaderError, OutcomeUnknownError):
-            raise
-        except MulberryhitchError as error:
-            self._log.problem('term.grant_refused', error.problem)
+        if not await self._try_propose(commands.LeasesGranted(grants)):
             self._roll_back_grants(grants)
-            return
+            return False
         for grant in grants:
             spec = self._state.workload(grant.task.workload_id).spec
             self._histograms.record(
@@ -315,6 +310,7 @@
                 self._health.begin_probe(grant.worker_id)
                 self._refresh_worker(grant.worker_id)
             self._sessions[grant.worker_id].wake()
+        return True
 
     def _make_grant(self, task: TaskKey, worker_id: str) -> commands.Grant:
         workload = self._state.workloads.get(task.workload_id)
@@ -417,18 +413,24 @@
         while True:
             await anyio.sleep(_PRUNE_INTERVAL_SECONDS)
             before = time.time() - _HISTORY_RETENTION_SECONDS
-            await self._propose(commands.HistoryPruned(before))
+            await self._try_propose(commands.HistoryPruned(before))
 
     async def _cancel_late_tasks_forever(self) -> None:
         while True:
             await anyio.sleep(_TICK_SECONDS)
-            late = self._pop_late_tasks()
-            if late:
-                await self._propose(
-                    commands.TasksGivenUp(
-                        late, 'not started before its deadline', time.time()
-                    ),
-                )
+            passed = self._pop_passed_deadlines()
+            late = self._late_tasks(passed)
+            if late and not await self._give_up(late):
+                for deadline in passed:
+                    heapq.heappush(self._deadlines, deadline)
+
+    async def _give_up(self, late: tuple[TaskKey, ...]) -> bool:
+        """Cancels tasks that are late; returns whether it was not refused."""
+        return await self._try_propose(
+            commands.TasksGivenUp(
+                late, 'not started before its deadline', time.time()
+            ),
+        )
 
     def _add_deadline(self, spec: WorkloadSpec) -> None:
         if spec.start_within_seconds:
@@ -438,16 +440,41 @@
             due_at = anyio.current_time() + remaining
             heapq.heappush(self._deadlines, (due_at, spec.workload_id))
 
-    def _pop_late_tasks(self) -> tuple[TaskKey, ...]:
-        late: list[TaskKey] = []
+    def _pop_passed_deadlines(self) -> list[tuple[float, str]]:
+        passed: list[tuple[float, str]] = []
         now = anyio.current_time()
         while self._deadlines and self._deadlines[0][0] <= now:
-            _, workload_id = heapq.heappop(self._deadlines)
+            passed.append(heapq.heappop(self._deadlines))
+        return passed
+
+    def _late_tasks(
+        self, passed: list[tuple[float, str]]
+    ) -> tuple[TaskKey, ...]:
+        late: list[TaskKey] = []
+        for _, workload_id in passed:
             workload = self._state.workloads.get(workload_id)
             queued = workload.queued() if workload else ()
             late.extend(TaskKey(workload_id, task.number) for task in queued)
         return tuple(late)
 
+    async def _try_propose(self, command: Any) -> bool:
+        """Proposes a command; logs a refusal, such as that of a full disk.
+
+        Returns:
+            Whether it was not refused.
+
+        Raises:
+            MulberryhitchError: The term has ended.
+        """
+        try:
+            await self._propose(command)
+        except _TERM_ENDED_ERRORS:
+            raise
+        except MulberryhitchError as error:
+            self._log.problem('term.refused', error.problem)
+            return False
+        return True
+
     async def _propose(self, command: Any) -> Any:
         self._replica.require_authority()
         return await self._replica.propose(kind_of(command), encode(command))
