A stopping server answers pipelined requests that it has read

Callers saw: a client that sends its next request before the answer to the one before (HTTP pipelining) lost the later requests when the server stopped meanwhile, or when it closed its own sending side: the connection ended after the answer in progress, though the server had read the others in full.

Cause: uvicorn closes a stopping connection after the cycle in progress, the application's "connection: close" makes h11 do so as well, and the end of the client's side was handled in the same way. Requests that wait in h11's buffer were not considered.

Evidence: three tests with three pipelined requests, two at a stop (with and without the announcement) and one with a half-closed connection.

--- a/tests/test_requests_at_a_stop.py
+++ b/tests/test_requests_at_a_stop.py
@@ -22,6 +22,9 @@
 CLIENTS = 30
 LOAD_SECONDS = 0.4
 HANDLING_SECONDS = (0.0, 0.001, 0.02, 0.3)
+PIPELINED_REQUESTS = b''.join(
+    request_bytes('POST', path, {}) for path in ('/1', '/2', '/3')
+)
 
 
 class StoppedServer:
@@ -31,6 +34,7 @@
         self.port = find_free_ports()
         self.read: set[str] = set()
         self.answered: set[str] = set()
+        self.handling_seconds = HANDLING_SECONDS
         self._rng = random.Random(seed)
         application = AsgiApplication(
             self._handle,
@@ -71,13 +75,17 @@
                 except OSError:
                     await anyio.sleep(0.01)
 
+    def stop(self) -> None:
+        """Tells the server to stop."""
+        self._server.should_exit = True
+
     async def _stop(self) -> None:
         await anyio.sleep(LOAD_SECONDS)
-        self._server.should_exit = True
+        self.stop()
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         self.read.add(request.path)
-        await anyio.sleep(self._rng.choice(HANDLING_SECONDS))
+        await anyio.sleep(self._rng.choice(self.handling_seconds))
         return HttpResponse(200)
 
     async def _send_requests(self, number: int) -> None:
@@ -134,3 +142,45 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(main)
+
+
+@pytest.mark.parametrize('announces_close', [True, False])
+def test_a_stopping_server_answers_pipelined_requests(
+    announces_close: bool,
+) -> None:
+    async def main() -> None:
+        server = StoppedServer(1, announces_close=announces_close)
+        server.handling_seconds = (0.3,)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.serve)
+            connection = await server.connect()
+            await connection.send(PIPELINED_REQUESTS)
+            await anyio.sleep(0.1)
+            server.stop()
+            with anyio.fail_after(20):
+                for _ in range(2):
+                    assert (await connection.read_answer())[0] == 200
+                _, headers = await connection.read_answer()
+                assert (b'connection: close' in headers) is announces_close
+                with pytest.raises(NoCompleteAnswer):
+                    await connection.read_answer()
+
+    anyio.run(main)
+
+
+def test_a_client_that_closes_its_sending_side_gets_pipelined_answers() -> None:
+    async def main() -> None:
+        server = StoppedServer(1, announces_close=False)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.serve)
+            connection = await server.connect()
+            await connection.send(PIPELINED_REQUESTS)
+            connection.end_sending()
+            with anyio.fail_after(20):
+                for _ in range(3):
+                    assert (await connection.read_answer())[0] == 200
+                with pytest.raises(NoCompleteAnswer):
+                    await connection.read_answer()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
