A stopping leader asks the next voter if one does not take over

Callers saw: after a planned stop of the leader no scheduler led for up to one and a half election times, while requests waited and some ended with 503.

Cause: the leader chose one successor by the index known when the stop began, before it waited for its open proposals. It asked this voter only, also if it had not answered for long, and stepped down whatever the reply was.

Change: the successors are chosen after the open proposals. Voters that have answered lately come first, then the most up-to-date. If one declines or does not answer, the next is asked.

--- a/mulberryhitch/replication/leadership.py
+++ b/mulberryhitch/replication/leadership.py
@@ -211,23 +211,24 @@
         if not self.ready or not self.has_authority:
             raise LostAuthorityError('no majority confirmed the leader')
 
-    async def prepare_transfer(self) -> str | None:
-        """Ends this leader's authority and returns its successor.
+    async def prepare_transfer(self) -> list[str]:
+        """Ends this leader's authority and returns the possible successors.
 
-        Waits up to one election time for open proposals. The successor is the
-        most up-to-date other voter; None if there is none.
+        Waits up to one election time for open proposals. The successors are
+        the other voters: first those that answer, the most up-to-date first.
         """
         self._transferring = True
+        with anyio.move_on_after(self._options.election_seconds):
+            while self._pending or self._queue:
+                await anyio.sleep(self._options.heartbeat_seconds / 2)
         voters = set(self._state.members.voters)
-        candidates = [
-            (peer.match_index, replica_id)
+        peers = [
+            peer
             for replica_id, peer in self._peers.items()
             if replica_id in voters
         ]
-        with anyio.move_on_after(self._options.election_seconds):
-            while self._pending or self._queue:
-                await anyio.sleep(self._options.heartbeat_seconds / 2)
-        return max(candidates)[1] if candidates else None
+        peers.sort(key=self._eligibility, reverse=True)
+        return [peer.replica_id for peer in peers]
 
     def complete_proposal(
         self, entry: LogEntry, result: Any, failure: Any
@@ -239,6 +240,12 @@
         if proposal is not None:
             proposal.complete(result, failure)
 
+    def _eligibility(self, peer: Progress) -> tuple[bool, int, str]:
+        """Returns the order of possible successors; the highest is first."""
+        silent_seconds = self._options.now() - peer.last_contact
+        answers = silent_seconds < self._options.election_seconds / 2
+        return answers, peer.match_index, peer.replica_id
+
     def _last_quorum_contact(self) -> float:
         now = self._options.now()
         contacts = [
--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -208,13 +208,9 @@
         leadership = self._leadership
         if leadership is None:
             return
-        successor = await leadership.prepare_transfer()
-        if successor is not None:
-            request = TakeOverRequest(self.group, successor, self.term)
-            try:
-                await self._call(successor, 'take_over', request)
-            except MulberryhitchError as error:
-                self._log.problem('replica.hand_over', error.problem)
+        for successor in await leadership.prepare_transfer():
+            if await self._hand_over_to(successor, leadership):
+                break
         leadership.step_down()
 
     async def replace_voter(self, old_id: str) -> None:
@@ -298,6 +294,20 @@
         self._tasks.start_soon(self._try_campaign, True)
         return TakeOverReply(accepted=True)
 
+    async def _hand_over_to(
+        self, successor: str, leadership: Leadership
+    ) -> bool:
+        """Returns whether the successor takes over, or another one leads."""
+        if self._leadership is not leadership:
+            return True
+        request = TakeOverRequest(self.group, successor, leadership.term)
+        try:
+            reply = await self._call(successor, 'take_over', request)
+        except MulberryhitchError as error:
+            self._log.problem('replica.hand_over', error.problem)
+            return False
+        return isinstance(reply, TakeOverReply) and reply.accepted
+
     def _require_leadership(self) -> Leadership:
         if self._leadership is None:
             raise NotLeaderError(
