A gang with a member that could not be granted does not start

What callers saw: a gang started some of its tasks only. They waited on their workers for the rest until the workers ended them (4 s there), kept their processors meanwhile, and the job began no earlier than after that.

Cause: the grants of a gang are changes of one log entry, each with a result of its own. A worker that is removed between the placement round and the entry, as its address is taken by a new one, gets no grant; the dispatcher started the other members all the same, and nothing ever started the missing ones, as the gang counted as running.

Fix: if a member is refused, the granted runs of its gang are voided without a start, and the gang is placed again in the next round.

--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -337,9 +337,19 @@
             return
         finally:
             self._finish_grants(placements, steps)
+        refused = {
+            placement.unit.first_task
+            for placement, granted in zip(placements, outcomes, strict=True)
+            if not granted
+        }
+        withdrawn = []
         for placement, granted in zip(placements, outcomes, strict=True):
-            if granted:
+            if granted and placement.unit.first_task in refused:
+                withdrawn.append(placement)
+            elif granted:
                 self._run_controller.start(placement)
+        if withdrawn:
+            await self._run_controller.withdraw(withdrawn)
 
     def _finish_grants(
         self, placements: list[Placement], steps: set[StepKey]
--- a/mulberryhitch/dispatch/run_controller.py
+++ b/mulberryhitch/dispatch/run_controller.py
@@ -1,6 +1,6 @@
 """Starts and stops runs on workers, and handles lost answers."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import replace
 
 import anyio
@@ -83,6 +83,33 @@
         )
         self._term.start_soon(self._start, worker, tracked, command)
 
+    async def withdraw(self, placements: Iterable[Placement]) -> None:
+        """Voids granted runs of gangs of which another member was refused.
+
+        They were not started: the gang could not begin without that member.
+        """
+        batch = []
+        for placement in placements:
+            task = placement.unit.task_key(placement.index)
+            run = placement.unit.run
+            self._term.log_task(
+                'task.void',
+                task,
+                run,
+                placement.worker_id,
+                reason='a member was not granted',
+            )
+            batch.append(
+                changes.end_run(
+                    task,
+                    run,
+                    RunOutcome.void,
+                    placement.unit.checkpoint,
+                    self._term.wall_time(),
+                )
+            )
+        await self._term.commit_or_log(batch)
+
     def stop(
         self, task: TaskKey, run: int, worker_id: str, reason: str
     ) -> None:
--- a/mulberryhitch/jobs/state.py
+++ b/mulberryhitch/jobs/state.py
@@ -78,6 +78,11 @@
         """Indexes of its tasks."""
         return range(self.first_index, self.first_index + self.task_count)
 
+    @property
+    def first_task(self) -> TaskKey:
+        """Key of its first task."""
+        return self.task_key(self.first_index)
+
     def task_key(self, index: int) -> TaskKey:
         """Returns the key of one of its tasks."""
         return TaskKey(*self.step_key, index)
--- a/tests/test_stuck_jobs.py
+++ b/tests/test_stuck_jobs.py
@@ -6,7 +6,7 @@
 
 from mulberryhitch.jobs.model import Step
 from mulberryhitch.jobs.state import JobState
-from tests.fake_workers import DispatcherHarness
+from tests.fake_workers import COMMIT_SECONDS, DispatcherHarness
 from tests.replica_group import run_with_mock_clock
 
 SMALL = Step(1, 1000, 100, estimate_seconds=0.5)
@@ -94,3 +94,28 @@
             assert await harness.wait('j', JobState.completed) < 1
 
     run_with_mock_clock(main)
+
+
+def test_a_gang_does_not_wait_for_a_member_that_could_not_be_granted() -> None:
+    async def main() -> None:
+        harness = DispatcherHarness()
+        for name in ('w1', 'w2', 'w3'):
+            harness.fleet.add_worker(name, 2000)
+        async with harness.running():
+            await anyio.sleep(0.5)
+            dead = harness.fleet.workers.pop('w3')
+            harness.fleet.add_worker('w4', 2000, born=2)
+            worker = harness.fleet.workers['w4']
+            worker.record = replace(worker.record, address=dead.record.address)
+            harness.task_group.start_soon(
+                harness.dispatcher.handle_heartbeat, worker.record, worker.clock
+            )
+            # The grants are proposed while the removal of w3 is committed.
+            await anyio.sleep(COMMIT_SECONDS / 2)
+            gang = Step(6, 1000, 100, estimate_seconds=0.5, gang=True)
+            await harness.submit('g', gang)
+            await harness.wait('g', JobState.completed, 2)
+            assert {run for _, run, _ in harness.fleet.starts} == {2}
+            assert harness.start_count('g') == gang.count
+
+    run_with_mock_clock(main)
