A stopping voter does not take over the leadership

Callers saw: when schedulers were stopped two at a time, the leader could hand over to the other one that was stopping. That one led until it exited, without a hand-over of its own, and calls that it had read were cut off: nobody led for one to two election times, while requests waited or ended with 502 or 503.

Cause: a replica did not know that its process was stopping. It accepted to take over, and the stop itself handed over only what was led at that moment.

Change: a stop retires the replicas. A retiring replica declines to take over, so that the leader asks the next voter, and if it still wins an election that was going on, it hands over as soon as its first entry is committed.

Evidence: two tests on the simulated clock, a leader that stops after its first successor and a successor that stops during its election. Before (with transfer_leadership in place of retire) the stopping voter led; both failed.

--- a/mulberryhitch/composition.py
+++ b/mulberryhitch/composition.py
@@ -393,7 +393,7 @@
             )
             self.node.log.event('scheduler.started')
             await self._environment.stop.wait()
-            await self.host.transfer_leadership()
+            await self.host.retire()
             self.node.log.event('scheduler.stopped')
             tasks.cancel_scope.cancel()
 
--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -340,7 +340,7 @@
 
     async def _shut_down(self, server: HttpServer) -> None:
         await self._shared.stop.wait()
-        await self._host.transfer_leadership()
+        await self._host.retire()
         await anyio.sleep(READINESS_DELAY_SECONDS)
         server.should_exit = True
 
--- a/mulberryhitch/replication/leadership.py
+++ b/mulberryhitch/replication/leadership.py
@@ -117,6 +117,10 @@
         """Whether an entry of this term is committed."""
         return self._ready.is_set()
 
+    async def wait_ready(self) -> None:
+        """Waits until an entry of this term is committed."""
+        await self._ready.wait()
+
     @property
     def peers(self) -> dict[str, Progress]:
         """Returns each peer's replication progress, by replica id."""
--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -92,6 +92,7 @@
         self._reporter = ReplicationReporter(state, log)
         self._compaction = Compaction(state, options, self._fail_stop, log)
         self._tasks: TaskGroup | None = None
+        self._retiring = False
         self._target_voters = options.target_voters or len(initial_vms)
         self._bootstrap = Bootstrap(state, transport, initial_vms, options)
         self._join_requests: dict[str, float] = {}
@@ -203,6 +204,15 @@
         """
         await self._require_leadership().confirm_authority()
 
+    async def retire(self) -> None:
+        """Transfers leadership, now and whenever this replica leads again.
+
+        From now on the replica declines to take over. To be called before
+        the process ends.
+        """
+        self._retiring = True
+        await self.transfer_leadership()
+
     async def transfer_leadership(self) -> None:
         """Transfers leadership to another voter if this replica leads."""
         leadership = self._leadership
@@ -289,7 +299,11 @@
             StorageError: This replica's disk failed.
         """
         self._check_target(request.target)
-        if request.term != self._state.term or self._tasks is None:
+        if (
+            request.term != self._state.term
+            or self._tasks is None
+            or self._retiring
+        ):
             return TakeOverReply(accepted=False)
         self._tasks.start_soon(self._try_campaign, True)
         return TakeOverReply(accepted=True)
@@ -473,6 +487,8 @@
                 tasks.start_soon(reconciler.run)
                 tasks.start_soon(self._reporter.report_periodically, leadership)
                 tasks.start_soon(self._transfer_when_disk_full, leadership)
+                if self._retiring:
+                    tasks.start_soon(self._transfer_when_ready, leadership)
                 with self._fail_stop:
                     await leadership.run()
                 tasks.cancel_scope.cancel()
@@ -480,6 +496,10 @@
             self._last_contact = anyio.current_time()
             self._clear_leadership(leadership)
 
+    async def _transfer_when_ready(self, leadership: Leadership) -> None:
+        await leadership.wait_ready()
+        await self.transfer_leadership()
+
     async def _transfer_when_disk_full(self, leadership: Leadership) -> None:
         """Transfers leadership if writes keep failing on a full disk."""
         while True:
--- a/mulberryhitch/scheduler/host.py
+++ b/mulberryhitch/scheduler/host.py
@@ -151,11 +151,14 @@
             for service in self._groups.values():
                 task_group.start_soon(service.run)
 
-    async def transfer_leadership(self) -> None:
-        """Transfers the leadership of each group led here to another VM."""
+    async def retire(self) -> None:
+        """Transfers the leadership of each group led here to another VM.
+
+        The replicas of this VM decline to take over from now on.
+        """
         async with anyio.create_task_group() as task_group:
             for service in self._groups.values():
-                task_group.start_soon(service.replica.transfer_leadership)
+                task_group.start_soon(service.replica.retire)
 
     def _service(self, group: str) -> GroupService:
         service = self._groups.get(group)
--- a/tests/test_hand_overs.py
+++ b/tests/test_hand_overs.py
@@ -64,3 +64,27 @@
             assert group.leader() is followers[1]
 
     run_with_mock_clock(main)
+
+
+def test_a_stopping_voter_does_not_take_over_from_a_stopping_leader() -> None:
+    async def main() -> None:
+        async with ReplicaGroup(3, 1, options=QUICK_OPTIONS).running() as group:
+            leader, followers = await settled_group(group)
+            await followers[0].retire()
+            seconds = await seconds_without_leader(group, leader.retire)
+            assert seconds < MAXIMUM_SECONDS_WITHOUT_LEADER
+            assert group.leader() is followers[1]
+
+    run_with_mock_clock(main)
+
+
+def test_a_voter_that_stops_while_it_takes_over_hands_over_in_turn() -> None:
+    async def main() -> None:
+        async with ReplicaGroup(3, 1, options=QUICK_OPTIONS).running() as group:
+            leader, followers = await settled_group(group)
+            await leader.retire()
+            await followers[0].retire()
+            await anyio.sleep(2 * MAXIMUM_SECONDS_WITHOUT_LEADER)
+            assert group.leader() is followers[1]
+
+    run_with_mock_clock(main)
