An error of an unknown code no longer says that nothing ran

Callers saw: in a rolling upgrade, a leader of a later release may answer with an error code that this release does not know. The entry then answered with 503, which tells the client that its job never runs, without knowing so.

Cause: an unknown code became the base error type, whose outcome is not_run.

Change: it becomes an OutcomeUnknownError. The operation is sent again until its deadline, and ends with 502 otherwise.

Evidence: test_an_error_of_an_unknown_code_does_not_say_that_nothing_ran got 503 before.

--- a/mulberryhitch/errors.py
+++ b/mulberryhitch/errors.py
@@ -89,9 +89,9 @@
 def error_from_problem(problem: Problem) -> MulberryhitchError:
     """Creates the error that a problem describes.
 
-    A problem of an unknown code becomes a :class:`MulberryhitchError`.
+    A problem of an unknown code becomes an :class:`OutcomeUnknownError`.
     """
-    error_type = _registry.get(problem.code, MulberryhitchError)
+    error_type = _registry.get(problem.code, OutcomeUnknownError)
     return error_type(
         problem.what,
         where=problem.where,
--- a/tests/test_leader_client.py
+++ b/tests/test_leader_client.py
@@ -4,6 +4,7 @@
 followers still report it as the leader.
 """
 
+from http import HTTPStatus
 from typing import Any
 
 import anyio
@@ -20,8 +21,11 @@
     NotLeaderError,
     OutcomeUnknownError,
     OverloadedError,
+    Problem,
+    error_from_problem,
 )
 from mulberryhitch.membership.leader_client import LeaderClient
+from mulberryhitch.platform.asgi import http_status_of
 from mulberryhitch.rpc.messages import ExecuteReply
 from mulberryhitch.rpc.records import encode
 from tests.replica_group import run_with_mock_clock
@@ -159,6 +163,19 @@
     run_with_mock_clock(main)
 
 
+def test_an_error_of_an_unknown_code_does_not_say_that_nothing_ran() -> None:
+    async def main() -> None:
+        failure = error_from_problem(Problem('of_a_later_release', 'failed'))
+        leader_client = LeaderClient(
+            ScriptedSchedulers(failure, NotFoundError('no queue')), 0.6
+        )
+        with pytest.raises(MulberryhitchError) as caught:
+            await measure_execute(leader_client)
+        assert http_status_of(caught.value) == HTTPStatus.BAD_GATEWAY
+
+    run_with_mock_clock(main)
+
+
 def test_a_refusal_without_a_lost_reply_keeps_its_type() -> None:
     async def main() -> None:
         leader_client = LeaderClient(
