--- a/mulberryhitch/scheduler/host.py
+++ b/mulberryhitch/scheduler/host.py
@@ -152,11 +152,14 @@
                 task_group.start_soon(service.run)
                 task_group.start_soon(service.replica.report_status)
 
-    async def transfer_leadership(self) -> None:
-        """Transfers the leadership of each group led here to another VM."""
+    async def retire(self) -> None:
+        """Transfers the leadership of each group led here to another VM.
+
+        The replicas of this VM decline to take over from now on.
+        """
         async with anyio.create_task_group() as task_group:
             for service in self._groups.values():
-                task_group.start_soon(service.replica.transfer_leadership)
+                task_group.start_soon(service.replica.retire)
 
     def _service(self, group: str) -> GroupService:
         service = self._groups.get(group)
