A replica that lacks many large entries catches up again

If the next 256 entries that replicas lacked were larger than an RPC frame, 16 MiB, they never got them: the receiver closed the connection on each append, and the same append was sent again. With a majority of such replicas no change was committed any more.

Cause: an append was bounded by the number of its entries only. Entries of 64 KiB on average are enough; a stored response or a job may be that large.

Evidence: the new test failed before: a follower that was down for ten entries of 2 MB had not caught up after 10 s. test_replication, test_lost_disks and test_durability passed.

Change: an append carries 4 MiB of entries at most, or one larger entry.

--- a/mulberryhitch/replication/leadership.py
+++ b/mulberryhitch/replication/leadership.py
@@ -378,8 +378,7 @@
             await self._send_snapshot(peer)
             return
         previous = peer.next_index - 1
-        limit = self._options.batch_entries
-        entries = self._state.entries_from(peer.next_index, limit)
+        entries = self._next_batch(peer.next_index)
         request = AppendRequest(
             self._state.group,
             peer.replica_id,
@@ -393,6 +392,18 @@
         peer.record_sent(len(entries), self._state.commit_index)
         send_tasks.start_soon(self._send, peer, request)
 
+    def _next_batch(self, index: int) -> list[LogEntry]:
+        """Returns the entries from an index on that one append may carry."""
+        limit = self._options.batch_entries
+        batch: list[LogEntry] = []
+        size = 0
+        for entry in self._state.entries_from(index, limit):
+            size += len(entry.body)
+            if batch and size > self._options.batch_bytes:
+                break
+            batch.append(entry)
+        return batch
+
     async def _send(self, peer: Progress, request: AppendRequest) -> None:
         sent_at = self._options.now()
         try:
--- a/mulberryhitch/replication/options.py
+++ b/mulberryhitch/replication/options.py
@@ -17,6 +17,8 @@
         drift_seconds: Maximum clock drift over one election time.
         call_seconds: Timeout of a call that sends a snapshot chunk.
         batch_entries: Maximum entries in one append.
+        batch_bytes: Maximum size of the entries in one append; a larger entry
+            is sent on its own.
         commit_notify_seconds: Maximum delay before a follower is notified
             of newly committed entries; zero notifies it immediately.
         window: Maximum appends in flight to one peer.
@@ -38,6 +40,7 @@
     drift_seconds: float = 0.1
     call_seconds: float = 2.0
     batch_entries: int = 256
+    batch_bytes: int = 4_194_304
     commit_notify_seconds: float = 0
     window: int = 4
     compact_entries: int = 20_000
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -7,14 +7,17 @@
 import anyio
 import orjson
 
+from mulberryhitch.constants import RPC_MAX_FRAME_BYTES
 from mulberryhitch.errors import (
+    ConnectionLostError,
     DiskFullError,
     OutcomeUnknownError,
     StorageError,
     UnreachableError,
 )
 from mulberryhitch.replication.storage import Snapshot, StoredState
-from mulberryhitch.rpc.messages import LogEntry
+from mulberryhitch.rpc.codec import Call, encode_call
+from mulberryhitch.rpc.messages import CallHeader, LogEntry
 
 SYNC_SECONDS = 0.002
 
@@ -169,6 +172,19 @@
             ) from error
 
 
+class FrameLimitedTransport(FakeTransport):
+    """Loses the connection on each call that is too large for a frame."""
+
+    async def call(
+        self, vm: str, method: str, request: Any, timeout_seconds: float
+    ) -> Any:
+        header = CallHeader(self._vm, timeout_seconds)
+        frame = encode_call(Call(method, 1, header, request))
+        if len(frame) > RPC_MAX_FRAME_BYTES:
+            raise ConnectionLostError('frame too long', where=vm)
+        return await super().call(vm, method, request, timeout_seconds)
+
+
 class KeyValueStateMachine:
     """Keeps the latest value of each key and all values in order."""
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -1,9 +1,11 @@
 """A replica group under crashes, partitions, lost disks and failed syncs."""
 
 import anyio
+import orjson
 import pytest
 
 from mulberryhitch.errors import StorageError
+from tests.fakes import FrameLimitedTransport
 from tests.replica_group import ReplicaGroup, run_with_mock_clock
 
 
@@ -181,3 +183,21 @@
             await group.wait_until_converged()
 
     run_with_mock_clock(main)
+
+
+def test_a_replica_that_lacks_more_than_a_frame_carries_catches_up() -> None:
+    async def main() -> None:
+        group = ReplicaGroup(3, seed=2)
+        network = group.network
+        network.transport = lambda vm: FrameLimitedTransport(network, vm)
+        async with group.running():
+            leader = await group.wait_leader()
+            vm = next(vm for vm in group.vms if vm != group.vm_of(leader))
+            group.kill(vm)
+            large_value = orjson.dumps(['key', 'x' * 2_000_000])
+            for _ in range(10):
+                await leader.propose('put', large_value)
+            group.start(vm)
+            await group.wait_until_converged(10)
+
+    run_with_mock_clock(main)
