No request for permits is sent through a client that has fallen silent

What callers saw: steps waited a quarter of a second longer for each process that had gone dark 1.2 to 2.5 s before and was idle: a request was sent through it, and found overdue by the next maintenance.

Cause: a silent client stays known for 2.5 s, and nothing looked at its silence when a request was assigned. With many processes cut off at once, a step could meet several of them in turn.

Evidence: the first new test failed before, with the request sent through the silent client.

Change: a client that has not reported for 1.2 s gets no request until it does.

--- a/mulberryhitch/dispatch/permits.py
+++ b/mulberryhitch/dispatch/permits.py
@@ -20,6 +20,8 @@
 
 MAX_WORKERS_PER_REQUEST = 100
 _EXTRA_TIMEOUT_SECONDS = 1.0
+# A client reports each 0.5 s, so two reports are missing by then.
+_OVERDUE_SECONDS = 1.2
 _FAILED_PAUSE_SECONDS = 0.5
 _NETWORK_DELAY_SECONDS = 0.02
 _INITIAL_SHARE = 0.5
@@ -188,19 +190,16 @@
             if not client.busy and client.is_silent(silence_seconds):
                 self._clients.pop(name)
 
-    def release_overdue_requests(self, silence_seconds: float) -> None:
+    def release_overdue_requests(self) -> None:
         """Lets a step ask again if the client of its request fell silent.
 
         The answer is still used if it comes.
-
-        Args:
-            silence_seconds: Time since the client's last report.
         """
         for client in self._clients.values():
             request = client.request
             if request is None or client.overdue:
                 continue
-            if client.is_silent(silence_seconds):
+            if client.is_silent(_OVERDUE_SECONDS):
                 client.overdue = True
                 self._log.event(
                     'permits.overdue',
@@ -294,12 +293,14 @@
         return sorted(idle, key=lambda client: client.local)
 
     def _is_available(self, client: _Client, now: float) -> bool:
-        """Whether a client may be used again after a failed request.
+        """Whether a client may be used, also after a failed request.
 
-        A remote client must also have reported since the failure.
+        A remote client must have reported lately, and since the failure.
         """
         if now - client.failed_at < _FAILED_PAUSE_SECONDS:
             return False
+        if client.is_silent(_OVERDUE_SECONDS):
+            return False
         return client.local or client.last_contact_at > client.failed_at
 
     async def _request(self, client: _Client, request: PermitRequest) -> None:
--- a/tests/test_permit_planning.py
+++ b/tests/test_permit_planning.py
@@ -158,6 +158,39 @@
     run_with_mock_clock(main)
 
 
+def test_no_request_is_sent_through_a_client_that_has_fallen_silent() -> None:
+    async def main() -> None:
+        harness = make_harness(4)
+        silent_client = SilentPermitClient(())
+        async with harness.running():
+            manager = harness.dispatcher.permit_manager
+            manager.add_client('remote', silent_client)
+            await anyio.sleep(1.5)
+            await harness.submit('gang', GANG)
+            await harness.wait('gang', JobState.running)
+            assert not silent_client.requests
+
+    run_with_mock_clock(main)
+
+
+def test_an_answer_that_comes_late_through_a_silent_client_counts() -> None:
+    async def main() -> None:
+        harness = make_harness(4)
+        slow_client = FakePermitClient(tuple(harness.fleet.workers), 2)
+        async with harness.running():
+            manager = harness.dispatcher.permit_manager
+            manager.add_client('remote', slow_client)
+            local_client = harness.fleet.permit_client
+            assert local_client is not None
+            local_client.latency_seconds = 5
+            await harness.submit('gang', GANG)
+            await harness.wait('gang', JobState.running, 3)
+            assert len(slow_client.requests) == 1
+            assert local_client.requests
+
+    run_with_mock_clock(main)
+
+
 def test_a_wide_gang_asks_many_workers_side_by_side_through_idle_clients() -> (
     None
 ):
