--- a/mulberryhitch/replication/log_sender.py
+++ b/mulberryhitch/replication/log_sender.py
@@ -15,6 +15,7 @@
 from mulberryhitch.rpc.messages import (
     AppendReply,
     AppendRequest,
+    LogEntry,
     SnapshotReply,
     SnapshotRequest,
 )
@@ -78,8 +79,7 @@
             await self._send_snapshot(peer)
             return
         previous = peer.next_index - 1
-        limit = self._options.batch_entries
-        entries = self._state.entries_from(peer.next_index, limit)
+        entries = self._next_batch(peer.next_index)
         request = AppendRequest(
             self._state.group,
             peer.replica_id,
@@ -93,6 +93,18 @@
         peer.record_sent(len(entries), self._state.commit_index)
         send_tasks.start_soon(self._send, peer, request)
 
+    def _next_batch(self, index: int) -> list[LogEntry]:
+        """Returns the entries from an index on that one append may carry."""
+        limit = self._options.batch_entries
+        batch: list[LogEntry] = []
+        size = 0
+        for entry in self._state.entries_from(index, limit):
+            size += len(entry.body)
+            if batch and size > self._options.batch_bytes:
+                break
+            batch.append(entry)
+        return batch
+
     async def _send(self, peer: Progress, request: AppendRequest) -> None:
         sent_at = self._options.now()
         try:
--- a/mulberryhitch/replication/options.py
+++ b/mulberryhitch/replication/options.py
@@ -19,6 +19,8 @@
         disk_timeout_seconds: Time without an answer of its disk after which a
             leader hands over.
         batch_entries: Maximum entries in one append.
+        batch_bytes: Maximum size of the entries in one append; a larger entry
+            is sent on its own.
         commit_notify_seconds: Maximum delay before a follower is notified
             of newly committed entries; zero notifies it immediately.
         window: Maximum appends in flight to one peer.
@@ -41,6 +43,7 @@
     call_seconds: float = 2.0
     disk_timeout_seconds: float = 1.0
     batch_entries: int = 256
+    batch_bytes: int = 4_194_304
     commit_notify_seconds: float = 0
     window: int = 4
     compact_entries: int = 20_000
