A gang takes workers that are free now before it waits for busy ones

What callers saw: a job whose gang had to start again had nothing running for seconds, though the workers that it is allowed on had room for it several times over. Less urgent runs were stopped for gangs that fitted elsewhere.

Cause: workers for a gang were ranked by how many of its tasks fit once runs that end soon have ended and less urgent ones are stopped. A busy large worker so came before free ones. The gang waited for runs that took longer than projected, or stopped some, and asked for permits again if they overran.

Both tests failed before: the gang's second run did not start within 1 s, and a run of batch was stopped.

Fix: unless the workers reserved for it in the last round will do, a gang takes those on which it fits now and that no other gang has reserved; only if there are none it waits for runs to end or preempts some.

--- a/mulberryhitch/dispatch/preemption.py
+++ b/mulberryhitch/dispatch/preemption.py
@@ -107,11 +107,12 @@
     ) -> GangReservation | None:
         """Selects workers for a gang that can't start yet.
 
-        If it fits soon, once less urgent runs that can resume elsewhere are
-        preempted, such workers are selected. Otherwise it has to wait for
-        other runs to end, and the workers on which most of it will fit are
-        selected. A gang that may not reserve workers gets those that are free
-        now, if it fits.
+        The workers that were reserved for it are kept if it fits there soon.
+        Otherwise workers are selected on which it fits now, or else those on
+        which it fits soon, once less urgent runs that can resume elsewhere are
+        preempted. If there are none, it has to wait for other runs to end, and
+        the workers on which most of it will fit are selected. A gang that may
+        not reserve workers gets those that are free now, if it fits.
 
         Args:
             waiting: The gang.
@@ -129,17 +130,21 @@
             if not selected:
                 return None
             return GangReservation(selected, 0, fits_soon=True)
-        ranked = self._rank(
+        kept = self._earlier_reservations.get(waiting.execution.key, ())
+        ranked = self._rank_by_preference(
             waiting,
             eligible,
             lambda worker_id: self._free_after_preemption(waiting, worker_id),
-        )
-        kept = self._earlier_reservations.get(waiting.execution.key, ())
-        ranked.sort(
-            key=lambda row: self._preference(row[1], kept, is_covered),
-            reverse=True,
+            kept,
+            is_covered,
         )
         selected = _first_that_fit(ranked, needed)
+        if any(worker.record.worker_id not in kept for _, worker in selected):
+            # Runs may end later than projected, and a stop loses work.
+            selected = (
+                self._select_free(waiting, eligible, kept, is_covered)
+                or selected
+            )
         if selected:
             held = min(len(selected), self._reservable_workers)
             return GangReservation(selected, held, fits_soon=True)
@@ -189,6 +194,41 @@
                 self._allocate_with_preemption(waiting, worker_id, 1)
                 unplaced -= 1
 
+    def _select_free(
+        self,
+        waiting: WaitingStep,
+        eligible: Iterable[TrackedWorker],
+        kept: tuple[str, ...],
+        is_covered: Callable[[TrackedWorker], bool],
+    ) -> _WorkerCopies:
+        """Selects workers on which a gang fits now, except those of others."""
+        own = [
+            worker
+            for worker in eligible
+            if worker.record.worker_id in kept
+            or worker.record.worker_id not in self._earlier_reserved
+        ]
+        ranked = self._rank_by_preference(
+            waiting, own, self._free_capacity.of_worker, kept, is_covered
+        )
+        return _first_that_fit(ranked, waiting.execution.step.count)
+
+    def _rank_by_preference(
+        self,
+        waiting: WaitingStep,
+        eligible: Iterable[TrackedWorker],
+        free_resources: Callable[[str], Resources],
+        kept: tuple[str, ...],
+        is_covered: Callable[[TrackedWorker], bool],
+    ) -> _WorkerCopies:
+        """Returns how many tasks fit on each worker, the preferred ones first."""
+        ranked = self._rank(waiting, eligible, free_resources)
+        ranked.sort(
+            key=lambda row: self._preference(row[1], kept, is_covered),
+            reverse=True,
+        )
+        return ranked
+
     def _preference(
         self,
         worker: TrackedWorker,
--- a/tests/fake_workers.py
+++ b/tests/fake_workers.py
@@ -478,3 +478,10 @@
 
     def start_count(self, job_id: str) -> int:
         return sum(task.job_id == job_id for task, _, _ in self.fleet.starts)
+
+    async def wait_for_starts(
+        self, job_id: str, count: int, timeout_seconds: float = 30
+    ) -> None:
+        with anyio.fail_after(timeout_seconds):
+            while self.start_count(job_id) < count:
+                await anyio.sleep(0.01)
--- a/tests/test_permit_planning.py
+++ b/tests/test_permit_planning.py
@@ -4,8 +4,8 @@
 
 import anyio
 
-from mulberryhitch.jobs.model import PermitPolicy, Step
-from mulberryhitch.jobs.state import JobState
+from mulberryhitch.jobs.model import PermitPolicy, Step, TaskKey
+from mulberryhitch.jobs.state import JobState, RunOutcome
 from tests.fake_workers import (
     DispatcherHarness,
     FakePermitClient,
@@ -15,6 +15,8 @@
 
 POLICY = PermitPolicy(decide_seconds=0.7, each_seconds=0.006, valid_seconds=1.5)
 GANG = Step(4, 9000, 100, estimate_seconds=4, gang=True)
+FAILING_GANG_SECONDS = 4
+FAILING_GANG = replace(GANG, count=5, estimate_seconds=FAILING_GANG_SECONDS)
 
 
 def make_harness(workers: int) -> DispatcherHarness:
@@ -112,6 +114,57 @@
     run_with_mock_clock(main)
 
 
+def make_harness_with_a_failing_gang() -> DispatcherHarness:
+    """Adds a large worker, three small ones, and a gang that fails once."""
+    harness = make_harness(1)
+    harness.add_queue('low', urgency=2, permits=PermitPolicy(0, 0, 2))
+    for number in range(3):
+        harness.fleet.add_worker(f'small-{number}', 20000)
+    permit_client = harness.fleet.permit_client
+    assert permit_client is not None
+    permit_client.allowed.update(harness.fleet.workers)
+    for number in range(FAILING_GANG.count):
+        outcome = RunOutcome.broken if number else RunOutcome.failed
+        task = TaskKey('gang', 0, 0, number)
+        harness.fleet.outcomes[task, 1] = outcome
+    return harness
+
+
+def test_a_gang_does_not_wait_for_a_late_run_while_it_fits_on_free_workers() -> (
+    None
+):
+    async def main() -> None:
+        harness = make_harness_with_a_failing_gang()
+        long = Step(1, 32000, 100, estimate_seconds=FAILING_GANG_SECONDS)
+        async with harness.running():
+            await harness.submit('long', long, queue='low')
+            await harness.wait('long', JobState.running)
+            await harness.submit('gang', FAILING_GANG)
+            await harness.wait_for_starts('gang', FAILING_GANG.count)
+            (run,) = harness.fleet.workers['w0'].running.values()
+            run.ends_at = anyio.current_time() + FAILING_GANG_SECONDS + 0.4
+            await anyio.sleep(FAILING_GANG_SECONDS)
+            run.ends_at += 5
+            await harness.wait_for_starts('gang', 2 * FAILING_GANG.count, 1)
+
+    run_with_mock_clock(main)
+
+
+def test_a_gang_preempts_nothing_while_it_fits_on_free_workers() -> None:
+    async def main() -> None:
+        harness = make_harness_with_a_failing_gang()
+        batch = Step(1, 32000, 100, estimate_seconds=20, checkpointing=True)
+        async with harness.running():
+            await harness.submit('batch', batch, queue='low')
+            await harness.wait('batch', JobState.running)
+            await harness.submit('gang', FAILING_GANG)
+            await harness.wait('gang', JobState.completed)
+            await harness.wait('batch', JobState.completed)
+            assert harness.start_count('batch') == 1
+
+    run_with_mock_clock(main)
+
+
 def test_a_gang_asks_for_idle_workers_once_the_allowed_ones_are_busy() -> None:
     async def main() -> None:
         harness = make_harness(130)
