Permits are asked for through clients that have just reported

What callers saw: an accepted job with room on idle workers started 0.25 s or more later than its permits allowed, each time its request went to a process that had stopped.

Cause: a client whose process fell silent is removed after 2.5 s. From 1.2 s on a request sent through it counts as overdue, so a new one was given up as soon as the next maintenance pass looked at it, and made again. Idle clients were taken in the order in which they were added, also such ones.

Evidence: test_no_request_is_sent_through_a_client_that_has_fallen_silent failed before: the first request, for all four workers, went to the silent client. Found by reading; no play was traced to it.

Fix: clients that may be gone come after all others, also after the local one. They are still used if no other is idle, as after a pause of the leader.

--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -24,8 +24,6 @@
 from mulberryhitch.jobs.state import Job, RunOutcome, StepExecution
 
 _CLIENT_SILENCE_SECONDS = 2.5
-# A client reports each 0.5 s, so two reports are missing by then.
-_OVERDUE_SECONDS = 1.2
 _PAUSE_FACTOR = 2
 
 
@@ -363,7 +361,7 @@
         while True:
             await anyio.sleep(self._term.options.maintenance_seconds)
             self.permit_manager.remove_silent_clients(_CLIENT_SILENCE_SECONDS)
-            self.permit_manager.release_overdue_requests(_OVERDUE_SECONDS)
+            self.permit_manager.release_overdue_requests()
             if not self._term.may_act():
                 continue
             await self._start_due_occurrences()
--- a/mulberryhitch/dispatch/permits.py
+++ b/mulberryhitch/dispatch/permits.py
@@ -22,6 +22,8 @@
 _EXTRA_TIMEOUT_SECONDS = 1.0
 _FAILED_PAUSE_SECONDS = 0.5
 _NETWORK_DELAY_SECONDS = 0.02
+# A client reports each 0.5 s, so two reports are missing by then.
+_OVERDUE_SECONDS = 1.2
 _INITIAL_SHARE = 0.5
 _SHARE_SMOOTHING = 0.2
 
@@ -188,19 +190,16 @@
             if not client.busy and client.is_silent(silence_seconds):
                 self._clients.pop(name)
 
-    def release_overdue_requests(self, silence_seconds: float) -> None:
+    def release_overdue_requests(self) -> None:
         """Lets a step ask again if the client of its request fell silent.
 
         The answer is still used if it comes.
-
-        Args:
-            silence_seconds: Time since the client's last report.
         """
         for client in self._clients.values():
             request = client.request
             if request is None or client.overdue:
                 continue
-            if client.is_silent(silence_seconds):
+            if client.is_silent(_OVERDUE_SECONDS):
                 client.overdue = True
                 self._log.event(
                     'permits.overdue',
@@ -284,14 +283,23 @@
         tasks.start_soon(self._request, client, request)
 
     def _sorted_idle_clients(self) -> list[_Client]:
-        """Returns the clients that could send a request now, local ones last."""
+        """Returns the clients that could send a request now.
+
+        Those that may have gone come last, and local ones before them.
+        """
         now = anyio.current_time()
         idle = [
             client
             for client in self._clients.values()
             if not client.busy and self._is_available(client, now)
         ]
-        return sorted(idle, key=lambda client: client.local)
+        return sorted(
+            idle,
+            key=lambda client: (
+                client.is_silent(_OVERDUE_SECONDS),
+                client.local,
+            ),
+        )
 
     def _is_available(self, client: _Client, now: float) -> bool:
         """Whether a client may be used again after a failed request.
--- a/tests/test_permit_planning.py
+++ b/tests/test_permit_planning.py
@@ -211,6 +211,21 @@
     run_with_mock_clock(main)
 
 
+def test_no_request_is_sent_through_a_client_that_has_fallen_silent() -> None:
+    async def main() -> None:
+        harness = make_harness(4)
+        silent_client = SilentPermitClient(())
+        async with harness.running():
+            manager = harness.dispatcher.permit_manager
+            manager.add_client('remote', silent_client)
+            await anyio.sleep(1.5)
+            await harness.submit('gang', GANG)
+            await harness.wait('gang', JobState.running, 1)
+            assert not silent_client.requests
+
+    run_with_mock_clock(main)
+
+
 def test_a_wide_gang_asks_many_workers_side_by_side_through_idle_clients() -> (
     None
 ):
