A worker that becomes idle is told that its last ends are committed

What callers saw: the last ends on a worker that got no further run, or whose ends a former leader had committed just before its disk was full, were listed by the worker and never acknowledged, as long as its heartbeats came. Cause: an end is acknowledged by the next poll, and an idle worker is polled only after 3 s without a contact, but each heartbeat (1.5 s) counts as one. Change: an idle worker that does not know of its committed ends yet is polled 1 s after the last of them; a run that starts meanwhile saves that poll.

--- a/mulberryhitch/dispatch/tracked_worker.py
+++ b/mulberryhitch/dispatch/tracked_worker.py
@@ -22,6 +22,8 @@
 _STALLED_SECONDS = 2.5
 # Longer than a worker takes for a heartbeat and a second attempt.
 _SILENT_SECONDS = 3.0
+# Long enough for a next run, whose polls acknowledge the ends as well.
+_ACKNOWLEDGEMENT_DELAY_SECONDS = 1.0
 _WHOLE_PERCENT = 100
 
 
@@ -137,6 +139,10 @@
             incarnation, seconds on the local clock.
         listed: Whether it has listed its runs to this leader.
         acknowledged_end: Number of the last end that is committed.
+        acknowledged_at: When the last end was committed, seconds on the local
+            clock.
+        reported_end: Number of the last end that the worker was told is
+            committed.
         clock: Last known time on the worker's clock, milliseconds.
         clock_at: When that was recorded, seconds on the local clock.
         last_contact_at: When it last answered or sent a heartbeat, seconds on
@@ -159,6 +165,8 @@
     began_at: float
     listed: bool = False
     acknowledged_end: int = 0
+    acknowledged_at: float = 0
+    reported_end: int = 0
     clock: int = 0
     clock_at: float = 0
     last_contact_at: float = 0
@@ -184,11 +192,22 @@
     def seconds_until_poll(self, now: float) -> float:
         """Returns when its list is needed; zero if it is needed now.
 
-        An idle worker is polled only if it has been silent for some time.
+        An idle worker is polled only if it has been silent for some time, or
+        does not know yet that its ends are committed.
         """
         if self.tracked_runs or not self.listed or self.missed_polls:
             return 0
-        return max(0, self.last_contact_at + _SILENT_SECONDS - now)
+        due_at = self.last_contact_at + _SILENT_SECONDS
+        if self.reported_end < self.acknowledged_end:
+            report_at = self.acknowledged_at + _ACKNOWLEDGEMENT_DELAY_SECONDS
+            due_at = min(due_at, report_at)
+        return max(0, due_at - now)
+
+    def acknowledge_end(self, number: int, now: float) -> None:
+        """Records that the ends up to a number are committed."""
+        if number > self.acknowledged_end:
+            self.acknowledged_end = number
+            self.acknowledged_at = now
 
     def update_record(self, record: WorkerRecord) -> None:
         """Replaces the record, and the total resources with it."""
@@ -246,6 +265,7 @@
         """Records that the worker was restarted."""
         self.update_record(record)
         self.acknowledged_end = 0
+        self.reported_end = 0
         self.clock = 0
         self.lease_granted_until = 0
         self.numbering_uncertain = True
--- a/mulberryhitch/dispatch/worker_monitor.py
+++ b/mulberryhitch/dispatch/worker_monitor.py
@@ -118,6 +118,7 @@
         elif not worker.removed:
             worker.missed_polls = 0
             worker.last_contact_at = anyio.current_time()
+            worker.reported_end = acknowledged_end
             await self._apply_view(worker, view, now)
 
     def _handle_missed_poll(
@@ -171,7 +172,7 @@
             return
         worker.numbering_uncertain = False
         newest = max((row.number for row in view.ended), default=0)
-        worker.acknowledged_end = max(worker.acknowledged_end, newest)
+        worker.acknowledge_end(newest, anyio.current_time())
 
     async def _check_incarnation(
         self, worker: TrackedWorker, view: WorkerView
