Every pair of six voters is wiped in a loss of power of all machines

What callers saw: nothing changes for them. Cause: the tests of lost disks took two disks at random, at set times of a replacement; none made sure that the group had six voters. Change: a test that waits for the sixth voter, and wipes each of the 15 pairs while all others start at the same moment.

--- a/tests/test_lost_disks.py
+++ b/tests/test_lost_disks.py
@@ -1,5 +1,7 @@
 """Two lost disks while all other machines lose power, during a replacement."""
 
+from itertools import combinations
+
 import anyio
 import pytest
 
@@ -53,3 +55,34 @@
             await group.wait_until_converged()
 
     run_with_mock_clock(main)
+
+
+async def _wait_for_a_surplus_voter(group: ReplicaGroup) -> None:
+    with anyio.fail_after(10):
+        while True:
+            leader = group.leader()
+            if leader is not None and len(leader.members.voters) > VOTERS:
+                return
+            await anyio.sleep(0.001)
+
+
+@pytest.mark.parametrize('seconds', [0, 0.02])
+def test_any_two_of_six_voters_may_lose_their_disks_in_a_loss_of_power(
+    seconds: float,
+) -> None:
+    async def main(lost: tuple[str, str]) -> None:
+        group = ReplicaGroup(VOTERS, 1, 1, QUICK_OPTIONS)
+        async with group.running():
+            client = await _change_while_a_voter_is_replaced(group, 1)
+            await _wait_for_a_surplus_voter(group)
+            await anyio.sleep(seconds)
+            group.lose_power(lost)
+            assert await group.put('after', 0, RECOVERY_SECONDS)
+            leader = await group.wait_leader()
+            assert not client.lost_at(group.vm_of(leader))
+            await group.wait_until_converged()
+            assert len(leader.members.voters) >= VOTERS
+
+    vms = ('vm-1', 'vm-2', 'vm-3', 'vm-4', 'vm-5', 'spare-1')
+    for lost in combinations(vms, TOLERATED_DISKS):
+        run_with_mock_clock(main, lost)
