The storm's permits leave room for every gang

Its first step was a gang of four tasks of 2.5 cores that the fake permit service allowed on i-0 only, which has 8 cores.

Each step is now allowed on i-0 and i-1, which hold the widest gang together. The time limit and the checks are unchanged.

--- a/tests/storm.py
+++ b/tests/storm.py
@@ -52,6 +52,8 @@
 _CANCEL_DELAY_SECONDS = 3
 _VISIBILITY_DELAY_SECONDS = 3
 _PERMITTED_SHARE = 0.6
+# Together they have room for the widest gang.
+_ALWAYS_PERMITTED = ('i-0', 'i-1')
 _MEAN_JOB_INTERVAL_SECONDS = 0.15
 
 Fault = Callable[['FaultInjectionRun'], Awaitable[None]]
@@ -632,7 +634,9 @@
 
 def _is_permitted(step: str, worker_id: str) -> bool:
     digest_byte = hashlib.sha256(f'{step}-{worker_id}'.encode()).digest()[0]
-    return digest_byte < _PERMITTED_SHARE * 256 or worker_id == 'i-0'
+    return (
+        digest_byte < _PERMITTED_SHARE * 256 or worker_id in _ALWAYS_PERMITTED
+    )
 
 
 async def _restart(
