A request that a stop cuts off is answered with 502

Callers saw: a request that was still in progress when the time for the last answers had passed got 500 and plain text. That status says neither that the request never runs (503) nor that its outcome is unknown (502), so a client could not tell whether to send it again. Nothing was logged with its path.

Cause: uvicorn cancels the application, which let the cancellation through.

Change: the application answers with 502 and the code outcome_unknown, logs request.cut_off with method and path, and then lets the cancellation go on.

Evidence: test_a_request_that_a_stop_cuts_off_is_answered_as_unknown got 500 before.

--- a/mulberryhitch/platform/asgi.py
+++ b/mulberryhitch/platform/asgi.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 from typing import Any, TypeAlias
 
+import anyio
 import orjson
 
 from mulberryhitch.constants import MILLISECONDS_PER_SECOND
@@ -94,7 +95,7 @@
         self.in_flight += 1
         started_at = time.monotonic()
         try:
-            response = await self._respond(scope, receive)
+            response = await self._respond_unless_cut_off(scope, receive, send)
             self._histograms.record(
                 'answer',
                 scope['method'],
@@ -105,6 +106,23 @@
         finally:
             self.in_flight -= 1
 
+    async def _respond_unless_cut_off(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> HttpResponse:
+        """Returns the response; if cancelled, sends one and raises again."""
+        try:
+            return await self._respond(scope, receive)
+        except anyio.get_cancelled_exc_class():
+            error = OutcomeUnknownError('cut off by the end of the shutdown')
+            self._log.problem(
+                'request.cut_off',
+                error.problem,
+                method=scope['method'],
+                path=scope['path'],
+            )
+            await self._send(_error_response(error), send)
+            raise
+
     async def _respond(self, scope: Scope, receive: Receive) -> HttpResponse:
         try:
             request = await self._read(scope, receive)
@@ -117,10 +135,7 @@
                 path=scope['path'],
                 status=http_status_of(error),
             )
-            return HttpResponse(
-                http_status_of(error),
-                orjson.dumps({'code': error.code, 'what': error.what}),
-            )
+            return _error_response(error)
         except Exception as unexpected_error:  # noqa: BLE001
             self._log.unexpected_error('request.defect', unexpected_error)
             unknown = OutcomeUnknownError('unexpected error')
@@ -181,6 +196,13 @@
         await send({'type': 'http.response.body', 'body': response.content})
 
 
+def _error_response(error: MulberryhitchError) -> HttpResponse:
+    return HttpResponse(
+        http_status_of(error),
+        orjson.dumps({'code': error.code, 'what': error.what}),
+    )
+
+
 def http_status_of(error: MulberryhitchError) -> int:
     """Returns an error's HTTP status; 503 means nothing ran or will run."""
     if error.outcome is Outcome.unknown:
--- a/tests/test_requests_at_a_stop.py
+++ b/tests/test_requests_at_a_stop.py
@@ -30,7 +30,13 @@
 class StoppedServer:
     """A server that records which requests it read and which were answered."""
 
-    def __init__(self, seed: int, *, announces_close: bool) -> None:
+    def __init__(
+        self,
+        seed: int,
+        *,
+        announces_close: bool,
+        graceful_seconds: float = 10,
+    ) -> None:
         self.port = find_free_ports()
         self.read: set[str] = set()
         self.answered: set[str] = set()
@@ -49,7 +55,7 @@
                 http=FirstRequestTimeoutProtocol,
                 lifespan='off',
                 log_config=None,
-                timeout_graceful_shutdown=10,
+                timeout_graceful_shutdown=graceful_seconds,
             )
         )
 
@@ -184,3 +190,21 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(main)
+
+
+def test_a_request_that_a_stop_cuts_off_is_answered_as_unknown() -> None:
+    async def main() -> None:
+        server = StoppedServer(1, announces_close=True, graceful_seconds=0.1)
+        server.handling_seconds = (20,)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.serve)
+            connection = await server.connect()
+            await connection.send(request_bytes('POST', '/x', {}))
+            await anyio.sleep(0.1)
+            server.stop()
+            with anyio.fail_after(10):
+                assert (await connection.read_answer())[0] == 502
+                with pytest.raises(NoCompleteAnswer):
+                    await connection.read_answer()
+
+    anyio.run(main)
