--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -56,13 +56,32 @@
         """Refuses every write from now on, as a full disk does."""
         self.failing_operation = 'write'
 
+    def fill_after_a_snapshot(self) -> None:
+        """Stores a snapshot, and refuses to rewrite the log after it."""
+        self.failing_operation = 'compact'
+
     def free(self) -> None:
         """Accepts writes again."""
         self.failing_operation = ''
 
     def load(self) -> StoredState:
+        self._stored.entries = self._continuing_entries()
+        self.crash()
         return replace(self._stored, entries=list(self._stored.entries))
 
+    def _continuing_entries(self) -> list[LogEntry]:
+        """Returns the entries behind the snapshot, if the log matches it."""
+        snapshot, entries = self._stored.snapshot, self._stored.entries
+        if snapshot is None or not entries:
+            return entries
+        index, term = snapshot.last_index, snapshot.last_term
+        matches = any(
+            (entry.index, entry.term) == (index, term) for entry in entries
+        )
+        if not matches and entries[0].index != index + 1:
+            return []
+        return [entry for entry in entries if entry.index > index]
+
     def write(self, entries: list[LogEntry]) -> None:
         if self.failing_operation == 'write':
             raise DiskFullError('no space left', where=self.vm)
@@ -98,6 +117,8 @@
         if self.failing_operation == 'write':
             raise DiskFullError('no space left', where=self.vm)
         self._stored.snapshot = snapshot
+        if self.failing_operation == 'compact':
+            raise DiskFullError('no space left', where=self.vm)
         self._written = list(entries)
         self._stored.entries = list(entries)
 
--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -151,3 +151,66 @@
                 assert group.replicas[vm].state.snapshot_index > 0
 
     run_with_mock_clock(main)
+
+
+async def _behind_a_snapshot(group: ReplicaGroup) -> str:
+    """Returns a follower that needs the snapshot of its leader."""
+    leader = await group.wait_leader()
+    others = set(group.vms) - {group.vm_of(leader)}
+    vm = group.rng.choice(sorted(others))
+    await anyio.sleep(1)
+    group.network.isolate(vm)
+    for number in range(QUICK_OPTIONS.compact_entries + 10):
+        assert await group.put(f'key {number}', number)
+    await anyio.sleep(1)
+    return vm
+
+
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize('full_after_snapshot', [False, True])
+def test_a_replica_installs_a_snapshot_once_its_full_disk_has_room(
+    full_after_snapshot: bool, seed: int
+) -> None:
+    async def main() -> None:
+        async with ReplicaGroup(3, seed, 0, QUICK_OPTIONS).running() as group:
+            vm = await _behind_a_snapshot(group)
+            disk = group.disks[vm]
+            for _ in range(3):
+                if full_after_snapshot:
+                    disk.fill_after_a_snapshot()
+                else:
+                    disk.fill()
+                group.network.heal()
+                await anyio.sleep(1)
+                assert vm in group.network.nodes
+                disk.free()
+                await anyio.sleep(group.rng.random() / 5)
+            await group.wait_until_converged()
+
+    run_with_mock_clock(main)
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_a_loss_of_power_between_a_snapshot_and_its_log_loses_nothing(
+    seed: int,
+) -> None:
+    async def main() -> None:
+        group = ReplicaGroup(5, seed, 1, QUICK_OPTIONS)
+        client = ChangeClient(group)
+        async with group.running():
+            await group.wait_leader()
+            for vm in group.vms:
+                group.disks[vm].fill_after_a_snapshot()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(client.run)
+                await anyio.sleep(25)
+                tasks.cancel_scope.cancel()
+            for vm in group.disks:
+                group.disks[vm].free()
+            group.lose_power(())
+            assert await group.put('after', 0, 12)
+            await group.wait_until_converged()
+            assert len(client.acknowledged) > QUICK_OPTIONS.compact_entries
+            assert not any(map(client.lost_at, group.vms))
+
+    run_with_mock_clock(main)
