A refused proposal can't come back after a loss of power

What callers saw: a request that was refused for a full disk, as not run, could run after all, if the power of the leader was lost just then. Cause: a short write may leave whole records of its batch in the file. They are cut off, but the proposals were refused before the cut was synced; a loss of power can bring the records back, and a leader that starts with them replicates them. Change: the cut is synced before the proposals are refused; if that sync fails, their outcome is unknown.

--- a/mulberryhitch/replication/leadership.py
+++ b/mulberryhitch/replication/leadership.py
@@ -235,9 +235,7 @@
         """Completes the proposal of an applied entry."""
         if entry.term == self.term:
             self._ready.set()
-        proposal = self._pending.pop(entry.index, None)
-        if proposal is not None:
-            proposal.complete(result, failure)
+        self._complete_pending(entry.index, result, failure)
 
     def _last_quorum_contact(self) -> float:
         now = self._options.now()
@@ -275,13 +273,13 @@
                     self.step_down()
                     return
                 await self._state.sync()
-                self._write_batch()
+                await self._write_batch()
             for peer in self._peers.values():
                 peer.wake()
             await self._state.sync()
             self._advance_commit_index()
 
-    def _write_batch(self) -> None:
+    async def _write_batch(self) -> None:
         if not self._queue:
             return
         batch = list(self._queue)
@@ -300,8 +298,10 @@
         try:
             self._state.write(entries)
         except DiskFullError as error:
+            # A loss of power must not bring back entries that were rejected.
+            await self._state.sync()
             for rejected in entries:
-                self._pending.pop(rejected.index).complete(None, error)
+                self._complete_pending(rejected.index, None, error)
             self.disk_full.set()
             if not self.ready:
                 self.step_down()
@@ -309,6 +309,13 @@
         if any(entry.kind == MEMBERS_KIND for entry in entries):
             self._update_peers()
 
+    def _complete_pending(
+        self, index: int, result: Any, failure: MulberryhitchError | None
+    ) -> None:
+        proposal = self._pending.pop(index, None)
+        if proposal is not None:
+            proposal.complete(result, failure)
+
     def _advance_commit_index(self) -> None:
         members = self._state.members
         matches = [
--- a/tests/test_durability.py
+++ b/tests/test_durability.py
@@ -142,6 +142,32 @@
     raise OSError(errno.ENOSPC, 'no space left on device')
 
 
+def test_a_proposal_is_refused_once_what_its_write_left_is_removed_durably() -> (
+    None
+):
+    async def main() -> None:
+        async with ReplicaGroup(3, seed=1).running() as group:
+            leader = await group.wait_leader()
+            await anyio.sleep(1)
+            disk = group.disks[group.vm_of(leader)]
+            stored = list(disk._written)
+
+            def write_half(entries: list[LogEntry]) -> None:
+                disk._written.append(_put(0))
+                raise DiskFullError('no space left')
+
+            async def remove_the_rest() -> None:
+                await anyio.sleep(disk.sync_seconds)
+                disk._written = stored
+
+            disk.write, disk.sync = write_half, remove_the_rest
+            with pytest.raises(DiskFullError):
+                await leader.propose('put', b'["key", 1]')
+            assert disk.is_synced
+
+    run_with_mock_clock(main)
+
+
 def test_a_proposal_ends_with_the_leadership_and_not_with_a_disk_that_hangs() -> (
     None
 ):
