A service announced while connections are closed no longer ends an entry

In a cell, the process of an entry ended, with the requests in its hands, if a backend server of a new service announced itself while the entry closed its connections to a server that it no longer owned.

Cause: the refresh of the owned servers goes through the services and waits for connections to be closed on the way; an announcement adds a service meanwhile. No other loop over a view of a dictionary waits in its body.

Evidence: the new test failed before with RuntimeError: dictionary changed size during iteration.

Change: the refresh goes through the services that it found.

--- a/mulberryhitch/requests/owned_servers.py
+++ b/mulberryhitch/requests/owned_servers.py
@@ -42,7 +42,8 @@
         """Refreshes all owned servers periodically, until cancelled."""
         while True:
             await anyio.sleep(_REFRESH_INTERVAL_SECONDS)
-            for slots in self._router.services.values():
+            # A service may be added while connections are closed.
+            for slots in tuple(self._router.services.values()):
                 await self._refresh(slots)
 
     def on_announcement(self, announcement: Announcement) -> None:
