A reply that can't be encoded no longer ends the server

If a handler returned a reply that Thrift can't encode, such as an integer beyond 64 bits, the RPC server ended, and the process with it; each caller of that connection got no answer.

Cause: unexpected errors of a handler are answered as an unknown outcome, but the reply was encoded outside of that handling, where only errors of the connection are expected.

Change: the reply is encoded where the handler's errors are answered.

--- a/mulberryhitch/rpc/server.py
+++ b/mulberryhitch/rpc/server.py
@@ -129,24 +129,26 @@
     async def _serve_call(
         self, frames: FrameStream, send_lock: anyio.Lock, call: Call
     ) -> None:
-        call_result = await self._handle_call(call)
+        result_frame = await self._handle_call(call)
         try:
             async with send_lock:
-                await frames.send(encode_result(call_result))
+                await frames.send(result_frame)
         except _CONNECTION_ERRORS:
             return
 
-    async def _handle_call(self, call: Call) -> CallResult:
+    async def _handle_call(self, call: Call) -> bytes:
         try:
             reply = await self._dispatch(call)
+            return encode_result(
+                CallResult(call.method, call.sequence_id, reply, None)
+            )
         except MulberryhitchError as error:
-            return self._error_result(call, error.problem)
+            return self._encode_error(call, error.problem)
         except Exception as unexpected:  # noqa: BLE001
             self._log.unexpected_error('rpc.call', unexpected)
-            return self._error_result(
+            return self._encode_error(
                 call, Problem('outcome_unknown', repr(unexpected), call.method)
             )
-        return CallResult(call.method, call.sequence_id, reply, None)
 
     async def _dispatch(self, call: Call) -> Any:
         handler = self._handlers.get(call.method)
@@ -169,5 +171,7 @@
         finally:
             self._active_calls -= 1
 
-    def _error_result(self, call: Call, problem: Problem) -> CallResult:
-        return CallResult(call.method, call.sequence_id, None, problem)
+    def _encode_error(self, call: Call, problem: Problem) -> bytes:
+        return encode_result(
+            CallResult(call.method, call.sequence_id, None, problem)
+        )
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -159,3 +159,25 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(main)
+
+
+def test_a_reply_that_cannot_be_encoded_ends_no_server() -> None:
+    async def reply_beyond_64_bits(request: HelloRequest) -> HelloReply:
+        return HelloReply('other', False, [], [], 2**64)
+
+    async def main() -> None:
+        server = RpcServer(Log('test'))
+        server.register('hello', reply_beyond_64_bits)
+        port = find_free_ports()
+        async with anyio.create_task_group() as tasks:
+            await _serve_and_wait(server, port, tasks)
+            peer = PeerConnection('caller', '127.0.0.1', port)
+            tasks.start_soon(peer.run)
+            await anyio.sleep(0)
+            with pytest.raises(OutcomeUnknownError):
+                await peer.call('hello', HELLO, 20)
+            server.register('hello', _reply_to_hello)
+            await _assert_serves(port, tasks)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
