A gang that can't start on a silent worker frees its other workers at once

What callers saw: jobs waited for room that a gang held without running: one of its workers gave no answer to the start, and the others kept their share until that worker was removed, or until they gave up by themselves.

Cause: the rest of a gang was stopped after the run that did not start. Stopping that one is repeated until its worker answers or its lease has expired.

Fix: once it is known that the run has to be stopped, the rest of its gang is stopped too, and then the stop is repeated.

--- a/mulberryhitch/dispatch/run_controller.py
+++ b/mulberryhitch/dispatch/run_controller.py
@@ -227,6 +227,9 @@
             self._term.record_stop(
                 command.task, tracked.run, worker.record.worker_id, 'no answer'
             )
+            tracked.stopping_at = anyio.current_time()
+            # The stop may take until the worker's lease has expired.
+            self.stop_gang(command.task, tracked.run, 'a member did not start')
             await self._stop_until_acknowledged(worker, tracked, command.task)
         else:
             if answer is WorkerAnswer.no_permit:
--- a/tests/test_stuck_jobs.py
+++ b/tests/test_stuck_jobs.py
@@ -119,3 +119,20 @@
             assert harness.start_count('g') == gang.count
 
     run_with_mock_clock(main)
+
+
+def test_a_gang_with_a_silent_worker_does_not_keep_room_on_the_others() -> None:
+    async def main() -> None:
+        harness = DispatcherHarness()
+        for name in ('w1', 'w2', 'w3'):
+            harness.fleet.add_worker(name, 2000)
+        async with harness.running():
+            await anyio.sleep(0.5)
+            harness.fleet.workers['w3'].silent = True
+            gang = Step(6, 1000, 100, estimate_seconds=20, gang=True)
+            await harness.submit('g', gang)
+            await anyio.sleep(1)
+            await harness.submit('j', replace(SMALL, processors=2000))
+            assert await harness.wait('j', JobState.completed) < 1
+
+    run_with_mock_clock(main)
