Handing over the leadership is a module of its own

A handover also ends now if the leadership ends in some other way while voters are asked; before, that was noticed only once another leader was known.

--- a/mulberryhitch/replication/leadership.py
+++ b/mulberryhitch/replication/leadership.py
@@ -103,7 +103,7 @@
     @property
     def authority_expires_at(self) -> float:
         """Returns when the lease expires, in seconds of the local clock."""
-        if self._transferring or self._ended.is_set():
+        if self._transferring or self.ended:
             return 0
         lease = self._options.election_seconds - self._options.drift_seconds
         return self._last_quorum_contact() + lease
@@ -113,6 +113,11 @@
         """Whether the lease is valid now."""
         return self._options.now() < self.authority_expires_at
 
+    @property
+    def ended(self) -> bool:
+        """Whether it has stepped down."""
+        return self._ended.is_set()
+
     @property
     def ready(self) -> bool:
         """Whether an entry of this term is committed."""
@@ -188,7 +193,7 @@
             OutcomeUnknownError: The leadership ended before the outcome was
                 known; the entry may be committed.
         """
-        if self._ended.is_set() or self._transferring:
+        if self.ended or self._transferring:
             raise NotLeaderError('no longer the leader')
         if len(self._queue) >= _MAX_QUEUED_PROPOSALS:
             raise OverloadedError(
@@ -223,7 +228,7 @@
         with anyio.move_on_after(self._options.election_seconds):
             await self._ready.wait()
             while not self.has_authority:
-                if self._ended.is_set():
+                if self.ended:
                     break
                 await anyio.sleep(self._options.heartbeat_seconds)
         if not self.ready or not self.has_authority:
@@ -355,7 +360,7 @@
         index = matches[members.quorum - 1]
         if index <= self._state.commit_index:
             return
-        if self._state.term_at(index) != self.term or self._ended.is_set():
+        if self._state.term_at(index) != self.term or self.ended:
             return
         self._state.commit(index)
         if not self._options.commit_notify_seconds:
--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -12,7 +12,6 @@
     DiskFullError,
     InvariantError,
     LostAuthorityError,
-    MulberryhitchError,
     NotLeaderError,
     StorageError,
 )
@@ -23,9 +22,10 @@
 from mulberryhitch.replication.election import Election
 from mulberryhitch.replication.failstop import FailStop
 from mulberryhitch.replication.follower import Follower
+from mulberryhitch.replication.handover import Handover
 from mulberryhitch.replication.interfaces import Transport
 from mulberryhitch.replication.leadership import Leadership
-from mulberryhitch.replication.members import Members, vm_of
+from mulberryhitch.replication.members import Members
 from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.reconciler import MembershipReconciler
 from mulberryhitch.replication.reporting import ReplicationReporter
@@ -92,6 +92,7 @@
         self._fail_stop = FailStop(self._record_fatal_error)
         self._reporter = ReplicationReporter(state, log)
         self._compaction = Compaction(state, options, self._fail_stop, log)
+        self._handover = Handover(state, transport, options, log)
         self._tasks: TaskGroup | None = None
         self._retiring = False
         self._target_voters = options.target_voters or len(initial_vms)
@@ -226,13 +227,8 @@
 
     async def transfer_leadership(self) -> None:
         """Transfers leadership to another voter if this replica leads."""
-        leadership = self._leadership
-        if leadership is None:
-            return
-        for successor in await leadership.prepare_transfer():
-            if await self._hand_over_to(successor, leadership):
-                break
-        leadership.step_down()
+        if self._leadership is not None:
+            await self._handover.run(self._leadership)
 
     async def replace_voter(self, old_id: str) -> None:
         """Removes a voter that has failed permanently.
@@ -319,20 +315,6 @@
         self._tasks.start_soon(self._try_campaign, True)
         return TakeOverReply(accepted=True)
 
-    async def _hand_over_to(
-        self, successor: str, leadership: Leadership
-    ) -> bool:
-        """Returns whether the successor takes over, or another one leads."""
-        if self._leadership is not leadership:
-            return True
-        request = TakeOverRequest(self.group, successor, leadership.term)
-        try:
-            reply = await self._call(successor, 'take_over', request)
-        except MulberryhitchError as error:
-            self._log.problem('replica.hand_over', error.problem)
-            return False
-        return isinstance(reply, TakeOverReply) and reply.accepted
-
     def _require_leadership(self) -> Leadership:
         if self._leadership is None:
             raise NotLeaderError(
@@ -525,11 +507,3 @@
         self._log.event(
             'replica.leads_no_more', group=self.group, term=leadership.term
         )
-
-    async def _call(self, replica_id: str, method: str, request: Any) -> Any:
-        return await self._transport.call(
-            vm_of(replica_id),
-            method,
-            request,
-            self._options.election_seconds,
-        )
