A leader without other voters waits for its disk

What callers saw: in a group of one voter, changes in progress ended with an unknown outcome if the disk did not answer for over 1 s, where they had only to wait. Cause: since a leader whose disk stalls hands over, also if there is nobody to take over. Change: a leader that is the only voter goes on.

--- a/mulberryhitch/replication/leadership.py
+++ b/mulberryhitch/replication/leadership.py
@@ -143,7 +143,8 @@
             return False
         waited = self._options.now() - self._write_began_at
         is_late = waited > self._options.disk_timeout_seconds
-        return is_late and self.has_authority
+        is_alone = len(self._state.members.voters) == 1
+        return is_late and self.has_authority and not is_alone
 
     def synced_indexes(self) -> dict[str, int]:
         """Returns the last index that each member is known to have synced."""
--- a/tests/test_stalled_disks.py
+++ b/tests/test_stalled_disks.py
@@ -4,6 +4,7 @@
 import pytest
 
 from tests.change_client import ChangeClient
+from tests.fakes import FakeDisk
 from tests.replica_group import QUICK_OPTIONS, ReplicaGroup, run_with_mock_clock
 
 STALL_SECONDS = 20
@@ -19,6 +20,11 @@
         await client.run()
 
 
+async def _resume_after(disk: FakeDisk, seconds: float) -> None:
+    await anyio.sleep(seconds)
+    disk.resume()
+
+
 @pytest.mark.parametrize('size, spares', [(3, 0), (3, 1), (5, 1)])
 @pytest.mark.parametrize('seed', [1, 2])
 def test_changes_go_on_while_the_leaders_disk_does_not_answer(
@@ -61,3 +67,17 @@
             assert leader.has_authority
 
     run_with_mock_clock(main)
+
+
+def test_a_leader_without_other_voters_waits_for_its_disk() -> None:
+    async def main() -> None:
+        async with ReplicaGroup(1, 1, options=QUICK_OPTIONS).running() as group:
+            await group.wait_leader()
+            disk = group.disks['vm-1']
+            disk.stall()
+            group.task_group.start_soon(_resume_after, disk, 3)
+            is_committed = await group.put('key', 1)
+            disk.resume()
+            assert is_committed
+
+    run_with_mock_clock(main)
