--- a/tests/test_stuck_jobs.py
+++ b/tests/test_stuck_jobs.py
@@ -96,11 +96,16 @@
     run_with_mock_clock(main)
 
 
+def _harness_with_three_workers() -> DispatcherHarness:
+    harness = DispatcherHarness()
+    for name in ('w1', 'w2', 'w3'):
+        harness.fleet.add_worker(name, 2000)
+    return harness
+
+
 def test_a_gang_does_not_wait_for_a_member_that_could_not_be_granted() -> None:
     async def main() -> None:
-        harness = DispatcherHarness()
-        for name in ('w1', 'w2', 'w3'):
-            harness.fleet.add_worker(name, 2000)
+        harness = _harness_with_three_workers()
         async with harness.running():
             await anyio.sleep(0.5)
             dead = harness.fleet.workers.pop('w3')
@@ -123,9 +128,7 @@
 
 def test_a_gang_with_a_silent_worker_does_not_keep_room_on_the_others() -> None:
     async def main() -> None:
-        harness = DispatcherHarness()
-        for name in ('w1', 'w2', 'w3'):
-            harness.fleet.add_worker(name, 2000)
+        harness = _harness_with_three_workers()
         async with harness.running():
             await anyio.sleep(0.5)
             harness.fleet.workers['w3'].silent = True
