--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import hashlib
 import json
 import math
 import os
@@ -162,7 +163,7 @@
             'bounds': self.cell.bounds,
             'config_mode': 'highest',
             'orders': 'call',
-            'advice': '',
+            'advice': self.cell.advice.address if self.cell.advice else '',
         }  # fmt: skip
         path = self.folder / 'settings.json'
         path.with_suffix('.new').write_text(json.dumps(settings))
@@ -387,6 +388,10 @@
             return 409, {'reason': 'old'}
         if self.until <= self.clock():
             return 409, {'reason': 'late'}
+        advice = self.cell.advice
+        step = task.rsplit('.', 1)[0]
+        if advice and not advice.is_valid(content.get('ticket'), step, self):
+            return 409, {'reason': 'ticket'}
         words = content['spec'].split()
         lasts = words[0] == 'lasting'
         work = float('inf') if lasts else int(words[0]) / 1000
@@ -435,6 +440,75 @@
         return min(99, int(100 * (1 - run['left'] / run['work'])))
 
 
+class Advice:
+    """The service for advice, as PROTOCOL.md describes it.
+
+    Each step may run on ``count`` runners, which a hash of its name selects.
+    """
+
+    def __init__(self, cell, count, decide_ms, each_ms, valid_ms):
+        self.cell = cell
+        self.count = count
+        self.timing = {
+            'decide_ms': decide_ms, 'each_ms': each_ms, 'valid_ms': valid_ms,
+        }  # fmt: skip
+        self.address = f'{cell.network}.4.1:8169'
+        self.valid_until = {}
+        self._turns = {}
+
+    async def start(self):
+        host, port = self.address.rsplit(':', 1)
+        await asyncio.start_server(self._serve, host, int(port))
+
+    def allowed(self, step):
+        """Returns the ids of the runners that may run a step."""
+        ids = [runner.id for runner in self.cell.runners]
+        ids.sort(key=lambda name: hashlib.md5((step + name).encode()).digest())
+        return ids[: self.count]
+
+    def is_valid(self, ticket, step, runner):
+        """Whether a ticket is valid for a step on a runner now."""
+        until = self.valid_until.get((ticket, step, runner.id, runner.born), 0)
+        return time.monotonic() < until
+
+    async def _serve(self, reader, writer):
+        caller = writer.get_extra_info('peername')[0]
+        turn = self._turns.setdefault(caller, asyncio.Lock())
+        try:
+            while True:
+                _, _, body = await read_message(reader)
+                async with turn:
+                    answer = await self._advise(json.loads(body))
+                content = json.dumps(answer).encode()
+                writer.write(
+                    b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
+                    + f'Content-Length: {len(content)}\r\n\r\n'.encode()
+                    + content
+                )
+                await writer.drain()
+        except (OSError, EOFError):
+            pass
+        finally:
+            writer.close()
+
+    async def _advise(self, content):
+        step, named = content['step'], content['workers'][:100]
+        each = self.timing['each_ms'] * len(named)
+        await asyncio.sleep((self.timing['decide_ms'] + each) / 1000)
+        until = time.monotonic() + self.timing['valid_ms'] / 1000
+        rows = []
+        allowed = self.allowed(step)
+        for runner in self.cell.runners:
+            if runner.id in named and runner.id in allowed:
+                ticket = f'{random.getrandbits(64):016x}'
+                key = (ticket, step, runner.id, runner.born)
+                self.valid_until[key] = until
+                rows.append([runner.id, ticket])
+        self.cell.record('advice for', step, 'on', *named, '-> granted',
+                         *(row[0] for row in rows))  # fmt: skip
+        return {'granted': rows}
+
+
 class Cell:
     """A small deployment: schedulers, entries and runners.
 
@@ -455,6 +529,7 @@
         ]
         self.entries = [Program(self, 'entry', i) for i in range(entries)]
         self.runners = []
+        self.advice = None
         self.starts = []
         self.intervals = {}
         self.version = 0
@@ -483,7 +558,11 @@
         """Sends the first configuration until it is accepted."""
         for runner in self.runners:
             await runner.start()
-        await self.configure([route('q', '/q/')], seconds)
+        fields = {}
+        if self.advice:
+            await self.advice.start()
+            fields['advice'] = self.advice.timing
+        await self.configure([route('q', '/q/', **fields)], seconds)
         for _ in range(100):
             status, _ = await self.request('GET', '/q/')
             if status == 200:
