--- a/review/4/play.py
+++ b/review/4/play.py
@@ -9,8 +9,8 @@
 
 from standins import TROUBLE, Runner, find_overlaps, make_cell, new_job_id, run_case
 
-RUNNERS = 18
-SLOW = 3
+RUNNERS = 54
+SLOW = 9
 SLOW_FACTOR = 6
 SLOW_SECONDS = 7.0
 CUT_SECONDS = 5.5
@@ -20,7 +20,7 @@
 
 async def play(folder):
     cell = make_cell(folder)
-    # The first six are of kind b; half of these turn slow.
+    # The first 18 are of kind b; half of these turn slow.
     cell.runners = [
         Runner(cell, number, ('b' if number < 2 * SLOW else 'a', 'r1-1'),
                rate=CLOCK_RATE, zone='abcd'[number % 4])
@@ -36,16 +36,16 @@
         for runner in slow:
             runner.slow = SLOW_FACTOR
         cell.record('slow:', *(runner.id for runner in slow))
-    # Each task is as large as a runner, so each of the six gets one.
+    # Each task is as large as a runner, so each of the 18 gets one.
     for number in range(2 * SLOW):
         await cell.submit(
             new_job_id(),
-            {'spec': '3000', 'steps': [{'count': 1, 'cpu': 1000, 'mem_mb': 64,
-                                        'estimate_ms': 3000,
+            {'spec': '3600', 'steps': [{'count': 1, 'cpu': 1000, 'mem_mb': 64,
+                                        'estimate_ms': 3600,
                                         'requires': 'b'}]},
         )  # fmt: skip
-        await asyncio.sleep(0.085)
-    await asyncio.sleep(2.0)
+        await asyncio.sleep(0.06)
+    await asyncio.sleep(1.0)
     if TROUBLE and os.environ.get('CUT') != '0':
         for runner in slow:
             runner.is_cut = True
