--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -667,20 +667,34 @@
 
 def run_case(folder, play):
     """Runs ``play(folder)``, which returns whether the rule held; exits."""
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, lambda *_: _end(NOT_RUN, 'the case was ended'))
+    asyncio.run(_play_and_exit(folder, play))
+
+
+async def _play_and_exit(folder, play):
     try:
         if not (ROOT / 'target' / 'deps').is_dir():
             raise CannotRunError('target/deps is missing: build first')
-        kept = asyncio.run(asyncio.wait_for(play(folder), TIME_LIMIT_SECONDS))
+        task = asyncio.create_task(play(folder))
+        done, _ = await asyncio.wait({task}, timeout=TIME_LIMIT_SECONDS)
+        if not done:
+            raise CannotRunError('out of time')
+        kept = task.result()
     except Exception as error:  # whatever it is, the case was not played
         traceback.print_exc()
-        print('the case could not run:', repr(error))
-        sys.exit(NOT_RUN)
-    finally:
-        for cell in _cells:
-            cell.stop()
-    print('the rule held' if kept else 'the rule was broken')
-    sys.exit(HELD if kept else BROKEN)
+        _end(NOT_RUN, f'the case could not run: {error!r}')
+    if kept:
+        _end(HELD, 'the rule held')
+    _end(BROKEN, 'the rule was broken')
+
+
+def _end(status, message):
+    """Stops all programs and exits at once, without waiting for tasks."""
+    for cell in _cells:
+        cell.stop()
+    print(message, flush=True)
+    os._exit(status)
 
 
 def find_overlaps(cell):
