--- a/review/5/play.py
+++ b/review/5/play.py
@@ -5,7 +5,7 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'common'))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from standins import (
     TROUBLE,
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec python3 "$(dirname "$0")/play.py"
+exec python3 -B "$(dirname "$0")/play.py"
--- a/review/common/standins.py
+++ b/review/standins.py
@@ -19,7 +19,7 @@
 import traceback
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 LASTING_STARTUP_SECONDS = 0.3
