One odd heartbeat no longer ends every scheduler

Cause: a value from outside that later code can't handle was let in, and an error met with one worker ended the leader. Here the address check allows an IPv6 scope; anyio hands such a host to getaddrinfo, which raises a UnicodeError ("label too long"), neither an OSError nor a TimeoutError; nothing between WorkerMonitor._watch and the process catches it.

The same cause on other paths, each shown by a test: - the gateway of our own workers and the connections to backend servers took addresses apart by themselves: a ValueError, and bracketed IPv6 never worked; - the text of a deeply nested reason, checkpoint, task name or permit is a RecursionError; - a connection that is reset while it opens is closed before its options are set: an OSError outside of the try; - any other unexpected error of a poll ended the term.

Change: one parser of addresses, used at every place that connects; it refuses scopes, multicast and unspecified hosts. Values of answers are used only if they are of the right type. A response is read up to 8 MiB. An unexpected error of one worker's poll is logged with its stack (worker.defect) and counts as a missed poll, so that the worker is left out and its lease runs out.

--- a/mulberryhitch/dispatch/runs/worker_monitor.py
+++ b/mulberryhitch/dispatch/runs/worker_monitor.py
@@ -99,6 +99,21 @@
         return _MISSED_POLL_PAUSE_SECONDS if worker.missed_polls else 0
 
     async def _poll(self, worker: TrackedWorker, wait_seconds: float) -> None:
+        """Polls a worker; an unexpected error counts as a missed poll.
+
+        What one worker answers must not end the leader's work on the others.
+        """
+        try:
+            await self._poll_or_raise(worker, wait_seconds)
+        except Exception as error:  # noqa: BLE001
+            self._record_missed_poll(worker)
+            self._term.log.unexpected_error(
+                'worker.defect', error, worker=worker.record.worker_id
+            )
+
+    async def _poll_or_raise(
+        self, worker: TrackedWorker, wait_seconds: float
+    ) -> None:
         now = anyio.current_time()
         acknowledged_end = (
             0 if worker.numbering_uncertain else worker.acknowledged_end
@@ -129,8 +144,7 @@
     def _handle_missed_poll(
         self, worker: TrackedWorker, error: MulberryhitchError
     ) -> None:
-        worker.missed_polls += 1
-        worker.numbering_uncertain = True
+        self._record_missed_poll(worker)
         if worker.missed_polls == 1:
             self._term.log.problem(
                 'worker.silent',
@@ -139,6 +153,10 @@
                 runs=len(worker.tracked_runs),
             )
 
+    def _record_missed_poll(self, worker: TrackedWorker) -> None:
+        worker.missed_polls += 1
+        worker.numbering_uncertain = True
+
     async def _handle_refusal(
         self, worker: TrackedWorker, view: WorkerAnswer
     ) -> None:
--- a/mulberryhitch/observability/log.py
+++ b/mulberryhitch/observability/log.py
@@ -90,14 +90,16 @@
         }
         self._write(event, {**details, **fields}, failure=True)
 
-    def unexpected_error(self, event: str, error: BaseException) -> None:
+    def unexpected_error(
+        self, event: str, error: BaseException, **fields: object
+    ) -> None:
         """Logs an unexpected error with its traceback."""
         details: dict[str, object] = {
             'code': 'internal',
             'what': repr(error),
             'stack': ''.join(traceback.format_exception(error)),
         }
-        self._write(event, details, failure=True)
+        self._write(event, {**details, **fields}, failure=True)
 
     def _write(
         self, event: str, fields: dict[str, object], *, failure: bool
--- a/mulberryhitch/platform/client.py
+++ b/mulberryhitch/platform/client.py
@@ -13,7 +13,7 @@
 import orjson
 from anyio.abc import SocketAttribute, SocketStream
 
-from mulberryhitch.configuration.addresses import check_address
+from mulberryhitch.configuration.addresses import SocketAddress, parse_address
 from mulberryhitch.errors import (
     InvalidInputError,
     OutcomeUnknownError,
@@ -29,6 +29,7 @@
 _CONNECT_TIMEOUT_SECONDS = 0.5
 _MAX_IDLE_CONNECTIONS = 6
 _RECEIVE_BYTES = 65_536
+_MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 _TCP_USER_TIMEOUT_MILLISECONDS = 3000
 
 _CONNECTION_ERRORS = (
@@ -54,10 +55,19 @@
         self._reader = ResponseReader()
 
     async def exchange(self, request_bytes: bytes) -> tuple[int, bytes]:
-        """Sends a request; returns the status and body of the response."""
+        """Sends a request; returns the status and body of the response.
+
+        Raises:
+            HttpParserError: The response is malformed or too large.
+        """
         await self._stream.send(request_bytes)
+        size = 0
         while not self._reader.is_complete:
-            self._reader.receive(await self._stream.receive(_RECEIVE_BYTES))
+            received = await self._stream.receive(_RECEIVE_BYTES)
+            size += len(received)
+            if size > _MAX_RESPONSE_BYTES:
+                raise HttpParserError(f'over {_MAX_RESPONSE_BYTES} bytes')
+            self._reader.receive(received)
         return self._reader.status, self._reader.body
 
     def prepare_for_reuse(self) -> bool:
@@ -144,22 +154,7 @@
         idle = self._idle.get(address)
         if idle:
             return idle.pop()
-        host, port = _host_and_port(address)
-        try:
-            with anyio.fail_after(_CONNECT_TIMEOUT_SECONDS):
-                stream = await anyio.connect_tcp(host, port)
-        except (OSError, TimeoutError) as error:
-            raise UnreachableError(
-                f'connection failed: {error!r}', where=address
-            ) from error
-        raw_socket = stream.extra(SocketAttribute.raw_socket)
-        raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        raw_socket.setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            _TCP_USER_TIMEOUT_MILLISECONDS,
-        )
-        return _Connection(stream)
+        return _Connection(await _connect(address))
 
     async def _release(self, address: str, connection: _Connection) -> None:
         idle = self._idle.setdefault(address, deque())
@@ -169,13 +164,47 @@
             await connection.close()
 
 
-def _host_and_port(address: str) -> tuple[str, int]:
+async def _connect(address: str) -> SocketStream:
+    """Opens a connection.
+
+    Raises:
+        UnreachableError: The address is malformed, or the connection failed.
+    """
+    socket_address = _parse_address(address)
+    try:
+        with anyio.fail_after(_CONNECT_TIMEOUT_SECONDS):
+            stream = await anyio.connect_tcp(
+                socket_address.host, socket_address.port
+            )
+        _set_options(stream)
+    # ValueError: a host that the standard library can't encode.
+    except (OSError, TimeoutError, ValueError) as error:
+        raise UnreachableError(
+            f'connection failed: {error!r}', where=address
+        ) from error
+    return stream
+
+
+def _set_options(stream: SocketStream) -> None:
+    """Sets options of a new connection.
+
+    Raises:
+        OSError: The peer has reset it already.
+    """
+    raw_socket = stream.extra(SocketAttribute.raw_socket)
+    raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    raw_socket.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        _TCP_USER_TIMEOUT_MILLISECONDS,
+    )
+
+
+def _parse_address(address: str) -> SocketAddress:
     try:
-        check_address(address)
+        return parse_address(address)
     except InvalidInputError as error:
         raise UnreachableError(error.what, where=address) from error
-    host, _, port = address.rpartition(':')
-    return host, int(port)
 
 
 def _decode(body: bytes, where: str) -> dict[str, Any]:
--- a/mulberryhitch/platform/run_lists.py
+++ b/mulberryhitch/platform/run_lists.py
@@ -82,7 +82,7 @@
     return RunningRow(
         _task_key(row[0]),
         _integer(row[1]),
-        str(row[2] or ''),
+        _checkpoint(row[2]),
         _integer(row[3]),
     )
 
@@ -93,10 +93,15 @@
         _task_key(row[1]),
         _integer(row[2]),
         _RUN_OUTCOMES[row[3]],
-        str(row[4] or ''),
+        _checkpoint(row[4]),
     )
 
 
+def _checkpoint(value: Any) -> str:
+    """Returns a checkpoint; empty if it is not a string."""
+    return value if isinstance(value, str) else ''
+
+
 def _integer(value: Any) -> int:
     number = int(value)
     if abs(number) > _MAX_NUMBER:
@@ -106,7 +111,7 @@
 
 def _task_key(name: Any) -> TaskKey:
     if not isinstance(name, str):
-        raise TypeError(f'{name!r} is not the name of a task')
+        raise TypeError('the name of a task is not a string')
     job_id, occurrence, step, index = name.rsplit('.', 3)
     numbers = map(_integer, (occurrence, step, index))
     return TaskKey(job_id, *numbers)
--- a/mulberryhitch/platform/workers.py
+++ b/mulberryhitch/platform/workers.py
@@ -201,9 +201,9 @@
                 'the field granted is not a list', where=self._address
             )
         return {
-            str(row[0]): str(row[1])
+            row[0]: row[1]
             for row in rows
-            if isinstance(row, list) and len(row) > 1
+            if isinstance(row, list) and _are_strings(row[:2])
         }
 
 
@@ -212,5 +212,11 @@
         return WorkerAnswer.started
     if response.status == HTTPStatus.MISDIRECTED_REQUEST:
         return WorkerAnswer.replaced
-    reason = str(response.content.get('reason', ''))
+    reason = response.content.get('reason')
+    if not isinstance(reason, str):
+        return WorkerAnswer.refused
     return _ANSWERS_BY_REASON.get(reason, WorkerAnswer.refused)
+
+
+def _are_strings(pair: list[Any]) -> bool:
+    return len(pair) == 2 and all(isinstance(part, str) for part in pair)
--- a/mulberryhitch/requests/upstream.py
+++ b/mulberryhitch/requests/upstream.py
@@ -5,6 +5,7 @@
 import anyio
 import httpcore
 
+from mulberryhitch.configuration.addresses import parse_address
 from mulberryhitch.constants import (
     RESPONSE_BUFFER_BYTES,
     RPC_CONNECT_TIMEOUT_SECONDS,
@@ -60,9 +61,9 @@
 
     def __init__(self, address: str, connections: int) -> None:
         """Initialises the pool, which connects at the first request."""
-        host, _, port = address.rpartition(':')
-        self._host = host.encode()
-        self._port = int(port)
+        socket_address = parse_address(address)
+        self._host = socket_address.host.encode()
+        self._port = socket_address.port
         self._address = address
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=connections,
--- a/mulberryhitch/workers/gateway.py
+++ b/mulberryhitch/workers/gateway.py
@@ -6,6 +6,7 @@
 import httpcore
 from pydantic import ValidationError
 
+from mulberryhitch.configuration.addresses import parse_address
 from mulberryhitch.constants import UPSTREAM_KEEPALIVE_SECONDS
 from mulberryhitch.errors import (
     OutcomeUnknownError,
@@ -56,15 +57,17 @@
         """Sends a message and returns the worker's response.
 
         Raises:
+            InvalidInputError: The address is malformed; nothing was sent.
             UnreachableError: The connection failed.
             OutcomeUnknownError: No response within the timeout.
             ProtocolError: The response is invalid.
         """
+        authority = parse_address(address).authority
         try:
             with anyio.fail_after(timeout_seconds):
                 response = await self._pool(address).request(
                     'POST',
-                    f'http://{address}/v1/leases',
+                    f'http://{authority}/v1/leases',
                     headers=self._headers,
                     content=message.model_dump_json().encode(),
                 )
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -2,22 +2,30 @@
 
 from typing import Any
 
+import orjson
+
 from mulberryhitch.dispatch.ports import StartCommand
 from mulberryhitch.jobs.model import TaskKey, WorkerRecord
 from mulberryhitch.platform.client import JsonResponse, PlatformClient
 
+# A scope of an IPv6 address that is too long for a label of a host name.
+SCOPE = 'f' * 64
+# As deep as the JSON parser allows.
+DEEPLY_NESTED: Any = orjson.loads('[' * 1000 + ']' * 1000)
+
 START = StartCommand(TaskKey('a', 0, 0, 0), 1, '', '', 1, 0, '')
 
 
 class AnsweringClient(PlatformClient):
-    """A client whose every request is answered with 200 and this content."""
+    """A client whose every request gets this content and status."""
 
-    def __init__(self, content: dict[str, Any]) -> None:
+    def __init__(self, content: dict[str, Any], status: int = 200) -> None:
         super().__init__()
         self._content = content
+        self._status = status
 
     async def send(self, *args: Any, **options: Any) -> JsonResponse:
-        return JsonResponse(200, self._content)
+        return JsonResponse(self._status, self._content)
 
 
 def make_worker(
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -24,6 +24,7 @@
 from mulberryhitch.platform.settings import PlatformSettings
 from mulberryhitch.platform.wire import task_name
 from mulberryhitch.platform_composition import EntryProgram, SchedulerProgram
+from mulberryhitch.replication.members import vm_of
 from tests.fake_workers import FakeFleet, FakeWorker
 
 SCHEDULERS = ('127.0.2.1', '127.0.2.2', '127.0.2.3')
@@ -145,14 +146,19 @@
             self.schedulers[vm] = started
         tasks.start_soon(started.run)
 
-    def stop_leader(self) -> str:
-        """Tells the leading scheduler to stop and returns its VM."""
-        for vm, scheduler in self.schedulers.items():
+    def leader(self) -> SchedulerProgram:
+        """Returns the leading scheduler."""
+        for scheduler in self.schedulers.values():
             if scheduler.service.replica.has_authority:
-                self.stop_events[vm].set()
-                return vm
+                return scheduler
         raise RuntimeError('no scheduler leads')
 
+    def stop_leader(self) -> str:
+        """Tells the leading scheduler to stop and returns its VM."""
+        vm = vm_of(self.leader().service.replica.replica_id)
+        self.stop_events[vm].set()
+        return vm
+
     async def _serve(self, vm: str, handler: Any) -> None:
         application = AsgiApplication(
             handler, self.log, Limits, lambda: False, Histograms()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -28,7 +28,12 @@
     read_table,
 )
 from mulberryhitch.platform.workers import PlatformWorkerClient
-from tests.fake_platform import START, AnsweringClient, make_worker
+from tests.fake_platform import (
+    SCOPE,
+    START,
+    AnsweringClient,
+    make_worker,
+)
 from tests.platform_harness import (
     ENTRY,
     SCHEDULERS,
@@ -224,6 +229,12 @@
         {'address': '10.0.0.1:0'},
         {'address': '10.0.0.1:²'},
         {'address': '10.0.0.1\r\nX: y:80'},
+        {'address': f'::1%{SCOPE}:80'},
+        {'address': f'[fe80::1%{SCOPE}]:80'},
+        {'address': '[::1:80'},
+        {'address': '0.0.0.0:80'},
+        {'address': '[::]:80'},
+        {'address': '224.0.0.1:80'},
         {'capacity': {'cpu': 'much', 'mem_mb': 1}},
         {'labels': 'a'},
         {'clock_ms': None},
@@ -253,6 +264,7 @@
     'worker',
     [
         make_worker(address='127.0.0.1:99999'),
+        make_worker(address=f'::1%{SCOPE}:80'),
         make_worker('i\n1'),
         make_worker('é'),
     ],
