Workers of services that no configuration names are not recorded

A heartbeat of any service was written to the replicated log, and its address was called by every leader.

Cause: the leader took a heartbeat for a worker to use whatever its service. Under the id of a known worker, with a later start, such a heartbeat counted as that worker's restart: its lists were refused from then on, and each scheduler that had passed it on dropped the worker's own heartbeats for good, since it kept the highest start and sequence before the leader had decided.

Change: the leader raises UnknownServiceError (code unknown_service, logged as worker.unknown_service) unless the configuration or an active job names the service, or the worker is known under it; the adapter acknowledges it, since a later configuration may name it and the worker goes on sending. The table of queues keeps the names of all services defined, so that a queue can move to one of these at once; entries of earlier versions are read without them. One incarnation has one address (ConflictError). The newest heartbeat of a worker is kept after the leader has accepted it.

--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -20,7 +20,11 @@
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
 from mulberryhitch.dispatch.runs.worker_monitor import WorkerMonitor
 from mulberryhitch.dispatch.term import Term
-from mulberryhitch.errors import MulberryhitchError
+from mulberryhitch.errors import (
+    ConflictError,
+    MulberryhitchError,
+    UnknownServiceError,
+)
 from mulberryhitch.jobs import changes
 from mulberryhitch.jobs.model import Resources, StepKey, TaskKey, WorkerRecord
 from mulberryhitch.jobs.state import Job, RunOutcome, StepExecution
@@ -119,11 +123,15 @@
             clock: Time on the worker's own clock, milliseconds.
 
         Raises:
+            UnknownServiceError: Its service is not configured.
+            ConflictError: Its address differs from an earlier one of the
+                same incarnation.
             MulberryhitchError: A change of its record could not be committed.
         """
         known = self._term.job_store.workers.get(record.worker_id)
         if known is not None and known.born > record.born:
             return
+        self._check_record(record, known)
         if known is not None and known.draining and known.born == record.born:
             record = record.as_draining()
         if known != record:
@@ -154,6 +162,31 @@
         if known is not None and known.draining:
             await self._remove_worker(worker_id, 'left')
 
+    def _check_record(
+        self, record: WorkerRecord, known: WorkerRecord | None
+    ) -> None:
+        """Checks that a heartbeat may change what is known of its worker."""
+        is_same_service = known is not None and known.service == record.service
+        names_service = self._term.job_store.names_service
+        if not is_same_service and not names_service(record.service):
+            self._term.log.event(
+                'worker.unknown_service',
+                worker=record.worker_id,
+                service=record.service,
+            )
+            raise UnknownServiceError(
+                f'no configuration names the service {record.service!r}',
+                where=record.worker_id,
+            )
+        if known is None or known.born != record.born or not record.born:
+            return
+        if known.address != record.address:
+            raise ConflictError(
+                f'{record.address} is not the address of this incarnation, '
+                f'{known.address}',
+                where=record.worker_id,
+            )
+
     async def _commit_record(self, record: WorkerRecord) -> None:
         await self._term.commit([changes.register_worker(record)])
         self._term.log.event(
--- a/mulberryhitch/errors.py
+++ b/mulberryhitch/errors.py
@@ -176,6 +176,14 @@
     advice = 'Run "mulberryhitch config show", then apply to that version.'
 
 
+@register_error('unknown_service')
+class UnknownServiceError(MulberryhitchError):
+    """No configuration names the service that a worker says it is of."""
+
+    status = HTTPStatus.NOT_FOUND
+    advice = 'Add the service to the configuration, or correct its name.'
+
+
 @register_error('over_quota')
 class OverQuotaError(MulberryhitchError):
     """The tenant's quota or limit is exhausted."""
--- a/mulberryhitch/jobs/changes.py
+++ b/mulberryhitch/jobs/changes.py
@@ -119,6 +119,8 @@
         tuple(decode_queue(queue) for queue in fields['queues']),
         Limits(**fields['limits']),
         tuple(fields['unguarded']),
+        # Entries of earlier versions do not have it.
+        tuple(fields.get('services', ())),
     )
 
 
--- a/mulberryhitch/jobs/model.py
+++ b/mulberryhitch/jobs/model.py
@@ -210,6 +210,7 @@
     Attributes:
         document: The configuration as sent by the operator.
         unguarded: Services whose workers do not enforce their capacity.
+        services: The services that it defines, also those without a queue.
     """
 
     version: int
@@ -217,6 +218,13 @@
     queues: tuple[Queue, ...]
     limits: Limits = field(default_factory=Limits)
     unguarded: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+
+    def named_services(self) -> frozenset[str]:
+        """Returns the services that it defines or that a queue runs on."""
+        return frozenset(self.services).union(
+            queue.service for queue in self.queues
+        )
 
     def find(self, host: str, path: str) -> Queue | None:
         """Returns the queue with the longest matching path prefix."""
--- a/mulberryhitch/jobs/store.py
+++ b/mulberryhitch/jobs/store.py
@@ -89,6 +89,7 @@
         self.latest_time: float = 0
         self._used_resources: dict[str, Resources] = {}
         self._queues: dict[str, Queue] = {}
+        self._services: frozenset[str] = frozenset()
         self._queued_jobs: Counter[str] = Counter()
 
     def apply(self, entry: LogEntry) -> list[Any]:
@@ -127,6 +128,13 @@
         """
         return self._queues.get(job.queue.name, job.queue)
 
+    def names_service(self, service: str) -> bool:
+        """Whether the configuration or an active job names a service."""
+        return service in self._services or any(
+            job.active and job.queue.service == service
+            for job in self.jobs.values()
+        )
+
     def count_queued_jobs(self, queue_name: str) -> int:
         """Counts the one-off jobs of a queue with no task started yet."""
         return self._queued_jobs[queue_name]
@@ -291,6 +299,7 @@
             self._queues = {
                 queue.name: queue for queue in self.queue_table.queues
             }
+            self._services = self.queue_table.named_services()
         return self.queue_table.version
 
     @change_handler('forget')
--- a/mulberryhitch/platform/control.py
+++ b/mulberryhitch/platform/control.py
@@ -11,7 +11,11 @@
     WorkerHeartbeat,
 )
 from mulberryhitch.dispatch.permits.proxy import JOBS_GROUP
-from mulberryhitch.errors import NotFoundError, OverloadedError
+from mulberryhitch.errors import (
+    NotFoundError,
+    OverloadedError,
+    UnknownServiceError,
+)
 from mulberryhitch.membership.leader_client import LeaderClient
 from mulberryhitch.platform.asgi import HttpRequest, HttpResponse
 from mulberryhitch.platform.wire import read_heartbeat, read_table
@@ -76,20 +80,30 @@
         self, worker_id: str, request: HttpRequest
     ) -> HttpResponse:
         record, clock, sequence = read_heartbeat(worker_id, request.body)
-        newest = self._newest_heartbeats.get(worker_id, (0, 0))
-        if (record.born, sequence) < newest:
+        heard = (record.born, sequence)
+        if heard < self._newest_heartbeat(worker_id):
             return HttpResponse(HTTPStatus.OK)
-        self._newest_heartbeats[worker_id] = (record.born, sequence)
-        await self._leader_client.execute(
-            JOBS_GROUP,
-            WorkerHeartbeat(record, clock),
-            Acknowledged,
-            _HEARTBEAT_TIMEOUT_SECONDS,
+        try:
+            await self._leader_client.execute(
+                JOBS_GROUP,
+                WorkerHeartbeat(record, clock),
+                Acknowledged,
+                _HEARTBEAT_TIMEOUT_SECONDS,
+            )
+        except UnknownServiceError:
+            # The worker goes on sending; a later configuration may use it.
+            return HttpResponse(HTTPStatus.OK)
+        self._newest_heartbeats[worker_id] = max(
+            heard, self._newest_heartbeat(worker_id)
         )
         return HttpResponse(HTTPStatus.OK)
 
+    def _newest_heartbeat(self, worker_id: str) -> tuple[int, int]:
+        """Returns incarnation and sequence of the newest accepted heartbeat."""
+        return self._newest_heartbeats.get(worker_id, (0, 0))
+
     async def _remove_worker(self, worker_id: str) -> HttpResponse:
-        born = self._newest_heartbeats.get(worker_id, (0, 0))[0]
+        born, _ = self._newest_heartbeat(worker_id)
         await self._leader_client.execute(
             JOBS_GROUP,
             WorkerDeparture(worker_id, born),
--- a/mulberryhitch/platform/wire.py
+++ b/mulberryhitch/platform/wire.py
@@ -206,6 +206,7 @@
             for service in body.services
             if not service.enforces_capacity
         ),
+        tuple(sorted(services)),
     )
 
 
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -29,8 +29,26 @@
 
 
 def make_worker(
-    worker_id: str = 'i-1', address: str = '127.0.0.1:1'
+    worker_id: str = 'i-1',
+    address: str = '127.0.0.1:1',
+    service: str = 'svc',
 ) -> WorkerRecord:
     return WorkerRecord(
-        worker_id, address, 'svc', 'a', 'r1', ('k', 'r1'), 8000, 64_000, 0, 1
+        worker_id, address, service, 'a', 'r1', ('k', 'r1'), 8000, 64_000, 0, 1
     )
+
+
+def make_heartbeat(**fields: Any) -> dict[str, Any]:
+    """Returns the body of a worker's heartbeat."""
+    return {
+        'service': 'svc',
+        'address': '10.0.0.1:80',
+        'zone': 'a',
+        'state': 'ready',
+        'capacity': {'cpu': 1, 'mem_mb': 1},
+        'labels': ['a', 'r1'],
+        'clock_ms': 1,
+        'sequence': 1,
+        'born': 7,
+        **fields,
+    }
--- a/tests/fake_workers.py
+++ b/tests/fake_workers.py
@@ -389,7 +389,13 @@
             **{'maximum_failures': 2, 'permits': policy, **queue},
         )
         self.queues = (self.queue,)
-        self.apply([changes.configure(QueueTable(1, '{}', self.queues))])
+        self.apply(
+            [
+                changes.configure(
+                    QueueTable(1, '{}', self.queues, services=('svc', 'other'))
+                )
+            ]
+        )
 
     def add_queue(self, name: str, **fields: Any) -> None:
         queue = Queue(name, 'h', f'/{name}/', 'svc', **fields)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -32,6 +32,7 @@
     SCOPE,
     START,
     AnsweringClient,
+    make_heartbeat,
     make_worker,
 )
 from tests.platform_harness import (
@@ -55,17 +56,6 @@
     ],
 }
 JOB_ID = '5c0e7a21d94b36f8'
-HEARTBEAT = {
-    'service': 'svc',
-    'address': '10.0.0.1:80',
-    'zone': 'a',
-    'state': 'ready',
-    'capacity': {'cpu': 1, 'mem_mb': 1},
-    'labels': ['a', 'r1'],
-    'clock_ms': 1,
-    'sequence': 1,
-    'born': 7,
-}
 
 
 def test_a_posted_job_completes(tmp_path: Path) -> None:
@@ -246,10 +236,10 @@
     ],
 )
 def test_an_invalid_heartbeat_is_refused(change: dict) -> None:
-    record, _, _ = read_heartbeat('i-1', orjson.dumps(HEARTBEAT))
+    record, _, _ = read_heartbeat('i-1', orjson.dumps(make_heartbeat()))
     assert (record.rack, record.born) == ('r1', 7)
     with pytest.raises(InvalidInputError):
-        read_heartbeat('i-1', orjson.dumps({**HEARTBEAT, **change}))
+        read_heartbeat('i-1', orjson.dumps(make_heartbeat(**change)))
 
 
 @pytest.mark.parametrize('worker_id', ['', 'i 1', 'i\n1', 'é', 'i-1\x00'])
@@ -257,7 +247,7 @@
     worker_id: str,
 ) -> None:
     with pytest.raises(InvalidInputError):
-        read_heartbeat(worker_id, orjson.dumps(HEARTBEAT))
+        read_heartbeat(worker_id, orjson.dumps(make_heartbeat()))
 
 
 @pytest.mark.parametrize(
