A lease is over for the leader no earlier than for the worker

Cause: the leader counts leases on a lower bound of the worker's clock, a reading and the local time that has passed since. For the answer to a start it took the time before the start was sent, though the reading is made later: the bound was ahead by up to the whole call, 0.4 s, or 0.9 s with a new connection, and the correct, lower readings that followed were ignored. Evidence: worker.gone now has the end of the lease, the bound and its age; all early starts had the reason "lease over".

The same cause on other paths: an answer that comes after the worker has started again set the new incarnation's clock; and a worker whose time of day had gone back at its restart was neither read nor given up, for good.

Change: a reading counts from its receipt, and only if it is of the incarnation that is tracked. A list of an earlier incarnation counts as a missed poll, so that the worker's lease runs out and it is recorded anew.

All tests with fake workers now assert that no bound is ahead of its clock; the late answer of the former incarnation fails by that assertion.

--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -222,8 +222,13 @@
             )
         batch.append(changes.remove_worker(worker_id, record.born))
         await self._term.commit(batch)
+        lease = worker.describe_lease(anyio.current_time()) if worker else {}
         self._term.log.event(
-            'worker.gone', worker=worker_id, reason=reason, lost=len(lost)
+            'worker.gone',
+            worker=worker_id,
+            reason=reason,
+            lost=len(lost),
+            **lease,
         )
         if worker is not None:
             worker.removed = True
--- a/mulberryhitch/dispatch/runs/run_controller.py
+++ b/mulberryhitch/dispatch/runs/run_controller.py
@@ -192,8 +192,10 @@
     async def _try_start(
         self, worker: TrackedWorker, tracked: TrackedRun, command: StartCommand
     ) -> WorkerAnswer | None:
-        now = anyio.current_time()
-        command = replace(command, lease_until=worker.extend_lease(now))
+        command = replace(
+            command, lease_until=worker.extend_lease(anyio.current_time())
+        )
+        asked = worker.record.born
         try:
             answer, clock = await self._term.worker_client.start(
                 worker.record, command
@@ -209,7 +211,8 @@
                 worker=worker.record.worker_id,
             )
             return None
-        worker.record_contact(clock, now)
+        if worker.record.born == asked:
+            worker.record_contact(clock, anyio.current_time())
         return answer
 
     async def _handle_failed_start(
--- a/mulberryhitch/dispatch/runs/tracked_worker.py
+++ b/mulberryhitch/dispatch/runs/tracked_worker.py
@@ -218,7 +218,14 @@
         self.capacity = record.capacity
 
     def record_contact(self, clock: int, now: float) -> None:
-        """Records a contact, and the worker's clock unless it is outdated."""
+        """Records a contact, and the worker's clock unless it is outdated.
+
+        Args:
+            clock: Reading of the clock of the tracked incarnation; zero if
+                unknown.
+            now: Time on the local clock, not before the reading was received:
+                only so is :meth:`earliest_clock` a lower bound.
+        """
         self.last_contact_at = now
         newer = not self.clock or clock >= self.earliest_clock(now)
         if clock and newer:
@@ -253,6 +260,14 @@
         until = self.lease_granted_until + margin * MILLISECONDS_PER_SECOND
         return self.earliest_clock(now) > until
 
+    def describe_lease(self, now: float) -> dict[str, float]:
+        """Returns the fields of the log that explain an expired lease."""
+        return {
+            'lease_until': self.lease_granted_until,
+            'earliest_clock': self.earliest_clock(now),
+            'clock_age': round(now - self.clock_at, 3),
+        }
+
     def record_first_listing(self, clock: int) -> None:
         """Records that the worker has listed its runs for the first time.
 
--- a/mulberryhitch/dispatch/runs/worker_monitor.py
+++ b/mulberryhitch/dispatch/runs/worker_monitor.py
@@ -1,6 +1,7 @@
 """Polls the workers for their runs and commits the ends of runs."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import anyio
 
@@ -115,6 +116,7 @@
         self, worker: TrackedWorker, wait_seconds: float
     ) -> None:
         now = anyio.current_time()
+        asked = worker.record.born
         acknowledged_end = (
             0 if worker.numbering_uncertain else worker.acknowledged_end
         )
@@ -136,6 +138,11 @@
         if isinstance(view, WorkerAnswer):
             await self._handle_refusal(worker, view)
         elif not worker.removed:
+            # A list that names no incarnation is from the one that was asked.
+            view = replace(view, incarnation=view.incarnation or asked)
+            if view.incarnation < worker.record.born:
+                self._record_missed_poll(worker)
+                return
             worker.missed_polls = 0
             worker.last_contact_at = anyio.current_time()
             worker.reported_end = acknowledged_end
@@ -201,10 +208,8 @@
         self, worker: TrackedWorker, view: WorkerView
     ) -> bool:
         """Whether a list is from the current incarnation; records a restart."""
-        if not view.incarnation or view.incarnation == worker.record.born:
+        if view.incarnation == worker.record.born:
             return True
-        if view.incarnation < worker.record.born:
-            return False
         record = worker.record.restarted(view.incarnation)
         if not await self._term.commit_or_log(
             [changes.register_worker(record)]
--- a/tests/fake_workers.py
+++ b/tests/fake_workers.py
@@ -81,6 +81,8 @@
         unreadable_until: Until when its rows of running runs can't be read.
         refusal: Answer to the starts that otherwise could not be sent.
         delayed_starts: Commands to carry out later, with their due times.
+        answer_seconds: Time from a start's arrival to its answer.
+        clock_rate: Speed of its clock.
     """
 
     def __init__(self, fleet: 'FakeFleet', record: WorkerRecord) -> None:
@@ -102,11 +104,14 @@
         self.refuses_starts = False
         self.refusal: WorkerAnswer | None = None
         self.delayed_starts: list[tuple[float, StartCommand]] = []
+        self.answer_seconds = 0.0
+        self.clock_rate = 1.0
         self.clock_base = anyio.current_time() - 5
 
     @property
     def clock(self) -> int:
-        return int((anyio.current_time() - self.clock_base) * 1000)
+        passed = anyio.current_time() - self.clock_base
+        return int(passed * self.clock_rate * 1000)
 
     def used_resources(self) -> Resources:
         used = Resources()
@@ -261,7 +266,9 @@
             worker.unanswered_starts -= 1
             worker.delayed_starts.append((anyio.current_time() + 3, command))
             raise OutcomeUnknownError('no answer')
-        return worker.handle_start(command), worker.clock
+        answer = worker.handle_start(command)
+        await anyio.sleep(worker.answer_seconds)
+        return answer, worker.clock
 
     async def stop(
         self, record: WorkerRecord, task: TaskKey, run: int, fence: int
@@ -433,6 +440,7 @@
             tasks.start_soon(self.fleet.run)
             self.dispatcher = self.make_dispatcher(fence)
             tasks.start_soon(self.dispatcher.run)
+            tasks.start_soon(self._check_clocks)
             await anyio.sleep(0.1)
             for worker in tuple(self.fleet.workers.values()):
                 await self.dispatcher.handle_heartbeat(
@@ -441,6 +449,17 @@
             yield self
             tasks.cancel_scope.cancel()
 
+    async def _check_clocks(self) -> None:
+        """Asserts that the leader's bound of no worker's clock is too high."""
+        while True:
+            for worker_id, tracked in self.dispatcher.tracked_workers.items():
+                worker = self.fleet.workers.get(worker_id)
+                if worker is None or worker.record.born != tracked.record.born:
+                    continue
+                bound = tracked.earliest_clock(anyio.current_time())
+                assert not tracked.clock or bound <= worker.clock + 1
+            await anyio.sleep(0.01)
+
     def make_dispatcher(self, fence: int) -> Dispatcher:
         dispatcher = Dispatcher(
             Term(
