A heartbeat no longer ends the runs of the worker whose address it names

Cause: the dispatcher took a heartbeat with the same address and a later start as proof that the former worker had ended, and voided its runs. The sender may be wrong about its address, and the two starts are readings of clocks; only whoever answers at the address knows. Evidence: worker.gone with the reason "address taken" in the leader's log, directly after the heartbeat's worker.told.

Other ways in which a worker is dropped were checked; two had the cause too: a 421 from an address that the worker had left meanwhile, and a departure of an incarnation that the scheduler doesn't know, so perhaps of an earlier one.

Change: the worker whose address is claimed is polled at once and gets no new runs until it answers. If another one answers (421) it is removed as before; if nobody does, its lease has to run out. The claimant is polled too, so a false one is removed. A 421 counts only for the address that the worker still has. A worker whose departure names no known incarnation stays if it answers.

--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -149,18 +149,28 @@
             worker.wake_watcher()
             self.request_round()
 
-    async def handle_departure(self, worker_id: str) -> None:
+    async def handle_departure(self, worker_id: str, born: int) -> None:
         """Removes a worker that has reported its shutdown.
 
         Ignored unless the worker is draining: a delayed report may arrive
         after the worker has been restarted.
 
+        Args:
+            worker_id: The worker.
+            born: Incarnation that has shut down; zero if unknown. The worker
+                is then removed only if it doesn't answer any more.
+
         Raises:
             MulberryhitchError: The removal could not be committed.
         """
         known = self._term.job_store.workers.get(worker_id)
-        if known is not None and known.draining:
+        worker = self._term.tracked_workers.get(worker_id)
+        if known is None or not known.draining or born not in {0, known.born}:
+            return
+        if born or worker is None:
             await self._remove_worker(worker_id, 'left')
+        else:
+            self._term.start_soon(self._remove_if_silent, worker)
 
     def _check_record(
         self, record: WorkerRecord, known: WorkerRecord | None
@@ -196,11 +206,16 @@
             born=record.born,
             draining=record.draining,
         )
-        for other in tuple(self._term.job_store.workers.values()):
-            same = other.address == record.address
-            older = other.born < record.born
-            if same and older and other.worker_id != record.worker_id:
-                await self._remove_worker(other.worker_id, 'address taken')
+        for other in tuple(self._term.tracked_workers.values()):
+            is_same_worker = other.record.worker_id == record.worker_id
+            if other.record.address == record.address and not is_same_worker:
+                # A heartbeat doesn't prove that the other has ended.
+                self._monitor.check_soon(other)
+
+    async def _remove_if_silent(self, worker: TrackedWorker) -> None:
+        await self._monitor.poll_now(worker)
+        if worker.missed_polls and not worker.removed:
+            await self._monitor.try_remove_worker(worker, 'left')
 
     async def _remove_worker(self, worker_id: str, reason: str) -> None:
         """Removes a worker that can no longer run anything; voids its runs."""
--- a/mulberryhitch/dispatch/runs/worker_monitor.py
+++ b/mulberryhitch/dispatch/runs/worker_monitor.py
@@ -71,6 +71,16 @@
         """Polls a worker without waiting for a run to end."""
         await self._poll(worker, 0)
 
+    def check_soon(self, worker: TrackedWorker) -> None:
+        """Polls a worker at once, because another one claims its address.
+
+        Nothing is placed on it until it answers. If the other one does, the
+        worker is removed.
+        """
+        self._record_missed_poll(worker)
+        worker.wake_watcher()
+        self._term.start_soon(self._poll, worker, 0)
+
     async def try_remove_worker(
         self, worker: TrackedWorker, reason: str
     ) -> None:
@@ -116,7 +126,7 @@
         self, worker: TrackedWorker, wait_seconds: float
     ) -> None:
         now = anyio.current_time()
-        asked = worker.record.born
+        asked = worker.record
         acknowledged_end = (
             0 if worker.numbering_uncertain else worker.acknowledged_end
         )
@@ -126,7 +136,7 @@
         lease_until = 0 if worker.missed_polls else worker.extend_lease(now)
         try:
             view = await self._term.worker_client.poll(
-                worker.record,
+                asked,
                 self._term.fence,
                 acknowledged_end,
                 lease_until,
@@ -136,10 +146,10 @@
             self._handle_missed_poll(worker, error)
             return
         if isinstance(view, WorkerAnswer):
-            await self._handle_refusal(worker, view)
+            await self._handle_refusal(worker, asked, view)
         elif not worker.removed:
             # A list that names no incarnation is from the one that was asked.
-            view = replace(view, incarnation=view.incarnation or asked)
+            view = replace(view, incarnation=view.incarnation or asked.born)
             if view.incarnation < worker.record.born:
                 self._record_missed_poll(worker)
                 return
@@ -165,12 +175,12 @@
         worker.numbering_uncertain = True
 
     async def _handle_refusal(
-        self, worker: TrackedWorker, view: WorkerAnswer
+        self, worker: TrackedWorker, asked: WorkerRecord, answer: WorkerAnswer
     ) -> None:
-        worker.missed_polls += 1
-        if view is WorkerAnswer.fenced:
+        self._record_missed_poll(worker)
+        if answer is WorkerAnswer.fenced:
             self._term.step_down(worker)
-        elif view is WorkerAnswer.replaced:
+        elif answer is WorkerAnswer.replaced and worker.record == asked:
             await self.try_remove_worker(worker, 'replaced')
 
     async def _apply_view(
--- a/mulberryhitch/dispatch/service.py
+++ b/mulberryhitch/dispatch/service.py
@@ -280,9 +280,9 @@
 
     @operation(WorkerDeparture)
     async def _handle_departure(self, request: WorkerDeparture) -> Acknowledged:
-        record = self.job_store.workers.get(request.worker_id)
-        if record is not None and request.born in {0, record.born}:
-            await self._active_dispatcher().handle_departure(request.worker_id)
+        await self._active_dispatcher().handle_departure(
+            request.worker_id, request.born
+        )
         return Acknowledged()
 
     @operation(ChangeTable)
--- a/tests/fake_workers.py
+++ b/tests/fake_workers.py
@@ -178,6 +178,8 @@
     Attributes:
         starts: Each started run, as task, run and time.
         outcomes: Outcomes of runs that do not end as done.
+        answering: Id of the worker that answers at an address, where it is
+            not the one that was asked.
     """
 
     def __init__(self) -> None:
@@ -190,6 +192,11 @@
         self.outcomes: dict[tuple[TaskKey, int], RunOutcome] = {}
         self.runs_never_end = False
         self.slowdown = 1.0
+        self.answering: dict[str, str] = {}
+
+    def is_replaced(self, record: WorkerRecord) -> bool:
+        answering = self.answering.get(record.address, record.worker_id)
+        return answering != record.worker_id
 
     def step_of(self, task: TaskKey) -> Step:
         return self.job_store.jobs[task.job_id].spec.steps[task.step]
@@ -248,6 +255,8 @@
     async def start(
         self, record: WorkerRecord, command: StartCommand
     ) -> tuple[WorkerAnswer, int]:
+        if self.is_replaced(record):
+            return WorkerAnswer.replaced, 0
         worker = self._responsive_worker(record)
         await anyio.sleep(0.002)
         if worker.silent:
@@ -273,6 +282,8 @@
     async def stop(
         self, record: WorkerRecord, task: TaskKey, run: int, fence: int
     ) -> WorkerAnswer:
+        if self.is_replaced(record):
+            return WorkerAnswer.replaced
         worker = self._responsive_worker(record)
         await anyio.sleep(0.002)
         if worker.silent:
@@ -295,6 +306,8 @@
         lease_until: int,
         wait_seconds: float,
     ) -> WorkerView | WorkerAnswer:
+        if self.is_replaced(record):
+            return WorkerAnswer.replaced
         worker = self._responsive_worker(record)
         await anyio.sleep(0.002)
         if worker.silent:
