The dispatcher's record of workers has a module of its own

Recording workers from their heartbeats, and removing those that have ended, is now WorkerRegistry in dispatch/runs/worker_registry.py; voiding the runs of a removed worker is a function of its own.

--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -18,16 +18,12 @@
 from mulberryhitch.dispatch.reports.status_report import StatusReporter
 from mulberryhitch.dispatch.runs.run_controller import RunController
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
-from mulberryhitch.dispatch.runs.worker_monitor import WorkerMonitor
+from mulberryhitch.dispatch.runs.worker_registry import WorkerRegistry
 from mulberryhitch.dispatch.term import Term
-from mulberryhitch.errors import (
-    ConflictError,
-    MulberryhitchError,
-    UnknownServiceError,
-)
+from mulberryhitch.errors import MulberryhitchError
 from mulberryhitch.jobs import changes
-from mulberryhitch.jobs.model import Resources, StepKey, TaskKey, WorkerRecord
-from mulberryhitch.jobs.state import Job, RunOutcome, StepExecution
+from mulberryhitch.jobs.model import Resources, StepKey, TaskKey
+from mulberryhitch.jobs.state import Job, StepExecution
 
 _CLIENT_SILENCE_SECONDS = 2.5
 _PAUSE_FACTOR = 2
@@ -39,6 +35,10 @@
 
     Args:
         term: The leader's term.
+
+    Attributes:
+        permit_manager: Requests permits from the permit service.
+        workers: Records workers from their heartbeats and removes them.
     """
 
     def __init__(self, term: Term) -> None:
@@ -54,11 +54,11 @@
             term.incarnation_of, term.request_round, term.log
         )
         self._status_reporter = StatusReporter(term, self.permit_manager)
-        self._monitor = WorkerMonitor(term, self._remove_worker)
+        self.workers = WorkerRegistry(term)
         self._run_controller = RunController(
-            term, self.permit_manager, self._monitor.poll_now
+            term, self.permit_manager, self.workers.monitor.poll_now
         )
-        self._monitor.run_controller = self._run_controller
+        self.workers.connect(self._run_controller)
 
     async def run(self) -> None:
         """Runs until cancelled, or until a worker reports a newer leader."""
@@ -68,7 +68,7 @@
             async with anyio.create_task_group() as tasks:
                 term.task_group = tasks
                 for record in term.job_store.workers.values():
-                    self._monitor.start_watching(record)
+                    self.workers.monitor.start_watching(record)
                 tasks.start_soon(self.permit_manager.run)
                 tasks.start_soon(self._run_rounds)
                 tasks.start_soon(self._run_urgent_rounds)
@@ -110,148 +110,11 @@
             for execution in executions:
                 self.permit_manager.remove_step(execution.key)
                 self._estimates.remove_step(execution.key)
-                self._monitor.remove_step(execution.key)
+                self.workers.monitor.remove_step(execution.key)
                 if job.cancelled or job.failed:
                     for unit in execution.units:
                         self._run_controller.stop_unit(unit, 'job ended')
 
-    async def handle_heartbeat(self, record: WorkerRecord, clock: int) -> None:
-        """Handles a worker's heartbeat.
-
-        Args:
-            record: The worker as it describes itself.
-            clock: Time on the worker's own clock, milliseconds.
-
-        Raises:
-            UnknownServiceError: Its service is not configured.
-            ConflictError: Its address differs from an earlier one of the
-                same incarnation.
-            MulberryhitchError: A change of its record could not be committed.
-        """
-        known = self._term.job_store.workers.get(record.worker_id)
-        if known is not None and known.born > record.born:
-            return
-        self._check_record(record, known)
-        if known is not None and known.draining and known.born == record.born:
-            record = record.as_draining()
-        if known != record:
-            await self._commit_record(record)
-        worker = self._term.tracked_workers.get(record.worker_id)
-        if worker is None or worker.removed:
-            worker = self._monitor.start_watching(record)
-        if worker.record.born == record.born:
-            worker.update_record(record)
-        else:
-            worker.record_restart(record, anyio.current_time())
-        worker.is_record_current = True
-        worker.record_contact(clock, anyio.current_time())
-        if known != record:
-            worker.wake_watcher()
-            self.request_round()
-
-    async def handle_departure(self, worker_id: str, born: int) -> None:
-        """Removes a worker that has reported its shutdown.
-
-        Ignored unless the worker is draining: a delayed report may arrive
-        after the worker has been restarted.
-
-        Args:
-            worker_id: The worker.
-            born: Incarnation that has shut down; zero if unknown. The worker
-                is then removed only if it doesn't answer any more.
-
-        Raises:
-            MulberryhitchError: The removal could not be committed.
-        """
-        known = self._term.job_store.workers.get(worker_id)
-        worker = self._term.tracked_workers.get(worker_id)
-        if known is None or not known.draining or born not in {0, known.born}:
-            return
-        if born or worker is None:
-            await self._remove_worker(worker_id, 'left')
-        else:
-            self._term.start_soon(self._remove_if_silent, worker)
-
-    def _check_record(
-        self, record: WorkerRecord, known: WorkerRecord | None
-    ) -> None:
-        """Checks that a heartbeat may change what is known of its worker."""
-        is_same_service = known is not None and known.service == record.service
-        names_service = self._term.job_store.names_service
-        if not is_same_service and not names_service(record.service):
-            self._term.log.event(
-                'worker.unknown_service',
-                worker=record.worker_id,
-                service=record.service,
-            )
-            raise UnknownServiceError(
-                f'no configuration names the service {record.service!r}',
-                where=record.worker_id,
-            )
-        if known is None or known.born != record.born or not record.born:
-            return
-        if known.address != record.address:
-            raise ConflictError(
-                f'{record.address} is not the address of this incarnation, '
-                f'{known.address}',
-                where=record.worker_id,
-            )
-
-    async def _commit_record(self, record: WorkerRecord) -> None:
-        await self._term.commit([changes.register_worker(record)])
-        self._term.log.event(
-            'worker.told',
-            worker=record.worker_id,
-            address=record.address,
-            born=record.born,
-            draining=record.draining,
-        )
-        for other in tuple(self._term.tracked_workers.values()):
-            is_same_worker = other.record.worker_id == record.worker_id
-            if other.record.address == record.address and not is_same_worker:
-                # A heartbeat doesn't prove that the other has ended.
-                self._monitor.check_soon(other)
-
-    async def _remove_if_silent(self, worker: TrackedWorker) -> None:
-        await self._monitor.poll_now(worker)
-        if worker.missed_polls and not worker.removed:
-            await self._monitor.try_remove_worker(worker, 'left')
-
-    async def _remove_worker(self, worker_id: str, reason: str) -> None:
-        """Removes a worker that can no longer run anything; voids its runs."""
-        record = self._term.job_store.workers.get(worker_id)
-        if record is None:
-            return
-        lost = list(self._term.job_store.open_runs.get(worker_id, {}).items())
-        wall_time = self._term.wall_time()
-        worker = self._term.tracked_workers.get(worker_id)
-        batch = []
-        for task, run in lost:
-            tracked = worker.tracked_runs.get(task) if worker else None
-            checkpoint = tracked.checkpoint if tracked else ''
-            self._term.record_end(task, RunOutcome.void, tracked, checkpoint)
-            batch.append(
-                changes.end_run(
-                    task, run, RunOutcome.void, checkpoint, wall_time
-                )
-            )
-        batch.append(changes.remove_worker(worker_id, record.born))
-        await self._term.commit(batch)
-        lease = worker.describe_lease(anyio.current_time()) if worker else {}
-        self._term.log.event(
-            'worker.gone',
-            worker=worker_id,
-            reason=reason,
-            lost=len(lost),
-            **lease,
-        )
-        if worker is not None:
-            worker.removed = True
-            worker.wake_watcher()
-            self._term.tracked_workers.pop(worker_id, None)
-        for task, run in lost:
-            self._run_controller.stop_gang(task, run, 'worker gone')
-
     async def _run_rounds(self) -> None:
         while True:
             await self._term.round_due.wait()
@@ -403,11 +266,7 @@
             if not self._term.may_act():
                 continue
             await self._start_due_occurrences()
-            for worker in tuple(self._term.tracked_workers.values()):
-                if worker.missed_polls and worker.lease_expired(
-                    anyio.current_time()
-                ):
-                    await self._monitor.try_remove_worker(worker, 'lease over')
+            await self.workers.remove_expired()
             await self._delete_old_jobs()
             self.request_round()
 
--- a/mulberryhitch/dispatch/service.py
+++ b/mulberryhitch/dispatch/service.py
@@ -273,14 +273,14 @@
 
     @operation(WorkerHeartbeat)
     async def _handle_heartbeat(self, request: WorkerHeartbeat) -> Acknowledged:
-        await self._active_dispatcher().handle_heartbeat(
+        await self._active_dispatcher().workers.handle_heartbeat(
             request.worker, request.clock
         )
         return Acknowledged()
 
     @operation(WorkerDeparture)
     async def _handle_departure(self, request: WorkerDeparture) -> Acknowledged:
-        await self._active_dispatcher().handle_departure(
+        await self._active_dispatcher().workers.handle_departure(
             request.worker_id, request.born
         )
         return Acknowledged()
--- a/tests/fake_workers.py
+++ b/tests/fake_workers.py
@@ -456,7 +456,7 @@
             tasks.start_soon(self._check_clocks)
             await anyio.sleep(0.1)
             for worker in tuple(self.fleet.workers.values()):
-                await self.dispatcher.handle_heartbeat(
+                await self.dispatcher.workers.handle_heartbeat(
                     worker.record, worker.clock
                 )
             yield self
--- a/tests/load_player.py
+++ b/tests/load_player.py
@@ -176,7 +176,9 @@
             await anyio.sleep(0.1)
             for worker in tuple(self.fleet.workers.values()):
                 tasks.start_soon(
-                    dispatcher.handle_heartbeat, worker.record, worker.clock
+                    dispatcher.workers.handle_heartbeat,
+                    worker.record,
+                    worker.clock,
                 )
             await anyio.sleep(1)
             started_at = anyio.current_time()
@@ -288,11 +290,13 @@
         for name in leaving:
             worker = self.fleet.workers[name]
             worker.record = worker.record.as_draining()
-            await self._dispatcher.handle_heartbeat(worker.record, worker.clock)
+            await self._dispatcher.workers.handle_heartbeat(
+                worker.record, worker.clock
+            )
         await anyio.sleep(DRAIN_SECONDS)
         for name in leaving:
             self.fleet.remove(name)
-            await self._dispatcher.handle_departure(name, 0)
+            await self._dispatcher.workers.handle_departure(name, 0)
 
     async def _submit(self, job: GeneratedJob) -> None:
         name = job.load_class.queue.name
--- a/tests/test_acknowledged_ends.py
+++ b/tests/test_acknowledged_ends.py
@@ -16,7 +16,7 @@
     while True:
         await anyio.sleep(interval)
         for worker in harness.fleet.workers.values():
-            await harness.dispatcher.handle_heartbeat(
+            await harness.dispatcher.workers.handle_heartbeat(
                 worker.record, worker.clock
             )
 
--- a/tests/test_claimed_addresses.py
+++ b/tests/test_claimed_addresses.py
@@ -60,7 +60,9 @@
 
     async def scenario(harness: DispatcherHarness, busy: FakeWorker) -> None:
         harness.fleet.answering[busy.record.address] = busy.record.worker_id
-        await harness.dispatcher.handle_heartbeat(_claim(busy, **fields), 1)
+        await harness.dispatcher.workers.handle_heartbeat(
+            _claim(busy, **fields), 1
+        )
         await harness.wait('j', JobState.completed)
         assert harness.start_count('j') == 1
         tracked = harness.dispatcher.tracked_workers
@@ -78,7 +80,7 @@
         harness.fleet.answering[busy.record.address] = 'claimant'
         record = _claim(busy, born=9)
         harness.fleet.workers['claimant'] = FakeWorker(harness.fleet, record)
-        await harness.dispatcher.handle_heartbeat(record, 1)
+        await harness.dispatcher.workers.handle_heartbeat(record, 1)
         await harness.wait_for_starts('j', 2, 0.5)
 
     _play(scenario)
@@ -91,7 +93,9 @@
         busy.unresponsive = True
         busy.running[next(iter(busy.running))].ends_at += 100
         claimed_at = anyio.current_time()
-        await harness.dispatcher.handle_heartbeat(_claim(busy, born=9), 1)
+        await harness.dispatcher.workers.handle_heartbeat(
+            _claim(busy, born=9), 1
+        )
         await harness.wait_for_starts('j', 2)
         assert anyio.current_time() - claimed_at > LEASE_SECONDS - 1
 
@@ -111,7 +115,7 @@
         harness.fleet.workers[former.worker_id] = FakeWorker(
             harness.fleet, record
         )
-        await harness.dispatcher.handle_heartbeat(record, 1)
+        await harness.dispatcher.workers.handle_heartbeat(record, 1)
         await anyio.sleep(2)
         assert former.worker_id in harness.dispatcher.tracked_workers
 
@@ -138,12 +142,12 @@
     async def scenario(harness: DispatcherHarness, busy: FakeWorker) -> None:
         worker_id = busy.record.worker_id
         draining = busy.record.as_draining()
-        await harness.dispatcher.handle_heartbeat(draining, busy.clock)
-        await harness.dispatcher.handle_departure(worker_id, 0)
+        await harness.dispatcher.workers.handle_heartbeat(draining, busy.clock)
+        await harness.dispatcher.workers.handle_departure(worker_id, 0)
         await anyio.sleep(1)
         assert harness.start_count('j') == 1
         _crash(harness, busy)
-        await harness.dispatcher.handle_departure(worker_id, 0)
+        await harness.dispatcher.workers.handle_departure(worker_id, 0)
         await harness.wait_for_starts('j', 2, 0.5)
 
     _play(scenario)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -152,7 +152,7 @@
             task = TaskKey('j', 0, 0, 0)
             harness.fleet.record_end(task, 1, RunOutcome.void)
             for worker in harness.fleet.workers.values():
-                await harness.dispatcher.handle_heartbeat(
+                await harness.dispatcher.workers.handle_heartbeat(
                     worker.record.as_draining()
                     if worker.record.worker_id == 'w1'
                     else worker.record,
@@ -220,7 +220,7 @@
             harness.fleet.workers['w1'].unresponsive = True
             harness.fleet.add_worker('w2')
             second = harness.fleet.workers['w2']
-            await harness.dispatcher.handle_heartbeat(
+            await harness.dispatcher.workers.handle_heartbeat(
                 second.record, second.clock
             )
             waited = await harness.wait('j', JobState.completed, 60)
@@ -242,7 +242,7 @@
             harness.fleet.add_worker('w1', born=2)
             await anyio.sleep(1)
             restarted = harness.fleet.workers['w1']
-            await harness.dispatcher.handle_heartbeat(
+            await harness.dispatcher.workers.handle_heartbeat(
                 restarted.record, restarted.clock
             )
             await harness.wait('j', JobState.completed)
@@ -257,11 +257,11 @@
         harness.fleet.add_worker('w1')
         async with harness.running():
             worker = harness.fleet.workers['w1']
-            await harness.dispatcher.handle_heartbeat(
+            await harness.dispatcher.workers.handle_heartbeat(
                 worker.record.as_draining(), worker.clock
             )
             # A delayed heartbeat from before the drain is ignored.
-            await harness.dispatcher.handle_heartbeat(
+            await harness.dispatcher.workers.handle_heartbeat(
                 worker.record, worker.clock
             )
             await harness.submit('j', SMALL)
@@ -303,7 +303,7 @@
                 tasks.start_soon(_run_in, old.run, scope)
                 await anyio.sleep(0.1)
                 worker = harness.fleet.workers['w1']
-                await old.handle_heartbeat(worker.record, worker.clock)
+                await old.workers.handle_heartbeat(worker.record, worker.clock)
                 await harness.submit('j', Step(2, 1000, 9, estimate_seconds=3))
                 await anyio.sleep(1)
             scope.cancel()
@@ -422,7 +422,7 @@
             await anyio.sleep(4)
             assert harness.start_count('long') == 1
             worker = harness.fleet.workers['w1']
-            await harness.dispatcher.handle_heartbeat(
+            await harness.dispatcher.workers.handle_heartbeat(
                 worker.record, worker.clock
             )
             await harness.submit('j', Step(1, 500, 100, estimate_seconds=0.5))
@@ -442,7 +442,7 @@
             harness.fleet.runs_never_end = False
             harness.fleet.add_worker('w2')
             second = harness.fleet.workers['w2']
-            await harness.dispatcher.handle_heartbeat(
+            await harness.dispatcher.workers.handle_heartbeat(
                 second.record, second.clock
             )
             await harness.wait('j', JobState.completed, 8)
@@ -508,14 +508,14 @@
         async with harness.running():
             await harness.submit('j', Step(1, 1000, 100, estimate_seconds=2))
             await anyio.sleep(1)
-            await harness.dispatcher.handle_departure('w1', 1)
+            await harness.dispatcher.workers.handle_departure('w1', 1)
             await harness.wait('j', JobState.completed)
             assert harness.start_count('j') == 1
             worker = harness.fleet.workers['w1']
-            await harness.dispatcher.handle_heartbeat(
+            await harness.dispatcher.workers.handle_heartbeat(
                 worker.record.as_draining(), worker.clock
             )
-            await harness.dispatcher.handle_departure('w1', 1)
+            await harness.dispatcher.workers.handle_departure('w1', 1)
             assert 'w1' not in harness.job_store.workers
 
     run_with_mock_clock(main)
@@ -583,7 +583,7 @@
             await anyio.sleep(1)
             harness.fleet.add_worker('w9', 1000)
             record = harness.fleet.workers['w9'].record
-            await harness.dispatcher.handle_heartbeat(record, 1)
+            await harness.dispatcher.workers.handle_heartbeat(record, 1)
             await harness.submit('j', Step(1, 1000, 100, estimate_seconds=1))
             assert await harness.wait('j', JobState.completed, 60) < 15
 
@@ -605,7 +605,7 @@
                 harness.fleet.active_runs.pop(task)
             record = replace(first.record, born=2, labels=('z',))
             harness.fleet.workers['w1'] = FakeWorker(harness.fleet, record)
-            await harness.dispatcher.handle_heartbeat(record, 1)
+            await harness.dispatcher.workers.handle_heartbeat(record, 1)
             await harness.wait('j', JobState.completed)
 
     run_with_mock_clock(main)
--- a/tests/test_stuck_jobs.py
+++ b/tests/test_stuck_jobs.py
@@ -71,7 +71,7 @@
                 await anyio.sleep(0.01)
             harness.fleet.add_worker('w1', born=2)
             restarted = harness.fleet.workers['w1']
-            await harness.dispatcher.handle_heartbeat(
+            await harness.dispatcher.workers.handle_heartbeat(
                 restarted.record, restarted.clock
             )
             await harness.wait('former', JobState.completed)
@@ -105,8 +105,10 @@
 
 async def _replace_w3_by_w4(harness: DispatcherHarness) -> None:
     worker = harness.fleet.workers['w4']
-    await harness.dispatcher.handle_heartbeat(worker.record, worker.clock)
-    await harness.dispatcher._remove_worker('w3', 'gone')
+    await harness.dispatcher.workers.handle_heartbeat(
+        worker.record, worker.clock
+    )
+    await harness.dispatcher.workers._remove('w3', 'gone')
 
 
 def test_a_gang_does_not_wait_for_a_member_that_could_not_be_granted() -> None:
--- a/tests/test_worker_clocks.py
+++ b/tests/test_worker_clocks.py
@@ -63,7 +63,7 @@
             await anyio.sleep(0.5)
             before = harness.fleet.workers['w0']
             before.clock_base -= 1000
-            await harness.dispatcher.handle_heartbeat(
+            await harness.dispatcher.workers.handle_heartbeat(
                 before.record, before.clock
             )
             await harness.submit('j', LONG_STEP)
@@ -90,7 +90,9 @@
             worker = harness.fleet.workers['w0']
             for _ in range(20):
                 await anyio.sleep(1)
-                await harness.dispatcher.handle_heartbeat(record, worker.clock)
+                await harness.dispatcher.workers.handle_heartbeat(
+                    record, worker.clock
+                )
             await harness.wait('j', JobState.completed)
 
     run_with_mock_clock(main)
@@ -105,5 +107,5 @@
     record = before.record.restarted(born)
     after = FakeWorker(harness.fleet, record)
     harness.fleet.workers['w0'] = after
-    await harness.dispatcher.handle_heartbeat(record, after.clock)
+    await harness.dispatcher.workers.handle_heartbeat(record, after.clock)
     return record
--- a/tests/test_worker_heartbeats.py
+++ b/tests/test_worker_heartbeats.py
@@ -53,7 +53,7 @@
 
     async def scenario(harness: DispatcherHarness) -> None:
         with pytest.raises(UnknownServiceError):
-            await harness.dispatcher.handle_heartbeat(OTHER_SERVICE, 1)
+            await harness.dispatcher.workers.handle_heartbeat(OTHER_SERVICE, 1)
         assert 'agent' not in harness.job_store.workers
         assert 'agent' not in harness.dispatcher.tracked_workers
 
@@ -64,7 +64,7 @@
     async def scenario(harness: DispatcherHarness) -> None:
         table = QueueTable(2, '{}', (), services=('metrics-agent',))
         harness.apply([changes.configure(table)])
-        await harness.dispatcher.handle_heartbeat(OTHER_SERVICE, 1)
+        await harness.dispatcher.workers.handle_heartbeat(OTHER_SERVICE, 1)
         assert 'agent' in harness.job_store.workers
 
     _play(scenario)
@@ -85,7 +85,9 @@
         harness.apply([changes.configure(QueueTable(2, '{}', ()))])
         harness.fleet.add_worker('late')
         late = harness.fleet.workers['late']
-        await harness.dispatcher.handle_heartbeat(late.record, late.clock)
+        await harness.dispatcher.workers.handle_heartbeat(
+            late.record, late.clock
+        )
         await harness.wait('j', JobState.completed)
 
     _play(scenario, workers=0)
@@ -109,7 +111,9 @@
         await anyio.sleep(0.5)
         known = _busy_worker(harness)
         with pytest.raises(UnknownServiceError):
-            await harness.dispatcher.handle_heartbeat(replace(known, **odd), 1)
+            await harness.dispatcher.workers.handle_heartbeat(
+                replace(known, **odd), 1
+            )
         await harness.wait('j', JobState.completed, 4)
         assert harness.start_count('j') == 1
         assert harness.job_store.workers[known.worker_id] == known
@@ -125,7 +129,7 @@
         await anyio.sleep(0.5)
         odd = replace(_busy_worker(harness), address='10.9.9.9:1')
         with pytest.raises(ConflictError):
-            await harness.dispatcher.handle_heartbeat(odd, 1)
+            await harness.dispatcher.workers.handle_heartbeat(odd, 1)
         await harness.wait('j', JobState.completed, 4)
         assert harness.start_count('j') == 1
 
