Tests share the search for a busy worker and the crash of one

Three files found the busy worker by themselves, and three took a worker's runs away line by line; both are methods of the fake workers now. No check changed.

--- a/tests/fake_workers.py
+++ b/tests/fake_workers.py
@@ -130,6 +130,13 @@
         self.changed.set()
         self.changed = anyio.Event()
 
+    def crash(self) -> None:
+        """Ends all runs without listing them, and answers no more calls."""
+        self.unresponsive = True
+        for task in tuple(self.running):
+            self.running.pop(task)
+            self.fleet.active_runs.pop(task)
+
     def end_expired_runs(self) -> None:
         if self.running and self.clock > self.lease_until:
             for task in tuple(self.running):
@@ -514,6 +521,12 @@
                 await anyio.sleep(0.01)
         return anyio.current_time() - started_at
 
+    def busy_worker(self) -> FakeWorker:
+        """Returns the first worker that runs something."""
+        return next(
+            worker for worker in self.fleet.workers.values() if worker.running
+        )
+
     def start_count(self, job_id: str) -> int:
         return sum(task.job_id == job_id for task, _, _ in self.fleet.starts)
 
--- a/tests/test_claimed_addresses.py
+++ b/tests/test_claimed_addresses.py
@@ -36,12 +36,7 @@
             await harness.submit('j', LONG_STEP)
             await harness.wait_for_starts('j', 1)
             await anyio.sleep(0.5)
-            busy = next(
-                worker
-                for worker in harness.fleet.workers.values()
-                if worker.running
-            )
-            await scenario(harness, busy)
+            await scenario(harness, harness.busy_worker())
             await harness.wait('j', JobState.completed)
 
     run_with_mock_clock(main)
@@ -76,7 +71,7 @@
     """Whoever answers at the address proves that the former one has ended."""
 
     async def scenario(harness: DispatcherHarness, busy: FakeWorker) -> None:
-        _crash(harness, busy)
+        busy.crash()
         harness.fleet.answering[busy.record.address] = 'claimant'
         record = _claim(busy, born=9)
         harness.fleet.workers['claimant'] = FakeWorker(harness.fleet, record)
@@ -106,7 +101,7 @@
     """Its runs at the new address were given up while they ran."""
 
     async def scenario(harness: DispatcherHarness, busy: FakeWorker) -> None:
-        _crash(harness, busy)
+        busy.crash()
         former = busy.record
         harness.fleet.poll = _late_refusal(former, harness.fleet.poll)  # type: ignore[method-assign]
         # The next poll is already under way when the worker starts again.
@@ -146,15 +141,8 @@
         await harness.dispatcher.workers.handle_departure(worker_id, 0)
         await anyio.sleep(1)
         assert harness.start_count('j') == 1
-        _crash(harness, busy)
+        busy.crash()
         await harness.dispatcher.workers.handle_departure(worker_id, 0)
         await harness.wait_for_starts('j', 2, 0.5)
 
     _play(scenario)
-
-
-def _crash(harness: DispatcherHarness, worker: FakeWorker) -> None:
-    worker.unresponsive = True
-    for task in tuple(worker.running):
-        worker.running.pop(task)
-        harness.fleet.active_runs.pop(task)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -601,8 +601,7 @@
             await harness.submit('j', step)
             await anyio.sleep(0.7)
             first = harness.fleet.workers['w1']
-            for task in tuple(first.running):
-                harness.fleet.active_runs.pop(task)
+            first.crash()
             record = replace(first.record, born=2, labels=('z',))
             harness.fleet.workers['w1'] = FakeWorker(harness.fleet, record)
             await harness.dispatcher.workers.handle_heartbeat(record, 1)
--- a/tests/test_worker_clocks.py
+++ b/tests/test_worker_clocks.py
@@ -24,12 +24,6 @@
         worker.clock_rate = SLOWEST_RATE
 
 
-def _busy_worker(harness: DispatcherHarness) -> FakeWorker:
-    return next(
-        worker for worker in harness.fleet.workers.values() if worker.running
-    )
-
-
 @pytest.mark.parametrize('phase', range(10))
 def test_no_task_starts_elsewhere_while_a_silent_worker_s_lease_lasts(
     phase: int,
@@ -45,7 +39,7 @@
             await anyio.sleep(10 + phase * CHECK_INTERVAL_SECONDS / 10)
             await harness.submit('j', LONG_STEP)
             await anyio.sleep(1)
-            _busy_worker(harness).unresponsive = True
+            harness.busy_worker().unresponsive = True
             # The fake workers assert that no task runs twice at a time.
             await harness.wait('j', JobState.completed)
             assert harness.start_count('j') == 2
@@ -101,9 +95,7 @@
 async def _restart(harness: DispatcherHarness, born: int) -> WorkerRecord:
     """Replaces w0 by another incarnation, which sends a heartbeat."""
     before = harness.fleet.workers['w0']
-    for task in tuple(before.running):
-        before.running.pop(task)
-        harness.fleet.active_runs.pop(task)
+    before.crash()
     record = before.record.restarted(born)
     after = FakeWorker(harness.fleet, record)
     harness.fleet.workers['w0'] = after
--- a/tests/test_worker_heartbeats.py
+++ b/tests/test_worker_heartbeats.py
@@ -39,15 +39,6 @@
     run_with_mock_clock(main)
 
 
-def _busy_worker(harness: DispatcherHarness) -> WorkerRecord:
-    """Returns the record of the worker that runs something."""
-    return next(
-        worker.record
-        for worker in harness.fleet.workers.values()
-        if worker.running
-    )
-
-
 def test_a_worker_of_a_service_that_is_not_configured_is_not_recorded() -> None:
     """Such a heartbeat was written to the log, and its address was called."""
 
@@ -109,7 +100,7 @@
     async def scenario(harness: DispatcherHarness) -> None:
         await harness.submit('j', LONG_STEP)
         await anyio.sleep(0.5)
-        known = _busy_worker(harness)
+        known = harness.busy_worker().record
         with pytest.raises(UnknownServiceError):
             await harness.dispatcher.workers.handle_heartbeat(
                 replace(known, **odd), 1
@@ -127,7 +118,7 @@
     async def scenario(harness: DispatcherHarness) -> None:
         await harness.submit('j', LONG_STEP)
         await anyio.sleep(0.5)
-        odd = replace(_busy_worker(harness), address='10.9.9.9:1')
+        odd = replace(harness.busy_worker().record, address='10.9.9.9:1')
         with pytest.raises(ConflictError):
             await harness.dispatcher.workers.handle_heartbeat(odd, 1)
         await harness.wait('j', JobState.completed, 4)
