--- a/tests/test_foreign_messages.py
+++ b/tests/test_foreign_messages.py
@@ -28,6 +28,7 @@
     SCOPE,
     START,
     AnsweringClient,
+    make_heartbeat,
     make_worker,
 )
 from tests.fake_workers import DispatcherHarness
@@ -55,14 +56,7 @@
             1, 1000, 100, estimate_seconds=0.3
         )
         async with harness.running():
-            await harness.retry_until_status(
-                200,
-                harness.send,
-                SCHEDULERS[0],
-                'PUT',
-                '/config',
-                make_configuration(1),
-            )
+            await _configure(harness)
             odd = make_worker('i-odd', f'::1%{SCOPE}:80')
             await _write_to_log(harness, changes.register_worker(odd))
             harness.stop_leader()
@@ -79,6 +73,46 @@
     anyio.run(main)
 
 
+def test_odd_heartbeats_get_their_answers_and_the_worker_stays(
+    tmp_path: Path,
+) -> None:
+    """Through the real interface: refused, ignored, or contradicted."""
+    answers = (
+        ({'address': f'::1%{SCOPE}:80'}, HTTPStatus.BAD_REQUEST),
+        ({'labels': [[]]}, HTTPStatus.BAD_REQUEST),
+        ({'service': 'odd', 'born': 2**50}, HTTPStatus.OK),
+        ({'born': 1, 'sequence': 2**40}, HTTPStatus.CONFLICT),
+    )
+
+    async def main() -> None:
+        harness = PlatformHarness(tmp_path)
+        async with harness.running():
+            await _configure(harness)
+            workers = harness.leader().service.job_store.workers
+            with anyio.fail_after(10):
+                while 'i-1' not in workers:
+                    await anyio.sleep(0.05)
+            known = workers['i-1']
+            for fields, status in answers:
+                answer = await harness.send(
+                    SCHEDULERS[0],
+                    'PUT',
+                    '/instances/i-1',
+                    make_heartbeat(**fields),
+                )
+                assert answer.status == status
+            assert workers == {'i-1': known}
+
+    anyio.run(main)
+
+
+async def _configure(harness: PlatformHarness) -> None:
+    configuration = make_configuration(1)
+    await harness.retry_until_status(
+        200, harness.send, SCHEDULERS[0], 'PUT', '/config', configuration
+    )
+
+
 async def _write_to_log(
     harness: PlatformHarness, change: changes.Change
 ) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -242,6 +242,15 @@
         read_heartbeat('i-1', orjson.dumps(make_heartbeat(**change)))
 
 
+@pytest.mark.parametrize('depth', [10, 1000, 100_000])
+@pytest.mark.parametrize('field', ['labels', 'service', 'capacity', 'born'])
+def test_a_deeply_nested_heartbeat_is_refused(field: str, depth: int) -> None:
+    body = orjson.dumps(make_heartbeat(**{field: 'NESTED'}))
+    nested = b'[' * depth + b']' * depth
+    with pytest.raises(InvalidInputError):
+        read_heartbeat('i-1', body.replace(b'"NESTED"', nested))
+
+
 @pytest.mark.parametrize('worker_id', ['', 'i 1', 'i\n1', 'é', 'i-1\x00'])
 def test_a_worker_id_that_no_header_can_carry_is_refused(
     worker_id: str,
