A worker whose time of day went back is heard again

Each scheduler kept the newest incarnation and sequence of every worker for good, and acknowledged older heartbeats without passing them on. A worker that started again with an earlier time of day was dropped by each scheduler that had heard it before; and the collection grew with each id.

Change: dispatch/newest_heartbeats.py keeps them for 30 s, longer than a call is delayed; the adapter only asks it.

Tests: test_a_worker_whose_time_of_day_went_back_is_heard_again, which failed on the former code.

--- a/mulberryhitch/platform/control.py
+++ b/mulberryhitch/platform/control.py
@@ -2,6 +2,7 @@
 
 from http import HTTPStatus
 
+from mulberryhitch.dispatch.newest_heartbeats import NewestHeartbeats
 from mulberryhitch.dispatch.operations import (
     Acknowledged,
     ChangeTable,
@@ -35,7 +36,7 @@
     def __init__(self, leader_client: LeaderClient) -> None:
         """Initialises the handler with no heartbeats."""
         self._leader_client = leader_client
-        self._newest_heartbeats: dict[str, tuple[int, int]] = {}
+        self._newest = NewestHeartbeats()
 
     async def respond(self, request: HttpRequest) -> HttpResponse:
         """Handles one request.
@@ -80,8 +81,7 @@
         self, worker_id: str, request: HttpRequest
     ) -> HttpResponse:
         record, clock, sequence = read_heartbeat(worker_id, request.body)
-        heard = (record.born, sequence)
-        if heard < self._newest_heartbeat(worker_id):
+        if self._newest.is_outdated(worker_id, record.born, sequence):
             return HttpResponse(HTTPStatus.OK)
         try:
             await self._leader_client.execute(
@@ -93,17 +93,11 @@
         except UnknownServiceError:
             # The worker goes on sending; a later configuration may use it.
             return HttpResponse(HTTPStatus.OK)
-        self._newest_heartbeats[worker_id] = max(
-            heard, self._newest_heartbeat(worker_id)
-        )
+        self._newest.record(worker_id, record.born, sequence)
         return HttpResponse(HTTPStatus.OK)
 
-    def _newest_heartbeat(self, worker_id: str) -> tuple[int, int]:
-        """Returns incarnation and sequence of the newest accepted heartbeat."""
-        return self._newest_heartbeats.get(worker_id, (0, 0))
-
     async def _remove_worker(self, worker_id: str) -> HttpResponse:
-        born, _ = self._newest_heartbeat(worker_id)
+        born = self._newest.incarnation_of(worker_id)
         await self._leader_client.execute(
             JOBS_GROUP,
             WorkerDeparture(worker_id, born),
--- a/tests/test_worker_heartbeats.py
+++ b/tests/test_worker_heartbeats.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from http import HTTPStatus
 from typing import Any
 
 import anyio
@@ -142,16 +143,37 @@
         return Acknowledged()
 
 
+async def _send(control: ControlHandler, **fields: Any) -> None:
+    body = orjson.dumps(make_heartbeat(**fields))
+    request = HttpRequest('PUT', '', '/instances/i-1', body, 1)
+    assert (await control.respond(request)).status == HTTPStatus.OK
+
+
 def test_a_refused_heartbeat_does_not_hide_the_worker_s_own() -> None:
     """A high incarnation made a scheduler drop the worker's heartbeats."""
 
     async def main() -> None:
         leader_client = RefusingLeaderClient()
         control = ControlHandler(leader_client)  # type: ignore[arg-type]
-        for fields in ({'service': 'odd', 'born': 2**50}, {'sequence': 5}):
-            body = orjson.dumps(make_heartbeat(**fields))
-            request = HttpRequest('PUT', '', '/instances/i-1', body, 1)
-            assert (await control.respond(request)).status == 200
+        await _send(control, service='odd', born=2**50)
+        await _send(control, sequence=5)
+        assert len(leader_client.accepted) == 1
+
+    run_with_mock_clock(main)
+
+
+def test_a_worker_whose_time_of_day_went_back_is_heard_again() -> None:
+    """A scheduler dropped its heartbeats for good, as if they were late."""
+
+    async def main() -> None:
+        leader_client = RefusingLeaderClient()
+        control = ControlHandler(leader_client)  # type: ignore[arg-type]
+        await _send(control, born=9, sequence=5)
+        await _send(control, born=9, sequence=4)
+        await _send(control, born=8)
         assert len(leader_client.accepted) == 1
+        await anyio.sleep(31)
+        await _send(control, born=8)
+        assert len(leader_client.accepted) == 2
 
-    anyio.run(main)
+    run_with_mock_clock(main)
