--- a/mulberryhitch/dispatch/runs/run_controller.py
+++ b/mulberryhitch/dispatch/runs/run_controller.py
@@ -195,7 +195,7 @@
         command = replace(
             command, lease_until=worker.extend_lease(anyio.current_time())
         )
-        incarnation = worker.record.born
+        asked = worker.record.born
         try:
             answer, clock = await self._term.worker_client.start(
                 worker.record, command
@@ -211,7 +211,7 @@
                 worker=worker.record.worker_id,
             )
             return None
-        if worker.record.born == incarnation:
+        if worker.record.born == asked:
             worker.record_contact(clock, anyio.current_time())
         return answer
 
--- a/mulberryhitch/dispatch/runs/worker_monitor.py
+++ b/mulberryhitch/dispatch/runs/worker_monitor.py
@@ -126,7 +126,7 @@
         self, worker: TrackedWorker, wait_seconds: float
     ) -> None:
         now = anyio.current_time()
-        polled = worker.record
+        asked = worker.record
         acknowledged_end = (
             0 if worker.numbering_uncertain else worker.acknowledged_end
         )
@@ -136,7 +136,7 @@
         lease_until = 0 if worker.missed_polls else worker.extend_lease(now)
         try:
             view = await self._term.worker_client.poll(
-                polled,
+                asked,
                 self._term.fence,
                 acknowledged_end,
                 lease_until,
@@ -146,10 +146,10 @@
             self._handle_missed_poll(worker, error)
             return
         if isinstance(view, WorkerAnswer):
-            await self._handle_refusal(worker, polled, view)
+            await self._handle_refusal(worker, asked, view)
         elif not worker.removed:
-            # A list that names no incarnation is from the one that was polled.
-            view = replace(view, incarnation=view.incarnation or polled.born)
+            # A list that names no incarnation is from the one that was asked.
+            view = replace(view, incarnation=view.incarnation or asked.born)
             if view.incarnation < worker.record.born:
                 self._record_missed_poll(worker)
                 return
@@ -175,12 +175,12 @@
         worker.numbering_uncertain = True
 
     async def _handle_refusal(
-        self, worker: TrackedWorker, polled: WorkerRecord, answer: WorkerAnswer
+        self, worker: TrackedWorker, asked: WorkerRecord, answer: WorkerAnswer
     ) -> None:
         self._record_missed_poll(worker)
         if answer is WorkerAnswer.fenced:
             self._term.step_down(worker)
-        elif answer is WorkerAnswer.replaced and worker.record == polled:
+        elif answer is WorkerAnswer.replaced and worker.record == asked:
             await self.try_remove_worker(worker, 'replaced')
 
     async def _apply_view(
--- a/mulberryhitch/platform/workers.py
+++ b/mulberryhitch/platform/workers.py
@@ -203,7 +203,7 @@
         return {
             row[0]: row[1]
             for row in rows
-            if isinstance(row, list) and _is_pair_of_strings(row[:2])
+            if isinstance(row, list) and _are_strings(row[:2])
         }
 
 
@@ -218,5 +218,5 @@
     return _ANSWERS_BY_REASON.get(reason, WorkerAnswer.refused)
 
 
-def _is_pair_of_strings(pair: list[Any]) -> bool:
+def _are_strings(pair: list[Any]) -> bool:
     return len(pair) == 2 and all(isinstance(part, str) for part in pair)
