A process reports when its event loop was held up

`event_loop.held_up` and the histogram `held_up` say for each process how late its event loop woke up, four times a second. The leader's `event_loop_lag` is one sample a second, taken while it dispatches only. No logic is changed.

--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -27,6 +27,7 @@
 from mulberryhitch.membership.leader_client import LeaderClient
 from mulberryhitch.membership.peers import PeerConnectionPool
 from mulberryhitch.membership.readiness import is_ready
+from mulberryhitch.observability.event_loop import EventLoopMonitor
 from mulberryhitch.observability.exposition import render_exposition
 from mulberryhitch.observability.histograms import Histograms
 from mulberryhitch.observability.log import LineRateLimiter, Log
@@ -103,6 +104,7 @@
 
     async def start_tasks(self, tasks: Any) -> None:
         """Starts the background tasks of the shared parts."""
+        tasks.start_soon(EventLoopMonitor(self.log, self.histograms).run)
         tasks.start_soon(self.peers.run)
         tasks.start_soon(self.rpc.serve, self.settings.vm, self.rpc_port)
         tasks.start_soon(self.reporter.run)
