A surplus voter is removed as soon as the one that replaces it is committed

What callers saw: after a VM was replaced for good, the group had four voters with one gone (six of six for five) for one more membership check. If a disk was wiped and all other VMs lost power in that time, no majority was left and no request was ever answered again.

Cause: the reconciler made at most one change for each `reconcile_seconds`.

Change: the next change follows a committed one at once; the reconciler waits only when nothing is to be done or a change failed. A failed change is logged as `members.not_changed` instead of being dropped.

--- a/mulberryhitch/replication/reconciler.py
+++ b/mulberryhitch/replication/reconciler.py
@@ -1,7 +1,5 @@
 """Membership changes by the leader: failed voters are replaced by spares."""
 
-import contextlib
-
 import anyio
 
 from mulberryhitch.errors import MulberryhitchError
@@ -57,19 +55,27 @@
     async def run(self) -> None:
         """Checks and changes the membership until cancelled."""
         while True:
-            await anyio.sleep(self._options.reconcile_seconds)
-            new_members = self._next_members()
-            if new_members is None or not self._leadership.has_authority:
-                continue
-            self._log.event(
-                'members.proposed',
-                term=self._leadership.term,
-                voters=list(new_members.voters),
-                learners=list(new_members.learners),
-                silent_seconds=self._leadership.silent_seconds(),
-            )
-            with contextlib.suppress(MulberryhitchError):
-                await self._leadership.change_members(new_members)
+            if not await self._make_next_change():
+                await anyio.sleep(self._options.reconcile_seconds)
+
+    async def _make_next_change(self) -> bool:
+        """Returns whether a change was necessary and is committed."""
+        new_members = self._next_members()
+        if new_members is None or not self._leadership.has_authority:
+            return False
+        self._log.event(
+            'members.proposed',
+            term=self._leadership.term,
+            voters=list(new_members.voters),
+            learners=list(new_members.learners),
+            silent_seconds=self._leadership.silent_seconds(),
+        )
+        try:
+            await self._leadership.change_members(new_members)
+        except MulberryhitchError as error:
+            self._log.problem('members.not_changed', error.problem)
+            return False
+        return True
 
     def _next_members(self) -> Members | None:
         members = self._state.members
--- a/tests/replica_group.py
+++ b/tests/replica_group.py
@@ -66,6 +66,7 @@
         self.cancel_scopes: dict[str, anyio.CancelScope] = {}
         self.task_group: Any = None
         self.leaders: dict[int, str] = {}
+        self.seeds = self.vms
 
     @asynccontextmanager
     async def running(self):
@@ -82,7 +83,7 @@
         replica = Replica(
             state,
             self.network.transport(vm),
-            self.vms,
+            self.seeds,
             self.options,
             Log(vm),
             self.rng,
@@ -108,6 +109,17 @@
         self.replicas.pop(vm, None)
         self.disks[vm].crash()
 
+    def remove(self, vm: str) -> None:
+        """Stops a VM for good: neither it nor its disk comes back."""
+        self.kill(vm)
+        self.disks.pop(vm)
+
+    def add(self, vm: str) -> None:
+        """Starts a VM at a new address, on an empty disk."""
+        self.seeds = tuple(self.disks)
+        self.disks[vm] = FakeDisk(vm)
+        self.start(vm)
+
     def lose_power(self, wiped: Collection[str]) -> None:
         """Stops all replicas at once and starts them, some on empty disks."""
         for vm in tuple(self.replicas):
--- /dev/null
+++ b/tests/test_replaced_machines.py
@@ -0,0 +1,81 @@
+"""VMs that are replaced for good by new ones at other addresses."""
+
+from dataclasses import replace
+
+import anyio
+import pytest
+
+from mulberryhitch.replication.members import vm_of
+from mulberryhitch.replication.replica import Replica
+from tests.change_client import ChangeClient
+from tests.replica_group import (
+    QUICK_OPTIONS,
+    ReplicaGroup,
+    run_with_mock_clock,
+)
+
+VOTERS = 3
+RECOVERY_SECONDS = 12
+SAMPLE_SECONDS = 0.005
+OPTIONS = replace(QUICK_OPTIONS, target_voters=VOTERS)
+
+
+async def _leader_of_complete_group(group: ReplicaGroup) -> Replica:
+    leader = await group.wait_leader()
+    with anyio.fail_after(10):
+        while not leader.members.learners:
+            await anyio.sleep(SAMPLE_SECONDS)
+    await anyio.sleep(1)
+    return leader
+
+
+def _follower_of(group: ReplicaGroup, leader: Replica) -> str:
+    voters = sorted(map(vm_of, leader.members.voters))
+    voters.remove(group.vm_of(leader))
+    return group.rng.choice(voters)
+
+
+async def _wait_for_voter(group: ReplicaGroup, vm: str) -> Replica:
+    """Waits until a VM's replica is a voter; returns the leader."""
+    with anyio.fail_after(10):
+        while True:
+            leader = group.leader()
+            if leader is not None and leader.state.members_committed:
+                if vm in map(vm_of, leader.members.voters):
+                    return leader
+            await anyio.sleep(SAMPLE_SECONDS)
+
+
+async def _expect_nothing_lost(
+    group: ReplicaGroup, client: ChangeClient, wiped: str
+) -> None:
+    group.lose_power([wiped])
+    assert await group.put('after', 0, RECOVERY_SECONDS)
+    leader = await group.wait_leader()
+    assert client.acknowledged
+    assert not client.lost_at(group.vm_of(leader))
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_a_group_does_not_stay_with_a_surplus_voter_until_the_next_check(
+    seed: int,
+) -> None:
+    async def main() -> None:
+        group = ReplicaGroup(VOTERS, seed, 1, OPTIONS)
+        async with group.running():
+            leader = await _leader_of_complete_group(group)
+            client = ChangeClient(group)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(client.run)
+                gone = _follower_of(group, leader)
+                group.remove(gone)
+                await anyio.sleep(0.5)
+                group.add('new')
+                await _wait_for_voter(group, 'spare-1')
+                await anyio.sleep(OPTIONS.reconcile_seconds / 2)
+                tasks.cancel_scope.cancel()
+            assert gone not in map(vm_of, leader.members.voters)
+            wiped = group.rng.choice(sorted(map(vm_of, leader.members.voters)))
+            await _expect_nothing_lost(group, client, wiped)
+
+    run_with_mock_clock(main)
