What a killed process left renamed is durable before it is used

What callers saw: after a kill and a later loss of power, an acknowledged change could be gone, or a scheduler dropped its whole log as damaged ("vote has term 1, older than the log"), with one voter fewer for the next election.

The next process read it and went on: it synced new entries into a log file that the next loss of power replaced by the former one, and entries of a term whose vote was lost.

Killed before the folder sync of a rewritten log, entry 6, synced after the restart, is missing after the loss of power; killed before that of a vote, the log is refused as damaged.

Change: a storage syncs its folder before it opens the log, so whatever it loads stays. It costs one sync at each start.

--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -67,6 +67,8 @@
         folder.mkdir(parents=True, exist_ok=True)
         sync_folder(folder.parent)
         self._log_path = folder / 'log'
+        # Renames that a killed process left unsynced count as durable now.
+        sync_folder(folder)
         self._descriptor = self._open_log()
         # None if the log file must be rewritten before the next write.
         self._encoder: LogEncoder | None = None
