A voter that retires is replaced at once, not after its silence

What callers saw: a VM was replaced as planned (its successor first, then the old one ended).

Cause: the leader took the old VM, which had said nothing about its end, for a voter that may come back: it was replaced after `repair_seconds` (2 s) of silence, which begin only when its process has ended.

Change: a replica that retires sends hello requests with `retiring` to all members at once and each half of an election time, so that a new leader knows it too. The leader makes another learner a voter, then removes the retired one. It stays while no learner can replace it, a retiring learner is not promoted, and a retiring replica that is no member is not added. A message without the field reads as not retiring. `HelloRecords` takes the requests to join over from the replica; they now expire on the clock that includes suspension.

The new test fails on the former code as stated and passes now.

--- a/mulberryhitch/replication/bootstrap.py
+++ b/mulberryhitch/replication/bootstrap.py
@@ -40,10 +40,17 @@
         self._transport = transport
         self._initial_vms = initial_vms
         self._options = options
-        self._own_vm = state.replica_id.partition('#')[0]
+        self._own_vm = vm_of(state.replica_id)
+        self._is_retiring = False
+        self._retirement_began = anyio.Event()
+
+    def retire(self) -> None:
+        """Tells all others from now on that this replica's process will end."""
+        self._is_retiring = True
+        self._retirement_began.set()
 
     async def run(self, is_detached: Callable[[], bool]) -> None:
-        """Sends hello requests while unconfigured or detached.
+        """Sends hello requests while unconfigured, detached or retiring.
 
         Args:
             is_detached: Returns whether this replica is not a member of its
@@ -53,9 +60,18 @@
             if not self._state.configured:
                 with suppress(DiskFullError):
                     await self._try_bootstrap()
-            elif is_detached():
+            elif self._is_retiring or is_detached():
                 await self._query_peers()
-            await anyio.sleep(self._options.election_seconds / 2)
+            await self._wait_for_next_round()
+
+    async def _wait_for_next_round(self) -> None:
+        """Waits half an election time, or until this replica retires."""
+        seconds = self._options.election_seconds / 2
+        if self._is_retiring:
+            await anyio.sleep(seconds)
+            return
+        with anyio.move_on_after(seconds):
+            await self._retirement_began.wait()
 
     async def _try_bootstrap(self) -> None:
         replies = await self._query_peers()
@@ -101,7 +117,10 @@
 
     async def _query(self, vm: str, replies: list[HelloReply]) -> None:
         request = HelloRequest(
-            self._state.group, self._state.replica_id, self._state.configured
+            self._state.group,
+            self._state.replica_id,
+            self._state.configured,
+            self._is_retiring,
         )
         try:
             reply = await self._transport.call(
--- /dev/null
+++ b/mulberryhitch/replication/hello_records.py
@@ -0,0 +1,54 @@
+"""The replicas that recently asked to join their group, or to leave it."""
+
+from mulberryhitch.replication.options import ReplicationOptions
+from mulberryhitch.rpc.messages import HelloRequest
+
+# Hello requests are repeated each half of an election time.
+_EXPIRY_ELECTION_TIMES = 4
+
+
+class HelloRecords:
+    """The latest hello request of each replica, until it expires.
+
+    Args:
+        options: Timing settings.
+    """
+
+    def __init__(self, options: ReplicationOptions) -> None:
+        """Initialises the records without any request."""
+        self._options = options
+        self._received_at: dict[str, float] = {}
+        self._retiring: set[str] = set()
+
+    @property
+    def joining(self) -> list[str]:
+        """Returns who sent requests and does not retire, the earliest first."""
+        self._remove_expired()
+        return [
+            replica_id
+            for replica_id in self._received_at
+            if replica_id not in self._retiring
+        ]
+
+    def record(self, request: HelloRequest) -> None:
+        """Records a request as its sender's latest one."""
+        self._received_at[request.replica_id] = self._options.now()
+        if request.retiring:
+            self._retiring.add(request.replica_id)
+        else:
+            self._retiring.discard(request.replica_id)
+
+    def is_retiring(self, replica_id: str) -> bool:
+        """Whether a replica's process is about to end."""
+        self._remove_expired()
+        return replica_id in self._retiring
+
+    def _remove_expired(self) -> None:
+        lifetime = self._options.election_seconds * _EXPIRY_ELECTION_TIMES
+        oldest = self._options.now() - lifetime
+        self._received_at = {
+            replica_id: received_at
+            for replica_id, received_at in self._received_at.items()
+            if received_at >= oldest
+        }
+        self._retiring.intersection_update(self._received_at)
--- a/mulberryhitch/replication/reconciler.py
+++ b/mulberryhitch/replication/reconciler.py
@@ -4,6 +4,7 @@
 
 from mulberryhitch.errors import MulberryhitchError
 from mulberryhitch.observability.log import Log
+from mulberryhitch.replication.hello_records import HelloRecords
 from mulberryhitch.replication.leadership import Leadership
 from mulberryhitch.replication.members import Members, vm_of
 from mulberryhitch.replication.options import ReplicationOptions
@@ -22,14 +23,14 @@
     caught up. A voter that is silent for ``repair_seconds`` may still have its
     disk, so another learner becomes a voter before it is removed: with one
     voter fewer, even for a moment, fewer lost disks would lose the majority
-    for good.
+    for good. A voter whose process is about to end is replaced likewise, at
+    once.
 
     Args:
         state: The replica's state.
         leadership: The leadership that commits the changes.
         options: Timing settings.
-        join_requests: Ids of replicas that asked to join, with the time of
-            their latest request.
+        hello_records: The replicas that asked to join, or that retire.
         target_voters: Number of voters in a complete group.
         log: Receives each change that is proposed.
     """
@@ -39,7 +40,7 @@
         state: ReplicaState,
         leadership: Leadership,
         options: ReplicationOptions,
-        join_requests: dict[str, float],
+        hello_records: HelloRecords,
         target_voters: int,
         log: Log,
     ) -> None:
@@ -47,7 +48,7 @@
         self._state = state
         self._leadership = leadership
         self._options = options
-        self._join_requests = join_requests
+        self._hello_records = hello_records
         self._target_voters = target_voters
         self._log = log
         self._started_at = self._options.now()
@@ -84,7 +85,7 @@
         caught_up = [
             learner
             for learner in members.learners
-            if self._is_caught_up(learner)
+            if self._is_caught_up(learner) and not self._is_retiring(learner)
         ]
         replaced = self._voter_to_remove(members)
         if replaced:
@@ -109,9 +110,10 @@
                 return voter
         if len(members.voters) <= self._target_voters:
             return ''
-        silent = max(unreachable, key=self._silent_seconds, default='')
-        if silent:
-            return silent if self._is_timed_out(silent) else ''
+        leaving = filter(self._is_leaving, members.voters)
+        longest_silent = max(leaving, key=self._silent_seconds, default='')
+        if longest_silent or unreachable:
+            return longest_silent
         peers = self._leadership.peers
         return min(
             (voter for voter in members.voters if voter in peers),
@@ -125,8 +127,7 @@
         if not caught_up or len(members.voters) > self._target_voters:
             return ''
         is_incomplete = len(members.voters) < self._target_voters
-        unreachable = self._unreachable_voters(members)
-        if is_incomplete or any(map(self._is_timed_out, unreachable)):
+        if is_incomplete or any(map(self._is_leaving, members.voters)):
             return caught_up[0]
         return ''
 
@@ -141,6 +142,13 @@
             if other != replica_id
         )
 
+    def _is_leaving(self, replica_id: str) -> bool:
+        """Whether a replica is silent for too long, or about to end."""
+        return self._is_timed_out(replica_id) or self._is_retiring(replica_id)
+
+    def _is_retiring(self, replica_id: str) -> bool:
+        return self._hello_records.is_retiring(replica_id)
+
     def _is_timed_out(self, replica_id: str) -> bool:
         silent_seconds = self._silent_seconds(replica_id)
         return silent_seconds > self._options.repair_seconds
@@ -168,12 +176,8 @@
         return self._options.now() - last_contact
 
     def _next_join_request(self, members: Members) -> str:
-        now = anyio.current_time()
-        for replica_id, received_at in tuple(self._join_requests.items()):
-            expired = now - received_at > self._options.election_seconds * 4
-            if expired or replica_id in members.replica_ids:
-                self._join_requests.pop(replica_id)
-            else:
+        for replica_id in self._hello_records.joining:
+            if replica_id not in members.replica_ids:
                 return replica_id
         return ''
 
--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -23,6 +23,7 @@
 from mulberryhitch.replication.failstop import FailStop
 from mulberryhitch.replication.follower import Follower
 from mulberryhitch.replication.handover import Handover
+from mulberryhitch.replication.hello_records import HelloRecords
 from mulberryhitch.replication.interfaces import Transport
 from mulberryhitch.replication.leadership import Leadership
 from mulberryhitch.replication.members import Members
@@ -97,7 +98,7 @@
         self._retiring = False
         self._target_voters = options.target_voters or len(initial_vms)
         self._bootstrap = Bootstrap(state, transport, initial_vms, options)
-        self._join_requests: dict[str, float] = {}
+        self._hello_records = HelloRecords(options)
         state.set_applied_callback(self._complete_proposal)
 
     @property
@@ -223,6 +224,7 @@
         the process ends.
         """
         self._retiring = True
+        self._bootstrap.retire()
         await self.transfer_leadership()
 
     async def transfer_leadership(self) -> None:
@@ -242,9 +244,8 @@
         await self._require_leadership().change_members(members)
 
     async def hello(self, request: HelloRequest) -> HelloReply:
-        """Returns the identity and members, and records a request to join."""
-        if request.replica_id not in self._state.members.replica_ids:
-            self._join_requests[request.replica_id] = anyio.current_time()
+        """Returns the identity and members, and records the request."""
+        self._hello_records.record(request)
         return HelloReply(
             self.replica_id,
             self._state.configured,
@@ -471,7 +472,7 @@
             self._state,
             leadership,
             self._options,
-            self._join_requests,
+            self._hello_records,
             self._target_voters,
             self._log,
         )
--- a/mulberryhitch/rpc/messages.py
+++ b/mulberryhitch/rpc/messages.py
@@ -27,11 +27,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HelloRequest:
-    """Sends a replica's identity and requests the receiver's."""
+    """Sends a replica's identity and requests the receiver's.
+
+    Attributes:
+        retiring: Whether the sender's process is about to end.
+    """
 
     group: str
     replica_id: str
     configured: bool
+    retiring: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/mulberryhitch/rpc/mulberryhitch.thrift
+++ b/mulberryhitch/rpc/mulberryhitch.thrift
@@ -29,6 +29,7 @@
   1: string group,
   2: string replica_id,
   3: bool configured,
+  4: bool retiring = 0,
 }
 
 struct HelloReply {
--- a/tests/test_replaced_machines.py
+++ b/tests/test_replaced_machines.py
@@ -16,6 +16,7 @@
 
 VOTERS = 3
 RECOVERY_SECONDS = 12
+CATCH_UP_SECONDS = 4
 SAMPLE_SECONDS = 0.005
 OPTIONS = replace(QUICK_OPTIONS, target_voters=VOTERS)
 
@@ -35,6 +36,11 @@
     return group.rng.choice(voters)
 
 
+def _present_voter(group: ReplicaGroup, leader: Replica) -> str:
+    voters = set(map(vm_of, leader.members.voters))
+    return group.rng.choice(sorted(voters & set(group.disks)))
+
+
 async def _wait_for_voter(group: ReplicaGroup, vm: str) -> Replica:
     """Waits until a VM's replica is a voter; returns the leader."""
     with anyio.fail_after(10):
@@ -75,7 +81,63 @@
                 await anyio.sleep(OPTIONS.reconcile_seconds / 2)
                 tasks.cancel_scope.cancel()
             assert gone not in map(vm_of, leader.members.voters)
-            wiped = group.rng.choice(sorted(map(vm_of, leader.members.voters)))
+            wiped = _present_voter(group, leader)
+            await _expect_nothing_lost(group, client, wiped)
+
+    run_with_mock_clock(main)
+
+
+async def _replace_as_planned(
+    group: ReplicaGroup, old: str, overlap_seconds: float
+) -> None:
+    """Adds a VM, and ends another one on request after the overlap."""
+    group.add('new')
+    await anyio.sleep(overlap_seconds)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(group.replicas[old].retire)
+        await anyio.sleep(OPTIONS.election_seconds)
+        group.remove(old)
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize('seed', range(4))
+@pytest.mark.parametrize('overlap_seconds', [0.5, 2])
+@pytest.mark.parametrize('is_leader', [True, False])
+def test_a_lost_disk_after_a_planned_replacement_leaves_a_majority(
+    is_leader: bool, overlap_seconds: float, seed: int
+) -> None:
+    async def main() -> None:
+        group = ReplicaGroup(VOTERS, seed, 1, OPTIONS)
+        async with group.running():
+            leader = await _leader_of_complete_group(group)
+            old = group.vm_of(leader)
+            if not is_leader:
+                old = _follower_of(group, leader)
+            client = ChangeClient(group)
+            began = anyio.current_time()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(client.run)
+                await _replace_as_planned(group, old, overlap_seconds)
+                await anyio.sleep(
+                    began + CATCH_UP_SECONDS - anyio.current_time()
+                )
+                tasks.cancel_scope.cancel()
+            leader = await group.wait_leader(1)
+            wiped = _present_voter(group, leader)
             await _expect_nothing_lost(group, client, wiped)
 
     run_with_mock_clock(main)
+
+
+def test_a_voter_that_retires_stays_while_no_learner_can_replace_it() -> None:
+    async def main() -> None:
+        group = ReplicaGroup(VOTERS, 1, 0, OPTIONS)
+        async with group.running():
+            leader = await group.wait_leader()
+            retired = _follower_of(group, leader)
+            await group.replicas[retired].retire()
+            await anyio.sleep(3)
+            assert leader.has_authority
+            assert retired in map(vm_of, leader.members.voters)
+
+    run_with_mock_clock(main)
