Log of a refused request names each VM that it called

A request that found no leader was logged with the last error only, so the record of an incident could not tell which VMs a caller had tried, how long each took and which leader each of them named.

Errors sent to other processes don't carry it. The counters leader.operation, leader.attempt and leader.search_failed tell the same in the metrics.

The fakes of test_leader_client move to their own module, unchanged.

--- a/mulberryhitch/composition.py
+++ b/mulberryhitch/composition.py
@@ -236,7 +236,9 @@
         histograms = Histograms()
         authenticator = Authenticator()
         node.configuration.add_listener(authenticator.update)
-        leader_client = LeaderClient(self._scheduler_connections)
+        leader_client = LeaderClient(
+            self._scheduler_connections, count=metrics.count
+        )
         router = Router(
             node.identity.member_id,
             node.configuration,
--- a/mulberryhitch/dispatch/permits/proxy.py
+++ b/mulberryhitch/dispatch/permits/proxy.py
@@ -123,7 +123,9 @@
                 )
             except MulberryhitchError as error:
                 if self._leader_reached:
-                    self._log.problem('leader.lost', error.problem)
+                    self._log.problem(
+                        'leader.lost', error.problem, **error.log_fields
+                    )
                 self._leader_reached = False
             else:
                 self._handle_reply(reply)
--- a/mulberryhitch/errors.py
+++ b/mulberryhitch/errors.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import ClassVar, TypeVar
+from typing import ClassVar, Protocol, TypeVar
 
 from mulberryhitch.outcomes import Outcome
 
@@ -29,6 +29,13 @@
     retry_after_seconds: float = 0
 
 
+class ErrorDetails(Protocol):
+    """What led to an error; logged where the error is reported."""
+
+    def log_fields(self) -> dict[str, object]:
+        """Returns the details as fields of a log line."""
+
+
 class MulberryhitchError(Exception):
     """Base class of all errors of this project.
 
@@ -38,6 +45,7 @@
         retry_after_seconds: Delay before a retry; zero if none is given.
 
     Attributes:
+        details: What led to the error, for the log of this process only.
         code: Stable code, set by :func:`register_error`.
         status: HTTP status of the response.
         outcome: Whether the request may have run.
@@ -61,6 +69,7 @@
         self.what = what
         self.where = where
         self.retry_after_seconds = retry_after_seconds
+        self.details: ErrorDetails | None = None
 
     @property
     def problem(self) -> Problem:
@@ -69,6 +78,11 @@
             self.code, self.what, self.where, self.retry_after_seconds
         )
 
+    @property
+    def log_fields(self) -> dict[str, object]:
+        """The details as fields of a log line; empty if there are none."""
+        return self.details.log_fields() if self.details else {}
+
 
 ErrorType = TypeVar('ErrorType', bound=type[MulberryhitchError])
 
--- a/mulberryhitch/membership/leader_client.py
+++ b/mulberryhitch/membership/leader_client.py
@@ -1,5 +1,6 @@
 """A client that finds the leader of a group and calls it."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -16,6 +17,7 @@
     ProtocolError,
     UnreachableError,
 )
+from mulberryhitch.membership.attempts import LeaderSearch, named_leader_of
 from mulberryhitch.outcomes import Outcome
 from mulberryhitch.rpc.messages import ExecuteReply, ExecuteRequest
 from mulberryhitch.rpc.records import decode_as, encode, kind_of
@@ -70,10 +72,12 @@
     """The failed calls of one operation.
 
     Attributes:
+        search: Every call, for the log.
         maybe_executed: Whether one of them may have executed the operation.
     """
 
     group: str
+    search: LeaderSearch
     maybe_executed: bool = False
     last_error: MulberryhitchError | None = None
 
@@ -126,16 +130,19 @@
     Args:
         transport: Calls the schedulers.
         call_timeout_seconds: Timeout of a call to one scheduler.
+        count: Counts an event of the given name.
     """
 
     def __init__(
         self,
         transport: SchedulerTransport,
         call_timeout_seconds: float = _CALL_TIMEOUT_SECONDS,
+        count: Callable[[str], None] = lambda event: None,
     ) -> None:
         """Initialises the client with no known leader."""
         self._transport = transport
         self._call_timeout_seconds = call_timeout_seconds
+        self._count = count
         self._last_leaders: dict[str, str] = {}
         self._avoided_until: dict[str, float] = {}
         self._voter_index = 0
@@ -149,6 +156,8 @@
     ) -> Any:
         """Executes an operation and returns the leader's reply.
 
+        The details of an error are the :class:`LeaderSearch`.
+
         Raises:
             NoQuorumError: No leader was found; nothing was executed.
             OutcomeUnknownError: The operation may have been executed, also if
@@ -158,22 +167,40 @@
         """
         request = ExecuteRequest(group, kind_of(operation), encode(operation))
         deadline = anyio.current_time() + timeout_seconds
-        attempts = _Attempts(group)
+        attempts = _Attempts(group, LeaderSearch(self._known_leader(group)))
+        self._count('leader.operation')
+        try:
+            reply = await self._execute_until(deadline, request, attempts)
+        except MulberryhitchError as error:
+            error.details = attempts.search
+            raise
+        return decode_reply(reply, reply_type)
+
+    async def _execute_until(
+        self, deadline: float, request: ExecuteRequest, attempts: _Attempts
+    ) -> Any:
+        group = request.group
         while anyio.current_time() < deadline:
             remaining_seconds = deadline - anyio.current_time()
             vm = self._select_vm(group)
+            started_at = anyio.current_time()
+            self._count('leader.attempt')
             try:
                 reply = await self._call(vm, request, remaining_seconds)
             except MulberryhitchError as error:
+                attempts.search.record(
+                    vm, anyio.current_time() - started_at, error
+                )
                 attempts.record_failure(error)
                 self._leave(group, vm, error)
             else:
                 self._last_leaders[group] = vm
                 self._avoided_until.pop(vm, None)
-                return decode_reply(reply, reply_type)
+                return reply
             await anyio.sleep(
                 min(_RETRY_INTERVAL_SECONDS, max(remaining_seconds, 0))
             )
+        self._count('leader.search_failed')
         raise attempts.timeout_error()
 
     async def _call(
@@ -188,15 +215,16 @@
             min(remaining_seconds, self._call_timeout_seconds),
         )
 
+    def _known_leader(self, group: str) -> str:
+        return self._last_leaders.get(group) or self._transport.leader_of(group)
+
     def _select_vm(self, group: str) -> str:
         """Returns the known leader, or else the next voter in turn.
 
         A VM that recently failed is chosen only if all voters did. Empty if
         no voter is known.
         """
-        known = self._last_leaders.get(group) or self._transport.leader_of(
-            group
-        )
+        known = self._known_leader(group)
         if known and not self._is_avoided(known):
             return known
         voters = self._transport.voters_of(group)
@@ -212,7 +240,7 @@
         """Avoids a VM for a while; follows it to the leader that it names."""
         seconds = _AVOID_UNRESPONSIVE_SECONDS
         if isinstance(error, NotLeaderError):
-            self._last_leaders[group] = error.where.partition('#')[0]
+            self._last_leaders[group] = named_leader_of(error)
             seconds = _AVOID_NON_LEADER_SECONDS
         self._avoided_until[vm] = anyio.current_time() + seconds
 
--- a/mulberryhitch/platform/asgi.py
+++ b/mulberryhitch/platform/asgi.py
@@ -134,6 +134,7 @@
                 method=scope['method'],
                 path=scope['path'],
                 status=http_status_of(error),
+                **error.log_fields,
             )
             return _error_response(error)
         except Exception as unexpected_error:  # noqa: BLE001
--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -86,7 +86,9 @@
         self.peers = PeerConnectionPool(
             self.log.member_id, self.scheduler_port, settings.seed_vms
         )
-        self.leader_client = LeaderClient(self.peers, _CALL_TIMEOUT_SECONDS)
+        self.leader_client = LeaderClient(
+            self.peers, _CALL_TIMEOUT_SECONDS, self.log.count
+        )
         self.rpc = RpcServer(self.log)
         self.client = PlatformClient()
         self.permit_client = PlatformPermitClient(
--- a/tests/test_leader_client.py
+++ b/tests/test_leader_client.py
@@ -5,15 +5,12 @@
 """
 
 from http import HTTPStatus
-from typing import Any
-
 import anyio
 import pytest
 
 from mulberryhitch.dispatch.operations import JobReply, ReadJob
 from mulberryhitch.errors import (
     ConnectionLostError,
-    DeadlinePassedError,
     DiskFullError,
     MulberryhitchError,
     NoQuorumError,
@@ -26,65 +23,16 @@
 )
 from mulberryhitch.membership.leader_client import LeaderClient
 from mulberryhitch.platform.asgi import http_status_of
-from mulberryhitch.rpc.messages import ExecuteReply
-from mulberryhitch.rpc.records import encode
+from tests.fake_schedulers import (
+    FakeSchedulers,
+    NoSchedulers,
+    ScriptedSchedulers,
+)
 from tests.replica_group import run_with_mock_clock
 
-VMS = ('a', 'b', 'c', 'd')
 OPERATION = ReadJob('h', '/q/')
 
 
-class FakeSchedulers:
-    """One VM leads; connections to those that are cut off time out."""
-
-    def __init__(self, leader: str, cut_vms: set[str]) -> None:
-        self.leader = leader
-        self.cut_vms = cut_vms
-        self.reported_leader = ''
-        self.called_vms: list[str] = []
-
-    async def call(
-        self, vm: str, method: str, request: Any, timeout_seconds: float
-    ) -> Any:
-        self.called_vms.append(vm)
-        if vm in self.cut_vms:
-            await anyio.sleep(timeout_seconds)
-            raise DeadlinePassedError('not connected', where=vm)
-        await anyio.sleep(0.002)
-        if vm != self.leader:
-            raise NotLeaderError('not the leader', where=self.reported_leader)
-        return ExecuteReply(encode(JobReply('queued')))
-
-    def leader_of(self, group: str) -> str:
-        return self.reported_leader
-
-    def voters_of(self, group: str) -> tuple[str, ...]:
-        return VMS
-
-
-class NoSchedulers(FakeSchedulers):
-    """No scheduler is known, as with settings that name no seed."""
-
-    def __init__(self) -> None:
-        super().__init__('', set())
-
-    def voters_of(self, group: str) -> tuple[str, ...]:
-        return ()
-
-
-class ScriptedSchedulers(FakeSchedulers):
-    """Each call fails with the next error."""
-
-    def __init__(self, *failures: MulberryhitchError) -> None:
-        super().__init__('a', set())
-        self._failures = list(failures)
-
-    async def call(
-        self, vm: str, method: str, request: Any, timeout_seconds: float
-    ) -> Any:
-        raise self._failures.pop(0)
-
-
 async def measure_execute(
     leader_client: LeaderClient, seconds: float = 0.9
 ) -> float:
