An operation that finds no leader ends at its deadline

Callers of the control interface saw silence in place of a 503: they leave after a second, and an operation with 0.9 s took 1.0 s when the schedulers that it called did not answer.

Cause: the pause after a failed call was bounded by the time left before the call, not after it. A call of 0.6 s, the pause, a call of 0.2 s (the 'not connected in 0.181 s' of the incident's record) and another whole pause of 0.1 s.

Evidence: on the simulated clock with four schedulers that don't answer, 0.9 s were allowed and 1.0 s taken (test_an_operation_without_a_leader_ends_at_its_ deadline failed so before); 0.9 s now.

--- a/mulberryhitch/membership/leader_client.py
+++ b/mulberryhitch/membership/leader_client.py
@@ -197,6 +197,7 @@
                 self._last_leaders[group] = vm
                 self._avoided_until.pop(vm, None)
                 return reply
+            remaining_seconds = deadline - anyio.current_time()
             await anyio.sleep(
                 min(_RETRY_INTERVAL_SECONDS, max(remaining_seconds, 0))
             )
--- a/tests/test_leader_client.py
+++ b/tests/test_leader_client.py
@@ -144,3 +144,17 @@
             await measure_execute(LeaderClient(NoSchedulers()))
 
     run_with_mock_clock(main)
+
+
+@pytest.mark.parametrize('cut_vms', ['', 'abcd'])
+def test_an_operation_without_a_leader_ends_at_its_deadline(
+    cut_vms: str,
+) -> None:
+    async def main() -> None:
+        leader_client = LeaderClient(FakeSchedulers('', set(cut_vms)), 0.6)
+        began = anyio.current_time()
+        with pytest.raises(NoQuorumError):
+            await measure_execute(leader_client, 0.9)
+        assert anyio.current_time() - began == pytest.approx(0.9, abs=0.01)
+
+    run_with_mock_clock(main)
