Callers of the configuration are answered before they leave

Callers of GET and PUT /config saw silence where a scheduler had a 503 or 502 for them: they move on after a second without a response, and a request without a deadline of its own got 1.5 s.

Cause: the time limit of 1.5 s in asgi.py is that of clients' requests, which name a deadline; the control interface took it over for the configuration, while heartbeats had 0.9 s, which left a tenth of a second for the connection and both messages.

All operations of the control interface now end after 0.8 s. How long its callers wait is a fact of the platform's protocol, so it stays in platform/.

--- a/mulberryhitch/platform/control.py
+++ b/mulberryhitch/platform/control.py
@@ -23,7 +23,8 @@
 
 _WORKERS_PATH = '/instances/'
 _CONFIGURATION_PATH = '/config'
-_HEARTBEAT_TIMEOUT_SECONDS = 0.9
+# A caller leaves after a second; the rest is for the messages.
+_TIMEOUT_SECONDS = 0.8
 
 
 class ControlHandler:
@@ -65,13 +66,13 @@
             JOBS_GROUP,
             ChangeTable(table),
             Acknowledged,
-            request.timeout_seconds,
+            _timeout_seconds(request),
         )
         return HttpResponse(HTTPStatus.OK)
 
     async def _read_configuration(self, request: HttpRequest) -> HttpResponse:
         reply: TableReply = await self._leader_client.execute(
-            JOBS_GROUP, ReadTable(), TableReply, request.timeout_seconds
+            JOBS_GROUP, ReadTable(), TableReply, _timeout_seconds(request)
         )
         if reply.version < 0:
             raise OverloadedError('no configuration has been received yet')
@@ -88,7 +89,7 @@
                 JOBS_GROUP,
                 WorkerHeartbeat(record, clock),
                 Acknowledged,
-                _HEARTBEAT_TIMEOUT_SECONDS,
+                _TIMEOUT_SECONDS,
             )
         except UnknownServiceError:
             # The worker goes on sending; a later configuration may use it.
@@ -102,6 +103,10 @@
             JOBS_GROUP,
             WorkerDeparture(worker_id, born),
             Acknowledged,
-            _HEARTBEAT_TIMEOUT_SECONDS,
+            _TIMEOUT_SECONDS,
         )
         return HttpResponse(HTTPStatus.OK)
+
+
+def _timeout_seconds(request: HttpRequest) -> float:
+    return min(request.timeout_seconds, _TIMEOUT_SECONDS)
--- a/tests/test_leader_search.py
+++ b/tests/test_leader_search.py
@@ -2,9 +2,11 @@
 
 import json
 from collections import Counter
+from http import HTTPStatus
 from typing import Any
 
 import anyio
+import orjson
 import pytest
 
 from mulberryhitch.dispatch.operations import (
@@ -26,15 +28,10 @@
 from mulberryhitch.observability.log import Log
 from mulberryhitch.platform.asgi import AsgiApplication
 from mulberryhitch.platform.control import ControlHandler
+from tests.fake_platform import make_heartbeat
 from tests.fake_schedulers import FakeSchedulers, ScriptedSchedulers
 from tests.replica_group import run_with_mock_clock
 
-SCOPE: dict[str, Any] = {
-    'type': 'http',
-    'method': 'GET',
-    'path': '/config',
-    'headers': [],
-}
 READ = ReadJob('h', '/q/')
 
 
@@ -49,23 +46,33 @@
         self.problems[event] = json.loads(json.dumps(fields))
 
 
+async def send_request(
+    schedulers: FakeSchedulers, method: str, path: str, body: bytes, log: Log
+) -> int:
+    """Sends a request to the control interface and returns its status."""
+    control = ControlHandler(LeaderClient(schedulers, 0.6))
+    application = AsgiApplication(
+        control.respond, log, Limits, lambda: False, Histograms()
+    )
+    sent: list[dict[str, Any]] = []
+
+    async def receive() -> dict[str, Any]:
+        return {'type': 'http.request', 'body': body}
+
+    async def send(message: dict[str, Any]) -> None:
+        sent.append(message)
+
+    scope = {'type': 'http', 'method': method, 'path': path, 'headers': []}
+    await application(scope, receive, send)
+    return int(sent[0]['status'])
+
+
 def test_a_refused_request_logs_each_vm_that_it_called() -> None:
     async def main() -> None:
         schedulers = FakeSchedulers('', {'b'})
         schedulers.reported_leader = 'b#1'
         log = RecordingLog()
-        control = ControlHandler(LeaderClient(schedulers, 0.6))
-        application = AsgiApplication(
-            control.respond, log, Limits, lambda: False, Histograms()
-        )
-
-        async def receive() -> dict[str, Any]:
-            return {'type': 'http.request'}
-
-        async def send(message: dict[str, Any]) -> None:
-            await anyio.sleep(0)
-
-        await application(SCOPE, receive, send)
+        await send_request(schedulers, 'GET', '/config', b'', log)
         fields = log.problems['request.refused']
         assert fields['known_leader'] == 'b#1'
         called = [attempt['vm'] for attempt in fields['attempts']]
@@ -151,3 +158,32 @@
         }
 
     run_with_mock_clock(main)
+
+
+CONFIGURATION = b'{"version":1,"routes":[],"services":[],"limits":{}}'
+HEARTBEAT = orjson.dumps(make_heartbeat())
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'body'),
+    [
+        ('GET', '/config', b''),
+        ('PUT', '/config', CONFIGURATION),
+        ('PUT', '/instances/w', HEARTBEAT),
+        ('DELETE', '/instances/w', b''),
+    ],
+)
+@pytest.mark.parametrize('cut_vms', ['', 'abcd'])
+def test_a_caller_of_the_control_interface_is_answered_before_it_leaves(
+    method: str, path: str, body: bytes, cut_vms: str
+) -> None:
+    # A caller leaves after 1 s; a tenth is for the messages.
+    async def main() -> None:
+        schedulers = FakeSchedulers('', set(cut_vms))
+        log = RecordingLog()
+        began = anyio.current_time()
+        status = await send_request(schedulers, method, path, body, log)
+        assert status == HTTPStatus.SERVICE_UNAVAILABLE, log.problems
+        assert anyio.current_time() - began <= 0.9
+
+    run_with_mock_clock(main)
