Calls with little time left don't end an attempt to connect

Cause: the connection was opened inside the call that came first, under a lock. When that call's time was up the attempt was cancelled, and the next call began anew. Where a connection takes longer than the calls have left (a lost opening packet is sent again after 1 s; long ways; a busy VM), none was ever made while short calls kept coming.

The attempt is now a task of the connection with its own limit (RPC_CONNECT_TIMEOUT_SECONDS); calls wait for it and leave without ending it.

Evidence: test_short_calls_do_not_keep_a_slow_connection_from_being_made, with connections that take 0.5 s and calls of 0.2, 0.2 and 0.4 s: before, all three failed; now the third is answered over the first attempt.

--- a/mulberryhitch/rpc/client.py
+++ b/mulberryhitch/rpc/client.py
@@ -19,6 +19,7 @@
     MulberryhitchError,
     OutcomeUnknownError,
     OverloadedError,
+    Problem,
     ProtocolError,
     UnreachableError,
     error_from_problem,
@@ -44,9 +45,25 @@
         self.call_result: CallResult | None = None
 
 
+class _ConnectAttempt:
+    """An attempt to connect, shared by all calls that wait for it.
+
+    Attributes:
+        ended: Set when the attempt ends.
+        problem: Why the attempt failed.
+    """
+
+    def __init__(self) -> None:
+        self.ended = anyio.Event()
+        self.problem: Problem | None = None
+
+
 class PeerConnection:
     """Connection to one peer; results are matched to calls by sequence id.
 
+    A call that times out doesn't end the attempt to connect, which has its own
+    time limit.
+
     Args:
         caller: This member's id.
         host: The peer's IP address.
@@ -73,7 +90,7 @@
         self._sequence_ids = itertools.count(1)
         self._pending: dict[int, _PendingCall] = {}
         self._frames: FrameStream | None = None
-        self._connect_lock = anyio.Lock()
+        self._attempt: _ConnectAttempt | None = None
         self._send_lock = anyio.Lock()
         self._tasks: TaskGroup | None = None
         self._last_received_at = -math.inf
@@ -83,7 +100,10 @@
         """Runs the reader tasks until cancelled; required by :meth:`call`."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
-            await anyio.sleep_forever()
+            try:
+                await anyio.sleep_forever()
+            finally:
+                self._tasks = None
 
     async def call(
         self, method: str, request: Request, timeout_seconds: float
@@ -164,15 +184,35 @@
             raise
 
     async def _ensure_connected(self) -> FrameStream:
-        async with self._connect_lock:
-            if self._frames is None:
-                self._frames = FrameStream(await self._connect())
-                if self._tasks is None:
-                    raise UnreachableError(
-                        'client is not running', where=self._host
-                    )
+        while self._frames is None:
+            attempt = self._attempt or self._start_attempt()
+            await attempt.ended.wait()
+            if attempt.problem is not None:
+                raise error_from_problem(attempt.problem)
+        return self._frames
+
+    def _start_attempt(self) -> _ConnectAttempt:
+        if self._tasks is None:
+            raise UnreachableError('client is not running', where=self._host)
+        attempt = _ConnectAttempt()
+        self._attempt = attempt
+        self._tasks.start_soon(self._open, attempt)
+        return attempt
+
+    async def _open(self, attempt: _ConnectAttempt) -> None:
+        stopped = UnreachableError('client was stopped', where=self._host)
+        attempt.problem = stopped.problem
+        try:
+            self._frames = FrameStream(await self._connect())
+        except UnreachableError as error:
+            attempt.problem = error.problem
+        else:
+            attempt.problem = None
+            if self._tasks is not None:
                 self._tasks.start_soon(self._read_results, self._frames)
-            return self._frames
+        finally:
+            self._attempt = None
+            attempt.ended.set()
 
     async def _connect(self) -> ByteStream:
         context = self._tls_context()
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -2,13 +2,18 @@
 
 import asyncio
 import errno
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
 import pytest
 from anyio.abc import SocketStream
 
-from mulberryhitch.errors import ConnectionLostError, OutcomeUnknownError
+from mulberryhitch.errors import (
+    ConnectionLostError,
+    DeadlinePassedError,
+    OutcomeUnknownError,
+)
 from mulberryhitch.observability.log import Log
 from mulberryhitch.rpc.client import PeerConnection
 from mulberryhitch.rpc.messages import HelloReply, HelloRequest
@@ -46,6 +51,86 @@
         await self._server._handle_connection(stream)
 
 
+SLOW = HelloRequest('slow', 'replica', configured=False)
+
+
+class SilenceableServer(RpcServer):
+    """Sends no result while it is silent, not even an error."""
+
+    is_silent = False
+
+    async def _handle_call(self, call: Any) -> bytes:
+        if self.is_silent:
+            await anyio.sleep_forever()
+        return await super()._handle_call(call)
+
+
+class SlowServer:
+    """Replies to slow calls after a time."""
+
+    def __init__(self, seconds: float) -> None:
+        self.seconds = seconds
+        self.accepted = 0
+        self.rpc = SilenceableServer(Log('test'))
+        self.rpc.register('hello', self._reply)
+
+    async def serve(self, task_status: Any) -> None:
+        listener = await anyio.create_tcp_listener(
+            local_host='127.0.0.1', local_port=0
+        )
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with listener:
+            task_status.started(port)
+            await listener.serve(self._handle_connection)
+
+    async def _handle_connection(self, stream: SocketStream) -> None:
+        self.accepted += 1
+        await self.rpc._handle_connection(stream)
+
+    async def _reply(self, request: HelloRequest) -> HelloReply:
+        if request.group == 'slow':
+            await anyio.sleep(self.seconds)
+        return await _reply_to_hello(request)
+
+
+def _run_with_peer(
+    server: SlowServer, play: Callable[[PeerConnection], Awaitable[None]]
+) -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            port = await tasks.start(server.serve)
+            peer = PeerConnection('caller', '127.0.0.1', port)
+            tasks.start_soon(peer.run)
+            await anyio.sleep(0)
+            await play(peer)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def test_short_calls_do_not_keep_a_slow_connection_from_being_made(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    connect = anyio.connect_tcp
+    attempts = []
+
+    async def connect_slowly(host: str, port: int) -> SocketStream:
+        attempts.append(port)
+        await anyio.sleep(0.5)
+        return await connect(host, port)
+
+    monkeypatch.setattr(anyio, 'connect_tcp', connect_slowly)
+
+    async def play(peer: PeerConnection) -> None:
+        for _ in range(2):
+            with pytest.raises(DeadlinePassedError):
+                await peer.call('hello', HELLO, 0.2)
+        await peer.call('hello', HELLO, 0.4)
+        assert len(attempts) == 1
+
+    _run_with_peer(SlowServer(0), play)
+
+
 def test_an_unresponsive_connection_is_replaced() -> None:
     async def main() -> None:
         server = StallingServer()
