A call that times out doesn't fail the others on its connection

Callers saw calls fail as 'connection lost', with unknown outcome, though the called VM was answering, only slowly.

Cause: a call that timed out closed the shared connection if nothing had been received since the call began, however short its timeout was; all other calls on it failed, and the next call had to connect anew. With round trips near the shortest timeout (what is left of a caller's time) this repeats. A call whose time ended while it waited for its turn to send closed the connection as well, though no part of its frame had been written.

The pending calls now belong to a Link, one open connection. A link is closed for silence when a call timed out and an awaited result is overdue for RPC_SILENCE_SECONDS (1 s), whatever the caller's timeout was; a result ends the wait. A link that never delivered anything (half-open from its start) is given up by further calls at the first timeout, and kept for the calls that wait on it.

test_a_connection_closed_while_sending_fails_only_the_call sets its fake stream in the link, where it now lives; what it checks is the same. The counter unmatched_results had no reader and is gone.

--- a/mulberryhitch/rpc/client.py
+++ b/mulberryhitch/rpc/client.py
@@ -1,7 +1,6 @@
-"""RPC client: one connection and one reader task per peer."""
+"""RPC client: a connection to one peer, shared by all calls."""
 
 import itertools
-import math
 import ssl
 from collections.abc import Callable
 from typing import TypeAlias
@@ -16,7 +15,6 @@
 from mulberryhitch.errors import (
     ConnectionLostError,
     DeadlinePassedError,
-    MulberryhitchError,
     OutcomeUnknownError,
     OverloadedError,
     Problem,
@@ -24,55 +22,48 @@
     UnreachableError,
     error_from_problem,
 )
-from mulberryhitch.rpc.codec import Call, CallResult, decode_result, encode_call
+from mulberryhitch.rpc.codec import Call, CallResult, encode_call
 from mulberryhitch.rpc.frames import FrameStream
+from mulberryhitch.rpc.link import Link
 from mulberryhitch.rpc.messages import CallHeader, Reply, Request
 
-_CONNECTION_ERRORS = (
-    OSError,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-)
-
 TlsContextProvider: TypeAlias = Callable[[], ssl.SSLContext | None]
 
 
-class _PendingCall:
-    """A call in flight; done without a result if the connection is lost."""
-
-    def __init__(self) -> None:
-        self.done = anyio.Event()
-        self.call_result: CallResult | None = None
+_MIN_WATCH_SECONDS = 0.1
 
 
 class _ConnectAttempt:
     """An attempt to connect, shared by all calls that wait for it.
 
     Attributes:
-        ended: Set when the attempt ends.
+        changed: Set when the attempt ends, or the present link is found to
+            work after all; then replaced.
         problem: Why the attempt failed.
     """
 
     def __init__(self) -> None:
-        self.ended = anyio.Event()
+        self.changed = anyio.Event()
         self.problem: Problem | None = None
 
+    def wake(self) -> None:
+        """Wakes the calls that wait."""
+        changed = self.changed
+        self.changed = anyio.Event()
+        changed.set()
+
 
 class PeerConnection:
-    """Connection to one peer; results are matched to calls by sequence id.
+    """Connection to one peer, opened and replaced as needed.
 
-    A call that times out doesn't end the attempt to connect, which has its own
-    time limit.
+    Calls that time out neither end the attempt to connect nor close the link:
+    both belong to the connection, and have their own time limits.
 
     Args:
         caller: This member's id.
         host: The peer's IP address.
         port: The peer's TCP port.
         tls_context: Returns the current TLS context, or None for plain TCP.
-
-    Attributes:
-        unmatched_results: Number of results without a pending call, such as
-            those received after the timeout.
     """
 
     def __init__(
@@ -88,13 +79,9 @@
         self._port = port
         self._tls_context = tls_context
         self._sequence_ids = itertools.count(1)
-        self._pending: dict[int, _PendingCall] = {}
-        self._frames: FrameStream | None = None
+        self._link: Link | None = None
         self._attempt: _ConnectAttempt | None = None
-        self._send_lock = anyio.Lock()
         self._tasks: TaskGroup | None = None
-        self._last_received_at = -math.inf
-        self.unmatched_results = 0
 
     async def run(self) -> None:
         """Runs the reader tasks until cancelled; required by :meth:`call`."""
@@ -121,47 +108,12 @@
             ProtocolError: The result has neither a reply nor a problem.
             MulberryhitchError: The peer reported this error.
         """
-        if len(self._pending) >= RPC_MAX_PENDING_CALLS:
+        if self._link and self._link.pending_calls >= RPC_MAX_PENDING_CALLS:
             raise OverloadedError(
                 f'{RPC_MAX_PENDING_CALLS} calls already pending',
                 where=self._host,
             )
-        sequence_id = next(self._sequence_ids)
-        frame = encode_call(
-            Call(
-                method,
-                sequence_id,
-                CallHeader(self._caller, timeout_seconds),
-                request,
-            ),
-        )
-        pending = _PendingCall()
-        sent = False
-        started_at = anyio.current_time()
-        try:
-            with anyio.fail_after(timeout_seconds):
-                frames = await self._ensure_connected()
-                self._pending[sequence_id] = pending
-                sent = True
-                await self._send(frames, frame)
-                await pending.done.wait()
-        except TimeoutError as error:
-            if sent:
-                self._drop_unresponsive(started_at)
-                raise OutcomeUnknownError(
-                    f'no reply to {method} in {timeout_seconds:.3f} s',
-                    where=self._host,
-                ) from error
-            raise DeadlinePassedError(
-                f'not connected in {timeout_seconds:.3f} s', where=self._host
-            ) from error
-        finally:
-            self._pending.pop(sequence_id, None)
-        return self._reply_of(pending.call_result)
-
-    def _reply_of(self, call_result: CallResult | None) -> Reply:
-        if call_result is None:
-            raise ConnectionLostError('connection lost', where=self._host)
+        call_result = await self._exchange(method, request, timeout_seconds)
         if call_result.problem is not None:
             raise error_from_problem(call_result.problem)
         if call_result.reply is None:
@@ -170,49 +122,101 @@
             )
         return call_result.reply
 
-    async def _send(self, frames: FrameStream, frame: bytes) -> None:
+    async def _exchange(
+        self, method: str, request: Request, timeout_seconds: float
+    ) -> CallResult:
+        sequence_id = next(self._sequence_ids)
+        header = CallHeader(self._caller, timeout_seconds)
+        frame = encode_call(Call(method, sequence_id, header, request))
+        link: Link | None = None
+        sent_at = anyio.current_time()
         try:
-            async with self._send_lock:
-                await frames.send(frame)
-        except _CONNECTION_ERRORS as error:
-            self._discard(frames)
-            raise ConnectionLostError(
-                f'connection lost: {error!r}', where=self._host
+            with anyio.fail_after(timeout_seconds):
+                link = await self._working_link()
+                sent_at = anyio.current_time()
+                return await link.exchange(sequence_id, frame)
+        except ConnectionLostError as error:
+            raise ConnectionLostError(error.what, where=self._host) from error
+        except TimeoutError as error:
+            if link is None:
+                raise DeadlinePassedError(
+                    f'not connected in {timeout_seconds:.3f} s',
+                    where=self._host,
+                ) from error
+            self._record_timeout(link, sent_at)
+            raise OutcomeUnknownError(
+                f'no reply to {method} in {timeout_seconds:.3f} s',
+                where=self._host,
             ) from error
-        except anyio.get_cancelled_exc_class():
-            self._discard(frames)
-            raise
 
-    async def _ensure_connected(self) -> FrameStream:
-        while self._frames is None:
+    async def _working_link(self) -> Link:
+        """Returns the link, or a new one if it is closed or given up."""
+        while True:
+            link = self._link
+            if link is not None and link.is_working:
+                return link
             attempt = self._attempt or self._start_attempt()
-            await attempt.ended.wait()
+            await attempt.changed.wait()
             if attempt.problem is not None:
                 raise error_from_problem(attempt.problem)
-        return self._frames
 
     def _start_attempt(self) -> _ConnectAttempt:
         if self._tasks is None:
             raise UnreachableError('client is not running', where=self._host)
         attempt = _ConnectAttempt()
         self._attempt = attempt
-        self._tasks.start_soon(self._open, attempt)
+        self._tasks.start_soon(self._open_link, attempt)
         return attempt
 
-    async def _open(self, attempt: _ConnectAttempt) -> None:
+    async def _open_link(self, attempt: _ConnectAttempt) -> None:
         stopped = UnreachableError('client was stopped', where=self._host)
-        attempt.problem = stopped.problem
+        problem: Problem | None = stopped.problem
         try:
-            self._frames = FrameStream(await self._connect())
+            stream = await self._connect()
         except UnreachableError as error:
-            attempt.problem = error.problem
+            problem = error.problem
         else:
-            attempt.problem = None
-            if self._tasks is not None:
-                self._tasks.start_soon(self._read_results, self._frames)
+            problem = None
+            await self._use(FrameStream(stream))
         finally:
-            self._attempt = None
-            attempt.ended.set()
+            self._end_attempt(attempt, problem)
+
+    def _end_attempt(
+        self, attempt: _ConnectAttempt, problem: Problem | None
+    ) -> None:
+        attempt.problem = problem
+        self._attempt = None
+        attempt.wake()
+
+    async def _use(self, frames: FrameStream) -> None:
+        """Sends further calls over a new connection, if still needed."""
+        is_needed = self._link is None or not self._link.is_working
+        if self._tasks is None or not is_needed:
+            await frames.aclose()
+            return
+        self._link = Link(frames, self._wake_waiting)
+        self._tasks.start_soon(self._link.read)
+
+    def _wake_waiting(self) -> None:
+        if self._attempt is not None:
+            self._attempt.wake()
+
+    def _record_timeout(self, link: Link, sent_at: float) -> None:
+        if link.is_overdue or self._tasks is None:
+            return
+        link.record_timeout(sent_at)
+        if link.is_overdue:
+            self._tasks.start_soon(self._watch, link)
+
+    async def _watch(self, link: Link) -> None:
+        """Closes an overdue link once it is silent, or replaced and unused."""
+        while link.is_open and (link.is_overdue or link is not self._link):
+            is_silent = link.is_overdue and link.seconds_to_silence <= 0
+            is_unused = link is not self._link and not link.pending_calls
+            if is_silent or is_unused:
+                await link.aclose()
+                return
+            await anyio.sleep(max(link.seconds_to_silence, _MIN_WATCH_SECONDS))
 
     async def _connect(self) -> ByteStream:
         context = self._tls_context()
@@ -232,50 +236,3 @@
                 f'connection failed: {error!r}',
                 where=f'{self._host}:{self._port}',
             ) from error
-
-    async def _read_results(self, frames: FrameStream) -> None:
-        try:
-            while True:
-                call_result = decode_result(await frames.receive())
-                self._last_received_at = anyio.current_time()
-                self._deliver(call_result)
-        except (
-            *_CONNECTION_ERRORS,
-            anyio.EndOfStream,
-            anyio.IncompleteRead,
-            MulberryhitchError,
-        ):
-            self._discard(frames)
-        finally:
-            with anyio.CancelScope(shield=True):
-                await frames.aclose()
-
-    def _deliver(self, call_result: CallResult) -> None:
-        pending = self._pending.get(call_result.sequence_id)
-        if pending is None:
-            self.unmatched_results += 1
-            return
-        pending.call_result = call_result
-        pending.done.set()
-
-    def _drop_unresponsive(self, since: float) -> None:
-        """Closes the connection if nothing was received after ``since``.
-
-        It may be half-open; the next call opens a new connection.
-        """
-        frames = self._frames
-        if (
-            frames is None
-            or self._last_received_at >= since
-            or self._tasks is None
-        ):
-            return
-        self._discard(frames)
-        self._tasks.start_soon(frames.aclose)
-
-    def _discard(self, frames: FrameStream) -> None:
-        if self._frames is not frames:
-            return
-        self._frames = None
-        for pending in self._pending.values():
-            pending.done.set()
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -16,6 +16,7 @@
 )
 from mulberryhitch.observability.log import Log
 from mulberryhitch.rpc.client import PeerConnection
+from mulberryhitch.rpc.link import Link
 from mulberryhitch.rpc.messages import HelloReply, HelloRequest
 from mulberryhitch.rpc.server import RpcServer
 from tests.local_cell import find_free_ports
@@ -108,6 +109,63 @@
     anyio.run(main)
 
 
+def test_a_call_that_times_out_does_not_fail_the_others() -> None:
+    replies = []
+
+    async def call_slowly(peer: PeerConnection) -> None:
+        replies.append(await peer.call('hello', SLOW, 20))
+
+    async def play(peer: PeerConnection) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call_slowly, peer)
+            await anyio.sleep(0.1)
+            with pytest.raises(OutcomeUnknownError):
+                await peer.call('hello', SLOW, 0.1)
+        assert len(replies) == 1
+
+    _run_with_peer(SlowServer(0.6), play)
+
+
+def test_calls_shorter_than_the_round_trip_do_not_replace_the_connection() -> (
+    None
+):
+    server = SlowServer(0.3)
+
+    async def play(peer: PeerConnection) -> None:
+        await peer.call('hello', HELLO, 20)
+        for _ in range(4):
+            with pytest.raises(OutcomeUnknownError):
+                await peer.call('hello', SLOW, 0.2)
+        await peer.call('hello', SLOW, 20)
+        assert server.accepted == 1
+
+    _run_with_peer(server, play)
+
+
+def test_a_connection_that_falls_silent_is_replaced() -> None:
+    server = SlowServer(0)
+
+    async def play(peer: PeerConnection) -> None:
+        await peer.call('hello', HELLO, 20)
+        server.rpc.is_silent = True
+        began = anyio.current_time()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_expect_lost, peer)
+            with pytest.raises(OutcomeUnknownError):
+                await peer.call('hello', HELLO, 0.2)
+        assert anyio.current_time() - began < 2
+        server.rpc.is_silent = False
+        await peer.call('hello', HELLO, 20)
+        assert server.accepted == 2
+
+    _run_with_peer(server, play)
+
+
+async def _expect_lost(peer: PeerConnection) -> None:
+    with pytest.raises(ConnectionLostError):
+        await peer.call('hello', HELLO, 20)
+
+
 def test_short_calls_do_not_keep_a_slow_connection_from_being_made(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -169,7 +227,7 @@
             peer = PeerConnection('caller', '127.0.0.1', 1)
             tasks.start_soon(peer.run)
             await anyio.sleep(0)
-            peer._frames = ClosedFrameStream()
+            peer._link = Link(ClosedFrameStream())
             with pytest.raises(ConnectionLostError):
                 await peer.call('hello', HELLO, 20)
             tasks.cancel_scope.cancel()
@@ -177,6 +235,36 @@
     anyio.run(main)
 
 
+class BusyFrameStream(ClosedFrameStream):
+    """A frame stream that takes a while to send each frame."""
+
+    async def send(self, frame: bytes) -> None:
+        await anyio.sleep(0.3)
+
+
+def test_a_call_that_waits_to_send_does_not_end_the_connection() -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            peer = PeerConnection('caller', '127.0.0.1', 1)
+            tasks.start_soon(peer.run)
+            await anyio.sleep(0)
+            link = Link(BusyFrameStream())
+            peer._link = link
+            tasks.start_soon(_expect_timeout, peer)
+            await anyio.sleep(0.1)
+            with pytest.raises(OutcomeUnknownError):
+                await peer.call('hello', HELLO, 0.1)
+            assert link.is_open
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+async def _expect_timeout(peer: PeerConnection) -> None:
+    with pytest.raises(OutcomeUnknownError):
+        await peer.call('hello', HELLO, 0.9)
+
+
 async def _serve_and_wait(server: RpcServer, port: int, tasks: Any) -> None:
     tasks.start_soon(server.serve, '127.0.0.1', port)
     with anyio.fail_after(20):
