A failed election names each voter's answer, a leadership why it ended

Callers saw: 503 from every scheduler, and the logs did not tell why none led.

Cause: a candidate logged nothing about a lost round of votes, and `replica.leads_no_more` had no reason.

Change, without any change of logic: `replica.pre_vote_failed` and `replica.vote_failed` name the term, the seconds taken, and the voters that granted, refused (with their term and reason, a new optional field of VoteReply), could not be called, or did not answer; at most one line each half second, all are counted. `replica.leads_no_more` has the reason, which is counted too.

--- a/mulberryhitch/replication/election.py
+++ b/mulberryhitch/replication/election.py
@@ -1,6 +1,6 @@
 """Requests votes from all voters of a group in parallel."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 import anyio
 from anyio.abc import TaskGroup
@@ -13,12 +13,25 @@
 from mulberryhitch.rpc.messages import VoteReply, VoteRequest
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ElectionResult:
-    """Whether a majority granted its vote, and the highest term seen."""
+    """The answers to one round of vote or pre-vote requests.
+
+    Attributes:
+        won: Whether a majority granted its vote.
+        highest_term: The highest term seen.
+        granted: The voters that granted their votes, with the candidate.
+        refused: The other voters that answered, with their term and reason.
+        failures: The voters whose call failed, with the error's code.
+        seconds: Duration of the round.
+    """
 
     won: bool
     highest_term: int
+    granted: set[str]
+    refused: dict[str, str] = field(default_factory=dict)
+    failures: dict[str, str] = field(default_factory=dict)
+    seconds: float = 0
 
 
 class Election:
@@ -41,8 +54,9 @@
         self._transport = transport
         self._options = options
         self._members = state.members
-        self._granted = {state.replica_id}
-        self._highest_term = state.term
+        self._result = ElectionResult(
+            won=False, highest_term=state.term, granted={state.replica_id}
+        )
 
     async def run(
         self, term: int, *, pre_vote: bool, transfer: bool
@@ -61,18 +75,20 @@
             pre_vote,
             transfer,
         )
+        began_at = anyio.current_time()
         with anyio.move_on_after(self._options.election_seconds):
             async with anyio.create_task_group() as tasks:
                 self._request_votes(request, tasks)
-        won = self._members.has_quorum(self._granted)
-        return ElectionResult(won, self._highest_term)
+        self._result.seconds = anyio.current_time() - began_at
+        self._result.won = self._members.has_quorum(self._result.granted)
+        return self._result
 
     def _request_votes(self, request: VoteRequest, tasks: TaskGroup) -> None:
         for voter in self._members.voters:
             if voter != self._state.replica_id:
                 voter_request = replace(request, target=voter)
                 tasks.start_soon(self._request_vote, voter_request, tasks)
-        if self._members.has_quorum(self._granted):
+        if self._members.has_quorum(self._result.granted):
             tasks.cancel_scope.cancel()
 
     async def _request_vote(
@@ -85,13 +101,17 @@
                 request,
                 self._options.election_seconds,
             )
-        except MulberryhitchError:
-            return
-        if not isinstance(reply, VoteReply):
+        except MulberryhitchError as error:
+            self._result.failures[request.target] = error.problem.code
             return
-        if reply.granted:
-            self._granted.add(request.target)
-        else:
-            self._highest_term = max(self._highest_term, reply.term)
-        if self._members.has_quorum(self._granted):
+        if isinstance(reply, VoteReply):
+            self._record(request.target, reply)
+        if self._members.has_quorum(self._result.granted):
             tasks.cancel_scope.cancel()
+
+    def _record(self, voter: str, reply: VoteReply) -> None:
+        if reply.granted:
+            self._result.granted.add(voter)
+            return
+        self._result.refused[voter] = f'term {reply.term}: {reply.reason}'
+        self._result.highest_term = max(self._result.highest_term, reply.term)
--- a/mulberryhitch/replication/handover.py
+++ b/mulberryhitch/replication/handover.py
@@ -3,7 +3,7 @@
 from mulberryhitch.errors import MulberryhitchError
 from mulberryhitch.observability.log import Log
 from mulberryhitch.replication.interfaces import Transport
-from mulberryhitch.replication.leadership import Leadership
+from mulberryhitch.replication.leadership import EndReason, Leadership
 from mulberryhitch.replication.members import vm_of
 from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.state import ReplicaState
@@ -40,7 +40,7 @@
                 successor, leadership.term
             ):
                 break
-        leadership.step_down()
+        leadership.step_down(EndReason.handed_over)
 
     async def _takes_over(self, successor: str, term: int) -> bool:
         """Returns whether a voter takes over."""
--- a/mulberryhitch/replication/leadership.py
+++ b/mulberryhitch/replication/leadership.py
@@ -8,6 +8,7 @@
 """
 
 from collections import deque
+from enum import Enum
 from typing import Any
 
 import anyio
@@ -33,6 +34,17 @@
 _MAX_QUEUED_PROPOSALS = 20_000
 
 
+class EndReason(str, Enum):  # noqa: WPS600
+    """Why a leadership ended."""
+
+    newer_term = 'newer_term'
+    no_contact = 'no_contact'
+    handed_over = 'handed_over'
+    disk_full = 'disk_full'
+    removed = 'removed'
+    stopped = 'stopped'
+
+
 class Proposal:
     """An entry waiting to be committed and applied."""
 
@@ -79,6 +91,7 @@
     ) -> None:
         """Initialises the leadership for the current term, without peers."""
         self.term = state.term
+        self.end_reason = EndReason.stopped
         self._state = state
         self._options = options
         self._sender = LogSender(
@@ -86,7 +99,7 @@
             transport,
             options,
             on_match=self._advance_commit_index,
-            on_newer_term=self.step_down,
+            on_newer_term=self._end_for_newer_term,
         )
         self._peers: dict[str, Progress] = {}
         self._queue: deque[Proposal] = deque()
@@ -176,10 +189,12 @@
                 await self._ended.wait()
                 tasks.cancel_scope.cancel()
         finally:
-            self.step_down()
+            self.step_down(EndReason.stopped)
 
-    def step_down(self) -> None:
+    def step_down(self, reason: EndReason) -> None:
         """Ends the leadership and all proposals that are open."""
+        if not self.ended:
+            self.end_reason = reason
         self._ended.set()
         self._fail_pending()
 
@@ -302,7 +317,7 @@
             self._write_began_at = self._options.now()
             async with self._state.lock:
                 if self._state.term != self.term:
-                    self.step_down()
+                    self._end_for_newer_term()
                     return
                 await self._state.sync()
                 await self._write_batch()
@@ -337,7 +352,7 @@
                 self._complete_pending(rejected.index, None, error)
             self.disk_full.set()
             if not self.ready:
-                self.step_down()
+                self.step_down(EndReason.disk_full)
             return
         if any(entry.kind == MEMBERS_KIND for entry in entries):
             self._update_peers()
@@ -372,7 +387,7 @@
             self._state.members_committed
             and self._state.replica_id not in voters
         ):
-            self.step_down()
+            self.step_down(EndReason.removed)
 
     def _match_index_of(self, replica_id: str) -> int:
         peer = self._peers.get(replica_id)
@@ -387,7 +402,10 @@
                 self._last_quorum_contact(), self._started_at
             )
             if now - last_quorum_contact > timeout:
-                self.step_down()
+                self.step_down(EndReason.no_contact)
+
+    def _end_for_newer_term(self) -> None:
+        self.step_down(EndReason.newer_term)
 
     def _fail_pending(self) -> None:
         for queued in self._queue:
--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -24,7 +24,7 @@
 from mulberryhitch.replication.follower import Follower
 from mulberryhitch.replication.handover import Handover
 from mulberryhitch.replication.interfaces import Transport
-from mulberryhitch.replication.leadership import Leadership
+from mulberryhitch.replication.leadership import EndReason, Leadership
 from mulberryhitch.replication.members import Members
 from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.reconciler import MembershipReconciler
@@ -261,10 +261,12 @@
             StorageError: This replica's disk failed.
         """
         self._check_target(request.target)
-        if not self._state.configured or self._has_live_leader(request):
-            return VoteReply(self._state.term, granted=False)
+        if not self._state.configured:
+            return self._refusal('not configured')
+        if self._has_live_leader(request):
+            return self._refusal(f'live leader {self._leader_id}')
         if request.pre_vote:
-            return VoteReply(self._state.term, self._would_vote(request))
+            return self._answer_pre_vote(request)
         async with self._state.lock:
             return await self._vote_locked(request)
 
@@ -355,25 +357,30 @@
         is_member = self.replica_id in self._state.members.replica_ids
         return not is_member or elapsed > self._options.election_seconds * 4
 
-    def _would_vote(self, request: VoteRequest) -> bool:
-        higher_term = request.term > self._state.term
-        return higher_term and self._state.is_not_newer_than(
+    def _refusal(self, reason: str) -> VoteReply:
+        return VoteReply(self._state.term, granted=False, reason=reason)
+
+    def _answer_pre_vote(self, request: VoteRequest) -> VoteReply:
+        if request.term <= self._state.term:
+            return self._refusal('newer term')
+        if not self._is_up_to_date(request):
+            return self._refusal('log behind')
+        return VoteReply(self._state.term, granted=True)
+
+    def _is_up_to_date(self, request: VoteRequest) -> bool:
+        return self._state.is_not_newer_than(
             request.last_term, request.last_index
         )
 
     async def _vote_locked(self, request: VoteRequest) -> VoteReply:
         if request.term < self._state.term:
-            return VoteReply(self._state.term, granted=False)
+            return self._refusal('newer term')
         with self._fail_stop:
             await self._enter_term(request.term)
-            up_to_date = self._state.is_not_newer_than(
-                request.last_term, request.last_index
-            )
-            if not up_to_date or self._state.voted_for not in {
-                '',
-                request.candidate,
-            }:
-                return VoteReply(self._state.term, granted=False)
+            if not self._is_up_to_date(request):
+                return self._refusal('log behind')
+            if self._state.voted_for not in {'', request.candidate}:
+                return self._refusal(f'voted for {self._state.voted_for}')
             await self._state.save_term(request.term, request.candidate)
         self._reporter.report_vote(request.candidate)
         self._last_contact = anyio.current_time()
@@ -404,7 +411,7 @@
     def _become_follower(self) -> None:
         self._role = Role.follower
         if self._leadership is not None:
-            self._leadership.step_down()
+            self._leadership.step_down(EndReason.newer_term)
             self._leadership = None
 
     async def _run_election_timer(self) -> None:
@@ -450,6 +457,10 @@
     ) -> bool:
         election = Election(self._state, self._transport, self._options)
         result = await election.run(term, pre_vote=pre_vote, transfer=transfer)
+        if not result.won:
+            self._reporter.report_failed_election(
+                term, result, pre_vote=pre_vote
+            )
         if not result.won and result.highest_term > self._state.term:
             async with self._state.lock:
                 with self._fail_stop:
@@ -504,6 +515,4 @@
             self._leadership = None
             self._leader_id = ''
             self._role = Role.follower
-        self._log.event(
-            'replica.leads_no_more', group=self.group, term=leadership.term
-        )
+        self._reporter.report_leads_no_more(leadership)
--- a/mulberryhitch/replication/reporting.py
+++ b/mulberryhitch/replication/reporting.py
@@ -1,11 +1,16 @@
 """Log lines that show who holds which entries, and why members change."""
 
+import anyio
+
 from mulberryhitch.observability.log import Log
+from mulberryhitch.replication.election import ElectionResult
 from mulberryhitch.replication.leadership import Leadership
 from mulberryhitch.replication.members import MEMBERS_KIND, Members
 from mulberryhitch.replication.state import ReplicaState
 from mulberryhitch.rpc.messages import LogEntry
 
+_ELECTION_LINE_SECONDS = 0.5
+
 
 class ReplicationReporter:
     """Logs the state of a replica, and of its group while it leads.
@@ -19,6 +24,7 @@
         """Initialises the reporter."""
         self._state = state
         self._log = log
+        self._next_election_line_at = float()
 
     def report_loaded(self) -> None:
         """Logs what the replica's disk held when the replica started."""
@@ -44,6 +50,44 @@
             last_index=self._state.last_index,
         )
 
+    def report_failed_election(
+        self, term: int, result: ElectionResult, *, pre_vote: bool
+    ) -> None:
+        """Logs who did not vote for this replica, and counts the election.
+
+        Elections that follow one another quickly are only counted.
+        """
+        event = 'replica.pre_vote_failed' if pre_vote else 'replica.vote_failed'
+        now = anyio.current_time()
+        if now < self._next_election_line_at:
+            self._log.count(event)
+            return
+        self._next_election_line_at = now + _ELECTION_LINE_SECONDS
+        answered = {*result.granted, *result.refused, *result.failures}
+        self._log.event(
+            event,
+            group=self._state.group,
+            term=term,
+            seconds=round(result.seconds, 3),
+            granted=sorted(result.granted),
+            refused=result.refused,
+            failures=result.failures,
+            unanswered=sorted(set(self._state.members.voters) - answered),
+        )
+
+    def report_leads_no_more(self, leadership: Leadership) -> None:
+        """Logs why a leadership ended, and counts the reason."""
+        reason = leadership.end_reason.value
+        self._log.count(f'replica.leads_no_more.{reason}')
+        self._log.event(
+            'replica.leads_no_more',
+            group=self._state.group,
+            term=leadership.term,
+            reason=reason,
+            ready=leadership.ready,
+            silent_seconds=leadership.silent_seconds(),
+        )
+
     def report_applied(self, entry: LogEntry) -> None:
         """Logs a committed change of the members; ignores other entries."""
         if entry.kind != MEMBERS_KIND:
--- a/mulberryhitch/rpc/messages.py
+++ b/mulberryhitch/rpc/messages.py
@@ -65,10 +65,15 @@
 
 @dataclass(frozen=True, slots=True)
 class VoteReply:
-    """Whether the vote is granted, and the voter's term."""
+    """Whether the vote is granted, and the voter's term.
+
+    Attributes:
+        reason: Why it is not granted, for the candidate's log; may be empty.
+    """
 
     term: int
     granted: bool
+    reason: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/mulberryhitch/rpc/mulberryhitch.thrift
+++ b/mulberryhitch/rpc/mulberryhitch.thrift
@@ -53,6 +53,7 @@
 struct VoteReply {
   1: i64 term,
   2: bool granted,
+  3: string reason = "",
 }
 
 struct AppendRequest {
--- a/tests/replica_group.py
+++ b/tests/replica_group.py
@@ -64,6 +64,7 @@
         self.state_machines: dict[str, KeyValueStateMachine] = {}
         self.replicas: dict[str, Replica] = {}
         self.cancel_scopes: dict[str, anyio.CancelScope] = {}
+        self.logs: dict[str, Log] = {}
         self.task_group: Any = None
         self.leaders: dict[int, str] = {}
 
@@ -84,7 +85,7 @@
             self.network.transport(vm),
             self.vms,
             self.options,
-            Log(vm),
+            self.logs.setdefault(vm, Log(vm)),
             self.rng,
         )
         self.state_machines[vm] = state_machine
