A vote that waited for the disk is refused if its voter confirmed an append meanwhile

Callers saw: nothing yet; two leaders could have had a valid lease at once.

Cause: a voter compared the time since the last append with the election time before it waited for its lock. An append that held the lock during a disk sync longer than the election time let the check pass; the next append then got the lock first, its success renewed the leader's lease, and the vote followed at once.

Evidence: the new test fails on the code before (the term becomes 4): a sync of two election times, an append and then a vote request while it lasts.

Change: a real vote is checked under the lock, where appends are confirmed too. A pre-vote changes nothing and is still answered without the lock.

Measured: the test passes, as do those of replication, hand-overs and stalled disks.

--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -263,8 +263,6 @@
         self._check_target(request.target)
         if not self._state.configured:
             return self._refusal('not configured')
-        if self._has_live_leader(request):
-            return self._refusal(f'live leader {self._leader_id}')
         if request.pre_vote:
             return self._answer_pre_vote(request)
         async with self._state.lock:
@@ -360,7 +358,15 @@
     def _refusal(self, reason: str) -> VoteReply:
         return VoteReply(self._state.term, granted=False, reason=reason)
 
+    def _refusal_for_leader(self, request: VoteRequest) -> VoteReply | None:
+        if not self._has_live_leader(request):
+            return None
+        return self._refusal(f'live leader {self._leader_id}')
+
     def _answer_pre_vote(self, request: VoteRequest) -> VoteReply:
+        refusal = self._refusal_for_leader(request)
+        if refusal:
+            return refusal
         if request.term <= self._state.term:
             return self._refusal('newer term')
         if not self._is_up_to_date(request):
@@ -373,6 +379,9 @@
         )
 
     async def _vote_locked(self, request: VoteRequest) -> VoteReply:
+        refusal = self._refusal_for_leader(request)
+        if refusal:
+            return refusal
         if request.term < self._state.term:
             return self._refusal('newer term')
         with self._fail_stop:
