A candidate that hears its leader again does not vote for itself

Callers saw: nothing yet; two leaders could have had a valid lease at once, and a slow group deposed a live leader.

Cause: a replica checked its leader's silence before its pre-vote and never again. An append that it confirmed during the pre-vote, up to an election time long, renewed the leader's lease through it; then it entered the next term regardless.

Evidence: the new test fails on the code before: an append arrives during the pre-vote, and the replica requests votes 0.01 s later.

Change: the campaign checks under the lock, before it stores the vote for itself, that it could give that vote to another.

Measured: the test passes, as do those of replication, hand-overs and stalled disks.

--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -347,6 +347,9 @@
             return False
         if self._leadership is not None and self._leadership.has_authority:
             return True
+        return self._hears_leader()
+
+    def _hears_leader(self) -> bool:
         elapsed = anyio.current_time() - self._last_contact
         return elapsed < self._options.election_seconds
 
@@ -452,6 +455,8 @@
         async with self._state.lock:
             if self._leadership is not None:
                 return
+            if not transfer and self._hears_leader():
+                return
             with self._fail_stop:
                 term = self._state.term + 1
                 await self._state.save_term(term, self.replica_id)
--- a/tests/test_vote_promises.py
+++ b/tests/test_vote_promises.py
@@ -108,3 +108,17 @@
         assert not granted_at
 
     run_with_mock_clock(main)
+
+
+def test_a_candidate_that_hears_its_leader_does_not_vote_for_itself() -> None:
+    async def main() -> None:
+        lone = LoneReplica()
+        lone.peers.append_during_pre_vote = True
+        replica = await lone.load()
+        with anyio.move_on_after(10 * ELECTION_SECONDS):
+            await replica.run()
+        assert lone.peers.requests
+        assert not lone.peers.seconds_of_votes()
+        assert replica.term == TERM
+
+    run_with_mock_clock(main)
