A request to take over ends with the term of its leader

Callers saw: nothing yet; two leaders could have had a valid lease at once.

Cause: voters grant the votes of a requested takeover in spite of a live leader, since that leader has given up its authority. The candidate campaigned in the term after its present one, which by then could be the term of a newer leader.

Evidence: the new test fails on the code before: the candidate waits for its lock behind an append of the next term's leader, and deposes that one.

Change: the campaign ends unless its term is still that of the request.

Measured: the test passes, as do those of replication, hand-overs and stalled disks.

--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -312,7 +312,7 @@
             or self._retiring
         ):
             return TakeOverReply(accepted=False)
-        self._tasks.start_soon(self._try_campaign, True)
+        self._tasks.start_soon(self._try_campaign, request.term)
         return TakeOverReply(accepted=True)
 
     def _require_leadership(self) -> Leadership:
@@ -434,18 +434,19 @@
             if self._leadership is not None or elapsed < timeout:
                 await anyio.sleep(max(timeout - elapsed, timeout / 4))
             elif self.replica_id in self._state.members.voters:
-                await self._try_campaign(transfer=False)
+                await self._try_campaign(None)
                 await anyio.sleep(timeout / 4)
             else:
                 await anyio.sleep(timeout)
 
-    async def _try_campaign(self, transfer: bool) -> None:
+    async def _try_campaign(self, transferred_term: int | None) -> None:
         try:
-            await self._campaign(transfer)
+            await self._campaign(transferred_term)
         except DiskFullError as error:
             self._log.problem('replica.no_campaign', error.problem)
 
-    async def _campaign(self, transfer: bool) -> None:
+    async def _campaign(self, transferred_term: int | None) -> None:
+        transfer = transferred_term is not None
         if self._leadership is not None:
             return
         if not transfer and not await self._request_votes(
@@ -457,6 +458,8 @@
                 return
             if not transfer and self._hears_leader():
                 return
+            if transfer and self._state.term != transferred_term:
+                return
             with self._fail_stop:
                 term = self._state.term + 1
                 await self._state.save_term(term, self.replica_id)
--- a/tests/test_vote_promises.py
+++ b/tests/test_vote_promises.py
@@ -13,6 +13,7 @@
     AppendReply,
     AppendRequest,
     LogEntry,
+    TakeOverRequest,
     VoteReply,
     VoteRequest,
 )
@@ -122,3 +123,25 @@
         assert replica.term == TERM
 
     run_with_mock_clock(main)
+
+
+def test_a_request_to_take_over_ends_with_the_term_of_its_leader() -> None:
+    async def main() -> None:
+        lone = LoneReplica()
+        replica = await lone.load()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(replica.run)
+            await anyio.sleep(0.1)
+            async with replica.state.lock:
+                tasks.start_soon(
+                    replica.append, append_request(TERM + 1, OTHER)
+                )
+                await anyio.sleep(0.01)
+                await replica.take_over(TakeOverRequest('group', OWN, TERM))
+                await anyio.sleep(0.01)
+            await anyio.sleep(ELECTION_SECONDS / 2)
+            assert replica.term == TERM + 1
+            assert replica.leader_id == OTHER
+            tasks.cancel_scope.cancel()
+
+    run_with_mock_clock(main)
