The election timer, campaigns and answers to candidates get their own modules

Candidate campaigns, Voter answers candidates, LeaderContact knows when a leader was last heard from; the replica keeps its roles, which both use.

Measured: the tests of replication, votes, hand-overs, stalled and lost disks, durability, dispatch and platform parts, and the random runs.

--- a/mulberryhitch/dispatch/service.py
+++ b/mulberryhitch/dispatch/service.py
@@ -40,7 +40,8 @@
 from mulberryhitch.observability.histograms import Histograms
 from mulberryhitch.observability.log import Log
 from mulberryhitch.replication.members import vm_of
-from mulberryhitch.replication.replica import Replica, Role
+from mulberryhitch.replication.replica import Replica
+from mulberryhitch.replication.roles import Role
 from mulberryhitch.rpc.records import kind_of
 
 _POLL_SECONDS = 0.02
--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -1,7 +1,6 @@
 """A replica of a group, as follower, candidate or leader."""
 
 import random
-from enum import Enum
 from typing import Any
 
 import anyio
@@ -9,7 +8,6 @@
 
 from mulberryhitch.errors import (
     ConflictError,
-    DiskFullError,
     InvariantError,
     LostAuthorityError,
     NotLeaderError,
@@ -17,9 +15,10 @@
 )
 from mulberryhitch.observability.log import Log
 from mulberryhitch.replication.bootstrap import Bootstrap
+from mulberryhitch.replication.candidate import Candidate
 from mulberryhitch.replication.compaction import Compaction
+from mulberryhitch.replication.contact import LeaderContact
 from mulberryhitch.replication.disk_watch import DiskWatch
-from mulberryhitch.replication.election import Election
 from mulberryhitch.replication.failstop import FailStop
 from mulberryhitch.replication.follower import Follower
 from mulberryhitch.replication.handover import Handover
@@ -29,7 +28,9 @@
 from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.reconciler import MembershipReconciler
 from mulberryhitch.replication.reporting import ReplicationReporter
+from mulberryhitch.replication.roles import Role
 from mulberryhitch.replication.state import ReplicaState
+from mulberryhitch.replication.voter import Voter
 from mulberryhitch.rpc.messages import (
     AppendReply,
     AppendRequest,
@@ -47,14 +48,6 @@
 _STATUS_INTERVAL_SECONDS = 1.0
 
 
-class Role(str, Enum):  # noqa: WPS600
-    """The current role of a replica."""
-
-    follower = 'follower'
-    candidate = 'candidate'
-    leader = 'leader'
-
-
 class Replica:
     """A replica of a replicated log.
 
@@ -81,11 +74,10 @@
         self._transport = transport
         self._options = options
         self._log = log
-        self._rng = rng
         self._role = Role.follower
         self._leader_id = ''
         self._leadership: Leadership | None = None
-        self._last_contact = float()
+        self._contact = LeaderContact(options)
         self._fatal_error: StorageError | None = None
         self._failed = anyio.Event()
         self._follower = Follower(state)
@@ -93,6 +85,19 @@
         self._reporter = ReplicationReporter(state, log)
         self._compaction = Compaction(state, options, self._fail_stop, log)
         self._handover = Handover(state, transport, options, log)
+        self._voter = Voter(
+            state, self._contact, self, self._fail_stop, self._reporter
+        )
+        self._candidate = Candidate(
+            state,
+            transport,
+            options,
+            self._contact,
+            self,
+            self._fail_stop,
+            log,
+            rng,
+        )
         self._tasks: TaskGroup | None = None
         self._retiring = False
         self._target_voters = options.target_voters or len(initial_vms)
@@ -115,6 +120,22 @@
         """Returns the current role."""
         return self._role
 
+    @property
+    def leads(self) -> bool:
+        """Whether this replica leads, with or without a valid lease."""
+        return self._leadership is not None
+
+    @property
+    def has_lease(self) -> bool:
+        """Whether this replica leads with a valid lease, ready or not."""
+        leadership = self._leadership
+        return leadership is not None and leadership.has_authority
+
+    @property
+    def is_candidate(self) -> bool:
+        """Whether this replica is a candidate in its term."""
+        return self._role is Role.candidate
+
     @property
     def term(self) -> int:
         """Returns the highest known term."""
@@ -166,11 +187,11 @@
         Raises:
             StorageError: The disk failed; the process must stop.
         """
-        self._last_contact = anyio.current_time()
+        self._contact.record()
         self._reporter.report_loaded()
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
-            tasks.start_soon(self._run_election_timer)
+            tasks.start_soon(self._candidate.run)
             tasks.start_soon(self._bootstrap.run, self._is_detached)
             tasks.start_soon(self._compaction.run)
             await self._failed.wait()
@@ -261,12 +282,7 @@
             StorageError: This replica's disk failed.
         """
         self._check_target(request.target)
-        if not self._state.configured:
-            return self._refusal('not configured')
-        if request.pre_vote:
-            return self._answer_pre_vote(request)
-        async with self._state.lock:
-            return await self._vote_locked(request)
+        return await self._voter.vote(request)
 
     async def append(self, request: AppendRequest) -> AppendReply:
         """Handles entries or a heartbeat from a leader.
@@ -312,9 +328,33 @@
             or self._retiring
         ):
             return TakeOverReply(accepted=False)
-        self._tasks.start_soon(self._try_campaign, request.term)
+        self._tasks.start_soon(self._candidate.campaign, request.term)
         return TakeOverReply(accepted=True)
 
+    def become_candidate(self) -> None:
+        """Makes this replica a candidate in its new term."""
+        self._role = Role.candidate
+        self._leader_id = ''
+
+    def become_leader(self) -> None:
+        """Makes this replica the leader of its term."""
+        if self._tasks is None:
+            return
+        self._role = Role.leader
+        self._leader_id = self.replica_id
+        leadership = Leadership(self._state, self._transport, self._options)
+        self._leadership = leadership
+        self._log.event('replica.leads', group=self.group, term=self.term)
+        self._tasks.start_soon(self._run_leadership, leadership)
+
+    async def enter_term(self, term: int) -> None:
+        """Makes this replica a follower in a newer term."""
+        if term <= self._state.term:
+            return
+        self._become_follower()
+        self._leader_id = ''
+        await self._state.save_term(term, '')
+
     def _require_leadership(self) -> Leadership:
         if self._leadership is None:
             raise NotLeaderError(
@@ -342,72 +382,14 @@
         self._fatal_error = error
         self._failed.set()
 
-    def _has_live_leader(self, request: VoteRequest) -> bool:
-        if request.transfer:
-            return False
-        if self._leadership is not None and self._leadership.has_authority:
-            return True
-        return self._hears_leader()
-
-    def _hears_leader(self) -> bool:
-        elapsed = anyio.current_time() - self._last_contact
-        return elapsed < self._options.election_seconds
-
     def _is_detached(self) -> bool:
-        elapsed = anyio.current_time() - self._last_contact
+        elapsed = self._contact.silent_seconds
         is_member = self.replica_id in self._state.members.replica_ids
         return not is_member or elapsed > self._options.election_seconds * 4
 
-    def _refusal(self, reason: str) -> VoteReply:
-        return VoteReply(self._state.term, granted=False, reason=reason)
-
-    def _refusal_for_leader(self, request: VoteRequest) -> VoteReply | None:
-        if not self._has_live_leader(request):
-            return None
-        return self._refusal(f'live leader {self._leader_id}')
-
-    def _answer_pre_vote(self, request: VoteRequest) -> VoteReply:
-        refusal = self._refusal_for_leader(request)
-        if refusal:
-            return refusal
-        if request.term <= self._state.term:
-            return self._refusal('newer term')
-        if not self._is_up_to_date(request):
-            return self._refusal('log behind')
-        return VoteReply(self._state.term, granted=True)
-
-    def _is_up_to_date(self, request: VoteRequest) -> bool:
-        return self._state.is_not_newer_than(
-            request.last_term, request.last_index
-        )
-
-    async def _vote_locked(self, request: VoteRequest) -> VoteReply:
-        refusal = self._refusal_for_leader(request)
-        if refusal:
-            return refusal
-        if request.term < self._state.term:
-            return self._refusal('newer term')
-        with self._fail_stop:
-            await self._enter_term(request.term)
-            if not self._is_up_to_date(request):
-                return self._refusal('log behind')
-            if self._state.voted_for not in {'', request.candidate}:
-                return self._refusal(f'voted for {self._state.voted_for}')
-            await self._state.save_term(request.term, request.candidate)
-        self._reporter.report_vote(request.candidate)
-        self._last_contact = anyio.current_time()
-        return VoteReply(self._state.term, granted=True)
-
-    async def _enter_term(self, term: int) -> None:
-        if term <= self._state.term:
-            return
-        self._become_follower()
-        self._leader_id = ''
-        await self._state.save_term(term, '')
-
     async def _accept_leader(self, term: int, leader: str) -> None:
         with self._fail_stop:
-            await self._enter_term(term)
+            await self.enter_term(term)
         if self._leadership is not None:
             raise InvariantError(
                 f'two leaders in term {term}: {self.replica_id} and {leader}'
@@ -418,7 +400,7 @@
             )
         self._role = Role.follower
         self._leader_id = leader
-        self._last_contact = anyio.current_time()
+        self._contact.record()
 
     def _become_follower(self) -> None:
         self._role = Role.follower
@@ -426,74 +408,6 @@
             self._leadership.step_down(EndReason.newer_term)
             self._leadership = None
 
-    async def _run_election_timer(self) -> None:
-        while True:
-            timeout = self._options.election_seconds
-            timeout *= 1 + self._rng.random()
-            elapsed = anyio.current_time() - self._last_contact
-            if self._leadership is not None or elapsed < timeout:
-                await anyio.sleep(max(timeout - elapsed, timeout / 4))
-            elif self.replica_id in self._state.members.voters:
-                await self._try_campaign(None)
-                await anyio.sleep(timeout / 4)
-            else:
-                await anyio.sleep(timeout)
-
-    async def _try_campaign(self, transferred_term: int | None) -> None:
-        try:
-            await self._campaign(transferred_term)
-        except DiskFullError as error:
-            self._log.problem('replica.no_campaign', error.problem)
-
-    async def _campaign(self, transferred_term: int | None) -> None:
-        transfer = transferred_term is not None
-        if self._leadership is not None:
-            return
-        if not transfer and not await self._request_votes(
-            self._state.term + 1, pre_vote=True, transfer=False
-        ):
-            return
-        async with self._state.lock:
-            if self._leadership is not None:
-                return
-            if not transfer and self._hears_leader():
-                return
-            if transfer and self._state.term != transferred_term:
-                return
-            with self._fail_stop:
-                term = self._state.term + 1
-                await self._state.save_term(term, self.replica_id)
-            self._role = Role.candidate
-            self._leader_id = ''
-        won = await self._request_votes(term, pre_vote=False, transfer=transfer)
-        if won and self._state.term == term and self._role is Role.candidate:
-            self._become_leader()
-
-    async def _request_votes(
-        self, term: int, *, pre_vote: bool, transfer: bool
-    ) -> bool:
-        election = Election(self._state, self._transport, self._options)
-        result = await election.run(term, pre_vote=pre_vote, transfer=transfer)
-        if not result.won:
-            self._reporter.report_failed_election(
-                term, result, pre_vote=pre_vote
-            )
-        if not result.won and result.highest_term > self._state.term:
-            async with self._state.lock:
-                with self._fail_stop:
-                    await self._enter_term(result.highest_term)
-        return result.won
-
-    def _become_leader(self) -> None:
-        if self._tasks is None:
-            return
-        self._role = Role.leader
-        self._leader_id = self.replica_id
-        leadership = Leadership(self._state, self._transport, self._options)
-        self._leadership = leadership
-        self._log.event('replica.leads', group=self.group, term=self.term)
-        self._tasks.start_soon(self._run_leadership, leadership)
-
     async def _run_leadership(self, leadership: Leadership) -> None:
         reconciler = MembershipReconciler(
             self._state,
@@ -520,7 +434,7 @@
                     await leadership.run()
                 tasks.cancel_scope.cancel()
         finally:
-            self._last_contact = anyio.current_time()
+            self._contact.record()
             self._clear_leadership(leadership)
 
     async def _transfer_when_ready(self, leadership: Leadership) -> None:
--- /dev/null
+++ b/mulberryhitch/replication/voter.py
@@ -0,0 +1,90 @@
+"""Answers the vote and pre-vote requests of candidates."""
+
+from mulberryhitch.replication.contact import LeaderContact
+from mulberryhitch.replication.failstop import FailStop
+from mulberryhitch.replication.reporting import ReplicationReporter
+from mulberryhitch.replication.roles import Roles
+from mulberryhitch.replication.state import ReplicaState
+from mulberryhitch.rpc.messages import VoteReply, VoteRequest
+
+
+class Voter:
+    """Votes for a candidate, or refuses with the reason.
+
+    Args:
+        state: The replica's state.
+        contact: When the replica last heard from a leader.
+        roles: The replica's roles.
+        fail_stop: Stops the replica if its disk fails.
+        reporter: Logs the votes.
+    """
+
+    def __init__(
+        self,
+        state: ReplicaState,
+        contact: LeaderContact,
+        roles: Roles,
+        fail_stop: FailStop,
+        reporter: ReplicationReporter,
+    ) -> None:
+        """Initialises the voter."""
+        self._state = state
+        self._contact = contact
+        self._roles = roles
+        self._fail_stop = fail_stop
+        self._reporter = reporter
+
+    async def vote(self, request: VoteRequest) -> VoteReply:
+        """Handles a vote or pre-vote request.
+
+        Raises:
+            StorageError: This replica's disk failed.
+        """
+        if not self._state.configured:
+            return self._refusal('not configured')
+        if request.pre_vote:
+            return self._answer_pre_vote(request)
+        async with self._state.lock:
+            return await self._vote_locked(request)
+
+    def _refusal(self, reason: str) -> VoteReply:
+        return VoteReply(self._state.term, granted=False, reason=reason)
+
+    def _refusal_for_leader(self, request: VoteRequest) -> VoteReply | None:
+        if request.transfer:
+            return None
+        if self._roles.has_lease or self._contact.is_live:
+            return self._refusal(f'live leader {self._roles.leader_id}')
+        return None
+
+    def _answer_pre_vote(self, request: VoteRequest) -> VoteReply:
+        refusal = self._refusal_for_leader(request)
+        if refusal:
+            return refusal
+        if request.term <= self._state.term:
+            return self._refusal('newer term')
+        if not self._is_up_to_date(request):
+            return self._refusal('log behind')
+        return VoteReply(self._state.term, granted=True)
+
+    async def _vote_locked(self, request: VoteRequest) -> VoteReply:
+        refusal = self._refusal_for_leader(request)
+        if refusal:
+            return refusal
+        if request.term < self._state.term:
+            return self._refusal('newer term')
+        with self._fail_stop:
+            await self._roles.enter_term(request.term)
+            if not self._is_up_to_date(request):
+                return self._refusal('log behind')
+            if self._state.voted_for not in {'', request.candidate}:
+                return self._refusal(f'voted for {self._state.voted_for}')
+            await self._state.save_term(request.term, request.candidate)
+        self._reporter.report_vote(request.candidate)
+        self._contact.record()
+        return VoteReply(self._state.term, granted=True)
+
+    def _is_up_to_date(self, request: VoteRequest) -> bool:
+        return self._state.is_not_newer_than(
+            request.last_term, request.last_index
+        )
--- a/tests/test_platform_parts.py
+++ b/tests/test_platform_parts.py
@@ -21,7 +21,8 @@
     NonBlockingLineStream,
 )
 from mulberryhitch.platform.settings import load_platform_settings
-from mulberryhitch.replication.replica import Replica, Role
+from mulberryhitch.replication.replica import Replica
+from mulberryhitch.replication.roles import Role
 from mulberryhitch.replication.state import ReplicaState
 from tests.fakes import KeyValueStateMachine
 from tests.replica_group import OPTIONS, ReplicaGroup, run_with_mock_clock
