The test of a suspended leader asks its replica to take over by the public call

The public call does the same and checks that the replica accepted; what the test asserts of the lease is unchanged.

--- a/tests/test_platform_parts.py
+++ b/tests/test_platform_parts.py
@@ -24,6 +24,7 @@
 from mulberryhitch.replication.replica import Replica
 from mulberryhitch.replication.roles import Role
 from mulberryhitch.replication.state import ReplicaState
+from mulberryhitch.rpc.messages import TakeOverRequest
 from tests.fakes import KeyValueStateMachine
 from tests.replica_group import OPTIONS, ReplicaGroup, run_with_mock_clock
 
@@ -234,7 +235,10 @@
             tasks.start_soon(replica.run)
             await anyio.sleep(10)
             while replica.role is not Role.leader:
-                replica._tasks.start_soon(replica._try_campaign, True)
+                request = TakeOverRequest(
+                    'group', replica.replica_id, replica.term
+                )
+                assert (await replica.take_over(request)).accepted
                 await anyio.sleep(1)
             assert replica.has_authority
             suspended[0] = 5
