A slow group elects a leader, and that one keeps its lease

Callers saw: 503 from every scheduler for minutes, each "this VM is not the leader", where messages or disks are slow.

Cause: the election time, 0.5 s, was also the time after which each call was given up and repeated, whatever it had achieved, and the length of the lease. With messages of 0.1 to 0.2 s and disk syncs of 0.1 s a leader's first append is answered after 0.3 to 0.6 s: by then the leader had given up the call or had ended for want of contact, its lease could not outlast a round trip, and candidates repeated lost elections each 0.2 s.

Change: - A round of votes asks again those who don't answer, each election time, and counts late answers. It ends once it is decided, or once a majority has answered and the rest has had three times as long. The pause after a lost election is random over some of the measured round trips and doubles. - The election time is a value of the term that the leader states in its appends. Its followers promise it, wait for their leader as long, and confirm the promise; the lease counts what was promised. The leader starts with the time that fits its election, up to 8 times the configured one; it doubles it while the lease is shorter than two round trips of a majority, and halves it after 5 s of fast answers. The new fields are optional: a peer of an earlier release promises and expects the configured time. - Appends count for two election times, without holding up those behind them; a vote whose answer was lost is granted again.

--- a/mulberryhitch/replication/candidate.py
+++ b/mulberryhitch/replication/candidate.py
@@ -14,6 +14,10 @@
 from mulberryhitch.replication.reporting import ReplicationReporter
 from mulberryhitch.replication.roles import Roles
 from mulberryhitch.replication.state import ReplicaState
+from mulberryhitch.rpc.messages import VoteRequest
+
+
+_MAX_DOUBLINGS = 8
 
 
 class Candidate:
@@ -51,20 +55,16 @@
         self._log = log
         self._rng = rng
         self._reporter = ReplicationReporter(state, log)
+        self._lost_elections = 0
+        self._round_trip_seconds = float()
 
     async def run(self) -> None:
         """Campaigns whenever the leader is silent, until cancelled."""
         while True:
-            timeout = self._options.election_seconds
-            timeout *= 1 + self._rng.random()
-            elapsed = self._contact.silent_seconds
-            if self._roles.leads or elapsed < timeout:
-                await anyio.sleep(max(timeout - elapsed, timeout / 4))
-            elif self._state.replica_id in self._state.members.voters:
+            await self._wait_for_silence()
+            if self._state.replica_id in self._state.members.voters:
                 await self.campaign(None)
-                await anyio.sleep(timeout / 4)
-            else:
-                await anyio.sleep(timeout)
+            await anyio.sleep(self._pause_seconds())
 
     async def campaign(self, transferred_term: int | None) -> None:
         """Requests votes, and leads if a majority grants theirs.
@@ -81,37 +81,81 @@
         except DiskFullError as error:
             self._log.problem('replica.no_campaign', error.problem)
 
+    async def _wait_for_silence(self) -> None:
+        """Waits until no leader was heard from for a random time."""
+        if self._roles.leader_id:
+            self._lost_elections = 0
+        margin = self._contact.election_seconds * self._rng.random()
+        while True:
+            remaining = self._contact.remaining_seconds + margin
+            if remaining <= 0 and not self._roles.leads:
+                return
+            await anyio.sleep(max(remaining, self._options.heartbeat_seconds))
+
+    def _pause_seconds(self) -> float:
+        """Returns a random pause, longer after each election that was lost."""
+        if not self._lost_elections:
+            quarter = self._options.election_seconds / 4
+            return quarter * (1 + self._rng.random())
+        factor = 2.0 ** min(self._lost_elections, _MAX_DOUBLINGS)
+        longest = 2 * self._round_trip_seconds * factor
+        longest = max(longest, self._options.election_seconds)
+        longest = min(longest, self._options.max_election_seconds)
+        return longest * self._rng.random()
+
     async def _campaign(self, transferred_term: int | None) -> None:
         transfer = transferred_term is not None
         if self._roles.leads:
             return
+        term = (transferred_term or self._state.term) + 1
         if not transfer and not await self._request_votes(
-            self._state.term + 1, pre_vote=True, transfer=False
+            term, pre_vote=True, transfer=False
         ):
             return
         async with self._state.lock:
-            if not self._may_vote_for_itself(transferred_term):
+            if not self._may_vote_for_itself(term - 1, transfer=transfer):
                 return
             with self._fail_stop:
-                term = self._state.term + 1
                 await self._state.save_term(term, self._state.replica_id)
             self._roles.become_candidate()
         won = await self._request_votes(term, pre_vote=False, transfer=transfer)
         if won and self._state.term == term and self._roles.is_candidate:
-            self._roles.become_leader()
+            self._lost_elections = 0
+            self._roles.become_leader(self._fitting_election_seconds())
+        else:
+            self._lost_elections += 1
 
-    def _may_vote_for_itself(self, transferred_term: int | None) -> bool:
-        if self._roles.leads:
+    def _may_vote_for_itself(self, term: int, *, transfer: bool) -> bool:
+        if self._roles.leads or self._state.term != term:
             return False
-        if transferred_term is None:
-            return not self._contact.is_live
-        return self._state.term == transferred_term
+        return transfer or not self._contact.is_live
+
+    def _fitting_election_seconds(self) -> float:
+        return self._options.fitting_election_seconds(self._round_trip_seconds)
 
     async def _request_votes(
         self, term: int, *, pre_vote: bool, transfer: bool
     ) -> bool:
-        election = Election(self._state, self._transport, self._options)
-        result = await election.run(term, pre_vote=pre_vote, transfer=transfer)
+        request = VoteRequest(
+            self._state.group,
+            '',
+            term,
+            self._state.replica_id,
+            self._state.last_index,
+            self._state.last_term,
+            pre_vote,
+            transfer,
+            self._fitting_election_seconds(),
+        )
+        election = Election(
+            self._state,
+            self._transport,
+            self._options,
+            request,
+            lambda: self._is_over(term, pre_vote=pre_vote, transfer=transfer),
+        )
+        result = await election.run()
+        self._round_trip_seconds = result.round_trip_seconds
         if not result.won:
             self._reporter.report_failed_election(
                 term, result, pre_vote=pre_vote
@@ -121,3 +165,9 @@
                 with self._fail_stop:
                     await self._roles.enter_term(result.highest_term)
         return result.won
+
+    def _is_over(self, term: int, *, pre_vote: bool, transfer: bool) -> bool:
+        """Whether the replica has found a leader, or another term."""
+        if self._contact.is_live and not transfer:
+            return True
+        return self._state.term != term - int(pre_vote)
--- a/mulberryhitch/replication/election.py
+++ b/mulberryhitch/replication/election.py
@@ -1,5 +1,6 @@
 """Requests votes from all voters of a group in parallel."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 import anyio
@@ -12,6 +13,8 @@
 from mulberryhitch.replication.state import ReplicaState
 from mulberryhitch.rpc.messages import VoteReply, VoteRequest
 
+_PATIENCE_ROUND_TRIPS = 3
+
 
 @dataclass(slots=True)
 class ElectionResult:
@@ -24,6 +27,7 @@
         refused: The other voters that answered, with their term and reason.
         failures: The voters whose call failed, with the error's code.
         seconds: Duration of the round.
+        round_trip_seconds: The longest time that an answer took.
     """
 
     won: bool
@@ -32,15 +36,21 @@
     refused: dict[str, str] = field(default_factory=dict)
     failures: dict[str, str] = field(default_factory=dict)
     seconds: float = 0
+    round_trip_seconds: float = 0
 
 
 class Election:
     """One round of vote requests, or of pre-vote requests.
 
+    A voter that doesn't answer is asked again each election time, and late
+    answers count. So the round needs no time that fits the group's speed.
+
     Args:
         state: The candidate's state.
         transport: Carries calls to the voters.
         options: Timing settings.
+        request: What to request of each voter.
+        is_over: Returns whether the candidate has lost its interest.
     """
 
     def __init__(
@@ -48,70 +58,95 @@
         state: ReplicaState,
         transport: Transport,
         options: ReplicationOptions,
+        request: VoteRequest,
+        is_over: Callable[[], bool],
     ) -> None:
         """Initialises the round with the candidate's own vote."""
         self._state = state
         self._transport = transport
         self._options = options
+        self._request = request
+        self._is_over = is_over
         self._members = state.members
+        self._began_at = float()
         self._result = ElectionResult(
             won=False, highest_term=state.term, granted={state.replica_id}
         )
 
-    async def run(
-        self, term: int, *, pre_vote: bool, transfer: bool
-    ) -> ElectionResult:
-        """Requests all votes and returns once a majority has granted theirs.
+    async def run(self) -> ElectionResult:
+        """Requests all votes and returns once the round is decided.
 
-        Returns after ``election_seconds`` at the latest.
+        It ends undecided if a majority has answered, and the others have had
+        some times as long as the slowest of them and at least the election
+        time; or after the longest election time.
         """
-        request = VoteRequest(
-            self._state.group,
-            '',
-            term,
-            self._state.replica_id,
-            self._state.last_index,
-            self._state.last_term,
-            pre_vote,
-            transfer,
-        )
-        began_at = anyio.current_time()
-        with anyio.move_on_after(self._options.election_seconds):
+        self._began_at = anyio.current_time()
+        with anyio.move_on_after(self._options.max_election_seconds):
             async with anyio.create_task_group() as tasks:
-                self._request_votes(request, tasks)
-        self._result.seconds = anyio.current_time() - began_at
+                for voter in self._members.voters:
+                    if voter != self._state.replica_id:
+                        tasks.start_soon(self._ask_until_granted, voter, tasks)
+                tasks.start_soon(self._watch, tasks)
+        self._result.seconds = anyio.current_time() - self._began_at
         self._result.won = self._members.has_quorum(self._result.granted)
         return self._result
 
-    def _request_votes(self, request: VoteRequest, tasks: TaskGroup) -> None:
-        for voter in self._members.voters:
-            if voter != self._state.replica_id:
-                voter_request = replace(request, target=voter)
-                tasks.start_soon(self._request_vote, voter_request, tasks)
-        if self._members.has_quorum(self._result.granted):
-            tasks.cancel_scope.cancel()
+    async def _watch(self, tasks: TaskGroup) -> None:
+        """Ends the round when it is decided or no longer worth its time."""
+        while not self._is_decided and not self._is_over():
+            if self._is_patience_over:
+                break
+            await anyio.sleep(self._options.heartbeat_seconds / 2)
+        tasks.cancel_scope.cancel()
+
+    @property
+    def _is_decided(self) -> bool:
+        """Whether the votes that are not known can't change the result."""
+        answered = {*self._result.refused, *self._result.failures}
+        possible = set(self._members.voters) - answered
+        return self._members.has_quorum(
+            self._result.granted
+        ) or not self._members.has_quorum(possible | self._result.granted)
+
+    @property
+    def _is_patience_over(self) -> bool:
+        answered = {*self._result.granted, *self._result.refused}
+        patience = max(
+            self._options.election_seconds,
+            self._result.round_trip_seconds * _PATIENCE_ROUND_TRIPS,
+        )
+        elapsed = anyio.current_time() - self._began_at
+        return self._members.has_quorum(answered) and elapsed >= patience
 
-    async def _request_vote(
-        self, request: VoteRequest, tasks: TaskGroup
-    ) -> None:
+    async def _ask_until_granted(self, voter: str, tasks: TaskGroup) -> None:
+        while voter not in self._result.granted:
+            tasks.start_soon(self._ask, voter, tasks)
+            await anyio.sleep(self._options.election_seconds)
+
+    async def _ask(self, voter: str, tasks: TaskGroup) -> None:
+        began_at = anyio.current_time()
         try:
             reply = await self._transport.call(
-                vm_of(request.target),
+                vm_of(voter),
                 'vote',
-                request,
-                self._options.election_seconds,
+                replace(self._request, target=voter),
+                self._options.max_election_seconds,
             )
         except MulberryhitchError as error:
-            self._result.failures[request.target] = error.problem.code
-            return
-        if isinstance(reply, VoteReply):
-            self._record(request.target, reply)
-        if self._members.has_quorum(self._result.granted):
+            self._result.failures[voter] = error.problem.code
+        else:
+            if isinstance(reply, VoteReply):
+                self._record(voter, reply, anyio.current_time() - began_at)
+        if self._is_decided:
             tasks.cancel_scope.cancel()
 
-    def _record(self, voter: str, reply: VoteReply) -> None:
+    def _record(self, voter: str, reply: VoteReply, seconds: float) -> None:
+        result = self._result
+        result.round_trip_seconds = max(result.round_trip_seconds, seconds)
         if reply.granted:
-            self._result.granted.add(voter)
-            return
-        self._result.refused[voter] = f'term {reply.term}: {reply.reason}'
-        self._result.highest_term = max(self._result.highest_term, reply.term)
+            result.granted.add(voter)
+            result.refused.pop(voter, None)
+        elif voter not in result.granted:
+            result.refused[voter] = f'term {reply.term}: {reply.reason}'
+            result.highest_term = max(result.highest_term, reply.term)
+        result.failures.pop(voter, None)
--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -117,6 +117,7 @@
                 for entry in self._entries
                 if entry.index > self._snapshot_index
             ],
+            vote.promised_seconds,
         )
 
     def write(self, entries: list[LogEntry]) -> None:
@@ -163,14 +164,16 @@
         remove_from(self._entries, index)
         await self.sync()
 
-    async def save_vote(self, term: int, voted_for: str) -> None:
-        """Stores the term and vote durably.
+    async def save_vote(
+        self, term: int, voted_for: str, promised_seconds: float = 0
+    ) -> None:
+        """Stores the term, the vote and the longest promise durably.
 
         Raises:
             StorageError: The disk is full or faulty.
         """
         self._fail_points.reach('vote')
-        content = encode_record(VoteRecord(term, voted_for))
+        content = encode_record(VoteRecord(term, voted_for, promised_seconds))
         await self._run_in_thread(
             write_atomically, self._folder / 'vote', content
         )
--- a/mulberryhitch/replication/follower.py
+++ b/mulberryhitch/replication/follower.py
@@ -28,12 +28,18 @@
         self._snapshot_buffer = bytearray()
         self._buffered_snapshot = (0, 0)
 
-    async def append(self, request: AppendRequest) -> AppendReply:
+    async def append(
+        self, request: AppendRequest, promised_seconds: float
+    ) -> AppendReply:
         """Appends entries that match the log and advances the commit index.
 
         A success confirms synced entries only. On a mismatch the reply's
         ``last_index`` is where to try next.
 
+        Args:
+            request: The append.
+            promised_seconds: How long this replica votes for no other leader.
+
         Raises:
             StorageError: The entries were not stored.
         """
@@ -42,7 +48,7 @@
         if not in_snapshot and local_term != request.previous_term:
             hint = min(self._state.last_index, request.previous_index - 1)
             hint = max(hint, self._state.commit_index)
-            return AppendReply(self._state.term, False, hint)
+            return AppendReply(self._state.term, False, hint, promised_seconds)
         await self._state.sync()
         await self._append_entries(request.entries)
         last = request.previous_index + len(request.entries)
@@ -50,7 +56,7 @@
         commit = min(request.commit_index, last)
         if commit > self._state.commit_index:
             self._state.commit(commit)
-        return AppendReply(self._state.term, True, last)
+        return AppendReply(self._state.term, True, last, promised_seconds)
 
     async def receive_chunk(self, request: SnapshotRequest) -> SnapshotReply:
         """Adds a chunk of a snapshot and installs it after the last chunk.
--- a/mulberryhitch/replication/handover.py
+++ b/mulberryhitch/replication/handover.py
@@ -5,7 +5,6 @@
 from mulberryhitch.replication.interfaces import Transport
 from mulberryhitch.replication.leadership import EndReason, Leadership
 from mulberryhitch.replication.members import vm_of
-from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.state import ReplicaState
 from mulberryhitch.rpc.messages import TakeOverReply, TakeOverRequest
 
@@ -16,7 +15,6 @@
     Args:
         state: The leader's state.
         transport: Carries calls to the voters.
-        options: Timing settings.
         log: Receives each voter that did not answer.
     """
 
@@ -24,33 +22,31 @@
         self,
         state: ReplicaState,
         transport: Transport,
-        options: ReplicationOptions,
         log: Log,
     ) -> None:
         """Initialises the handover."""
         self._state = state
         self._transport = transport
-        self._options = options
         self._log = log
 
     async def run(self, leadership: Leadership) -> None:
         """Ends a leadership after a voter has agreed to take over."""
         for successor in await leadership.prepare_transfer():
             if leadership.ended or await self._takes_over(
-                successor, leadership.term
+                successor, leadership
             ):
                 break
         leadership.step_down(EndReason.handed_over)
 
-    async def _takes_over(self, successor: str, term: int) -> bool:
+    async def _takes_over(self, successor: str, leadership: Leadership) -> bool:
         """Returns whether a voter takes over."""
-        request = TakeOverRequest(self._state.group, successor, term)
+        request = TakeOverRequest(self._state.group, successor, leadership.term)
         try:
             reply = await self._transport.call(
                 vm_of(successor),
                 'take_over',
                 request,
-                self._options.election_seconds,
+                leadership.election_seconds,
             )
         except MulberryhitchError as error:
             self._log.problem('replica.hand_over', error.problem)
--- a/mulberryhitch/replication/leadership.py
+++ b/mulberryhitch/replication/leadership.py
@@ -1,10 +1,6 @@
 """The work of a leader in one term: proposals, replication and its lease.
 
-The leader's authority is a lease. It expires one election time, less the
-clock drift, after the sending of the last appends that got replies from a
-majority.
-No other leader can be elected earlier, because a majority refuses to vote
-for others during an election time after each append.
+The leader's authority is a lease, see :mod:`.lease`.
 """
 
 from collections import deque
@@ -24,6 +20,7 @@
     OverloadedError,
 )
 from mulberryhitch.replication.interfaces import Transport
+from mulberryhitch.replication.lease import Lease
 from mulberryhitch.replication.log_sender import LogSender
 from mulberryhitch.replication.members import MEMBERS_KIND, Members
 from mulberryhitch.replication.options import ReplicationOptions
@@ -81,6 +78,7 @@
         state: The replica's state.
         transport: Carries calls to the other replicas.
         options: Timing and size settings.
+        election_seconds: The election time with which the term begins.
     """
 
     def __init__(
@@ -88,20 +86,23 @@
         state: ReplicaState,
         transport: Transport,
         options: ReplicationOptions,
+        election_seconds: float,
     ) -> None:
         """Initialises the leadership for the current term, without peers."""
         self.term = state.term
         self.end_reason = EndReason.stopped
         self._state = state
         self._options = options
+        self._peers: dict[str, Progress] = {}
+        self._lease = Lease(state, options, self._peers, election_seconds)
         self._sender = LogSender(
             state,
             transport,
             options,
+            self._lease,
             on_match=self._advance_commit_index,
             on_newer_term=self._end_for_newer_term,
         )
-        self._peers: dict[str, Progress] = {}
         self._queue: deque[Proposal] = deque()
         self._pending: dict[int, Proposal] = {}
         self._proposals_queued = anyio.Event()
@@ -118,8 +119,12 @@
         """Returns when the lease expires, in seconds of the local clock."""
         if self._transferring or self.ended:
             return 0
-        lease = self._options.election_seconds - self._options.drift_seconds
-        return self._last_quorum_contact() + lease
+        return self._lease.expires_at
+
+    @property
+    def election_seconds(self) -> float:
+        """Returns the term's present election time, in seconds."""
+        return self._lease.election_seconds
 
     @property
     def has_authority(self) -> bool:
@@ -241,7 +246,7 @@
         Raises:
             LostAuthorityError: It has not within one election time.
         """
-        with anyio.move_on_after(self._options.election_seconds):
+        with anyio.move_on_after(self.election_seconds):
             await self._ready.wait()
             while not self.has_authority:
                 if self.ended:
@@ -257,7 +262,7 @@
         the other voters: first those that answer, the most up-to-date first.
         """
         self._transferring = True
-        with anyio.move_on_after(self._options.election_seconds):
+        with anyio.move_on_after(self.election_seconds):
             while self._pending or self._queue:
                 await anyio.sleep(self._options.heartbeat_seconds / 2)
         voters = set(self._state.members.voters)
@@ -280,24 +285,9 @@
     def _eligibility(self, peer: Progress) -> tuple[bool, int, str]:
         """Returns the order of possible successors; the highest is first."""
         silent_seconds = self._options.now() - peer.last_contact
-        answers = silent_seconds < self._options.election_seconds / 2
+        answers = silent_seconds < self.election_seconds / 2
         return answers, peer.match_index, peer.replica_id
 
-    def _last_quorum_contact(self) -> float:
-        now = self._options.now()
-        contacts = [
-            now
-            if replica_id == self._state.replica_id
-            else self._last_contact_of(replica_id)
-            for replica_id in self._state.members.voters
-        ]
-        contacts.sort(reverse=True)
-        return contacts[self._state.members.quorum - 1]
-
-    def _last_contact_of(self, replica_id: str) -> float:
-        peer = self._peers.get(replica_id)
-        return peer.last_contact if peer else 0
-
     def _update_peers(self) -> None:
         target_ids = set(self._state.members.replica_ids) - {
             self._state.replica_id
@@ -394,14 +384,12 @@
         return peer.match_index if peer else 0
 
     async def _check_quorum(self) -> None:
-        timeout = self._options.election_seconds
         while True:
             await anyio.sleep(self._options.heartbeat_seconds)
-            now = self._options.now()
-            last_quorum_contact = max(
-                self._last_quorum_contact(), self._started_at
-            )
-            if now - last_quorum_contact > timeout:
+            self._lease.adapt()
+            last_contact = max(self._lease.last_contact, self._started_at)
+            silent_seconds = self._options.now() - last_contact
+            if silent_seconds > 2 * self.election_seconds:
                 self.step_down(EndReason.no_contact)
 
     def _end_for_newer_term(self) -> None:
--- /dev/null
+++ b/mulberryhitch/replication/lease.py
@@ -0,0 +1,100 @@
+"""A leader's lease, and the election time that its group needs.
+
+The lease expires with the promises of a majority, see :mod:`.contact`. While the
+answers of a majority are slow, the leader asks for longer promises, so that its
+lease outlasts a round trip and followers don't take it for failed.
+"""
+
+import math
+from collections.abc import Callable, Mapping
+
+from mulberryhitch.replication.options import ReplicationOptions
+from mulberryhitch.replication.progress import Progress
+from mulberryhitch.replication.state import ReplicaState
+
+_CALM_SECONDS = 5.0
+
+
+class Lease:
+    """The lease of one leadership.
+
+    Args:
+        state: The leader's state.
+        options: Timing settings.
+        peers: The progress of each peer, by replica id.
+        election_seconds: The election time with which the term begins.
+    """
+
+    def __init__(
+        self,
+        state: ReplicaState,
+        options: ReplicationOptions,
+        peers: Mapping[str, Progress],
+        election_seconds: float,
+    ) -> None:
+        """Initialises the lease as expired."""
+        self._state = state
+        self._options = options
+        self._peers = peers
+        self._election_seconds = election_seconds
+        self._needed_at = options.now()
+
+    @property
+    def election_seconds(self) -> float:
+        """Returns the term's present election time, in seconds."""
+        return self._election_seconds
+
+    @property
+    def expires_at(self) -> float:
+        """Returns when the promises of a majority expire, in local time."""
+        own = self._options.now() + self._options.lease_seconds(
+            self._election_seconds
+        )
+        return self._of_majority(own, lambda peer: peer.promised_until)
+
+    @property
+    def last_contact(self) -> float:
+        """Returns when appends were sent that a majority has answered."""
+        now = self._options.now()
+        return self._of_majority(now, lambda peer: peer.last_contact)
+
+    def adapt(self) -> None:
+        """Lengthens or shortens the election time as the answers require."""
+        now = self._options.now()
+        round_trip = self._round_trip()
+        if math.isinf(round_trip):
+            return
+        fitting = self._options.fitting_election_seconds(round_trip)
+        if fitting >= self._election_seconds:
+            self._election_seconds = fitting
+            self._needed_at = now
+        elif now - self._needed_at > _CALM_SECONDS:
+            self._election_seconds /= 2
+            self._needed_at = now
+
+    def _round_trip(self) -> float:
+        """Returns within how long a majority answers, in seconds."""
+        now = self._options.now()
+        oldest = now - self._election_seconds * 2
+        return -self._of_majority(
+            0, lambda peer: -peer.round_trip_seconds_since(oldest)
+        )
+
+    def _of_majority(
+        self, own: float, measure: Callable[[Progress], float]
+    ) -> float:
+        """Returns the value that a majority of the voters reaches."""
+        found = [
+            own
+            if voter == self._state.replica_id
+            else self._of_peer(voter, measure)
+            for voter in self._state.members.voters
+        ]
+        found.sort(reverse=True)
+        return found[self._state.members.quorum - 1]
+
+    def _of_peer(
+        self, replica_id: str, measure: Callable[[Progress], float]
+    ) -> float:
+        peer = self._peers.get(replica_id)
+        return -math.inf if peer is None else measure(peer)
--- a/mulberryhitch/replication/log_sender.py
+++ b/mulberryhitch/replication/log_sender.py
@@ -8,6 +8,7 @@
 
 from mulberryhitch.errors import MulberryhitchError
 from mulberryhitch.replication.interfaces import Transport
+from mulberryhitch.replication.lease import Lease
 from mulberryhitch.replication.members import vm_of
 from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.progress import Progress
@@ -28,6 +29,7 @@
         state: The leader's state.
         transport: Carries calls to the peers.
         options: Timing and size settings.
+        lease: The lease, which the answers of the peers extend.
         on_match: Called when a peer has confirmed entries.
         on_newer_term: Called when a reply has a newer term.
     """
@@ -37,6 +39,7 @@
         state: ReplicaState,
         transport: Transport,
         options: ReplicationOptions,
+        lease: Lease,
         *,
         on_match: Callable[[], None],
         on_newer_term: Callable[[], None],
@@ -46,6 +49,7 @@
         self._state = state
         self._transport = transport
         self._options = options
+        self._lease = lease
         self._on_match = on_match
         self._on_newer_term = on_newer_term
 
@@ -64,7 +68,9 @@
 
     def _seconds_until_send(self, peer: Progress) -> float:
         interval = self._options.heartbeat_seconds
-        if not peer.may_send(self._options.window):
+        if not peer.may_send(
+            self._options.window, self._lease.election_seconds
+        ):
             return interval
         has_unsent_entries = peer.next_index <= self._state.last_index
         if has_unsent_entries and not peer.unreachable:
@@ -89,9 +95,10 @@
             self._state.term_at(previous) or 0,
             self._state.commit_index,
             entries,
+            self._lease.election_seconds,
         )
-        peer.record_sent(len(entries), self._state.commit_index)
-        send_tasks.start_soon(self._send, peer, request)
+        sent_at = peer.record_sent(len(entries), self._state.commit_index)
+        send_tasks.start_soon(self._send, peer, request, sent_at)
 
     def _next_batch(self, index: int) -> list[LogEntry]:
         """Returns the entries from an index on that one append may carry."""
@@ -105,20 +112,22 @@
             batch.append(entry)
         return batch
 
-    async def _send(self, peer: Progress, request: AppendRequest) -> None:
+    async def _send(
+        self, peer: Progress, request: AppendRequest, in_flight_since: float
+    ) -> None:
         sent_at = self._options.now()
         try:
             reply = await self._transport.call(
                 vm_of(peer.replica_id),
                 'append',
                 request,
-                self._options.election_seconds,
+                self._lease.election_seconds * 2,
             )
         except MulberryhitchError:
             peer.record_failure()
             return
         finally:
-            peer.in_flight -= 1
+            peer.record_end(in_flight_since)
         if isinstance(reply, AppendReply):
             self._handle_append_reply(peer, request, reply, sent_at)
 
@@ -132,7 +141,9 @@
         if reply.term > self._term:
             self._on_newer_term()
             return
-        peer.last_contact = max(peer.last_contact, sent_at)
+        promised = reply.promised_seconds or self._options.election_seconds
+        peer.record_promise(sent_at, self._options.lease_seconds(promised))
+        peer.record_round_trip(self._options.now() - sent_at)
         if reply.success:
             matched = request.previous_index + len(request.entries)
             peer.record_match(min(matched, reply.last_index))
@@ -146,8 +157,7 @@
         if snapshot is None:
             return
         offset = 0
-        peer.record_sent(0, 0)
-        peer.in_flight -= 1
+        peer.record_end(peer.record_sent(0, 0))
         while True:
             end = offset + self._options.chunk_bytes
             done = end >= len(snapshot.state)
@@ -180,7 +190,10 @@
             if reply.term > self._term:
                 self._on_newer_term()
                 return
-            peer.last_contact = max(peer.last_contact, sent_at)
+            peer.record_promise(
+                sent_at,
+                self._options.lease_seconds(self._options.election_seconds),
+            )
             if done and reply.next_offset >= len(snapshot.state):
                 peer.record_match(snapshot.last_index)
                 return
--- a/mulberryhitch/replication/options.py
+++ b/mulberryhitch/replication/options.py
@@ -5,6 +5,8 @@
 
 import anyio
 
+_MAX_ELECTION_FACTOR = 8
+
 
 @dataclass(frozen=True, slots=True)
 class ReplicationOptions:
@@ -14,7 +16,8 @@
         heartbeat_seconds: Maximum interval between a leader's appends.
         election_seconds: Time without contact during which a follower still
             accepts its leader; elections start after 1 to 2 times as long.
-        drift_seconds: Maximum clock drift over one election time.
+        drift_seconds: Maximum clock drift over one election time; over a
+            longer time it is proportionally longer.
         call_seconds: Timeout of a call that sends a snapshot chunk.
         disk_timeout_seconds: Time without an answer of its disk after which a
             leader hands over.
@@ -54,6 +57,30 @@
     may_bootstrap: bool = True
     suspended: Callable[[], float] = float
 
+    @property
+    def max_election_seconds(self) -> float:
+        """Returns the longest election time that a slow group may use."""
+        return self.election_seconds * _MAX_ELECTION_FACTOR
+
+    def lease_seconds(self, promised_seconds: float) -> float:
+        """Returns how long a leader may rely on a promise, by its own clock."""
+        drift_share = self.drift_seconds / self.election_seconds
+        return promised_seconds * (1 - drift_share)
+
+    def fitting_election_seconds(self, round_trip_seconds: float) -> float:
+        """Returns the shortest election time that fits slow answers.
+
+        Its lease bridges an append that is answered late or lost.
+        """
+        needed = 2 * round_trip_seconds + self.heartbeat_seconds
+        seconds = self.election_seconds
+        while (
+            self.lease_seconds(seconds) < needed
+            and seconds < self.max_election_seconds
+        ):
+            seconds *= 2
+        return seconds
+
     def now(self) -> float:
         """Returns the monotonic clock plus the suspended time, in seconds."""
         return anyio.current_time() + self.suspended()
--- a/mulberryhitch/replication/progress.py
+++ b/mulberryhitch/replication/progress.py
@@ -1,7 +1,11 @@
 """A leader's view of how far one peer's log is replicated."""
 
+import math
+
 import anyio
 
+_ROUND_TRIP_WEIGHT = 0.25
+
 
 class Progress:
     """Replication progress of one peer.
@@ -15,6 +19,7 @@
             seconds.
         unreachable: Whether the last call failed; the peer is then
             contacted only once per heartbeat.
+        promised_until: Until when it votes for no other, less the drift.
         probing: Whether the index up to which the logs match is unknown; the
             peer is then sent one append at a time.
         scope: Cancels the peer's replication task.
@@ -26,7 +31,9 @@
         self.next_index = next_index
         self.match_index = 0
         self.last_contact = float()
-        self.in_flight = 0
+        self.promised_until = float()
+        self._round_trip_seconds = math.inf
+        self._sent_at: list[float] = []
         self.probing = True
         self.sent_commit_index = 0
         self.last_sent = float()
@@ -34,18 +41,47 @@
         self.scope = anyio.CancelScope()
         self._woken = anyio.Event()
 
-    def may_send(self, window: int) -> bool:
-        """Whether another append may be sent now."""
+    def may_send(self, window: int, answer_seconds: float) -> bool:
+        """Whether another append may be sent now.
+
+        Appends without an answer for ``answer_seconds`` don't count.
+        """
         limit = 1 if self.probing else window
-        return self.in_flight < limit
+        oldest = anyio.current_time() - answer_seconds
+        return sum(sent_at > oldest for sent_at in self._sent_at) < limit
 
-    def record_sent(self, entry_count: int, commit_index: int) -> None:
-        """Records that an append is in flight."""
-        self.in_flight += 1
+    def record_sent(self, entry_count: int, commit_index: int) -> float:
+        """Records that an append is in flight; returns since when."""
         self.last_sent = anyio.current_time()
+        self._sent_at.append(self.last_sent)
         self.sent_commit_index = commit_index
         if not self.probing:
             self.next_index += entry_count
+        return self.last_sent
+
+    def record_end(self, sent_at: float) -> None:
+        """Records that an append is no longer in flight."""
+        self._sent_at.remove(sent_at)
+
+    def record_promise(self, sent_at: float, lease_seconds: float) -> None:
+        """Records an answer, and the lease that its promise gives."""
+        self.last_contact = max(self.last_contact, sent_at)
+        self.promised_until = max(self.promised_until, sent_at + lease_seconds)
+
+    def record_round_trip(self, seconds: float) -> None:
+        """Records how long an append and its answer took."""
+        if math.isinf(self._round_trip_seconds):
+            self._round_trip_seconds = seconds
+        change = seconds - self._round_trip_seconds
+        self._round_trip_seconds += change * _ROUND_TRIP_WEIGHT
+
+    def round_trip_seconds_since(self, oldest: float) -> float:
+        """Returns the smoothed time of an append and its answer.
+
+        It is infinite if no append sent since ``oldest`` was answered.
+        """
+        is_recent = self.last_contact > oldest
+        return self._round_trip_seconds if is_recent else math.inf
 
     def record_match(self, index: int) -> None:
         """Records that the peer's log matches up to an index."""
--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -77,14 +77,14 @@
         self._role = Role.follower
         self._leader_id = ''
         self._leadership: Leadership | None = None
-        self._contact = LeaderContact(options)
+        self._contact = LeaderContact(state, options)
         self._fatal_error: StorageError | None = None
         self._failed = anyio.Event()
         self._follower = Follower(state)
         self._fail_stop = FailStop(self._record_fatal_error)
         self._reporter = ReplicationReporter(state, log)
         self._compaction = Compaction(state, options, self._fail_stop, log)
-        self._handover = Handover(state, transport, options, log)
+        self._handover = Handover(state, transport, log)
         self._voter = Voter(
             state, self._contact, self, self._fail_stop, self._reporter
         )
@@ -187,7 +187,7 @@
         Raises:
             StorageError: The disk failed; the process must stop.
         """
-        self._contact.record()
+        self._contact.start()
         self._reporter.report_loaded()
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
@@ -292,12 +292,18 @@
             StorageError: This replica's disk failed.
         """
         self._check_target(request.target)
+        if request.term >= self._state.term:
+            self._contact.record()
         async with self._state.lock:
             if request.term < self._state.term:
                 return AppendReply(self._state.term, False, 0)
-            await self._accept_leader(request.term, request.leader)
+            promised_seconds = await self._accept_leader(
+                request.term, request.leader, request.election_seconds
+            )
             with self._fail_stop:
-                return await self._follower.append(request)
+                reply = await self._follower.append(request, promised_seconds)
+            self._contact.record()
+            return reply
 
     async def install_snapshot(self, request: SnapshotRequest) -> SnapshotReply:
         """Handles a snapshot chunk from a leader.
@@ -310,7 +316,9 @@
         async with self._state.lock:
             if request.term < self._state.term:
                 return SnapshotReply(self._state.term, 0)
-            await self._accept_leader(request.term, request.leader)
+            await self._accept_leader(
+                request.term, request.leader, self._contact.election_seconds
+            )
             with self._fail_stop:
                 return await self._follower.receive_chunk(request)
 
@@ -336,13 +344,19 @@
         self._role = Role.candidate
         self._leader_id = ''
 
-    def become_leader(self) -> None:
-        """Makes this replica the leader of its term."""
+    def become_leader(self, election_seconds: float) -> None:
+        """Makes this replica the leader of its term.
+
+        Args:
+            election_seconds: The election time with which the term begins.
+        """
         if self._tasks is None:
             return
         self._role = Role.leader
         self._leader_id = self.replica_id
-        leadership = Leadership(self._state, self._transport, self._options)
+        leadership = Leadership(
+            self._state, self._transport, self._options, election_seconds
+        )
         self._leadership = leadership
         self._log.event('replica.leads', group=self.group, term=self.term)
         self._tasks.start_soon(self._run_leadership, leadership)
@@ -387,7 +401,10 @@
         is_member = self.replica_id in self._state.members.replica_ids
         return not is_member or elapsed > self._options.election_seconds * 4
 
-    async def _accept_leader(self, term: int, leader: str) -> None:
+    async def _accept_leader(
+        self, term: int, leader: str, election_seconds: float
+    ) -> float:
+        """Follows a leader; returns for how long it votes for no other."""
         with self._fail_stop:
             await self.enter_term(term)
         if self._leadership is not None:
@@ -400,7 +417,8 @@
             )
         self._role = Role.follower
         self._leader_id = leader
-        self._contact.record()
+        with self._fail_stop:
+            return await self._contact.promise(election_seconds)
 
     def _become_follower(self) -> None:
         self._role = Role.follower
--- a/mulberryhitch/replication/roles.py
+++ b/mulberryhitch/replication/roles.py
@@ -34,8 +34,12 @@
     def become_candidate(self) -> None:
         """Makes the replica a candidate in its new term."""
 
-    def become_leader(self) -> None:
-        """Makes the replica the leader of its term."""
+    def become_leader(self, election_seconds: float) -> None:
+        """Makes the replica the leader of its term.
+
+        Args:
+            election_seconds: The election time with which the term begins.
+        """
 
     async def enter_term(self, term: int) -> None:
         """Makes the replica a follower in a newer term."""
--- a/mulberryhitch/replication/state.py
+++ b/mulberryhitch/replication/state.py
@@ -42,6 +42,7 @@
         self.lock = anyio.Lock()
         self.term = stored.term
         self.voted_for = stored.voted_for
+        self.promised_seconds = stored.promised_seconds
         self.commit_index = 0
         self.snapshot = stored.snapshot
         self._entries = stored.entries
@@ -137,10 +138,19 @@
                 f'second vote in term {term}: for {voted_for!r}, after one '
                 f'for {self.voted_for!r}'
             )
-        await self.storage.save_vote(term, voted_for)
+        await self.storage.save_vote(term, voted_for, self.promised_seconds)
         self.term = term
         self.voted_for = voted_for
 
+    async def save_promise(self, seconds: float) -> None:
+        """Stores durably how long the replica may vote for no other leader.
+
+        Raises:
+            StorageError: The promise was not stored.
+        """
+        await self.storage.save_vote(self.term, self.voted_for, seconds)
+        self.promised_seconds = seconds
+
     def write(self, entries: list[LogEntry]) -> None:
         """Appends entries without syncing.
 
--- a/mulberryhitch/replication/storage.py
+++ b/mulberryhitch/replication/storage.py
@@ -25,6 +25,8 @@
         replica_id: Generated once for each new data folder.
         snapshot: The latest snapshot; ``None`` if the group was never
             bootstrapped here.
+        promised_seconds: The longest time for which the replica may have
+            promised a leader to vote for no other; 0 for the configured time.
     """
 
     replica_id: str
@@ -32,6 +34,7 @@
     voted_for: str = ''
     snapshot: Snapshot | None = None
     entries: list[LogEntry] = field(default_factory=list)
+    promised_seconds: float = 0
 
 
 class Storage(Protocol):
@@ -75,8 +78,10 @@
             StorageError: The sync failed; what is durable is unknown.
         """
 
-    async def save_vote(self, term: int, voted_for: str) -> None:
-        """Stores the term and vote durably.
+    async def save_vote(
+        self, term: int, voted_for: str, promised_seconds: float = 0
+    ) -> None:
+        """Stores the term, the vote and the longest promise durably.
 
         Raises:
             StorageError: The disk is full or faulty.
--- a/mulberryhitch/replication/voter.py
+++ b/mulberryhitch/replication/voter.py
@@ -45,8 +45,14 @@
         if request.pre_vote:
             return self._answer_pre_vote(request)
         async with self._state.lock:
+            if self._has_voted_for(request):
+                return VoteReply(self._state.term, granted=True)
             return await self._vote_locked(request)
 
+    def _has_voted_for(self, request: VoteRequest) -> bool:
+        vote = (self._state.term, self._state.voted_for)
+        return vote == (request.term, request.candidate)
+
     def _refusal(self, reason: str) -> VoteReply:
         return VoteReply(self._state.term, granted=False, reason=reason)
 
@@ -81,7 +87,7 @@
                 return self._refusal(f'voted for {self._state.voted_for}')
             await self._state.save_term(request.term, request.candidate)
         self._reporter.report_vote(request.candidate)
-        self._contact.record()
+        self._contact.record(request.election_seconds)
         return VoteReply(self._state.term, granted=True)
 
     def _is_up_to_date(self, request: VoteRequest) -> bool:
--- a/mulberryhitch/rpc/messages.py
+++ b/mulberryhitch/rpc/messages.py
@@ -51,6 +51,8 @@
 
     Attributes:
         transfer: Whether the leader requested this election.
+        election_seconds: Time that the candidate needs to begin its term, in
+            which the voter helps no other; 0 for the configured time.
     """
 
     group: str
@@ -61,6 +63,7 @@
     last_term: int
     pre_vote: bool
     transfer: bool
+    election_seconds: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,7 +81,12 @@
 
 @dataclass(frozen=True, slots=True)
 class AppendRequest:
-    """Entries to append to a follower's log; without entries, a heartbeat."""
+    """Entries to append to a follower's log; without entries, a heartbeat.
+
+    Attributes:
+        election_seconds: The term's present election time, which the follower
+            is to promise; 0 for the configured time.
+    """
 
     group: str
     target: str
@@ -88,6 +96,7 @@
     previous_term: int
     commit_index: int
     entries: list[LogEntry] = field(default_factory=list)
+    election_seconds: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,11 +108,14 @@
         success: Whether the log matched at the previous index.
         last_index: On success, the last index that is synced and matches
             the leader's log; otherwise the previous index to retry with.
+        promised_seconds: Time in which the follower votes for no other; 0 for
+            the configured time.
     """
 
     term: int
     success: bool
     last_index: int
+    promised_seconds: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,10 +161,16 @@
 
 @dataclass(frozen=True, slots=True)
 class VoteRecord:
-    """A replica's term and vote, as stored on disk."""
+    """A replica's term and vote, as stored on disk.
+
+    Attributes:
+        promised_seconds: The longest time for which the replica may have
+            promised a leader to vote for no other; 0 for the configured time.
+    """
 
     term: int
     voted_for: str
+    promised_seconds: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/mulberryhitch/rpc/mulberryhitch.thrift
+++ b/mulberryhitch/rpc/mulberryhitch.thrift
@@ -48,6 +48,7 @@
   6: i64 last_term,
   7: bool pre_vote,
   8: bool transfer,
+  9: double election_seconds = 0,
 }
 
 struct VoteReply {
@@ -65,12 +66,14 @@
   6: i64 previous_term,
   7: i64 commit_index,
   8: list<LogEntry> entries,
+  9: double election_seconds = 0,
 }
 
 struct AppendReply {
   1: i64 term,
   2: bool success,
   3: i64 last_index,
+  4: double promised_seconds = 0,
 }
 
 struct SnapshotRequest {
@@ -105,6 +108,7 @@
 struct VoteRecord {
   1: i64 term,
   2: string voted_for,
+  3: double promised_seconds = 0,
 }
 
 struct SnapshotRecord {
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -115,14 +115,17 @@
         ]
         await self.sync()
 
-    async def save_vote(self, term: int, voted_for: str) -> None:
-        await self._wait_for_disk(SYNC_SECONDS)
+    async def save_vote(
+        self, term: int, voted_for: str, promised_seconds: float = 0
+    ) -> None:
+        await self._wait_for_disk(self.sync_seconds)
         if self.failing_operation == 'write':
             raise DiskFullError('no space left', where=self.vm)
         if self.failing_operation == 'sync':
             raise StorageError('fsync failed', where=self.vm)
         self._stored.term = term
         self._stored.voted_for = voted_for
+        self._stored.promised_seconds = promised_seconds
 
     async def save_snapshot(
         self, snapshot: Snapshot, entries: list[LogEntry]
@@ -153,6 +156,7 @@
         self.cut_links: set[tuple[str, str]] = set()
         self.loss_rate = 0.0
         self.delay_seconds = 0.002
+        self.vm_delays: dict[str, float] = {}
         self.duplicate_rate = 0.0
         self.calls = 0
 
@@ -165,13 +169,19 @@
         self.loss_rate = 0.0
         self.duplicate_rate = 0.0
         self.delay_seconds = 0.002
+        self.vm_delays.clear()
 
     def transport(self, vm: str) -> 'FakeTransport':
         return FakeTransport(self, vm)
 
     async def transmit(self, source: str, target: str) -> None:
         """Delays a message; never returns if the message is lost."""
-        await anyio.sleep(self.delay_seconds * (1 + self.rng.random()))
+        delay = max(
+            self.delay_seconds,
+            self.vm_delays.get(source, 0),
+            self.vm_delays.get(target, 0),
+        )
+        await anyio.sleep(delay * (1 + self.rng.random()))
         if (
             source,
             target,
--- a/tests/fault_scripts.py
+++ b/tests/fault_scripts.py
@@ -10,9 +10,12 @@
 from mulberryhitch.workloads.model import Kind
 from tests.data_centre import DataCentre, make_spec
 from tests.entry_cell import EntryCell
+from tests.fakes import SYNC_SECONDS
 from tests.replica_group import ReplicaGroup
 
 _AUTHORITY_POLL_SECONDS = 0.01
+_CLOCK_GAINS = (-0.1, 0, 0.1)
+_DISK_SECONDS = (0.1, 0.4, 1.0)
 
 
 @dataclass(frozen=True)
@@ -43,6 +46,10 @@
     'lossy',
     'duplicate',
     'slow',
+    'very_slow',
+    'slow_vm',
+    'slow_disk',
+    'fast_disks',
     'lose_disk',
     'hand_over',
     'full_disk',
@@ -76,6 +83,8 @@
 
     def __init__(self, size: int, seed: int) -> None:
         self.group = ReplicaGroup(size, seed)
+        for vm in self.group.vms:
+            self.group.clock_gains[vm] = self.group.rng.choice(_CLOCK_GAINS)
         self.acknowledged: list[int] = []
         self._number = 0
         self._down: set[str] = set()
@@ -162,6 +171,20 @@
     async def _slow(self, step: ScriptStep) -> None:
         self.group.network.delay_seconds = 0.1
 
+    async def _very_slow(self, step: ScriptStep) -> None:
+        self.group.network.delay_seconds = 0.3
+
+    async def _slow_vm(self, step: ScriptStep) -> None:
+        self.group.network.vm_delays[self._vm(step)] = 0.3
+
+    async def _slow_disk(self, step: ScriptStep) -> None:
+        seconds = _DISK_SECONDS[step.selector % len(_DISK_SECONDS)]
+        self.group.disks[self._vm(step)].sync_seconds = seconds
+
+    async def _fast_disks(self, step: ScriptStep) -> None:
+        for disk in self.group.disks.values():
+            disk.sync_seconds = SYNC_SECONDS
+
     async def _lose_disk(self, step: ScriptStep) -> None:
         vm = self._vm(step)
         if self._down or self._wiped_vm or not self._has_full_membership():
@@ -202,6 +225,7 @@
 
     async def _recover(self) -> None:
         self.group.network.heal()
+        await self._fast_disks(ScriptStep('fast_disks'))
         for disk in self.group.disks.values():
             disk.failing_operation = ''
         await self._restart(ScriptStep('restart'))
--- a/tests/replica_group.py
+++ b/tests/replica_group.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Awaitable, Callable, Collection
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -46,7 +47,12 @@
 
 
 class ReplicaGroup:
-    """A group of replicas, each on its own VM, which can be killed."""
+    """A group of replicas, each on its own VM, which can be killed.
+
+    Attributes:
+        clock_gains: Seconds that a VM's clock gains each second, from its
+            next start on.
+    """
 
     def __init__(
         self,
@@ -65,6 +71,7 @@
         self.replicas: dict[str, Replica] = {}
         self.cancel_scopes: dict[str, anyio.CancelScope] = {}
         self.logs: dict[str, Log] = {}
+        self.clock_gains: dict[str, float] = {}
         self.task_group: Any = None
         self.leaders: dict[int, str] = {}
 
@@ -79,12 +86,16 @@
 
     def start(self, vm: str) -> None:
         state_machine = KeyValueStateMachine()
+        gain = self.clock_gains.get(vm, 0)
+        options = replace(
+            self.options, suspended=lambda: gain * anyio.current_time()
+        )
         state = ReplicaState('group', self.disks[vm], state_machine)
         replica = Replica(
             state,
             self.network.transport(vm),
             self.vms,
-            self.options,
+            options,
             self.logs.setdefault(vm, Log(vm)),
             self.rng,
         )
--- a/tests/test_election_reports.py
+++ b/tests/test_election_reports.py
@@ -34,7 +34,7 @@
             silent, candidate = sorted({*group.vms} - {leader_vm})
             group.kill(leader_vm)
             group.network.isolate(silent)
-            await anyio.sleep(3)
+            await anyio.sleep(3 * QUICK_OPTIONS.max_election_seconds)
             assert group.logs[candidate].counts['replica.pre_vote_failed'] > 1
             return leader_vm, silent
 
--- a/tests/test_vote_promises.py
+++ b/tests/test_vote_promises.py
@@ -4,16 +4,19 @@
 from typing import Any
 
 import anyio
+import pytest
 
 from mulberryhitch.observability.log import Log
 from mulberryhitch.replication.members import Members
 from mulberryhitch.replication.replica import Replica
 from mulberryhitch.replication.state import ReplicaState
+from mulberryhitch.rpc.codec import decode_record, encode_record
 from mulberryhitch.rpc.messages import (
     AppendReply,
     AppendRequest,
     LogEntry,
     TakeOverRequest,
+    VoteRecord,
     VoteReply,
     VoteRequest,
 )
@@ -29,9 +32,14 @@
 
 
 def append_request(
-    term: int = TERM, leader: str = LEADER, entries: tuple[LogEntry, ...] = ()
+    term: int = TERM,
+    leader: str = LEADER,
+    entries: tuple[LogEntry, ...] = (),
+    election_seconds: float = 0,
 ) -> AppendRequest:
-    return AppendRequest('group', OWN, term, leader, 1, 0, 1, list(entries))
+    return AppendRequest(
+        'group', OWN, term, leader, 1, 0, 1, list(entries), election_seconds
+    )
 
 
 class Peers:
@@ -99,6 +107,7 @@
             if (await replica.vote(vote_request())).granted:
                 granted_at.append(anyio.current_time())
 
+        replica._contact.start()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(replica.append, append_request(entries=(PUT,)))
             await anyio.sleep(1.5 * ELECTION_SECONDS)
@@ -145,3 +154,84 @@
             tasks.cancel_scope.cancel()
 
     run_with_mock_clock(main)
+
+
+async def seconds_until_vote(replica: Replica) -> float:
+    began_at = anyio.current_time()
+    while not (await replica.vote(vote_request())).granted:
+        await anyio.sleep(0.01)
+    return anyio.current_time() - began_at
+
+
+@pytest.mark.parametrize('election_seconds', [0, ELECTION_SECONDS, 2.0, 4.0])
+def test_a_replica_that_restarts_keeps_the_promise_of_a_slow_term(
+    election_seconds: float,
+) -> None:
+    async def main() -> None:
+        lone = LoneReplica()
+        replica = await lone.load()
+        replica._contact.start()
+        promised_at = anyio.current_time()
+        reply = await replica.append(
+            append_request(election_seconds=election_seconds)
+        )
+        assert reply.promised_seconds == max(election_seconds, ELECTION_SECONDS)
+        lone.disk.crash()
+        restarted = await lone.load()
+        assert not (await restarted.vote(vote_request())).granted
+        restarted._contact.start()
+        await seconds_until_vote(restarted)
+        elapsed = anyio.current_time() - promised_at
+        assert reply.promised_seconds <= elapsed
+        assert elapsed < reply.promised_seconds + 0.1
+
+    run_with_mock_clock(main)
+
+
+def test_a_shorter_promise_is_kept_only_after_the_longer_one_has_passed() -> (
+    None
+):
+    async def main() -> None:
+        lone = LoneReplica()
+        replica = await lone.load()
+        replica._contact.start()
+        await replica.append(append_request(election_seconds=4))
+        promised_until = anyio.current_time() + 4
+        await anyio.sleep(1)
+        await replica.append(append_request(election_seconds=2))
+        assert lone.disk.load().promised_seconds == 4
+        await seconds_until_vote(replica)
+        assert anyio.current_time() >= promised_until
+
+    run_with_mock_clock(main)
+
+
+def test_a_replica_with_a_full_disk_promises_only_what_it_has_stored() -> None:
+    async def main() -> None:
+        lone = LoneReplica()
+        replica = await lone.load()
+        replica._contact.start()
+        lone.disk.fill()
+        reply = await replica.append(append_request(election_seconds=4))
+        assert reply.promised_seconds == ELECTION_SECONDS
+
+    run_with_mock_clock(main)
+
+
+def test_a_vote_whose_answer_was_lost_is_granted_again() -> None:
+    async def main() -> None:
+        replica = await LoneReplica().load()
+        replica._contact.start()
+        await seconds_until_vote(replica)
+        assert (await replica.vote(vote_request())).granted
+
+    run_with_mock_clock(main)
+
+
+def test_a_vote_record_of_an_earlier_release_promises_the_configured_time() -> (
+    None
+):
+    promise_bytes = 11
+    content = encode_record(VoteRecord(TERM, LEADER, 4))
+    former = content[: -promise_bytes - 1] + content[-1:]
+    assert decode_record(VoteRecord, former) == VoteRecord(TERM, LEADER, 0)
