A replica gives way to a candidate whose pre-vote it granted

Callers saw: after a loss of power, up to 50 s without a leader in a slow group of which two voters were away.

Cause: pre-votes refuse nobody, so all voters that start within the time that a message takes get theirs granted, vote for themselves, and split the votes. With three of five voters present all three must agree.

Change: a replica that grants a pre-vote waits an election time for that candidate before it campaigns itself, once in a term, since the other may lack a majority. Of two that request pre-votes at the same time, the one with the older log, or else the lower id, waits. Votes are given as before.

--- a/mulberryhitch/replication/candidate.py
+++ b/mulberryhitch/replication/candidate.py
@@ -57,6 +57,9 @@
         self._reporter = ReplicationReporter(state, log)
         self._lost_elections = 0
         self._round_trip_seconds = float()
+        self._requests_pre_votes = False
+        self._gave_way_in_term = -1
+        self._gives_way_until = float()
 
     async def run(self) -> None:
         """Campaigns whenever the leader is silent, until cancelled."""
@@ -81,6 +84,24 @@
         except DiskFullError as error:
             self._log.problem('replica.no_campaign', error.problem)
 
+    def give_way(self, request: VoteRequest) -> None:
+        """Waits for another candidate, whose pre-vote this replica granted.
+
+        It does so once in a term, as the other may lack a majority. Of two
+        that request pre-votes at the same time, one waits for the other.
+        """
+        outranks = (request.last_term, request.last_index, request.candidate)
+        own = self._state.last_term, self._state.last_index
+        if self._requests_pre_votes and outranks < (
+            *own,
+            self._state.replica_id,
+        ):
+            return
+        if self._gave_way_in_term < self._state.term:
+            self._gave_way_in_term = self._state.term
+            seconds = self._options.election_seconds
+            self._gives_way_until = anyio.current_time() + seconds
+
     async def _wait_for_silence(self) -> None:
         """Waits until no leader was heard from for a random time."""
         if self._roles.leader_id:
@@ -88,10 +109,14 @@
         margin = self._contact.election_seconds * self._rng.random()
         while True:
             remaining = self._contact.remaining_seconds + margin
+            remaining = max(remaining, self._gives_way_seconds())
             if remaining <= 0 and not self._roles.leads:
                 return
             await anyio.sleep(max(remaining, self._options.heartbeat_seconds))
 
+    def _gives_way_seconds(self) -> float:
+        return self._gives_way_until - anyio.current_time()
+
     def _pause_seconds(self) -> float:
         """Returns a random pause, longer after each election that was lost."""
         if not self._lost_elections:
@@ -154,7 +179,9 @@
             request,
             lambda: self._is_over(term, pre_vote=pre_vote, transfer=transfer),
         )
+        self._requests_pre_votes = pre_vote
         result = await election.run()
+        self._requests_pre_votes = False
         self._round_trip_seconds = result.round_trip_seconds
         if not result.won:
             self._reporter.report_failed_election(
@@ -170,4 +197,6 @@
         """Whether the replica has found a leader, or another term."""
         if self._contact.is_live and not transfer:
             return True
+        if pre_vote and self._gives_way_seconds() > 0:
+            return True
         return self._state.term != term - int(pre_vote)
--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -85,9 +85,6 @@
         self._reporter = ReplicationReporter(state, log)
         self._compaction = Compaction(state, options, self._fail_stop, log)
         self._handover = Handover(state, transport, log)
-        self._voter = Voter(
-            state, self._contact, self, self._fail_stop, self._reporter
-        )
         self._candidate = Candidate(
             state,
             transport,
@@ -98,6 +95,14 @@
             log,
             rng,
         )
+        self._voter = Voter(
+            state,
+            self._contact,
+            self,
+            self._fail_stop,
+            self._reporter,
+            self._candidate.give_way,
+        )
         self._tasks: TaskGroup | None = None
         self._retiring = False
         self._target_voters = options.target_voters or len(initial_vms)
--- a/mulberryhitch/replication/voter.py
+++ b/mulberryhitch/replication/voter.py
@@ -1,5 +1,7 @@
 """Answers the vote and pre-vote requests of candidates."""
 
+from collections.abc import Callable
+
 from mulberryhitch.replication.contact import LeaderContact
 from mulberryhitch.replication.failstop import FailStop
 from mulberryhitch.replication.reporting import ReplicationReporter
@@ -17,15 +19,17 @@
         roles: The replica's roles.
         fail_stop: Stops the replica if its disk fails.
         reporter: Logs the votes.
+        on_pre_vote: Called with each pre-vote request that is granted.
     """
 
-    def __init__(
+    def __init__(  # noqa: WPS211
         self,
         state: ReplicaState,
         contact: LeaderContact,
         roles: Roles,
         fail_stop: FailStop,
         reporter: ReplicationReporter,
+        on_pre_vote: Callable[[VoteRequest], None],
     ) -> None:
         """Initialises the voter."""
         self._state = state
@@ -33,6 +37,7 @@
         self._roles = roles
         self._fail_stop = fail_stop
         self._reporter = reporter
+        self._on_pre_vote = on_pre_vote
 
     async def vote(self, request: VoteRequest) -> VoteReply:
         """Handles a vote or pre-vote request.
@@ -71,6 +76,7 @@
             return self._refusal('newer term')
         if not self._is_up_to_date(request):
             return self._refusal('log behind')
+        self._on_pre_vote(request)
         return VoteReply(self._state.term, granted=True)
 
     async def _vote_locked(self, request: VoteRequest) -> VoteReply:
--- a/tests/test_slow_elections.py
+++ b/tests/test_slow_elections.py
@@ -150,3 +150,20 @@
             await anyio.sleep(RECOVER_SECONDS)
 
     play(1, main)
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_candidates_that_begin_together_split_votes_at_most_once(
+    seed: int,
+) -> None:
+    async def main(group: ReplicaGroup, leader: Replica) -> None:
+        term = leader.term
+        Slowness('very slow', 0.2, 0.2).begin(group)
+        for vm in group.vms:
+            group.kill(vm)
+        for vm in group.vms[2:]:
+            group.start(vm)
+        await seconds_until_confirmed(group)
+        assert group.replicas[group.vms[2]].term <= term + 2
+
+    play(seed, main)
