An append that got lost is sent again after two round trips

Callers saw: with two of five voters away and a fifth of the messages lost, up to 14 s without a leader, and a new term about each 2 s.

Cause: a peer whose log is not known to match is sent one append at a time, and a lost one held up the next for half a second to a second, so that two lost ones ended the leadership. When the call of an append timed out, the peer was taken for unreachable though it had answered later ones. Votes were requested again as rarely.

Change: an append holds up others for two smoothed round trips of its peer, at least two heartbeats, at most half the election time, which is longer than a round trip. A late failure does not count once a later append was answered. Votes are requested again each half election time.

All cases of tests/test_slow_elections.py pass.

--- a/mulberryhitch/replication/election.py
+++ b/mulberryhitch/replication/election.py
@@ -42,7 +42,7 @@
 class Election:
     """One round of vote requests, or of pre-vote requests.
 
-    A voter that doesn't answer is asked again each election time, and late
+    A voter that doesn't answer is asked again each half election time, and late
     answers count. So the round needs no time that fits the group's speed.
 
     Args:
@@ -121,7 +121,7 @@
     async def _ask_until_granted(self, voter: str, tasks: TaskGroup) -> None:
         while voter not in self._result.granted:
             tasks.start_soon(self._ask, voter, tasks)
-            await anyio.sleep(self._options.election_seconds)
+            await anyio.sleep(self._options.election_seconds / 2)
 
     async def _ask(self, voter: str, tasks: TaskGroup) -> None:
         began_at = anyio.current_time()
--- a/mulberryhitch/replication/log_sender.py
+++ b/mulberryhitch/replication/log_sender.py
@@ -68,9 +68,10 @@
 
     def _seconds_until_send(self, peer: Progress) -> float:
         interval = self._options.heartbeat_seconds
-        if not peer.may_send(
-            self._options.window, self._lease.election_seconds
-        ):
+        answer_seconds = peer.resend_seconds(
+            self._lease.election_seconds, interval * 2
+        )
+        if not peer.may_send(self._options.window, answer_seconds):
             return interval
         has_unsent_entries = peer.next_index <= self._state.last_index
         if has_unsent_entries and not peer.unreachable:
@@ -124,7 +125,8 @@
                 self._lease.election_seconds * 2,
             )
         except MulberryhitchError:
-            peer.record_failure()
+            if peer.last_contact < sent_at:
+                peer.record_failure()
             return
         finally:
             peer.record_end(in_flight_since)
--- a/mulberryhitch/replication/progress.py
+++ b/mulberryhitch/replication/progress.py
@@ -75,6 +75,14 @@
         change = seconds - self._round_trip_seconds
         self._round_trip_seconds += change * _ROUND_TRIP_WEIGHT
 
+    def resend_seconds(self, election_seconds: float, shortest: float) -> float:
+        """Returns after how long an append without an answer may be lost.
+
+        A leader's election time is more than twice its group's round trip.
+        """
+        likely = max(self._round_trip_seconds * 2, shortest)
+        return min(likely, election_seconds / 2)
+
     def round_trip_seconds_since(self, oldest: float) -> float:
         """Returns the smoothed time of an append and its answer.
 
--- a/tests/test_slow_elections.py
+++ b/tests/test_slow_elections.py
@@ -167,3 +167,18 @@
         assert group.replicas[group.vms[2]].term <= term + 2
 
     play(seed, main)
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_a_lost_message_does_not_end_a_leadership(seed: int) -> None:
+    async def main(group: ReplicaGroup, leader: Replica) -> None:
+        others = [vm for vm in group.vms if vm != group.vm_of(leader)]
+        for vm in others[:2]:
+            group.kill(vm)
+        Slowness('lost messages', loss_rate=0.2).begin(group)
+        for _ in range(10):
+            await seconds_until_confirmed(group)
+            await anyio.sleep(1)
+        assert leader.term <= 2
+
+    play(seed, main)
