A replica that retires during a round of hello requests sends another at once

What callers saw: a leader that was asked to end, and ended 0.2 s later, was replaced only after 2 s of silence in 1 of 30 planned replacements.

Cause: a replica that was just sending hello requests when it was asked to retire waited half an election time before it sent the first one that says so. A leader always sends them, since it hears from no leader.

Evidence: the trace of a series of replacements (simulated clock) shows the next leader without a retirement of the former; the new test finds one moment of 30 (10 ms apart) at which the replacement takes more than 1 s.

Change: the event that wakes the rounds stays set until a round has begun.

Measured: the new test fails on the former code at step 12 and passes now.

--- a/mulberryhitch/replication/bootstrap.py
+++ b/mulberryhitch/replication/bootstrap.py
@@ -66,12 +66,9 @@
 
     async def _wait_for_next_round(self) -> None:
         """Waits half an election time, or until this replica retires."""
-        seconds = self._options.election_seconds / 2
-        if self._is_retiring:
-            await anyio.sleep(seconds)
-            return
-        with anyio.move_on_after(seconds):
+        with anyio.move_on_after(self._options.election_seconds / 2):
             await self._retirement_began.wait()
+            self._retirement_began = anyio.Event()
 
     async def _try_bootstrap(self) -> None:
         replies = await self._query_peers()
--- a/tests/test_replaced_machines.py
+++ b/tests/test_replaced_machines.py
@@ -129,6 +129,27 @@
     run_with_mock_clock(main)
 
 
+@pytest.mark.parametrize('step', range(30))
+def test_a_leader_that_retires_is_replaced_though_it_ends_soon(
+    step: int,
+) -> None:
+    async def main() -> None:
+        group = ReplicaGroup(VOTERS, 1, 1, OPTIONS)
+        async with group.running():
+            leader = await _leader_of_complete_group(group)
+            await anyio.sleep(2 + step * 0.01)
+            retired = group.vm_of(leader)
+            await leader.retire()
+            began = anyio.current_time()
+            await anyio.sleep(OPTIONS.heartbeat_seconds)
+            group.remove(retired)
+            await _wait_for_voter(group, 'spare-1')
+            waited = anyio.current_time() - began
+            assert waited < OPTIONS.repair_seconds / 2
+
+    run_with_mock_clock(main)
+
+
 def test_a_voter_that_retires_stays_while_no_learner_can_replace_it() -> None:
     async def main() -> None:
         group = ReplicaGroup(VOTERS, 1, 0, OPTIONS)
