A change of the leader does not begin the wait for a gone voter anew

What callers saw: a VM was replaced for good, and the leader changed meanwhile (handed over, or killed).

Cause: each leader counted the silence of a voter from its own start, so each change of the leader added up to 2 s.

Change: while members don't answer, the leader tells the others with each membership check which ones and for how long (`SilenceReporter`, two fields of the hello request that older replicas skip). The next leader goes on from there if the report is at most 2 s old. It first gives each voter time for a call that is lost and a second one (two election times), so a voter that answers it is not replaced. A leader that was restarted has no report and waits in full.

--- a/mulberryhitch/replication/hello_records.py
+++ b/mulberryhitch/replication/hello_records.py
@@ -1,4 +1,4 @@
-"""The replicas that recently asked to join their group, or to leave it."""
+"""What hello requests have told recently: who joins, retires or is silent."""
 
 from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.rpc.messages import HelloRequest
@@ -19,6 +19,8 @@
         self._options = options
         self._received_at: dict[str, float] = {}
         self._retiring: set[str] = set()
+        self._silent_since: dict[str, float] = {}
+        self._silence_reported_at = float()
 
     @property
     def joining(self) -> list[str]:
@@ -30,9 +32,25 @@
             if replica_id not in self._retiring
         ]
 
+    @property
+    def silent_since(self) -> dict[str, float]:
+        """Returns since when members have not answered the latest leader."""
+        if self._silence_reported_at < self._oldest_valid():
+            return {}
+        return self._silent_since
+
     def record(self, request: HelloRequest) -> None:
         """Records a request as its sender's latest one."""
-        self._received_at[request.replica_id] = self._options.now()
+        now = self._options.now()
+        self._received_at[request.replica_id] = now
+        if request.silent_ids:
+            self._silence_reported_at = now
+            self._silent_since = {
+                replica_id: now - seconds
+                for replica_id, seconds in zip(
+                    request.silent_ids, request.silent_seconds, strict=False
+                )
+            }
         if request.retiring:
             self._retiring.add(request.replica_id)
         else:
@@ -43,9 +61,12 @@
         self._remove_expired()
         return replica_id in self._retiring
 
-    def _remove_expired(self) -> None:
+    def _oldest_valid(self) -> float:
         lifetime = self._options.election_seconds * _EXPIRY_ELECTION_TIMES
-        oldest = self._options.now() - lifetime
+        return self._options.now() - lifetime
+
+    def _remove_expired(self) -> None:
+        oldest = self._oldest_valid()
         self._received_at = {
             replica_id: received_at
             for replica_id, received_at in self._received_at.items()
--- a/mulberryhitch/replication/reconciler.py
+++ b/mulberryhitch/replication/reconciler.py
@@ -52,6 +52,9 @@
         self._target_voters = target_voters
         self._log = log
         self._started_at = self._options.now()
+        self._silent_since = hello_records.silent_since
+        # Enough for a call that is lost and a second one.
+        self._answer_seconds = options.election_seconds * 2
 
     async def run(self) -> None:
         """Checks and changes the membership until cancelled."""
@@ -59,6 +62,14 @@
             if not await self._make_next_change():
                 await anyio.sleep(self._options.reconcile_seconds)
 
+    def silent_members(self) -> dict[str, float]:
+        """Returns the members that don't answer, and for how many seconds."""
+        return {
+            replica_id: self._silent_seconds(replica_id)
+            for replica_id in self._state.members.replica_ids
+            if not self._is_alive(replica_id)
+        }
+
     async def _make_next_change(self) -> bool:
         """Returns whether a change was necessary and is committed."""
         new_members = self._next_members()
@@ -150,6 +161,9 @@
         return self._hello_records.is_retiring(replica_id)
 
     def _is_timed_out(self, replica_id: str) -> bool:
+        led_seconds = self._options.now() - self._started_at
+        if led_seconds < self._answer_seconds:
+            return False
         silent_seconds = self._silent_seconds(replica_id)
         return silent_seconds > self._options.repair_seconds
 
@@ -165,14 +179,16 @@
         if peer is None:
             return replica_id == self._state.replica_id
         elapsed = self._options.now() - peer.last_contact
-        return elapsed < self._options.election_seconds * 2
+        return elapsed < self._answer_seconds
 
     def _silent_seconds(self, replica_id: str) -> float:
-        """Returns the time since a peer last answered this leader, seconds."""
+        """Returns the time since a peer last answered a leader, in seconds."""
         peer = self._leadership.peers.get(replica_id)
         if peer is None:
             return 0
         last_contact = max(peer.last_contact, self._started_at)
+        if not peer.last_contact:
+            last_contact = self._silent_since.get(replica_id, last_contact)
         return self._options.now() - last_contact
 
     def _next_join_request(self, members: Members) -> str:
--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -30,6 +30,7 @@
 from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.reconciler import MembershipReconciler
 from mulberryhitch.replication.reporting import ReplicationReporter
+from mulberryhitch.replication.silence_reporter import SilenceReporter
 from mulberryhitch.replication.state import ReplicaState
 from mulberryhitch.rpc.messages import (
     AppendReply,
@@ -476,6 +477,9 @@
             self._target_voters,
             self._log,
         )
+        silence_reporter = SilenceReporter(
+            self._state, self._transport, self._options, reconciler
+        )
         disk_watch = DiskWatch(
             self.group,
             leadership,
@@ -486,6 +490,7 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(reconciler.run)
+                tasks.start_soon(silence_reporter.run)
                 tasks.start_soon(disk_watch.run)
                 if self._retiring:
                     tasks.start_soon(self._transfer_when_ready, leadership)
--- a/mulberryhitch/rpc/messages.py
+++ b/mulberryhitch/rpc/messages.py
@@ -31,12 +31,16 @@
 
     Attributes:
         retiring: Whether the sender's process is about to end.
+        silent_ids: The members that don't answer, if the sender leads.
+        silent_seconds: For how long each of them has not answered.
     """
 
     group: str
     replica_id: str
     configured: bool
     retiring: bool = False
+    silent_ids: list[str] = field(default_factory=list)
+    silent_seconds: list[float] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
--- a/mulberryhitch/rpc/mulberryhitch.thrift
+++ b/mulberryhitch/rpc/mulberryhitch.thrift
@@ -30,6 +30,8 @@
   2: string replica_id,
   3: bool configured,
   4: bool retiring = 0,
+  5: list<string> silent_ids = [],
+  6: list<double> silent_seconds = [],
 }
 
 struct HelloReply {
--- a/tests/test_replaced_machines.py
+++ b/tests/test_replaced_machines.py
@@ -162,3 +162,50 @@
             assert retired in map(vm_of, leader.members.voters)
 
     run_with_mock_clock(main)
+
+
+@pytest.mark.parametrize('seed', range(4))
+@pytest.mark.parametrize('seconds_until_change', [1.2, 1.6])
+def test_a_change_of_the_leader_does_not_begin_the_wait_for_a_gone_voter_anew(
+    seconds_until_change: float, seed: int
+) -> None:
+    async def main() -> None:
+        group = ReplicaGroup(VOTERS, seed, 1, OPTIONS)
+        async with group.running():
+            leader = await _leader_of_complete_group(group)
+            client = ChangeClient(group)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(client.run)
+                group.remove(_follower_of(group, leader))
+                began = anyio.current_time()
+                await anyio.sleep(seconds_until_change)
+                await leader.transfer_leadership()
+                await _wait_for_voter(group, 'spare-1')
+                waited = anyio.current_time() - began
+                await anyio.sleep(0.1)
+                tasks.cancel_scope.cancel()
+            assert waited < OPTIONS.repair_seconds + 1
+            leader = await group.wait_leader(1)
+            wiped = _present_voter(group, leader)
+            await _expect_nothing_lost(group, client, wiped)
+
+    run_with_mock_clock(main)
+
+
+def test_a_voter_that_answers_the_next_leader_is_not_replaced() -> None:
+    async def main() -> None:
+        group = ReplicaGroup(VOTERS, 1, 1, OPTIONS)
+        async with group.running():
+            leader = await _leader_of_complete_group(group)
+            voters = leader.members.voters
+            cut_off = _follower_of(group, leader)
+            group.network.isolate(cut_off)
+            await anyio.sleep(1.8)
+            await leader.transfer_leadership()
+            await anyio.sleep(0.1)
+            group.network.heal()
+            await anyio.sleep(3)
+            leader = await group.wait_leader()
+            assert set(leader.members.voters) == set(voters)
+
+    run_with_mock_clock(main)
