The log tells when a group could bear fewer losses than it is made for

Change: the leader checks this with each membership check, as a task of its own that a change which is not committed does not hold up. `members.degraded` gives the voters, those that answer, how many more may be lost, and why no change is made now (no learner, none that has caught up, a change that is not committed, a voter that may return); it is logged again when one of these changes. `members.complete` ends it, with its duration. A new leader reports only once each voter had time to answer it.

--- a/mulberryhitch/replication/reconciler.py
+++ b/mulberryhitch/replication/reconciler.py
@@ -8,6 +8,11 @@
 from mulberryhitch.replication.leadership import Leadership
 from mulberryhitch.replication.members import Members, vm_of
 from mulberryhitch.replication.options import ReplicationOptions
+from mulberryhitch.replication.redundancy import (
+    Redundancy,
+    RedundancyReporter,
+    RepairState,
+)
 from mulberryhitch.replication.state import ReplicaState
 
 _MAX_LAG_ENTRIES = 64
@@ -58,9 +63,9 @@
 
     async def run(self) -> None:
         """Checks and changes the membership until cancelled."""
-        while True:
-            if not await self._make_next_change():
-                await anyio.sleep(self._options.reconcile_seconds)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch_redundancy)
+            await self._make_changes()
 
     def silent_members(self) -> dict[str, float]:
         """Returns the members that don't answer, and for how many seconds."""
@@ -70,6 +75,34 @@
             if not self._is_alive(replica_id)
         }
 
+    async def _make_changes(self) -> None:
+        while True:
+            if not await self._make_next_change():
+                await anyio.sleep(self._options.reconcile_seconds)
+
+    async def _watch_redundancy(self) -> None:
+        reporter = RedundancyReporter(self._target_voters, self._log)
+        await anyio.sleep(self._answer_seconds)
+        while True:
+            members = self._state.members
+            redundancy = Redundancy.of(members, set(self.silent_members()))
+            now = self._options.now()
+            reporter.report(redundancy, self._repair_state(members), now)
+            await anyio.sleep(self._options.reconcile_seconds)
+
+    def _repair_state(self, members: Members) -> RepairState:
+        if not self._leadership.ready:
+            return RepairState.not_ready
+        if not self._state.members_committed:
+            return RepairState.change_open
+        if self._next_members() is not None:
+            return RepairState.due
+        if not members.learners:
+            return RepairState.no_learner
+        if not any(map(self._is_caught_up, members.learners)):
+            return RepairState.learner_behind
+        return RepairState.may_return
+
     async def _make_next_change(self) -> bool:
         """Returns whether a change was necessary and is committed."""
         new_members = self._next_members()
--- a/tests/replica_group.py
+++ b/tests/replica_group.py
@@ -45,6 +45,20 @@
     )
 
 
+class RecordingLog(Log):
+    """Records the events of all replicas, in their order."""
+
+    def __init__(
+        self, vm: str, events: list[tuple[str, dict[str, Any]]]
+    ) -> None:
+        super().__init__(vm)
+        self._events = events
+
+    def event(self, event: str, **fields: Any) -> None:
+        self._events.append((event, fields))
+        super().event(event, **fields)
+
+
 class ReplicaGroup:
     """A group of replicas, each on its own VM, which can be killed."""
 
@@ -66,6 +80,7 @@
         self.cancel_scopes: dict[str, anyio.CancelScope] = {}
         self.task_group: Any = None
         self.leaders: dict[int, str] = {}
+        self.log_events: list[tuple[str, dict[str, Any]]] = []
         self.seeds = self.vms
 
     @asynccontextmanager
@@ -85,7 +100,7 @@
             self.network.transport(vm),
             self.seeds,
             self.options,
-            Log(vm),
+            RecordingLog(vm, self.log_events),
             self.rng,
         )
         self.state_machines[vm] = state_machine
