Voters are spread over the data centres

What callers would see: one data centre is cut off, and no leader is elected until it is back, though the VMs of all others run and are connected.

Cause: replicas knew nothing about data centres. The leader promoted the learner that had joined first, and removed the voter that lagged most, so two of three voters could be in one data centre for good, beside learners elsewhere. It takes a VM more than the group has voters in one data centre, and the replacement of a voter in another. Where each data centre has one VM, this lasts only while a planned replacement overlaps with a loss.

Change: hello requests and replies name the sender's data centre (empty from older replicas). A replica asks the members until each has named its own. Of the learners that have caught up, the one with the fewest voters in its data centre is promoted. In a complete, undisturbed group a learner is also promoted if that spreads the voters better, and of a surplus the voter in the fullest data centre is removed. No exchange happens unless the fullest one loses a voter by it, so this ends.

--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -318,6 +318,7 @@
                 reconcile_seconds=_RECONCILE_SECONDS,
                 repair_seconds=_REPAIR_SECONDS,
                 target_voters=settings.target_voters,
+                data_centre=settings.data_centre,
                 may_bootstrap=settings.first_start,
                 suspended=suspended_seconds,
             ),
--- a/mulberryhitch/replication/bootstrap.py
+++ b/mulberryhitch/replication/bootstrap.py
@@ -6,6 +6,7 @@
 import anyio
 
 from mulberryhitch.errors import DiskFullError, MulberryhitchError
+from mulberryhitch.replication.hello_records import HelloRecords
 from mulberryhitch.replication.interfaces import Transport
 from mulberryhitch.replication.members import Members, vm_of
 from mulberryhitch.replication.options import ReplicationOptions
@@ -25,6 +26,7 @@
         transport: Carries calls to the other replicas.
         initial_vms: The VMs whose replicas bootstrap the group.
         options: Timing settings, and whether bootstrapping is allowed.
+        hello_records: Receives the replies.
     """
 
     def __init__(
@@ -33,6 +35,7 @@
         transport: Transport,
         initial_vms: tuple[str, ...],
         options: ReplicationOptions,
+        hello_records: HelloRecords,
     ) -> None:
         """Initialises the bootstrap with only the initial VMs known."""
         self._known_vms: set[str] = set()
@@ -40,6 +43,7 @@
         self._transport = transport
         self._initial_vms = initial_vms
         self._options = options
+        self._hello_records = hello_records
         self._own_vm = vm_of(state.replica_id)
         self._is_retiring = False
         self._retirement_began = anyio.Event()
@@ -60,10 +64,21 @@
             if not self._state.configured:
                 with suppress(DiskFullError):
                     await self._try_bootstrap()
-            elif self._is_retiring or is_detached():
+            elif (
+                self._is_retiring
+                or is_detached()
+                or self._lacks_a_data_centre()
+            ):
                 await self._query_peers()
             await self._wait_for_next_round()
 
+    def _lacks_a_data_centre(self) -> bool:
+        """Whether a member that may become or remain a voter is unplaced."""
+        if not self._options.data_centre:
+            return False
+        others = set(self._state.members.replica_ids) - {self._state.replica_id}
+        return not others <= set(self._hello_records.data_centres)
+
     async def _wait_for_next_round(self) -> None:
         """Waits half an election time, or until this replica retires."""
         with anyio.move_on_after(self._options.election_seconds / 2):
@@ -118,6 +133,7 @@
             self._state.replica_id,
             self._state.configured,
             self._is_retiring,
+            data_centre=self._options.data_centre,
         )
         try:
             reply = await self._transport.call(
@@ -126,4 +142,5 @@
         except MulberryhitchError:
             return
         if isinstance(reply, HelloReply):
+            self._hello_records.record_reply(reply)
             replies.append(reply)
--- a/mulberryhitch/replication/hello_records.py
+++ b/mulberryhitch/replication/hello_records.py
@@ -1,7 +1,7 @@
-"""What hello requests have told recently: who joins, retires or is silent."""
+"""What hello calls have told: who joins, retires, is silent, and is where."""
 
 from mulberryhitch.replication.options import ReplicationOptions
-from mulberryhitch.rpc.messages import HelloRequest
+from mulberryhitch.rpc.messages import HelloReply, HelloRequest
 
 # Hello requests are repeated each half of an election time.
 _EXPIRY_ELECTION_TIMES = 4
@@ -11,12 +11,17 @@
     """The latest hello request of each replica, until it expires.
 
     Args:
-        options: Timing settings.
+        options: Timing settings, and this replica's data centre.
+
+    Attributes:
+        data_centres: The data centre of each replica that named it; empty if
+            the replica doesn't know it.
     """
 
     def __init__(self, options: ReplicationOptions) -> None:
         """Initialises the records without any request."""
         self._options = options
+        self.data_centres: dict[str, str] = {}
         self._received_at: dict[str, float] = {}
         self._retiring: set[str] = set()
         self._silent_since: dict[str, float] = {}
@@ -39,10 +44,15 @@
             return {}
         return self._silent_since
 
+    def record_reply(self, reply: HelloReply) -> None:
+        """Records where the sender of a reply is."""
+        self.data_centres[reply.replica_id] = reply.data_centre
+
     def record(self, request: HelloRequest) -> None:
         """Records a request as its sender's latest one."""
         now = self._options.now()
         self._received_at[request.replica_id] = now
+        self.data_centres[request.replica_id] = request.data_centre
         if request.silent_ids:
             self._silence_reported_at = now
             self._silent_since = {
--- a/mulberryhitch/replication/options.py
+++ b/mulberryhitch/replication/options.py
@@ -31,6 +31,7 @@
         reconcile_seconds: Interval between membership checks.
         target_voters: Number of voters in a complete group; zero for as many
             as there are initial VMs.
+        data_centre: Where this replica is; empty if unknown.
         may_bootstrap: Whether a new group may be bootstrapped when no replica
             has a log.
         suspended: Returns how long this VM has been suspended, in seconds,
@@ -51,6 +52,7 @@
     repair_seconds: float = 60.0
     reconcile_seconds: float = 0.8
     target_voters: int = 0
+    data_centre: str = ''
     may_bootstrap: bool = True
     suspended: Callable[[], float] = float
 
--- a/mulberryhitch/replication/reconciler.py
+++ b/mulberryhitch/replication/reconciler.py
@@ -1,5 +1,7 @@
 """Membership changes by the leader: failed voters are replaced by spares."""
 
+from collections.abc import Iterable
+
 import anyio
 
 from mulberryhitch.errors import MulberryhitchError
@@ -13,6 +15,7 @@
     RedundancyReporter,
     RepairState,
 )
+from mulberryhitch.replication.spread import Spread
 from mulberryhitch.replication.state import ReplicaState
 
 _MAX_LAG_ENTRIES = 64
@@ -145,8 +148,8 @@
     def _voter_to_remove(self, members: Members) -> str:
         """Returns a voter that is superseded or surplus, or an empty string.
 
-        If all voters of a group with a surplus one are alive, it is the one
-        that lags most.
+        If all voters of a group with a surplus one are alive, it is one of
+        the data centre with most voters, the one that lags most.
         """
         unreachable = self._unreachable_voters(members)
         for voter in unreachable:
@@ -159,21 +162,38 @@
         if longest_silent or unreachable:
             return longest_silent
         peers = self._leadership.peers
+        spread = self._spread(members.voters)
         return min(
             (voter for voter in members.voters if voter in peers),
-            key=lambda voter: peers[voter].match_index,
+            key=lambda voter: (
+                -spread.voters_beside(voter),
+                peers[voter].match_index,
+            ),
         )
 
     def _learner_to_promote(
         self, members: Members, caught_up: list[str]
     ) -> str:
-        """Returns a learner that the group lacks, or that replaces a voter."""
+        """Returns a learner that the group lacks, or that replaces a voter.
+
+        It is the one that spreads the voters best over the data centres.
+        """
         if not caught_up or len(members.voters) > self._target_voters:
             return ''
         is_incomplete = len(members.voters) < self._target_voters
-        if is_incomplete or any(map(self._is_leaving, members.voters)):
-            return caught_up[0]
-        return ''
+        staying = [
+            voter for voter in members.voters if not self._is_leaving(voter)
+        ]
+        spread = self._spread(staying)
+        best = min(caught_up, key=spread.voters_beside)
+        if is_incomplete or len(staying) < len(members.voters):
+            return best
+        is_undisturbed = not self._unreachable_voters(members)
+        return best if is_undisturbed and spread.improved_by(best) else ''
+
+    def _spread(self, voters: Iterable[str]) -> Spread:
+        own = {self._state.replica_id: self._options.data_centre}
+        return Spread(voters, self._hello_records.data_centres | own)
 
     def _unreachable_voters(self, members: Members) -> list[str]:
         return [voter for voter in members.voters if not self._is_alive(voter)]
--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -98,8 +98,10 @@
         self._tasks: TaskGroup | None = None
         self._retiring = False
         self._target_voters = options.target_voters or len(initial_vms)
-        self._bootstrap = Bootstrap(state, transport, initial_vms, options)
         self._hello_records = HelloRecords(options)
+        self._bootstrap = Bootstrap(
+            state, transport, initial_vms, options, self._hello_records
+        )
         state.set_applied_callback(self._complete_proposal)
 
     @property
@@ -253,6 +255,7 @@
             list(self._state.members.voters),
             list(self._state.members.learners),
             self._state.last_index,
+            self._options.data_centre,
         )
 
     async def vote(self, request: VoteRequest) -> VoteReply:
--- a/mulberryhitch/replication/silence_reporter.py
+++ b/mulberryhitch/replication/silence_reporter.py
@@ -56,6 +56,7 @@
             configured=True,
             silent_ids=list(silent),
             silent_seconds=list(silent.values()),
+            data_centre=self._options.data_centre,
         )
         not_called = {self._state.replica_id, *silent}
         async with anyio.create_task_group() as tasks:
--- a/mulberryhitch/rpc/messages.py
+++ b/mulberryhitch/rpc/messages.py
@@ -33,6 +33,7 @@
         retiring: Whether the sender's process is about to end.
         silent_ids: The members that don't answer, if the sender leads.
         silent_seconds: For how long each of them has not answered.
+        data_centre: The sender's; empty if unknown.
     """
 
     group: str
@@ -41,17 +42,23 @@
     retiring: bool = False
     silent_ids: list[str] = field(default_factory=list)
     silent_seconds: list[float] = field(default_factory=list)
+    data_centre: str = ''
 
 
 @dataclass(frozen=True, slots=True)
 class HelloReply:
-    """The receiver's identity and its view of the group's members."""
+    """The receiver's identity and its view of the group's members.
+
+    Attributes:
+        data_centre: The receiver's; empty if unknown.
+    """
 
     replica_id: str
     configured: bool
     voters: list[str]
     learners: list[str]
     last_index: int
+    data_centre: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/mulberryhitch/rpc/mulberryhitch.thrift
+++ b/mulberryhitch/rpc/mulberryhitch.thrift
@@ -32,6 +32,7 @@
   4: bool retiring = 0,
   5: list<string> silent_ids = [],
   6: list<double> silent_seconds = [],
+  7: string data_centre = "",
 }
 
 struct HelloReply {
@@ -40,6 +41,7 @@
   3: list<string> voters,
   4: list<string> learners,
   5: i64 last_index,
+  6: string data_centre = "",
 }
 
 struct VoteRequest {
--- a/tests/replica_group.py
+++ b/tests/replica_group.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Awaitable, Callable, Collection
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -82,6 +83,7 @@
         self.leaders: dict[int, str] = {}
         self.log_events: list[tuple[str, dict[str, Any]]] = []
         self.seeds = self.vms
+        self.data_centres: dict[str, str] = {}
 
     @asynccontextmanager
     async def running(self):
@@ -99,7 +101,7 @@
             state,
             self.network.transport(vm),
             self.seeds,
-            self.options,
+            replace(self.options, data_centre=self.data_centres.get(vm, '')),
             RecordingLog(vm, self.log_events),
             self.rng,
         )
