--- a/mulberryhitch/replication/reconciler.py
+++ b/mulberryhitch/replication/reconciler.py
@@ -1,5 +1,7 @@
 """Membership changes by the leader: failed voters are replaced by spares."""
 
+from collections.abc import Iterable
+
 import anyio
 
 from mulberryhitch.errors import MulberryhitchError
@@ -8,6 +10,12 @@
 from mulberryhitch.replication.leadership import Leadership
 from mulberryhitch.replication.members import Members, vm_of
 from mulberryhitch.replication.options import ReplicationOptions
+from mulberryhitch.replication.redundancy import (
+    Redundancy,
+    RedundancyReporter,
+    RepairState,
+)
+from mulberryhitch.replication.spread import Spread
 from mulberryhitch.replication.state import ReplicaState
 
 _MAX_LAG_ENTRIES = 64
@@ -52,13 +60,52 @@
         self._target_voters = target_voters
         self._log = log
         self._started_at = self._options.now()
+        self._silent_since = hello_records.silent_since
+        # Enough for a call that is lost and a second one.
+        self._answer_seconds = options.election_seconds * 2
 
     async def run(self) -> None:
         """Checks and changes the membership until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch_redundancy)
+            await self._make_changes()
+
+    def silent_members(self) -> dict[str, float]:
+        """Returns the members that don't answer, and for how many seconds."""
+        return {
+            replica_id: self._silent_seconds(replica_id)
+            for replica_id in self._state.members.replica_ids
+            if not self._is_alive(replica_id)
+        }
+
+    async def _make_changes(self) -> None:
         while True:
             if not await self._make_next_change():
                 await anyio.sleep(self._options.reconcile_seconds)
 
+    async def _watch_redundancy(self) -> None:
+        reporter = RedundancyReporter(self._target_voters, self._log)
+        await anyio.sleep(self._answer_seconds)
+        while True:
+            members = self._state.members
+            redundancy = Redundancy.of(members, set(self.silent_members()))
+            now = self._options.now()
+            reporter.report(redundancy, self._repair_state(members), now)
+            await anyio.sleep(self._options.reconcile_seconds)
+
+    def _repair_state(self, members: Members) -> RepairState:
+        if not self._leadership.ready:
+            return RepairState.not_ready
+        if not self._state.members_committed:
+            return RepairState.change_open
+        if self._next_members() is not None:
+            return RepairState.due
+        if not members.learners:
+            return RepairState.no_learner
+        if not any(map(self._is_caught_up, members.learners)):
+            return RepairState.learner_behind
+        return RepairState.may_return
+
     async def _make_next_change(self) -> bool:
         """Returns whether a change was necessary and is committed."""
         new_members = self._next_members()
@@ -101,8 +148,8 @@
     def _voter_to_remove(self, members: Members) -> str:
         """Returns a voter that is superseded or surplus, or an empty string.
 
-        If all voters of a group with a surplus one are alive, it is the one
-        that lags most.
+        If all voters of a group with a surplus one are alive, it is one of
+        the data centre with most voters, the one that lags most.
         """
         unreachable = self._unreachable_voters(members)
         for voter in unreachable:
@@ -115,21 +162,38 @@
         if longest_silent or unreachable:
             return longest_silent
         peers = self._leadership.peers
+        spread = self._spread(members.voters)
         return min(
             (voter for voter in members.voters if voter in peers),
-            key=lambda voter: peers[voter].match_index,
+            key=lambda voter: (
+                -spread.voters_beside(voter),
+                peers[voter].match_index,
+            ),
         )
 
     def _learner_to_promote(
         self, members: Members, caught_up: list[str]
     ) -> str:
-        """Returns a learner that the group lacks, or that replaces a voter."""
+        """Returns a learner that the group lacks, or that replaces a voter.
+
+        It is the one that spreads the voters best over the data centres.
+        """
         if not caught_up or len(members.voters) > self._target_voters:
             return ''
         is_incomplete = len(members.voters) < self._target_voters
-        if is_incomplete or any(map(self._is_leaving, members.voters)):
-            return caught_up[0]
-        return ''
+        staying = [
+            voter for voter in members.voters if not self._is_leaving(voter)
+        ]
+        spread = self._spread(staying)
+        best = min(caught_up, key=spread.voters_beside)
+        if is_incomplete or len(staying) < len(members.voters):
+            return best
+        is_undisturbed = not self._unreachable_voters(members)
+        return best if is_undisturbed and spread.improved_by(best) else ''
+
+    def _spread(self, voters: Iterable[str]) -> Spread:
+        own = {self._state.replica_id: self._options.data_centre}
+        return Spread(voters, self._hello_records.data_centres | own)
 
     def _unreachable_voters(self, members: Members) -> list[str]:
         return [voter for voter in members.voters if not self._is_alive(voter)]
@@ -150,6 +214,9 @@
         return self._hello_records.is_retiring(replica_id)
 
     def _is_timed_out(self, replica_id: str) -> bool:
+        led_seconds = self._options.now() - self._started_at
+        if led_seconds < self._answer_seconds:
+            return False
         silent_seconds = self._silent_seconds(replica_id)
         return silent_seconds > self._options.repair_seconds
 
@@ -165,14 +232,16 @@
         if peer is None:
             return replica_id == self._state.replica_id
         elapsed = self._options.now() - peer.last_contact
-        return elapsed < self._options.election_seconds * 2
+        return elapsed < self._answer_seconds
 
     def _silent_seconds(self, replica_id: str) -> float:
-        """Returns the time since a peer last answered this leader, seconds."""
+        """Returns the time since a peer last answered a leader, in seconds."""
         peer = self._leadership.peers.get(replica_id)
         if peer is None:
             return 0
         last_contact = max(peer.last_contact, self._started_at)
+        if not peer.last_contact:
+            last_contact = self._silent_since.get(replica_id, last_contact)
         return self._options.now() - last_contact
 
     def _next_join_request(self, members: Members) -> str:
--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -30,6 +30,7 @@
 from mulberryhitch.replication.reconciler import MembershipReconciler
 from mulberryhitch.replication.reporting import ReplicationReporter
 from mulberryhitch.replication.roles import Role
+from mulberryhitch.replication.silence_reporter import SilenceReporter
 from mulberryhitch.replication.state import ReplicaState
 from mulberryhitch.replication.voter import Voter
 from mulberryhitch.rpc.messages import (
@@ -107,8 +108,10 @@
         self._tasks: TaskGroup | None = None
         self._retiring = False
         self._target_voters = options.target_voters or len(initial_vms)
-        self._bootstrap = Bootstrap(state, transport, initial_vms, options)
         self._hello_records = HelloRecords(options)
+        self._bootstrap = Bootstrap(
+            state, transport, initial_vms, options, self._hello_records
+        )
         state.set_applied_callback(self._complete_proposal)
 
     @property
@@ -278,6 +281,7 @@
             list(self._state.members.voters),
             list(self._state.members.learners),
             self._state.last_index,
+            self._options.data_centre,
         )
 
     async def vote(self, request: VoteRequest) -> VoteReply:
@@ -441,6 +445,9 @@
             self._target_voters,
             self._log,
         )
+        silence_reporter = SilenceReporter(
+            self._state, self._transport, self._options, reconciler
+        )
         disk_watch = DiskWatch(
             self.group,
             leadership,
@@ -451,6 +458,7 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(reconciler.run)
+                tasks.start_soon(silence_reporter.run)
                 tasks.start_soon(disk_watch.run)
                 if self._retiring:
                     tasks.start_soon(self._transfer_when_ready, leadership)
--- a/mulberryhitch/rpc/mulberryhitch.thrift
+++ b/mulberryhitch/rpc/mulberryhitch.thrift
@@ -30,6 +30,9 @@
   2: string replica_id,
   3: bool configured,
   4: bool retiring = 0,
+  5: list<string> silent_ids = [],
+  6: list<double> silent_seconds = [],
+  7: string data_centre = "",
 }
 
 struct HelloReply {
@@ -38,6 +41,7 @@
   3: list<string> voters,
   4: list<string> learners,
   5: i64 last_index,
+  6: string data_centre = "",
 }
 
 struct VoteRequest {
--- a/tests/replica_group.py
+++ b/tests/replica_group.py
@@ -46,6 +46,20 @@
     )
 
 
+class RecordingLog(Log):
+    """Records the events of all replicas, in their order."""
+
+    def __init__(
+        self, vm: str, events: list[tuple[str, dict[str, Any]]]
+    ) -> None:
+        super().__init__(vm)
+        self._events = events
+
+    def event(self, event: str, **fields: Any) -> None:
+        self._events.append((event, fields))
+        super().event(event, **fields)
+
+
 class ReplicaGroup:
     """A group of replicas, each on its own VM, which can be killed.
 
@@ -74,7 +88,9 @@
         self.clock_gains: dict[str, float] = {}
         self.task_group: Any = None
         self.leaders: dict[int, str] = {}
+        self.log_events: list[tuple[str, dict[str, Any]]] = []
         self.seeds = self.vms
+        self.data_centres: dict[str, str] = {}
 
     @asynccontextmanager
     async def running(self):
@@ -89,7 +105,9 @@
         state_machine = KeyValueStateMachine()
         gain = self.clock_gains.get(vm, 0)
         options = replace(
-            self.options, suspended=lambda: gain * anyio.current_time()
+            self.options,
+            data_centre=self.data_centres.get(vm, ''),
+            suspended=lambda: gain * anyio.current_time(),
         )
         state = ReplicaState('group', self.disks[vm], state_machine)
         replica = Replica(
@@ -97,7 +115,7 @@
             self.network.transport(vm),
             self.seeds,
             options,
-            self.logs.setdefault(vm, Log(vm)),
+            self.logs.setdefault(vm, RecordingLog(vm, self.log_events)),
             self.rng,
         )
         self.state_machines[vm] = state_machine
