--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -18,19 +18,17 @@
 from mulberryhitch.replication.candidate import Candidate
 from mulberryhitch.replication.compaction import Compaction
 from mulberryhitch.replication.contact import LeaderContact
-from mulberryhitch.replication.disk_watch import DiskWatch
 from mulberryhitch.replication.failstop import FailStop
 from mulberryhitch.replication.follower import Follower
 from mulberryhitch.replication.handover import Handover
 from mulberryhitch.replication.hello_records import HelloRecords
 from mulberryhitch.replication.interfaces import Transport
+from mulberryhitch.replication.leader_tasks import LeaderTasks
 from mulberryhitch.replication.leadership import EndReason, Leadership
 from mulberryhitch.replication.members import Members
 from mulberryhitch.replication.options import ReplicationOptions
-from mulberryhitch.replication.reconciler import MembershipReconciler
 from mulberryhitch.replication.reporting import ReplicationReporter
 from mulberryhitch.replication.roles import Role
-from mulberryhitch.replication.silence_reporter import SilenceReporter
 from mulberryhitch.replication.state import ReplicaState
 from mulberryhitch.replication.voter import Voter
 from mulberryhitch.rpc.messages import (
@@ -437,29 +435,19 @@
             self._leadership = None
 
     async def _run_leadership(self, leadership: Leadership) -> None:
-        reconciler = MembershipReconciler(
+        leader_tasks = LeaderTasks(
             self._state,
+            self._transport,
             leadership,
             self._options,
             self._hello_records,
             self._target_voters,
             self._log,
-        )
-        silence_reporter = SilenceReporter(
-            self._state, self._transport, self._options, reconciler
-        )
-        disk_watch = DiskWatch(
-            self.group,
-            leadership,
-            self._options,
-            self._log,
             self.transfer_leadership,
         )
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(reconciler.run)
-                tasks.start_soon(silence_reporter.run)
-                tasks.start_soon(disk_watch.run)
+                tasks.start_soon(leader_tasks.run)
                 if self._retiring:
                     tasks.start_soon(self._transfer_when_ready, leadership)
                 with self._fail_stop:
