The search for a leader survives wrong hints and slow VMs

Callers got 'no leader was found: this VM is not the leader' though a leader with a valid lease existed and could be reached, and a VM that doesn't answer took most of the time that a caller has.

Causes, all in the order of calls: - A VM that was named as the leader was called next, whatever it had answered just before. Two VMs that name each other were called in turn for the whole operation (the pause between calls was 0.1 s, a refusal counted for 0.15 s), and the leader never. - A VM that doesn't answer cost 0.6 s of 0.9 s; then one other was called. - A leader that needs 0.7 s was cut off after 0.6 s, and not called for 1 s, although all others named it. - After each refusal 0.1 s passed before the next VM was called, and each caller searched alone: 40 callers without a leader made 320 calls in 0.8 s.

CallOrder, shared by all operations of a process, now decides: a VM that failed a call is not called again for 0.25 s, the known leader comes first unless it is silent, then the others without a pause, and silent ones last or when another VM names them as the leader. A call that has no answer after 0.25 s goes on, and the next VM is called beside it (at most 4 at a time). A rejection is returned after the calls in flight have ended, so that a 503 which says that nothing ran is true of them too; on an answer the others are cancelled.

--- a/mulberryhitch/membership/leader_client.py
+++ b/mulberryhitch/membership/leader_client.py
@@ -1,43 +1,37 @@
 """A client that finds the leader of a group and calls it."""
 
+from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any, Protocol
 
 import anyio
+from anyio.abc import TaskGroup
 
 from mulberryhitch.errors import (
-    ConnectionLostError,
-    DeadlinePassedError,
     LostAuthorityError,
     MulberryhitchError,
-    NoQuorumError,
     NotLeaderError,
-    OutcomeUnknownError,
     ProtocolError,
-    UnreachableError,
 )
-from mulberryhitch.membership.attempts import LeaderSearch, named_leader_of
+from mulberryhitch.membership.attempts import (
+    Attempts,
+    LeaderSearch,
+    named_leader_of,
+)
+from mulberryhitch.membership.call_order import CallOrder, KnownSchedulers
 from mulberryhitch.outcomes import Outcome
 from mulberryhitch.rpc.messages import ExecuteReply, ExecuteRequest
 from mulberryhitch.rpc.records import decode_as, encode, kind_of
 
-_RETRY_INTERVAL_SECONDS = 0.1
 _CALL_TIMEOUT_SECONDS = 3.0
-_RETRY_AFTER_SECONDS = 2.0
-_AVOID_UNRESPONSIVE_SECONDS = 1.0
-_AVOID_NON_LEADER_SECONDS = 0.15
-
-_NOT_EXECUTED_ERRORS = (
-    NotLeaderError,
-    UnreachableError,
-    DeadlinePassedError,
-    LostAuthorityError,
-)
-_UNKNOWN_OUTCOME_ERRORS = (ConnectionLostError, OutcomeUnknownError)
+# Time after which another VM is called beside one that has not answered.
+_PATIENCE_SECONDS = 0.25
+_POLL_SECONDS = 0.05
+_MAX_CALLS_IN_FLIGHT = 4
+_MAX_CALLS_OF_A_SILENT_LEADER = 2
 
 
-class SchedulerTransport(Protocol):
+class SchedulerTransport(KnownSchedulers, Protocol):
     """RPC access to the schedulers."""
 
     async def call(
@@ -49,12 +43,6 @@
             MulberryhitchError: The call failed or got no reply in time.
         """
 
-    def leader_of(self, group: str) -> str:
-        """Returns the VM of the last known leader; empty if none is known."""
-
-    def voters_of(self, group: str) -> tuple[str, ...]:
-        """Returns the VMs that may lead a group."""
-
 
 def decode_reply(reply: Any, reply_type: type[Any]) -> Any:
     """Decodes the reply to an operation.
@@ -67,65 +55,80 @@
     return decode_as(reply_type, reply.body)
 
 
-@dataclass(slots=True)
-class _Attempts:
-    """The failed calls of one operation.
+class _Operation:
+    """The calls of one operation.
 
     Attributes:
-        search: Every call, for the log.
-        maybe_executed: Whether one of them may have executed the operation.
+        in_flight: VMs whose answers are awaited.
+        named: VMs that others named as the leader, and are worth a call.
+        reply: The leader's reply.
     """
 
-    group: str
-    search: LeaderSearch
-    maybe_executed: bool = False
-    last_error: MulberryhitchError | None = None
-
-    def record_failure(self, error: MulberryhitchError) -> None:
-        """Records a failed call.
-
-        Raises:
-            OutcomeUnknownError: The call was rejected, but an earlier one may
-                have executed the operation.
-            MulberryhitchError: The call was rejected with this error.
-        """
-        self.last_error = error
-        if isinstance(error, _UNKNOWN_OUTCOME_ERRORS):
-            self.maybe_executed = True
-        elif not isinstance(error, _NOT_EXECUTED_ERRORS):
-            raise self._rejection(error)
-
-    def timeout_error(self) -> MulberryhitchError:
-        """Returns the error of an operation that ran out of time."""
-        cause = (
-            self.last_error.what
-            if self.last_error
-            else 'the timeout had already expired'
+    def __init__(
+        self, request: ExecuteRequest, deadline: float, known_leader: str
+    ) -> None:
+        self.request = request
+        self.deadline = deadline
+        search = LeaderSearch(known_leader, anyio.current_time())
+        self.attempts = Attempts(request.group, search)
+        self.in_flight: set[str] = set()
+        self.named: set[str] = set()
+        self.reply: Any = None
+        self._calls: Counter[str] = Counter()
+        self._changed = anyio.Event()
+
+    @property
+    def remaining_seconds(self) -> float:
+        """Time until the deadline."""
+        return self.deadline - anyio.current_time()
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether no further call is to be made."""
+        return (
+            self.reply is not None
+            or self.attempts.rejection is not None
+            or self.remaining_seconds <= 0
         )
-        if self.maybe_executed:
-            return OutcomeUnknownError(
-                f'the leader did not reply: {cause}', where=self.group
-            )
-        return NoQuorumError(
-            f'no leader was found: {cause}',
-            where=self.group,
-            retry_after_seconds=_RETRY_AFTER_SECONDS,
+
+    @property
+    def needs_no_other_answer(self) -> bool:
+        """Whether calls in flight can't change what the caller is told."""
+        rejection = self.attempts.rejection
+        return self.reply is not None or (
+            rejection is not None and rejection.outcome is not Outcome.not_run
         )
 
-    def _rejection(self, error: MulberryhitchError) -> MulberryhitchError:
-        if self.maybe_executed and error.outcome is Outcome.not_run:
-            return OutcomeUnknownError(
-                f'rejected after a call without a reply: {error.what}',
-                where=self.group,
-            )
-        return error
+    def begin_call(self, vm: str) -> None:
+        """Records that a call was begun."""
+        self._calls[vm] += 1
+        self.in_flight.add(vm)
+
+    def end_call(self, vm: str) -> None:
+        """Records that a call has ended."""
+        self.in_flight.discard(vm)
+        self._changed.set()
+
+    def add_named(self, vm: str) -> None:
+        """Records that a VM was named as the leader."""
+        if vm and self._calls[vm] < _MAX_CALLS_OF_A_SILENT_LEADER:
+            self.named.add(vm)
+
+    async def wait_for_answer(self, seconds: float) -> bool:
+        """Waits until a call ends; returns whether one did in time."""
+        with anyio.move_on_after(min(seconds, max(self.remaining_seconds, 0))):
+            await self._changed.wait()
+        has_answer = self._changed.is_set()
+        self._changed = anyio.Event()
+        return has_answer
 
 
 class LeaderClient:
     """Executes operations on the current leader of a group.
 
     Every operation has an id or key by which the leader detects a resend, so
-    an operation whose reply was lost is sent again until the deadline.
+    an operation whose reply was lost or is late is sent again, also to other
+    VMs, until the deadline.
 
     Args:
         transport: Calls the schedulers.
@@ -143,9 +146,7 @@
         self._transport = transport
         self._call_timeout_seconds = call_timeout_seconds
         self._count = count
-        self._last_leaders: dict[str, str] = {}
-        self._avoided_until: dict[str, float] = {}
-        self._voter_index = 0
+        self._order = CallOrder(transport)
 
     async def execute(
         self,
@@ -161,89 +162,75 @@
         Raises:
             NoQuorumError: No leader was found; nothing was executed.
             OutcomeUnknownError: The operation may have been executed, also if
-                a later call was rejected.
+                another call was rejected.
             MulberryhitchError: The leader rejected the operation, and no
-                earlier call was left without a reply.
+                other call was left without a reply.
         """
-        request = ExecuteRequest(group, kind_of(operation), encode(operation))
-        deadline = anyio.current_time() + timeout_seconds
-        attempts = _Attempts(group, LeaderSearch(self._known_leader(group)))
+        calls_of = _Operation(
+            ExecuteRequest(group, kind_of(operation), encode(operation)),
+            anyio.current_time() + timeout_seconds,
+            self._order.leader_of(group),
+        )
         self._count('leader.operation')
-        try:
-            reply = await self._execute_until(deadline, request, attempts)
-        except MulberryhitchError as error:
-            error.details = attempts.search
-            raise
-        return decode_reply(reply, reply_type)
-
-    async def _execute_until(
-        self, deadline: float, request: ExecuteRequest, attempts: _Attempts
-    ) -> Any:
-        group = request.group
-        while anyio.current_time() < deadline:
-            remaining_seconds = deadline - anyio.current_time()
-            vm = self._select_vm(group)
-            started_at = anyio.current_time()
-            self._count('leader.attempt')
-            try:
-                reply = await self._call(vm, request, remaining_seconds)
-            except MulberryhitchError as error:
-                attempts.search.record(
-                    vm, anyio.current_time() - started_at, error
-                )
-                attempts.record_failure(error)
-                self._leave(group, vm, error)
-            else:
-                self._last_leaders[group] = vm
-                self._avoided_until.pop(vm, None)
-                return reply
-            remaining_seconds = deadline - anyio.current_time()
-            await anyio.sleep(
-                min(_RETRY_INTERVAL_SECONDS, max(remaining_seconds, 0))
-            )
-        self._count('leader.search_failed')
-        raise attempts.timeout_error()
-
-    async def _call(
-        self, vm: str, request: ExecuteRequest, remaining_seconds: float
-    ) -> Any:
-        if not vm:
-            raise UnreachableError('no scheduler is known', where=request.group)
-        return await self._transport.call(
-            vm,
-            'execute',
-            request,
-            min(remaining_seconds, self._call_timeout_seconds),
+        async with anyio.create_task_group() as tasks:
+            await self._search(calls_of, tasks)
+            if calls_of.needs_no_other_answer:
+                tasks.cancel_scope.cancel()
+        if calls_of.reply is None:
+            if calls_of.attempts.rejection is None:
+                self._count('leader.search_failed')
+            raise calls_of.attempts.final_error()
+        return decode_reply(calls_of.reply, reply_type)
+
+    async def _search(self, operation: _Operation, tasks: TaskGroup) -> None:
+        """Calls VMs until the leader has answered, or time is up."""
+        while not operation.is_settled:
+            vm = self._next_vm(operation)
+            if not vm:
+                await operation.wait_for_answer(_POLL_SECONDS)
+                continue
+            is_silent = self._order.is_silent(vm)
+            operation.begin_call(vm)
+            tasks.start_soon(self._call, operation, vm)
+            patience = 0 if is_silent else _PATIENCE_SECONDS
+            has_answer = await operation.wait_for_answer(patience)
+            if not has_answer and vm in operation.in_flight:
+                self._order.record_silence(vm)
+
+    def _next_vm(self, operation: _Operation) -> str:
+        if len(operation.in_flight) >= _MAX_CALLS_IN_FLIGHT:
+            return ''
+        return self._order.next_vm(
+            operation.request.group, operation.in_flight, operation.named
         )
 
-    def _known_leader(self, group: str) -> str:
-        return self._last_leaders.get(group) or self._transport.leader_of(group)
-
-    def _select_vm(self, group: str) -> str:
-        """Returns the known leader, or else the next voter in turn.
-
-        A VM that recently failed is chosen only if all voters did. Empty if
-        no voter is known.
-        """
-        known = self._known_leader(group)
-        if known and not self._is_avoided(known):
-            return known
-        voters = self._transport.voters_of(group)
-        vm = ''
-        for _ in voters:
-            self._voter_index += 1
-            vm = voters[self._voter_index % len(voters)]
-            if not self._is_avoided(vm):
-                break
-        return vm
-
-    def _leave(self, group: str, vm: str, error: MulberryhitchError) -> None:
-        """Avoids a VM for a while; follows it to the leader that it names."""
-        seconds = _AVOID_UNRESPONSIVE_SECONDS
-        if isinstance(error, NotLeaderError):
-            self._last_leaders[group] = named_leader_of(error)
-            seconds = _AVOID_NON_LEADER_SECONDS
-        self._avoided_until[vm] = anyio.current_time() + seconds
-
-    def _is_avoided(self, vm: str) -> bool:
-        return self._avoided_until.get(vm, 0) > anyio.current_time()
+    async def _call(self, operation: _Operation, vm: str) -> None:
+        self._count('leader.attempt')
+        started_at = anyio.current_time()
+        try:
+            operation.reply = await self._transport.call(
+                vm,
+                'execute',
+                operation.request,
+                min(operation.remaining_seconds, self._call_timeout_seconds),
+            )
+        except MulberryhitchError as error:
+            operation.attempts.record(vm, started_at, error)
+            self._record_failure(operation, vm, error)
+        else:
+            self._order.record_reply(operation.request.group, vm)
+        operation.end_call(vm)
+
+    def _record_failure(
+        self, operation: _Operation, vm: str, error: MulberryhitchError
+    ) -> None:
+        group = operation.request.group
+        operation.named.discard(vm)
+        if operation.attempts.rejection is error:
+            return
+        if isinstance(error, (NotLeaderError, LostAuthorityError)):
+            named_leader = named_leader_of(error)
+            operation.add_named(named_leader)
+            self._order.record_refusal(group, vm, named_leader)
+        else:
+            self._order.record_failure(group, vm)
--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -53,7 +53,7 @@
 from mulberryhitch.rpc.server import RpcServer
 from mulberryhitch.scheduler.host import ReplicaHost
 
-_CALL_TIMEOUT_SECONDS = 0.6
+_CALL_TIMEOUT_SECONDS = 1.0
 _ELECTION_SECONDS = 0.5
 _HEARTBEAT_SECONDS = 0.1
 _CONTROL_LIMITS = Limits(body_bytes=8 * 1024 * 1024)
