A scheduler that starts again looks for the leader where its log says

Callers of a scheduler that had started again got 'no leader was found' where the VMs of its settings were gone, wiped or cut off, though its own replica followed the leader.

Cause: its leader client knew the seeds of the settings, and other members only once a leader had replied to its report. What its own replica knows (the members in its log, the leader whose messages it accepts) was not used.

The connection pool now asks the replica: the members in its log come before the reported members and the seeds, and the leader that it follows before the one last reported. The composition root connects the two.

--- a/mulberryhitch/dispatch/service.py
+++ b/mulberryhitch/dispatch/service.py
@@ -36,7 +36,7 @@
 from mulberryhitch.jobs.clock import JobClock
 from mulberryhitch.jobs.model import Queue
 from mulberryhitch.jobs.store import JobStore
-from mulberryhitch.membership.peers import PeerConnectionPool
+from mulberryhitch.membership.peers import KnownGroup, PeerConnectionPool
 from mulberryhitch.observability.histograms import Histograms
 from mulberryhitch.observability.log import Log
 from mulberryhitch.replication.members import vm_of
@@ -106,6 +106,10 @@
             await self.replica.run()
             tasks.cancel_scope.cancel()
 
+    def known_group(self) -> KnownGroup:
+        """Returns what this VM's replica knows of its group."""
+        return KnownGroup(vm_of(self.replica.leader_id), self._member_vms())
+
     async def execute(self, request: Any) -> Any:
         """Executes an operation.
 
@@ -156,7 +160,7 @@
         dispatcher.permit_manager.add_client(
             'own', self._permit_client, local=True
         )
-        for vm in map(vm_of, self.replica.members.replica_ids):
+        for vm in self._member_vms():
             if vm != vm_of(self.replica.replica_id):
                 dispatcher.permit_manager.add_client(
                     f'scheduler@{vm}',
@@ -180,6 +184,9 @@
             self._dispatcher = None
             self._log.event('dispatcher.ended', term=term)
 
+    def _member_vms(self) -> tuple[str, ...]:
+        return tuple(map(vm_of, self.replica.members.replica_ids))
+
     def _is_leader_of(self, term: int) -> bool:
         return self.replica.role is Role.leader and self.replica.term == term
 
@@ -316,7 +323,7 @@
             )
         return GroupInfo(
             own_vm,
-            tuple(map(vm_of, self.replica.members.replica_ids)),
+            self._member_vms(),
             self.job_store.queue_table.version,
             self.job_store.queue_table.limits,
         )
--- a/mulberryhitch/membership/call_order.py
+++ b/mulberryhitch/membership/call_order.py
@@ -84,11 +84,11 @@
             return vm not in in_flight and not self._is_paused(group, vm)
 
         leader = self.leader_of(group)
-        voters = list(filter(is_callable, self._voters_in_turn(group)))
         if leader and is_callable(leader):
             if leader in named or not self.is_silent(leader):
                 return leader
-            voters.append(leader)
+        vms = dict.fromkeys((*self._voters_in_turn(group), leader))
+        voters = [vm for vm in vms if vm and is_callable(vm)]
         for vm in voters:
             if not self.is_silent(vm):
                 return vm
--- a/mulberryhitch/membership/peers.py
+++ b/mulberryhitch/membership/peers.py
@@ -1,6 +1,7 @@
 """Connections to schedulers that are discovered at run time."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 import anyio
 from anyio.abc import TaskGroup
@@ -10,6 +11,19 @@
 from mulberryhitch.rpc.messages import Reply, Request
 
 
+@dataclass(frozen=True, slots=True)
+class KnownGroup:
+    """What this process's own replica knows of its group.
+
+    Attributes:
+        leader_vm: The VM of the present leader; empty if it knows none.
+        member_vms: The VMs of the members in its log.
+    """
+
+    leader_vm: str = ''
+    member_vms: tuple[str, ...] = ()
+
+
 class PeerConnectionPool:
     """Connections to processes, opened on first use.
 
@@ -28,13 +42,15 @@
         self._seeds = tuple(seeds)
         self._members: tuple[str, ...] = ()
         self._leader = ''
+        self._known_group: Callable[[], KnownGroup] = KnownGroup
         self._connections: dict[tuple[str, int], PeerConnection] = {}
         self._tasks: TaskGroup | None = None
 
     @property
     def candidate_vms(self) -> tuple[str, ...]:
         """All VMs that may run one of the group's schedulers, seeds last."""
-        return tuple(dict.fromkeys((*self._members, *self._seeds)))
+        own = self._known_group().member_vms
+        return tuple(dict.fromkeys((*own, *self._members, *self._seeds)))
 
     async def run(self) -> None:
         """Runs the connections until cancelled."""
@@ -48,6 +64,10 @@
         """Replaces the seed VMs."""
         self._seeds = tuple(seeds)
 
+    def use_own_replica(self, known_group: Callable[[], KnownGroup]) -> None:
+        """Sets the function that returns what this process's replica knows."""
+        self._known_group = known_group
+
     def update_members(self, members: Iterable[str], leader: str) -> None:
         """Records the group's VMs, and its leader unless empty."""
         self._members = tuple(members)
@@ -95,7 +115,7 @@
 
     def leader_of(self, group: str) -> str:
         """Returns the VM of the last known leader; empty if none is known."""
-        return self._leader
+        return self._known_group().leader_vm or self._leader
 
     def voters_of(self, group: str) -> tuple[str, ...]:
         """Returns the VMs that may lead the group."""
--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -264,6 +264,7 @@
         self._host = ReplicaHost(self._shared.rpc)
         self.service = self._make_service()
         self._host.add(self.service)
+        self._shared.peers.use_own_replica(self.service.known_group)
         control = ControlHandler(self._shared.leader_client)
         self._application = self._shared.make_application(control.respond)
 
