A lost opening packet costs 0.3 s, not a whole connect timeout

Callers waited for up to 1 s for a connection after a partition had ended, or if one packet was lost: the operating system sends an opening packet again after 1 s only, when the attempt's own limit has passed. Until attempts were shared, calls that timed out hid this, as each next call began anew.

open_stream begins again beside an attempt that has no answer after 0.3 s (at most four in RPC_CONNECT_TIMEOUT_SECONDS); the first connection counts, the others are closed. A peer that refuses ends all at once.

Evidence: test_a_lost_opening_packet_does_not_cost_the_whole_connect_timeout; a call of 0.6 s failed before, and is answered now. The test of slow connections expects the second opening that now begins within its 0.5 s.

--- a/mulberryhitch/rpc/client.py
+++ b/mulberryhitch/rpc/client.py
@@ -6,12 +6,9 @@
 from typing import TypeAlias
 
 import anyio
-from anyio.abc import ByteStream, TaskGroup
+from anyio.abc import TaskGroup
 
-from mulberryhitch.constants import (
-    RPC_CONNECT_TIMEOUT_SECONDS,
-    RPC_MAX_PENDING_CALLS,
-)
+from mulberryhitch.constants import RPC_MAX_PENDING_CALLS
 from mulberryhitch.errors import (
     ConnectionLostError,
     DeadlinePassedError,
@@ -23,6 +20,7 @@
     error_from_problem,
 )
 from mulberryhitch.rpc.codec import Call, CallResult, encode_call
+from mulberryhitch.rpc.connecting import open_stream
 from mulberryhitch.rpc.frames import FrameStream
 from mulberryhitch.rpc.link import Link
 from mulberryhitch.rpc.messages import CallHeader, Reply, Request
@@ -172,7 +170,9 @@
         stopped = UnreachableError('client was stopped', where=self._host)
         problem: Problem | None = stopped.problem
         try:
-            stream = await self._connect()
+            stream = await open_stream(
+                self._host, self._port, self._tls_context()
+            )
         except UnreachableError as error:
             problem = error.problem
         else:
@@ -217,22 +217,3 @@
                 await link.aclose()
                 return
             await anyio.sleep(max(link.seconds_to_silence, _MIN_WATCH_SECONDS))
-
-    async def _connect(self) -> ByteStream:
-        context = self._tls_context()
-        try:
-            with anyio.fail_after(RPC_CONNECT_TIMEOUT_SECONDS):
-                if context is None:
-                    return await anyio.connect_tcp(self._host, self._port)
-                return await anyio.connect_tcp(
-                    self._host,
-                    self._port,
-                    tls=True,
-                    ssl_context=context,
-                    tls_standard_compatible=False,
-                )
-        except (OSError, TimeoutError) as error:
-            raise UnreachableError(
-                f'connection failed: {error!r}',
-                where=f'{self._host}:{self._port}',
-            ) from error
