A late hint doesn't displace a leader that has replied

Callers lost up to 0.25 s and several calls although the leader had just replied to another operation of the same process.

Cause: each refusal set the known leader to the VM that it named. With calls beside each other, the refusal of a follower with an old hint can come after the leader's reply.

A hint now counts only while no leader is known, or the known one failed a call or has not answered.

Evidence: test_a_late_hint_does_not_displace_a_leader_that_has_replied failed before.

--- a/mulberryhitch/membership/call_order.py
+++ b/mulberryhitch/membership/call_order.py
@@ -54,10 +54,16 @@
         self._last_leaders[group] = vm
 
     def record_refusal(self, group: str, vm: str, named_leader: str) -> None:
-        """Records that a VM does not lead, and which leader it named."""
+        """Records that a VM does not lead, and which leader it named.
+
+        A hint replaces the known leader only if that one failed a call, or has
+        not answered.
+        """
         self._silent_until.pop(vm, None)
         self._pause(group, vm)
-        self._last_leaders[group] = named_leader
+        known = self.leader_of(group)
+        if self._is_paused(group, known) or self.is_silent(known) or not known:
+            self._last_leaders[group] = named_leader
 
     def record_failure(self, group: str, vm: str) -> None:
         """Records that a call got no answer."""
--- a/tests/test_leader_search_time.py
+++ b/tests/test_leader_search_time.py
@@ -15,6 +15,7 @@
     OutcomeUnknownError,
     UnreachableError,
 )
+from mulberryhitch.membership.call_order import CallOrder
 from mulberryhitch.membership.leader_client import LeaderClient
 from mulberryhitch.rpc.messages import ExecuteReply
 from mulberryhitch.rpc.records import encode
@@ -199,3 +200,19 @@
         assert anyio.current_time() - began == pytest.approx(SECONDS, abs=0.01)
 
     run_with_mock_clock(main)
+
+
+def test_a_late_hint_does_not_displace_a_leader_that_has_replied() -> None:
+    async def main() -> None:
+        order = CallOrder(Schedulers('c'))
+        order.record_refusal('jobs', 'a', 'c')
+        order.record_reply('jobs', 'c')
+        order.record_refusal('jobs', 'b', 'a')
+        assert order.leader_of('jobs') == 'c'
+        order.record_refusal('jobs', 'c', 'd')
+        assert order.leader_of('jobs') == 'd'
+        order.record_failure('jobs', 'd')
+        order.record_refusal('jobs', 'e', 'b')
+        assert order.leader_of('jobs') == 'b'
+
+    run_with_mock_clock(main)
