--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -54,7 +54,7 @@
 from mulberryhitch.rpc.server import RpcServer
 from mulberryhitch.scheduler.host import ReplicaHost
 
-_CALL_TIMEOUT_SECONDS = 0.6
+_CALL_TIMEOUT_SECONDS = 1.0
 _ELECTION_SECONDS = 0.5
 _HEARTBEAT_SECONDS = 0.1
 _CONTROL_LIMITS = Limits(body_bytes=8 * 1024 * 1024)
@@ -266,6 +266,7 @@
         self._host = ReplicaHost(self._shared.rpc)
         self.service = self._make_service()
         self._host.add(self.service)
+        self._shared.peers.use_own_replica(self.service.known_group)
         control = ControlHandler(self._shared.leader_client)
         self._application = self._shared.make_application(control.respond)
 
