--- a/mulberryhitch/replication/follower.py
+++ b/mulberryhitch/replication/follower.py
@@ -61,8 +61,8 @@
     async def receive_chunk(self, request: SnapshotRequest) -> SnapshotReply:
         """Adds a chunk of a snapshot and installs it after the last chunk.
 
-        A chunk of another snapshot, or at an unexpected offset, discards the
-        chunks received so far.
+        A chunk of another snapshot, or behind a gap, discards the chunks
+        received so far. One that came before replaces all from its offset on.
 
         Raises:
             StorageError: The snapshot was not stored.
@@ -71,10 +71,10 @@
         if snapshot != self._buffered_snapshot:
             self._snapshot_buffer.clear()
             self._buffered_snapshot = snapshot
-        if request.offset != len(self._snapshot_buffer):
+        if request.offset > len(self._snapshot_buffer):
             self._snapshot_buffer.clear()
             return SnapshotReply(self._state.term, 0)
-        self._snapshot_buffer.extend(request.state)
+        self._snapshot_buffer[request.offset :] = request.state
         offset = len(self._snapshot_buffer)
         if request.done:
             await self._install_snapshot(request)
--- a/mulberryhitch/replication/log_sender.py
+++ b/mulberryhitch/replication/log_sender.py
@@ -158,7 +158,7 @@
         snapshot = self._state.snapshot
         if snapshot is None:
             return
-        offset = 0
+        offset = peer.snapshot_offset(snapshot.last_index)
         peer.record_end(peer.record_sent(0, 0))
         while True:
             end = offset + self._options.chunk_bytes
@@ -200,3 +200,4 @@
                 peer.record_match(snapshot.last_index)
                 return
             offset = reply.next_offset
+            peer.record_chunk(snapshot.last_index, offset)
--- a/mulberryhitch/replication/progress.py
+++ b/mulberryhitch/replication/progress.py
@@ -38,6 +38,7 @@
         self.sent_commit_index = 0
         self.last_sent = float()
         self.unreachable = False
+        self._received_chunks = (0, 0)
         self.scope = anyio.CancelScope()
         self._woken = anyio.Event()
 
@@ -114,6 +115,15 @@
         self.next_index = self.match_index + 1
         self.sent_commit_index = 0
 
+    def record_chunk(self, snapshot_index: int, next_offset: int) -> None:
+        """Records how much of a snapshot the peer has received."""
+        self._received_chunks = (snapshot_index, next_offset)
+
+    def snapshot_offset(self, snapshot_index: int) -> int:
+        """Returns the offset at which to go on sending a snapshot."""
+        index, offset = self._received_chunks
+        return offset if index == snapshot_index else 0
+
     def wake(self) -> None:
         """Wakes the peer's replication task."""
         self._woken.set()
