--- a/mulberryhitch/replication/follower.py
+++ b/mulberryhitch/replication/follower.py
@@ -74,7 +74,9 @@
         if request.offset > len(self._snapshot_buffer):
             self._snapshot_buffer.clear()
             return SnapshotReply(self._state.term, 0)
-        self._snapshot_buffer[request.offset :] = request.state
+        if request.offset < len(self._snapshot_buffer):
+            self._snapshot_buffer = self._snapshot_buffer[: request.offset]
+        self._snapshot_buffer.extend(request.state)
         offset = len(self._snapshot_buffer)
         if request.done:
             await self._install_snapshot(request)
