A new group bootstraps over slow links

Callers saw: nothing yet; a new group would never have had a leader where a round trip takes longer than the election time.

Cause: the initial replicas gave up each hello after one election time, and a group is bootstrapped once all have answered one round.

Evidence: the new test, round trips of 0.5 to 1 s, fails on the code before: no change was confirmed within 120 s.

Change: a hello may take three election times, so that a request to join is still repeated before the leader forgets it, after four.

Measured: the test passes.

--- a/mulberryhitch/replication/bootstrap.py
+++ b/mulberryhitch/replication/bootstrap.py
@@ -12,6 +12,9 @@
 from mulberryhitch.replication.state import ReplicaState
 from mulberryhitch.rpc.messages import HelloReply, HelloRequest
 
+# The leader forgets a request to join after four election times.
+_HELLO_ELECTION_TIMES = 3
+
 
 class Bootstrap:
     """Sends hello requests until this replica is a member of its group.
@@ -105,7 +108,10 @@
         )
         try:
             reply = await self._transport.call(
-                vm, 'hello', request, self._options.election_seconds
+                vm,
+                'hello',
+                request,
+                self._options.election_seconds * _HELLO_ELECTION_TIMES,
             )
         except MulberryhitchError:
             return
--- a/tests/test_slow_elections.py
+++ b/tests/test_slow_elections.py
@@ -182,3 +182,13 @@
         assert leader.term <= 2
 
     play(seed, main)
+
+
+def test_a_group_bootstraps_over_slow_links() -> None:
+    async def main() -> None:
+        group = ReplicaGroup(5, seed=1, options=QUICK_OPTIONS)
+        group.network.delay_seconds = 0.25
+        async with group.running():
+            assert await seconds_until_confirmed(group) < 2 * RECOVER_SECONDS
+
+    run_with_mock_clock(main)
