--- a/tests/test_vote_promises.py
+++ b/tests/test_vote_promises.py
@@ -1,6 +1,7 @@
 """A replica that confirmed a leader's append votes for no other meanwhile."""
 
 import random
+from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -20,8 +21,12 @@
     VoteReply,
     VoteRequest,
 )
-from tests.fakes import FakeDisk, KeyValueStateMachine
-from tests.replica_group import QUICK_OPTIONS, run_with_mock_clock
+from tests.fakes import FakeDisk, FakeTransport, KeyValueStateMachine
+from tests.replica_group import (
+    QUICK_OPTIONS,
+    ReplicaGroup,
+    run_with_mock_clock,
+)
 
 OWN = 'vm-1#0'
 LEADER = 'vm-2#0'
@@ -235,3 +240,36 @@
     content = encode_record(VoteRecord(TERM, LEADER, 4))
     former = content[: -promise_bytes - 1] + content[-1:]
     assert decode_record(VoteRecord, former) == VoteRecord(TERM, LEADER, 0)
+
+
+class FormerPeers(FakeTransport):
+    """Peers of an earlier release, whose replies name no promise."""
+
+    async def call(
+        self, vm: str, method: str, request: Any, timeout_seconds: float
+    ) -> Any:
+        reply = await super().call(vm, method, request, timeout_seconds)
+        if isinstance(reply, AppendReply):
+            return replace(reply, promised_seconds=0)
+        return reply
+
+
+@pytest.mark.parametrize('peers', [FakeTransport, FormerPeers])
+def test_a_lease_counts_only_what_its_peers_have_promised(
+    peers: type[FakeTransport],
+) -> None:
+    async def main() -> None:
+        group = ReplicaGroup(3, seed=1, options=QUICK_OPTIONS)
+        group.network.transport = lambda vm: peers(  # type: ignore[method-assign]
+            group.network, vm
+        )
+        async with group.running():
+            leader = await group.wait_leader()
+            assert leader._leadership is not None
+            leader._leadership._lease._election_seconds = 4
+            await anyio.sleep(1)
+            group.network.isolate(group.vm_of(leader))
+            await anyio.sleep(ELECTION_SECONDS)
+            assert leader.has_authority == (peers is FakeTransport)
+
+    run_with_mock_clock(main)
