A replica's role and known leader move into their own class

Measured: the tests of votes, slow elections, replication, hand-overs, stalled disks, election reports, platform parts and durability; lint and types.

--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -8,9 +8,7 @@
 
 from mulberryhitch.errors import (
     ConflictError,
-    InvariantError,
     LostAuthorityError,
-    NotLeaderError,
     StorageError,
 )
 from mulberryhitch.observability.log import Log
@@ -23,12 +21,12 @@
 from mulberryhitch.replication.follower import Follower
 from mulberryhitch.replication.handover import Handover
 from mulberryhitch.replication.interfaces import Transport
-from mulberryhitch.replication.leadership import EndReason, Leadership
+from mulberryhitch.replication.leadership import Leadership
 from mulberryhitch.replication.members import Members
 from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.reconciler import MembershipReconciler
 from mulberryhitch.replication.reporting import ReplicationReporter
-from mulberryhitch.replication.roles import Role
+from mulberryhitch.replication.roles import Role, Roles
 from mulberryhitch.replication.state import ReplicaState
 from mulberryhitch.replication.voter import Voter
 from mulberryhitch.rpc.messages import (
@@ -74,9 +72,7 @@
         self._transport = transport
         self._options = options
         self._log = log
-        self._role = Role.follower
-        self._leader_id = ''
-        self._leadership: Leadership | None = None
+        self._roles = Roles(state, self._begin_leadership)
         self._contact = LeaderContact(state, options)
         self._fatal_error: StorageError | None = None
         self._failed = anyio.Event()
@@ -90,7 +86,7 @@
             transport,
             options,
             self._contact,
-            self,
+            self._roles,
             self._fail_stop,
             log,
             rng,
@@ -98,7 +94,7 @@
         self._voter = Voter(
             state,
             self._contact,
-            self,
+            self._roles,
             self._fail_stop,
             self._reporter,
             self._candidate.give_way,
@@ -123,23 +119,7 @@
     @property
     def role(self) -> Role:
         """Returns the current role."""
-        return self._role
-
-    @property
-    def leads(self) -> bool:
-        """Whether this replica leads, with or without a valid lease."""
-        return self._leadership is not None
-
-    @property
-    def has_lease(self) -> bool:
-        """Whether this replica leads with a valid lease, ready or not."""
-        leadership = self._leadership
-        return leadership is not None and leadership.has_authority
-
-    @property
-    def is_candidate(self) -> bool:
-        """Whether this replica is a candidate in its term."""
-        return self._role is Role.candidate
+        return self._roles.role
 
     @property
     def term(self) -> int:
@@ -149,7 +129,7 @@
     @property
     def leader_id(self) -> str:
         """Returns the id of the current leader, or an empty string."""
-        return self._leader_id
+        return self._roles.leader_id
 
     @property
     def members(self) -> Members:
@@ -167,7 +147,7 @@
 
         It is ready once an entry of its own term is committed.
         """
-        leadership = self._leadership
+        leadership = self._roles.leadership
         return (
             leadership is not None
             and leadership.ready
@@ -209,9 +189,9 @@
 
         Empty if this replica does not lead.
         """
-        if self._leadership is None:
+        if self._roles.leadership is None:
             return []
-        synced = self._leadership.synced_indexes()
+        synced = self._roles.leadership.synced_indexes()
         return [name for name, last in synced.items() if last >= index]
 
     async def report_status(self) -> None:
@@ -220,8 +200,8 @@
         Runs until cancelled.
         """
         while True:
-            if self._leadership is not None:
-                self._reporter.report_status(self._leadership)
+            if self._roles.leadership is not None:
+                self._reporter.report_status(self._roles.leadership)
             await anyio.sleep(_STATUS_INTERVAL_SECONDS)
 
     async def propose(self, kind: str, body: bytes) -> Any:
@@ -231,7 +211,7 @@
             NotLeaderError: This replica does not lead; nothing was written.
             OutcomeUnknownError: The entry may or may not be committed.
         """
-        return await self._require_leadership().propose(kind, body)
+        return await self._roles.require_leadership().propose(kind, body)
 
     async def read_barrier(self) -> None:
         """Waits until local reads see all entries committed before the call.
@@ -240,7 +220,7 @@
             NotLeaderError: This replica does not lead.
             LostAuthorityError: No majority confirmed the leader.
         """
-        await self._require_leadership().confirm_authority()
+        await self._roles.require_leadership().confirm_authority()
 
     async def retire(self) -> None:
         """Transfers leadership, now and whenever this replica leads again.
@@ -253,8 +233,8 @@
 
     async def transfer_leadership(self) -> None:
         """Transfers leadership to another voter if this replica leads."""
-        if self._leadership is not None:
-            await self._handover.run(self._leadership)
+        if self._roles.leadership is not None:
+            await self._handover.run(self._roles.leadership)
 
     async def replace_voter(self, old_id: str) -> None:
         """Removes a voter that has failed permanently.
@@ -265,7 +245,7 @@
             NotLeaderError: This replica does not lead.
         """
         members = self._state.members.without(old_id)
-        await self._require_leadership().change_members(members)
+        await self._roles.require_leadership().change_members(members)
 
     async def hello(self, request: HelloRequest) -> HelloReply:
         """Returns the identity and members, and records a request to join."""
@@ -344,50 +324,22 @@
         self._tasks.start_soon(self._candidate.campaign, request.term)
         return TakeOverReply(accepted=True)
 
-    def become_candidate(self) -> None:
-        """Makes this replica a candidate in its new term."""
-        self._role = Role.candidate
-        self._leader_id = ''
-
-    def become_leader(self, election_seconds: float) -> None:
-        """Makes this replica the leader of its term.
-
-        Args:
-            election_seconds: The election time with which the term begins.
-        """
+    def _begin_leadership(self, election_seconds: float) -> Leadership | None:
         if self._tasks is None:
-            return
-        self._role = Role.leader
-        self._leader_id = self.replica_id
+            return None
         leadership = Leadership(
             self._state, self._transport, self._options, election_seconds
         )
-        self._leadership = leadership
         self._log.event('replica.leads', group=self.group, term=self.term)
         self._tasks.start_soon(self._run_leadership, leadership)
-
-    async def enter_term(self, term: int) -> None:
-        """Makes this replica a follower in a newer term."""
-        if term <= self._state.term:
-            return
-        self._become_follower()
-        self._leader_id = ''
-        await self._state.save_term(term, '')
-
-    def _require_leadership(self) -> Leadership:
-        if self._leadership is None:
-            raise NotLeaderError(
-                f'{self.replica_id} does not lead {self.group}',
-                where=self._leader_id,
-            )
-        return self._leadership
+        return leadership
 
     def _complete_proposal(
         self, entry: LogEntry, result: Any, failure: Any
     ) -> None:
         self._reporter.report_applied(entry)
-        if self._leadership is not None:
-            self._leadership.complete_proposal(entry, result, failure)
+        if self._roles.leadership is not None:
+            self._roles.leadership.complete_proposal(entry, result, failure)
 
     def _check_target(self, target: str) -> None:
         if self._fatal_error is not None:
@@ -411,26 +363,9 @@
     ) -> float:
         """Follows a leader; returns for how long it votes for no other."""
         with self._fail_stop:
-            await self.enter_term(term)
-        if self._leadership is not None:
-            raise InvariantError(
-                f'two leaders in term {term}: {self.replica_id} and {leader}'
-            )
-        if self._leader_id not in {'', leader}:
-            raise InvariantError(
-                f'two leaders in term {term}: {self._leader_id} and {leader}'
-            )
-        self._role = Role.follower
-        self._leader_id = leader
-        with self._fail_stop:
+            await self._roles.follow(term, leader)
             return await self._contact.promise(election_seconds)
 
-    def _become_follower(self) -> None:
-        self._role = Role.follower
-        if self._leadership is not None:
-            self._leadership.step_down(EndReason.newer_term)
-            self._leadership = None
-
     async def _run_leadership(self, leadership: Leadership) -> None:
         reconciler = MembershipReconciler(
             self._state,
@@ -457,16 +392,13 @@
                     await leadership.run()
                 tasks.cancel_scope.cancel()
         finally:
-            self._contact.record()
-            self._clear_leadership(leadership)
+            self._end_leadership(leadership)
 
     async def _transfer_when_ready(self, leadership: Leadership) -> None:
         await leadership.wait_ready()
         await self.transfer_leadership()
 
-    def _clear_leadership(self, leadership: Leadership) -> None:
-        if self._leadership is leadership:
-            self._leadership = None
-            self._leader_id = ''
-            self._role = Role.follower
+    def _end_leadership(self, leadership: Leadership) -> None:
+        self._contact.record()
+        self._roles.end(leadership)
         self._reporter.report_leads_no_more(leadership)
--- a/tests/test_vote_promises.py
+++ b/tests/test_vote_promises.py
@@ -265,8 +265,8 @@
         )
         async with group.running():
             leader = await group.wait_leader()
-            assert leader._leadership is not None
-            leader._leadership._lease._election_seconds = 4
+            leadership = leader._roles.require_leadership()
+            leadership._lease._election_seconds = 4
             await anyio.sleep(1)
             group.network.isolate(group.vm_of(leader))
             await anyio.sleep(ELECTION_SECONDS)
