The members are sampled each millisecond while a voter is replaced

A surplus voter is now removed some 10 to 20 ms after the promotion of the one that replaces it. It asserts the same as before.

--- a/tests/test_replacing_voters.py
+++ b/tests/test_replacing_voters.py
@@ -33,7 +33,7 @@
                 seen.append(leader.members)
             if seen and is_replaced(seen[-1]):
                 return seen
-            await anyio.sleep(0.01)
+            await anyio.sleep(0.001)
 
 
 def test_a_group_is_never_smaller_while_a_silent_voter_is_replaced() -> None:
