The reconciler runs the reports of silent members

The replica only hands its transport to the reconciler, and the bootstrap holds what hello calls have told. The replica needs two modules fewer, and the reporter of silent members no longer needs the reconciler's class. No change of behaviour.

--- a/mulberryhitch/replication/bootstrap.py
+++ b/mulberryhitch/replication/bootstrap.py
@@ -26,7 +26,9 @@
         transport: Carries calls to the other replicas.
         initial_vms: The VMs whose replicas bootstrap the group.
         options: Timing settings, and whether bootstrapping is allowed.
-        hello_records: Receives the replies.
+
+    Attributes:
+        hello_records: What the others' requests and replies have told.
     """
 
     def __init__(
@@ -35,7 +37,6 @@
         transport: Transport,
         initial_vms: tuple[str, ...],
         options: ReplicationOptions,
-        hello_records: HelloRecords,
     ) -> None:
         """Initialises the bootstrap with only the initial VMs known."""
         self._known_vms: set[str] = set()
@@ -43,7 +44,7 @@
         self._transport = transport
         self._initial_vms = initial_vms
         self._options = options
-        self._hello_records = hello_records
+        self.hello_records = HelloRecords(options)
         self._own_vm = vm_of(state.replica_id)
         self._is_retiring = False
         self._retirement_began = anyio.Event()
@@ -77,7 +78,7 @@
         if not self._options.data_centre:
             return False
         others = set(self._state.members.replica_ids) - {self._state.replica_id}
-        return not others <= set(self._hello_records.data_centres)
+        return not others <= set(self.hello_records.data_centres)
 
     async def _wait_for_next_round(self) -> None:
         """Waits half an election time, or until this replica retires."""
@@ -142,5 +143,5 @@
         except MulberryhitchError:
             return
         if isinstance(reply, HelloReply):
-            self._hello_records.record_reply(reply)
+            self.hello_records.record_reply(reply)
             replies.append(reply)
--- a/mulberryhitch/replication/reconciler.py
+++ b/mulberryhitch/replication/reconciler.py
@@ -7,6 +7,7 @@
 from mulberryhitch.errors import MulberryhitchError
 from mulberryhitch.observability.log import Log
 from mulberryhitch.replication.hello_records import HelloRecords
+from mulberryhitch.replication.interfaces import Transport
 from mulberryhitch.replication.leadership import Leadership
 from mulberryhitch.replication.members import Members, vm_of
 from mulberryhitch.replication.options import ReplicationOptions
@@ -15,6 +16,7 @@
     RedundancyReporter,
     RepairState,
 )
+from mulberryhitch.replication.silence_reporter import SilenceReporter
 from mulberryhitch.replication.spread import Spread
 from mulberryhitch.replication.state import ReplicaState
 
@@ -38,6 +40,7 @@
         state: The replica's state.
         leadership: The leadership that commits the changes.
         options: Timing settings.
+        transport: Carries reports of silent members.
         hello_records: The replicas that asked to join, or that retire.
         target_voters: Number of voters in a complete group.
         log: Receives each change that is proposed.
@@ -48,6 +51,7 @@
         state: ReplicaState,
         leadership: Leadership,
         options: ReplicationOptions,
+        transport: Transport,
         hello_records: HelloRecords,
         target_voters: int,
         log: Log,
@@ -57,6 +61,9 @@
         self._leadership = leadership
         self._options = options
         self._hello_records = hello_records
+        self._silence_reporter = SilenceReporter(
+            state, transport, options, self.silent_members
+        )
         self._target_voters = target_voters
         self._log = log
         self._started_at = self._options.now()
@@ -68,6 +75,7 @@
         """Checks and changes the membership until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_redundancy)
+            tasks.start_soon(self._silence_reporter.run)
             await self._make_changes()
 
     def silent_members(self) -> dict[str, float]:
--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -23,14 +23,12 @@
 from mulberryhitch.replication.failstop import FailStop
 from mulberryhitch.replication.follower import Follower
 from mulberryhitch.replication.handover import Handover
-from mulberryhitch.replication.hello_records import HelloRecords
 from mulberryhitch.replication.interfaces import Transport
 from mulberryhitch.replication.leadership import Leadership
 from mulberryhitch.replication.members import Members
 from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.reconciler import MembershipReconciler
 from mulberryhitch.replication.reporting import ReplicationReporter
-from mulberryhitch.replication.silence_reporter import SilenceReporter
 from mulberryhitch.replication.state import ReplicaState
 from mulberryhitch.rpc.messages import (
     AppendReply,
@@ -98,10 +96,7 @@
         self._tasks: TaskGroup | None = None
         self._retiring = False
         self._target_voters = options.target_voters or len(initial_vms)
-        self._hello_records = HelloRecords(options)
-        self._bootstrap = Bootstrap(
-            state, transport, initial_vms, options, self._hello_records
-        )
+        self._bootstrap = Bootstrap(state, transport, initial_vms, options)
         state.set_applied_callback(self._complete_proposal)
 
     @property
@@ -248,7 +243,7 @@
 
     async def hello(self, request: HelloRequest) -> HelloReply:
         """Returns the identity and members, and records the request."""
-        self._hello_records.record(request)
+        self._bootstrap.hello_records.record(request)
         return HelloReply(
             self.replica_id,
             self._state.configured,
@@ -476,13 +471,11 @@
             self._state,
             leadership,
             self._options,
-            self._hello_records,
+            self._transport,
+            self._bootstrap.hello_records,
             self._target_voters,
             self._log,
         )
-        silence_reporter = SilenceReporter(
-            self._state, self._transport, self._options, reconciler
-        )
         disk_watch = DiskWatch(
             self.group,
             leadership,
@@ -493,7 +486,6 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(reconciler.run)
-                tasks.start_soon(silence_reporter.run)
                 tasks.start_soon(disk_watch.run)
                 if self._retiring:
                     tasks.start_soon(self._transfer_when_ready, leadership)
--- a/mulberryhitch/replication/silence_reporter.py
+++ b/mulberryhitch/replication/silence_reporter.py
@@ -4,6 +4,7 @@
 each change of the leader.
 """
 
+from collections.abc import Callable
 from contextlib import suppress
 
 import anyio
@@ -12,7 +13,6 @@
 from mulberryhitch.replication.interfaces import Transport
 from mulberryhitch.replication.members import vm_of
 from mulberryhitch.replication.options import ReplicationOptions
-from mulberryhitch.replication.reconciler import MembershipReconciler
 from mulberryhitch.replication.state import ReplicaState
 from mulberryhitch.rpc.messages import HelloRequest
 
@@ -24,7 +24,7 @@
         state: The leader's state.
         transport: Carries calls to the other replicas.
         options: Timing settings.
-        reconciler: Knows which members are silent.
+        silent_members: Returns the silent members, and for how many seconds.
     """
 
     def __init__(
@@ -32,13 +32,13 @@
         state: ReplicaState,
         transport: Transport,
         options: ReplicationOptions,
-        reconciler: MembershipReconciler,
+        silent_members: Callable[[], dict[str, float]],
     ) -> None:
         """Initialises the reporter; :meth:`run` starts it."""
         self._state = state
         self._transport = transport
         self._options = options
-        self._reconciler = reconciler
+        self._silent_members = silent_members
 
     async def run(self) -> None:
         """Reports silent members at each membership check until cancelled."""
@@ -47,7 +47,7 @@
             await self._report()
 
     async def _report(self) -> None:
-        silent = self._reconciler.silent_members()
+        silent = self._silent_members()
         if not silent:
             return
         request = HelloRequest(
