--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -16,15 +16,15 @@
 from mulberryhitch.replication.candidate import Candidate
 from mulberryhitch.replication.compaction import Compaction
 from mulberryhitch.replication.contact import LeaderContact
+from mulberryhitch.replication.disk_watch import DiskWatch
 from mulberryhitch.replication.failstop import FailStop
 from mulberryhitch.replication.follower import Follower
 from mulberryhitch.replication.handover import Handover
-from mulberryhitch.replication.hello_records import HelloRecords
 from mulberryhitch.replication.interfaces import Transport
-from mulberryhitch.replication.leader_tasks import LeaderTasks
 from mulberryhitch.replication.leadership import Leadership
 from mulberryhitch.replication.members import Members
 from mulberryhitch.replication.options import ReplicationOptions
+from mulberryhitch.replication.reconciler import MembershipReconciler
 from mulberryhitch.replication.reporting import ReplicationReporter
 from mulberryhitch.replication.roles import Role, Roles
 from mulberryhitch.replication.state import ReplicaState
@@ -102,10 +102,7 @@
         self._tasks: TaskGroup | None = None
         self._retiring = False
         self._target_voters = options.target_voters or len(initial_vms)
-        self._hello_records = HelloRecords(options)
-        self._bootstrap = Bootstrap(
-            state, transport, initial_vms, options, self._hello_records
-        )
+        self._bootstrap = Bootstrap(state, transport, initial_vms, options)
         state.set_applied_callback(self._complete_proposal)
 
     @property
@@ -252,7 +249,7 @@
 
     async def hello(self, request: HelloRequest) -> HelloReply:
         """Returns the identity and members, and records the request."""
-        self._hello_records.record(request)
+        self._bootstrap.hello_records.record(request)
         return HelloReply(
             self.replica_id,
             self._state.configured,
@@ -370,19 +367,26 @@
             return await self._contact.promise(election_seconds)
 
     async def _run_leadership(self, leadership: Leadership) -> None:
-        leader_tasks = LeaderTasks(
+        reconciler = MembershipReconciler(
             self._state,
-            self._transport,
             leadership,
             self._options,
-            self._hello_records,
+            self._transport,
+            self._bootstrap.hello_records,
             self._target_voters,
             self._log,
+        )
+        disk_watch = DiskWatch(
+            self.group,
+            leadership,
+            self._options,
+            self._log,
             self.transfer_leadership,
         )
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(leader_tasks.run)
+                tasks.start_soon(reconciler.run)
+                tasks.start_soon(disk_watch.run)
                 if self._retiring:
                     tasks.start_soon(self._transfer_when_ready, leadership)
                 with self._fail_stop:
