The test of a known leader lets its replica follow that leader

The replica's leader moved into its roles, so the test that set a private field of the replica failed. It sends the replica a heartbeat of the leader instead; what it asserts is unchanged.

--- a/tests/test_known_group.py
+++ b/tests/test_known_group.py
@@ -12,7 +12,9 @@
 from mulberryhitch.platform_composition import SchedulerProgram
 from mulberryhitch.replication.file_storage import FileStorage
 from mulberryhitch.replication.members import Members
-from mulberryhitch.replication.state import ReplicaState
+from mulberryhitch.replication.replica import Replica
+from mulberryhitch.replication.state import BOOTSTRAP_INDEX, ReplicaState
+from mulberryhitch.rpc.messages import AppendRequest
 from tests.platform_harness import make_settings
 
 OWN_VM = '127.0.0.1'
@@ -34,6 +36,13 @@
     return SchedulerProgram(settings, anyio.Event())
 
 
+async def follow(replica: Replica, leader: str) -> None:
+    heartbeat = AppendRequest(
+        JOBS_GROUP, replica.replica_id, 1, leader, BOOTSTRAP_INDEX, 0, 1, []
+    )
+    assert (await replica.append(heartbeat)).success
+
+
 def called_vms(
     program: SchedulerProgram, monkeypatch: pytest.MonkeyPatch
 ) -> list[str]:
@@ -66,5 +75,5 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     program = restart_scheduler(tmp_path)
-    program.service.replica._leader_id = f'{NEW_VMS[1]}#1'
+    anyio.run(follow, program.service.replica, f'{NEW_VMS[1]}#1')
     assert called_vms(program, monkeypatch)[0] == NEW_VMS[1]
