A vote in a newer term is one write to the disk, not two

Cause: a voter first stored the new term without a vote and then the vote, each an atomic write of two syncs, one after the other while the candidate waited.

The new test fails on the code before: the vote takes two syncs of its disk.

Change: the voter decides first and stores term and vote together. It refuses a second vote of its term before it writes anything.

--- a/mulberryhitch/replication/roles.py
+++ b/mulberryhitch/replication/roles.py
@@ -87,18 +87,24 @@
             self.leader_id = self._state.replica_id
             self.leadership = leadership
 
-    async def enter_term(self, term: int) -> None:
+    async def enter_term(self, term: int, voted_for: str = '') -> None:
         """Makes the replica a follower in a newer term, and stores the term.
 
+        Args:
+            term: The term; an older one changes nothing, the present one only
+                the vote.
+            voted_for: The candidate that gets this replica's vote, if one does.
+
         Raises:
             StorageError: The term was not stored.
         """
-        if term <= self._state.term:
+        if term > self._state.term:
+            if self.leadership is not None:
+                self.leadership.step_down(EndReason.newer_term)
+            self._become_follower('')
+        elif term < self._state.term or not voted_for:
             return
-        if self.leadership is not None:
-            self.leadership.step_down(EndReason.newer_term)
-        self._become_follower('')
-        await self._state.save_term(term, '')
+        await self._state.save_term(term, voted_for)
 
     async def follow(self, term: int, leader: str) -> None:
         """Makes the replica a follower of the leader of a term.
--- a/mulberryhitch/replication/voter.py
+++ b/mulberryhitch/replication/voter.py
@@ -85,13 +85,14 @@
             return refusal
         if request.term < self._state.term:
             return self._refusal('newer term')
+        if request.term == self._state.term and self._state.voted_for:
+            return self._refusal(f'voted for {self._state.voted_for}')
+        is_up_to_date = self._is_up_to_date(request)
+        voted_for = request.candidate if is_up_to_date else ''
         with self._fail_stop:
-            await self._roles.enter_term(request.term)
-            if not self._is_up_to_date(request):
-                return self._refusal('log behind')
-            if self._state.voted_for not in {'', request.candidate}:
-                return self._refusal(f'voted for {self._state.voted_for}')
-            await self._state.save_term(request.term, request.candidate)
+            await self._roles.enter_term(request.term, voted_for)
+        if not is_up_to_date:
+            return self._refusal('log behind')
         self._reporter.report_vote(request.candidate)
         self._contact.record(request.election_seconds)
         return VoteReply(self._state.term, granted=True)
--- a/tests/test_vote_promises.py
+++ b/tests/test_vote_promises.py
@@ -273,3 +273,18 @@
             assert leader.has_authority == (peers is FakeTransport)
 
     run_with_mock_clock(main)
+
+
+def test_a_vote_in_a_newer_term_waits_for_the_disk_only_once() -> None:
+    async def main() -> None:
+        lone = LoneReplica()
+        replica = await lone.load()
+        replica._contact.start()
+        await anyio.sleep(2 * ELECTION_SECONDS)
+        lone.disk.sync_seconds = ELECTION_SECONDS
+        began_at = anyio.current_time()
+        assert (await replica.vote(vote_request())).granted
+        assert anyio.current_time() - began_at < 1.5 * ELECTION_SECONDS
+        assert (replica.term, replica.state.voted_for) == (TERM + 1, OTHER)
+
+    run_with_mock_clock(main)
