Members of a slow group are not taken for gone

Callers see no fault by this alone, but the group changes its members without end while messages take 0.3 s and more, and each change needs a majority.

Cause: the reconciler held a member for silent after two configured election times, and for gone after `repair_seconds`, though the leader's election time had grown with the round trips.

Change: both times follow the election time that the leader states.

--- a/mulberryhitch/replication/reconciler.py
+++ b/mulberryhitch/replication/reconciler.py
@@ -69,7 +69,11 @@
         self._started_at = self._options.now()
         self._silent_since = hello_records.silent_since
         # Enough for a call that is lost and a second one.
-        self._answer_seconds = options.election_seconds * 2
+
+    @property
+    def _answer_seconds(self) -> float:
+        """Returns within how long a member that is alive answers."""
+        return self._leadership.election_seconds * 2
 
     async def run(self) -> None:
         """Checks and changes the membership until cancelled."""
@@ -225,8 +229,10 @@
         led_seconds = self._options.now() - self._started_at
         if led_seconds < self._answer_seconds:
             return False
-        silent_seconds = self._silent_seconds(replica_id)
-        return silent_seconds > self._options.repair_seconds
+        allowed_seconds = max(
+            self._options.repair_seconds, self._leadership.election_seconds
+        )
+        return self._silent_seconds(replica_id) > allowed_seconds
 
     def _is_caught_up(self, replica_id: str) -> bool:
         peer = self._leadership.peers.get(replica_id)
