--- a/mulberryhitch/replication/reconciler.py
+++ b/mulberryhitch/replication/reconciler.py
@@ -70,11 +70,6 @@
         self._silent_since = hello_records.silent_since
         # Enough for a call that is lost and a second one.
 
-    @property
-    def _answer_seconds(self) -> float:
-        """Returns within how long a member that is alive answers."""
-        return self._leadership.election_seconds * 2
-
     async def run(self) -> None:
         """Checks and changes the membership until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -90,6 +85,11 @@
             if not self._is_alive(replica_id)
         }
 
+    @property
+    def _answer_seconds(self) -> float:
+        """Returns within how long a member that is alive answers."""
+        return self._leadership.election_seconds * 2
+
     async def _make_changes(self) -> None:
         while True:
             if not await self._make_next_change():
