A new leader renews the leases of running tasks at once

Callers saw tasks that run on as `unknown` after all schedulers of a data centre had restarted, though a leader was there before their leases ran out.

Cause: a session learns with its first message what a worker runs, and can renew with the second. If the worker ran all that was leased to it, the second came a whole renewal interval (1 s) later, the lease ran out meanwhile.

Change: the second message follows after the shortest pause.

--- a/mulberryhitch/scheduler/sessions.py
+++ b/mulberryhitch/scheduler/sessions.py
@@ -98,6 +98,7 @@
         self._sequence = 0
         self._anchor: float | None = None
         self._anchor_received_at = float()
+        self._has_renewed = False
         # An earlier leader may have renewed the leases until now.
         self._leases_expire_at = (
             anyio.current_time() + TASK_LEASE_SECONDS + CLOCK_DRIFT_SECONDS
@@ -154,7 +155,8 @@
                 await anyio.sleep(_MIN_PAUSE_SECONDS)
 
     def _pause_seconds(self) -> float:
-        if self._acknowledged or len(self._running) < len(self._leases()):
+        is_incomplete = len(self._running) < len(self._leases())
+        if self._acknowledged or is_incomplete or not self._has_renewed:
             return _MIN_PAUSE_SECONDS
         return TASK_LEASE_RENEWAL_SECONDS
 
@@ -182,6 +184,7 @@
         if not response.accepted:
             return
         await self._process_response(message, response)
+        self._has_renewed = message.anchor is not None
         self._anchor = response.clock
         self._anchor_received_at = received_at
         self._callbacks.set_reachable(self.worker.worker_id, True)
--- a/tests/test_data_centre.py
+++ b/tests/test_data_centre.py
@@ -46,9 +46,12 @@
     run_with_mock_clock(main)
 
 
-def test_leases_are_rebuilt_from_workers_after_all_schedulers_restart() -> None:
+@pytest.mark.parametrize('seed', range(10))
+def test_leases_are_rebuilt_from_workers_after_all_schedulers_restart(
+    seed: int,
+) -> None:
     async def main() -> None:
-        async with DataCentre(seed=3).running() as data_centre:
+        async with DataCentre(seed=seed).running() as data_centre:
             spec = make_spec(1, task_count=8, run_seconds=30)
             await data_centre.execute(ops.Submit(spec))
             await anyio.sleep(3)
