A peer that ends a TLS handshake does not end the caller's process

What callers saw: a process that calls a peer over TLS ends when the peer closes the connection during the handshake, as one that is just stopping does. Cause: opening a connection runs in a task of the connection since the callers share it, and anyio reports the end of a handshake as EndOfStream or BrokenResourceError, which are no OSError. Evidence: the new test fails before the change with EndOfStream out of PeerConnection.run. Change: these errors count as a failed attempt, so the call gets UnreachableError.

--- a/mulberryhitch/rpc/connecting.py
+++ b/mulberryhitch/rpc/connecting.py
@@ -11,6 +11,8 @@
 # The operating system sends a lost opening packet again only after 1 s.
 _RESTART_SECONDS = 0.3
 
+_CONNECT_ERRORS = (OSError, anyio.EndOfStream, anyio.BrokenResourceError)
+
 
 class _Race:
     """Connections that are being opened; the first result counts."""
@@ -20,7 +22,7 @@
     ) -> None:
         self.ended = anyio.Event()
         self.stream: ByteStream | None = None
-        self.error: OSError | None = None
+        self.error: Exception | None = None
         self._host = host
         self._port = port
         self._context = context
@@ -29,7 +31,7 @@
         """Opens a connection, and closes it if it is not the first."""
         try:
             stream = await self._open()
-        except OSError as error:
+        except _CONNECT_ERRORS as error:
             self.error = error
             self.ended.set()
             return
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import ssl
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -13,6 +14,7 @@
     ConnectionLostError,
     DeadlinePassedError,
     OutcomeUnknownError,
+    UnreachableError,
 )
 from mulberryhitch.observability.log import Log
 from mulberryhitch.rpc.client import PeerConnection
@@ -374,3 +376,28 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(main)
+
+
+def test_a_peer_that_closes_during_the_tls_handshake_counts_as_unreachable() -> (
+    None
+):
+    context = ssl.create_default_context()
+
+    async def close(stream: SocketStream) -> None:
+        await stream.receive()
+        await stream.aclose()
+
+    async def main() -> None:
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        peer = PeerConnection('caller', '127.0.0.1', port, lambda: context)
+        async with listener, anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, close)
+            tasks.start_soon(peer.run)
+            await anyio.sleep(0)
+            for _ in range(2):
+                with pytest.raises(UnreachableError):
+                    await peer.call('hello', HELLO, 2)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
