--- a/mulberryhitch/replication/follower.py
+++ b/mulberryhitch/replication/follower.py
@@ -26,7 +26,7 @@
         """Initialises the follower with an empty snapshot buffer."""
         self._state = state
         self._snapshot_buffer = bytearray()
-        self._buffered_snapshot = (0, 0)
+        self._buffered_snapshot = (0, 0, 0)
 
     async def append(
         self, request: AppendRequest, promised_seconds: float
@@ -61,21 +61,25 @@
     async def receive_chunk(self, request: SnapshotRequest) -> SnapshotReply:
         """Adds a chunk of a snapshot and installs it after the last chunk.
 
-        A chunk of another snapshot, or at an unexpected offset, discards the
-        chunks received so far.
+        A chunk of another snapshot, or of another leader, discards the chunks
+        received so far. The reply's ``next_offset`` is where to go on.
 
         Raises:
             StorageError: The snapshot was not stored.
         """
-        snapshot = (request.last_index, request.last_term)
+        if request.last_index <= self._state.commit_index:
+            await self._state.sync()
+            end = request.offset + len(request.state)
+            return SnapshotReply(self._state.term, end)
+        snapshot = (request.last_index, request.last_term, request.term)
         if snapshot != self._buffered_snapshot:
             self._snapshot_buffer.clear()
             self._buffered_snapshot = snapshot
-        if request.offset != len(self._snapshot_buffer):
-            self._snapshot_buffer.clear()
-            return SnapshotReply(self._state.term, 0)
-        self._snapshot_buffer.extend(request.state)
         offset = len(self._snapshot_buffer)
+        if request.offset != offset:
+            return SnapshotReply(self._state.term, offset)
+        self._snapshot_buffer.extend(request.state)
+        offset += len(request.state)
         if request.done:
             await self._install_snapshot(request)
         return SnapshotReply(self._state.term, offset)
@@ -96,9 +100,6 @@
     async def _install_snapshot(self, request: SnapshotRequest) -> None:
         content = bytes(self._snapshot_buffer)
         self._snapshot_buffer.clear()
-        if request.last_index <= self._state.commit_index:
-            await self._state.sync()
-            return
         members = Members(tuple(request.voters), tuple(request.learners))
         await self._state.install(
             Snapshot(request.last_index, request.last_term, members, content)
--- a/mulberryhitch/replication/log_sender.py
+++ b/mulberryhitch/replication/log_sender.py
@@ -74,7 +74,8 @@
         if not peer.may_send(self._options.window, answer_seconds):
             return interval
         has_unsent_entries = peer.next_index <= self._state.last_index
-        if has_unsent_entries and not peer.unreachable:
+        may_send_entries = not (peer.unreachable or peer.receives_snapshot)
+        if has_unsent_entries and may_send_entries:
             return 0
         commit_unsent = peer.sent_commit_index < self._state.commit_index
         if commit_unsent and not peer.unreachable:
@@ -82,11 +83,18 @@
         return peer.last_sent + interval - anyio.current_time()
 
     async def _send_next(self, peer: Progress, send_tasks: TaskGroup) -> None:
-        if peer.next_index <= self._state.snapshot_index:
-            await self._send_snapshot(peer)
-            return
-        previous = peer.next_index - 1
-        entries = self._next_batch(peer.next_index)
+        needs_snapshot = peer.next_index <= self._state.snapshot_index
+        if needs_snapshot and not peer.receives_snapshot:
+            peer.receives_snapshot = True
+            send_tasks.start_soon(self._send_snapshot, peer)
+        # A heartbeat keeps the peer's promise valid beside a snapshot.
+        next_index = (
+            self._state.last_index + 1
+            if peer.receives_snapshot
+            else peer.next_index
+        )
+        previous = next_index - 1
+        entries = self._next_batch(next_index)
         request = AppendRequest(
             self._state.group,
             peer.replica_id,
@@ -155,12 +163,17 @@
         peer.wake()
 
     async def _send_snapshot(self, peer: Progress) -> None:
+        try:
+            await self._send_chunks(peer)
+        finally:
+            peer.receives_snapshot = False
+            peer.wake()
+
+    async def _send_chunks(self, peer: Progress) -> None:
+        """Sends the snapshot; a chunk that fails is sent again."""
         snapshot = self._state.snapshot
-        if snapshot is None:
-            return
         offset = 0
-        peer.record_end(peer.record_sent(0, 0))
-        while True:
+        while snapshot is not None:
             end = offset + self._options.chunk_bytes
             done = end >= len(snapshot.state)
             request = SnapshotRequest(
@@ -176,27 +189,39 @@
                 offset,
                 done,
             )
-            sent_at = self._options.now()
-            try:
-                reply = await self._transport.call(
-                    vm_of(peer.replica_id),
-                    'install_snapshot',
-                    request,
-                    self._options.call_seconds,
-                )
-            except MulberryhitchError:
-                peer.record_failure()
-                return
-            if not isinstance(reply, SnapshotReply):
-                return
+            reply = await self._send_chunk(peer, request)
+            if reply is None:
+                if self._state.snapshot is not snapshot:
+                    return
+                await anyio.sleep(self._options.heartbeat_seconds)
+                continue
             if reply.term > self._term:
                 self._on_newer_term()
                 return
-            peer.record_promise(
-                sent_at,
-                self._options.lease_seconds(self._options.election_seconds),
-            )
             if done and reply.next_offset >= len(snapshot.state):
                 peer.record_match(snapshot.last_index)
                 return
             offset = reply.next_offset
+
+    async def _send_chunk(
+        self, peer: Progress, request: SnapshotRequest
+    ) -> SnapshotReply | None:
+        """Returns the reply, or ``None`` if the call failed."""
+        sent_at = self._options.now()
+        try:
+            reply = await self._transport.call(
+                vm_of(peer.replica_id),
+                'install_snapshot',
+                request,
+                self._options.call_seconds,
+            )
+        except MulberryhitchError:
+            return None
+        if not isinstance(reply, SnapshotReply):
+            return None
+        if reply.term == self._term:
+            peer.record_promise(
+                sent_at,
+                self._options.lease_seconds(self._options.election_seconds),
+            )
+        return reply
--- a/mulberryhitch/replication/progress.py
+++ b/mulberryhitch/replication/progress.py
@@ -20,6 +20,7 @@
         unreachable: Whether the last call failed; the peer is then
             contacted only once per heartbeat.
         promised_until: Until when it votes for no other, less the drift.
+        receives_snapshot: Whether a snapshot is being sent to it.
         probing: Whether the index up to which the logs match is unknown; the
             peer is then sent one append at a time.
         scope: Cancels the peer's replication task.
@@ -34,6 +35,7 @@
         self.promised_until = float()
         self._round_trip_seconds = math.inf
         self._sent_at: list[float] = []
+        self.receives_snapshot = False
         self.probing = True
         self.sent_commit_index = 0
         self.last_sent = float()
