Entries on their way to a slow peer are not sent again and again

What callers saw: none has been traced to this; a follower that is behind by large entries doesn't catch up over a link of 5 MB/s. Cause: an append without an answer for two round trips may be lost, so another is sent. To a peer that is probed it carried the same entries, up to 4 MiB each time, on the connection that was busy with the first. Change: while an append to a probed peer is in flight, the next ones are empty. If the first was lost, the answer to an empty one lets the entries be sent again. Over 2 MB/s and less it still doesn't catch up, as on: batches don't get smaller.

--- a/mulberryhitch/replication/log_sender.py
+++ b/mulberryhitch/replication/log_sender.py
@@ -94,7 +94,8 @@
             else peer.next_index
         )
         previous = next_index - 1
-        entries = self._next_batch(next_index)
+        # Entries that may only be late are not sent twice over a slow link.
+        entries = [] if peer.is_probed else self._next_batch(next_index)
         request = AppendRequest(
             self._state.group,
             peer.replica_id,
--- a/mulberryhitch/replication/progress.py
+++ b/mulberryhitch/replication/progress.py
@@ -43,6 +43,11 @@
         self.scope = anyio.CancelScope()
         self._woken = anyio.Event()
 
+    @property
+    def is_probed(self) -> bool:
+        """Whether an append that probes the peer is in flight."""
+        return self.probing and bool(self._sent_at)
+
     def may_send(self, window: int, answer_seconds: float) -> bool:
         """Whether another append may be sent now.
 
