Of two rejections at once, a refusal doesn't hide one of unknown outcome

What callers saw: none has been traced to this; a caller may be told that nothing ran (503) though a VM answered that it doesn't know. Cause: several calls of an operation may be in flight, and a rejection replaces an earlier one until the search has ended. Both can come in the same turn of the event loop, as after it was held up. Evidence: found by reading; the new test fails before the change: the final error is OverloadedError with the outcome not_run. Change: a rejection whose outcome is not that nothing ran counts for the final error as a call that may have been executed. Result: tests of the leader client and its search pass (38 tests).

--- a/mulberryhitch/membership/attempts.py
+++ b/mulberryhitch/membership/attempts.py
@@ -126,6 +126,7 @@
             self.maybe_executed = True
         elif not isinstance(error, _NOT_EXECUTED_ERRORS):
             self.rejection = error
+            self.maybe_executed |= error.outcome is not Outcome.not_run
 
     def final_error(self) -> MulberryhitchError:
         """Returns the error of the operation, once all calls have ended."""
--- a/tests/test_leader_search_time.py
+++ b/tests/test_leader_search_time.py
@@ -8,15 +8,19 @@
 from mulberryhitch.dispatch.operations import JobReply, ReadJob
 from mulberryhitch.errors import (
     DeadlinePassedError,
+    InvariantError,
     MulberryhitchError,
     NoQuorumError,
     NotFoundError,
     NotLeaderError,
     OutcomeUnknownError,
+    OverloadedError,
     UnreachableError,
 )
+from mulberryhitch.membership.attempts import Attempts, LeaderSearch
 from mulberryhitch.membership.call_order import CallOrder
 from mulberryhitch.membership.leader_client import LeaderClient
+from mulberryhitch.outcomes import Outcome
 from mulberryhitch.rpc.messages import ExecuteReply
 from mulberryhitch.rpc.records import encode
 from tests.replica_group import run_with_mock_clock
@@ -189,6 +193,16 @@
     run_with_mock_clock(main)
 
 
+def test_of_two_rejections_at_once_a_refusal_does_not_hide_the_other() -> None:
+    async def main() -> None:
+        attempts = Attempts('jobs', LeaderSearch('', 0))
+        attempts.record('a', 0, InvariantError('entry is not in the log'))
+        attempts.record('b', 0, OverloadedError('too many proposals'))
+        assert attempts.final_error().outcome is Outcome.unknown
+
+    run_with_mock_clock(main)
+
+
 def test_no_leader_in_time_is_unknown_if_a_call_was_sent() -> None:
     async def main() -> None:
         schedulers = Schedulers('a')
