--- a/mulberryhitch/replication/progress.py
+++ b/mulberryhitch/replication/progress.py
@@ -20,6 +20,7 @@
         unreachable: Whether the last call failed; the peer is then
             contacted only once per heartbeat.
         promised_until: Until when it votes for no other, less the drift.
+        receives_snapshot: Whether a snapshot is being sent to it.
         probing: Whether the index up to which the logs match is unknown; the
             peer is then sent one append at a time.
         scope: Cancels the peer's replication task.
@@ -34,14 +35,19 @@
         self.promised_until = float()
         self._round_trip_seconds = math.inf
         self._sent_at: list[float] = []
+        self.receives_snapshot = False
         self.probing = True
         self.sent_commit_index = 0
         self.last_sent = float()
         self.unreachable = False
-        self._received_chunks = (0, 0)
         self.scope = anyio.CancelScope()
         self._woken = anyio.Event()
 
+    @property
+    def is_probed(self) -> bool:
+        """Whether an append that probes the peer is in flight."""
+        return self.probing and bool(self._sent_at)
+
     def may_send(self, window: int, answer_seconds: float) -> bool:
         """Whether another append may be sent now.
 
@@ -115,15 +121,6 @@
         self.next_index = self.match_index + 1
         self.sent_commit_index = 0
 
-    def record_chunk(self, snapshot_index: int, next_offset: int) -> None:
-        """Records how much of a snapshot the peer has received."""
-        self._received_chunks = (snapshot_index, next_offset)
-
-    def snapshot_offset(self, snapshot_index: int) -> int:
-        """Returns the offset at which to go on sending a snapshot."""
-        index, offset = self._received_chunks
-        return offset if index == snapshot_index else 0
-
     def wake(self) -> None:
         """Wakes the peer's replication task."""
         self._woken.set()
