A leader does not look for its own group

Callers see no fault; each leader called all members each 0.25 s for nothing, which costs most where messages are slow.

Cause: a replica that heard from no leader for four election times takes itself for detached and asks the others for the group. A leader never hears from a leader.

Evidence: the new test, a complete group over 10 s, finds these calls before the change, and none now.

--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -354,6 +354,8 @@
         self._failed.set()
 
     def _is_detached(self) -> bool:
+        if self._roles.leads:
+            return False
         elapsed = self._contact.silent_seconds
         is_member = self.replica_id in self._state.members.replica_ids
         return not is_member or elapsed > self._options.election_seconds * 4
