The storm asks each scheduler for the configuration once faults are over

Callers could not read the configuration after a storm of faults, and nothing in the tests would have told: the storm read it from one scheduler at a time while faults went on, and skipped each read without a 200.

--- a/tests/storm.py
+++ b/tests/storm.py
@@ -49,6 +49,7 @@
 _FAILURE_PROBABILITY = 0.05
 _DELAYED_START_PROBABILITY = 0.01
 _RECOVERY_SECONDS = 45
+_CONFIGURATION_SECONDS = 12
 _CANCEL_DELAY_SECONDS = 3
 _VISIBILITY_DELAY_SECONDS = 3
 _PERMITTED_SHARE = 0.6
@@ -238,6 +239,7 @@
                         load_tasks.start_soon(self._configure_forever)
                         load_tasks.start_soon(self._inject_faults)
                 await self._end_faults()
+                await self._wait_for_configuration()
                 await self._wait_for_jobs()
                 tasks.cancel_scope.cancel()
         finally:
@@ -312,6 +314,37 @@
             link.block()
         self.note('calm')
 
+    async def _wait_for_configuration(self) -> None:
+        """Checks that each scheduler soon returns the configuration."""
+        unread = {process.name for process in self.cell.schedulers}
+
+        async def read(process: ProgramProcess) -> None:
+            while process.name in unread:
+                response = await self._send(
+                    process.frontend_address, 'GET', '/config', None
+                )
+                if response is not None and response.status == 200:
+                    unread.discard(process.name)
+                    self._check_version(
+                        response.content['version'], self.confirmed_version
+                    )
+                await anyio.sleep(0.2)
+
+        with anyio.move_on_after(_CONFIGURATION_SECONDS):
+            async with anyio.create_task_group() as tasks:
+                for process in self.cell.schedulers:
+                    tasks.start_soon(read, process)
+        if unread:
+            self.fleet.violations.append(
+                f'no configuration from {", ".join(sorted(unread))}'
+            )
+
+    def _check_version(self, version_read: int, minimum: int) -> None:
+        if version_read < minimum:
+            self.fleet.violations.append(
+                f'read configuration {version_read} after {minimum}'
+            )
+
     async def _wait_for_jobs(self) -> None:
         """Checks that each accepted job ends within ``_RECOVERY_SECONDS``.
 
@@ -462,11 +495,7 @@
             )
             if response is None or response.status != 200:
                 continue
-            version_read = response.content['version']
-            if version_read < min_version:
-                self.fleet.violations.append(
-                    f'read configuration {version_read} after {min_version}'
-                )
+            self._check_version(response.content['version'], min_version)
 
     async def _configure(
         self, version: int, timeout_seconds: float = 6
