Tests of TLS wait until their server listens

test_new_keys_are_loaded_without_a_restart failed once beside a load of 19 with "connection refused": it gave its server 0.2 s to listen. The tests now wait for the port; what they check is unchanged.

--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -80,6 +80,18 @@
     return HelloReply('me', False, [], [], 0)
 
 
+async def _wait_listening(port: int) -> None:
+    with anyio.fail_after(30):
+        while True:
+            try:
+                stream = await anyio.connect_tcp('127.0.0.1', port)
+            except OSError:
+                await anyio.sleep(0.01)
+            else:
+                await stream.aclose()
+                return
+
+
 async def call_hello(server: TlsContexts, client: TlsContexts) -> Any:
     """Makes one call; the client and the server have their own TLS files."""
     port = find_free_ports(1)
@@ -89,7 +101,7 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(rpc.serve, '127.0.0.1', port)
         tasks.start_soon(peer.run)
-        await anyio.sleep(0.2)
+        await _wait_listening(port)
         try:
             return await peer.call('hello', HelloRequest('g', 'x', False), 2)
         finally:
