A fake replica that is killed ends the calls that it handles

No caller saw anything: a fault of the tests' own network. A call that a replica was handling ran on after the replica was killed, in the task of its caller: it confirmed entries whose sync the loss of power should have ended, so an acknowledged entry was lost. Change: the network keeps a scope for each call that a node handles; a kill cancels them, and their callers get no answer.

--- a/tests/data_centre.py
+++ b/tests/data_centre.py
@@ -169,7 +169,7 @@
 
     def kill(self, vm: str) -> None:
         self.cancel_scopes[vm].cancel()
-        self.network.nodes.pop(vm, None)
+        self.network.stop(vm)
         self.services.pop(vm, None)
         self.disks[vm].crash()
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,6 +1,7 @@
 """In-memory fakes of a disk, a network and a state machine."""
 
 import random
+from collections import defaultdict
 from dataclasses import replace
 from typing import Any
 
@@ -153,6 +154,7 @@
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
         self.nodes: dict[str, Any] = {}
+        self._handling: dict[str, set[anyio.CancelScope]] = defaultdict(set)
         self.cut_links: set[tuple[str, str]] = set()
         self.loss_rate = 0.0
         self.delay_seconds = 0.002
@@ -160,6 +162,22 @@
         self.duplicate_rate = 0.0
         self.calls = 0
 
+    def stop(self, vm: str) -> None:
+        """Ends a node, and the calls that it is handling."""
+        self.nodes.pop(vm, None)
+        for scope in tuple(self._handling[vm]):
+            scope.cancel()
+
+    async def handle(self, vm: str, method: str, request: Any) -> Any:
+        """Lets a node handle a call; never returns if it is stopped."""
+        with anyio.CancelScope() as scope:
+            self._handling[vm].add(scope)
+            try:
+                return await getattr(self.nodes[vm], method)(request)
+            finally:
+                self._handling[vm].discard(scope)
+        await anyio.sleep_forever()
+
     def isolate(self, vm: str) -> None:
         for other in self.nodes:
             self.cut_links |= {(vm, other), (other, vm)}
@@ -207,12 +225,12 @@
         try:
             with anyio.fail_after(timeout_seconds):
                 await network.transmit(self._vm, vm)
-                node = network.nodes.get(vm)
-                if node is None:
-                    raise UnreachableError('connection refused', where=vm)
-                if network.rng.random() < network.duplicate_rate:
-                    await getattr(node, method)(request)
-                reply = await getattr(node, method)(request)
+                is_duplicated = network.rng.random() < network.duplicate_rate
+                if is_duplicated and vm in network.nodes:
+                    await network.handle(vm, method, request)
+                if vm not in network.nodes:
+                    raise UnreachableError('connection lost', where=vm)
+                reply = await network.handle(vm, method, request)
                 await network.transmit(vm, self._vm)
                 return reply
         except TimeoutError as error:
--- a/tests/replica_group.py
+++ b/tests/replica_group.py
@@ -135,7 +135,7 @@
 
     def kill(self, vm: str) -> None:
         self.cancel_scopes[vm].cancel()
-        self.network.nodes.pop(vm, None)
+        self.network.stop(vm)
         self.replicas.pop(vm, None)
         self.disks[vm].crash()
 
