--- a/tests/test_lease_of_promises.py
+++ b/tests/test_lease_of_promises.py
@@ -20,8 +20,7 @@
         group = ReplicaGroup(3, 1, options=QUICK_OPTIONS)
         async with group.running():
             leader = await group.wait_leader()
-            leadership = leader._leadership
-            assert leadership is not None
+            leadership = leader._roles.require_leadership()
             for vm in set(group.vms) - {group.vm_of(leader)}:
                 group.disks[vm].fill()
             group.network.delay_seconds = delay_seconds
