--- a/mulberryhitch/replication/candidate.py
+++ b/mulberryhitch/replication/candidate.py
@@ -16,7 +16,6 @@
 from mulberryhitch.replication.state import ReplicaState
 from mulberryhitch.rpc.messages import VoteRequest
 
-
 _MAX_DOUBLINGS = 8
 
 
@@ -90,12 +89,10 @@
         It does so once in a term, as the other may lack a majority. Of two
         that request pre-votes at the same time, one waits for the other.
         """
-        outranks = (request.last_term, request.last_index, request.candidate)
-        own = self._state.last_term, self._state.last_index
-        if self._requests_pre_votes and outranks < (
-            *own,
-            self._state.replica_id,
-        ):
+        state = self._state
+        other = (request.last_term, request.last_index, request.candidate)
+        own = (state.last_term, state.last_index, state.replica_id)
+        if self._requests_pre_votes and other < own:
             return
         if self._gave_way_in_term < self._state.term:
             self._gave_way_in_term = self._state.term
