A hand-over that is cut off ends the leadership

Callers would see no leader for minutes: a leader whose hand-over was cancelled had given up its authority, but went on sending heartbeats, so no other was elected.

Cause: only the regular end of a hand-over ended the leadership.

Evidence: a review's random script, over 120 s without authority; the new test finds no leader within 3 s on the code before.

Change: the leadership ends however the hand-over does.

Measured: the tests of hand-overs, stalled disks and planned stops pass.

--- a/mulberryhitch/replication/handover.py
+++ b/mulberryhitch/replication/handover.py
@@ -30,13 +30,18 @@
         self._log = log
 
     async def run(self, leadership: Leadership) -> None:
-        """Ends a leadership after a voter has agreed to take over."""
+        """Ends a leadership, if possible after a voter agreed to take over."""
+        try:
+            await self._find_successor(leadership)
+        finally:
+            leadership.step_down(EndReason.handed_over)
+
+    async def _find_successor(self, leadership: Leadership) -> None:
         for successor in await leadership.prepare_transfer():
             if leadership.ended or await self._takes_over(
                 successor, leadership
             ):
-                break
-        leadership.step_down(EndReason.handed_over)
+                return
 
     async def _takes_over(self, successor: str, leadership: Leadership) -> bool:
         """Returns whether a voter takes over."""
--- a/tests/test_hand_overs.py
+++ b/tests/test_hand_overs.py
@@ -88,3 +88,16 @@
             assert group.leader() is followers[1]
 
     run_with_mock_clock(main)
+
+
+def test_a_leader_whose_hand_over_is_cut_off_does_not_go_on() -> None:
+    async def main() -> None:
+        async with ReplicaGroup(3, 1, options=QUICK_OPTIONS).running() as group:
+            leader, _ = await settled_group(group)
+            group.network.isolate(group.vm_of(leader))
+            with anyio.move_on_after(0.05):
+                await leader.transfer_leadership()
+            group.network.heal()
+            await group.wait_leader(3)
+
+    run_with_mock_clock(main)
