A scheduler that stops does not wait for a hand-over without end

Callers would see requests cut off: a slow group's leader may wait 4 s for open proposals and as long for each voter that does not answer, and was killed at the end of its grace period while it still did.

Cause: the shutdown waited for the hand-over without a limit.

Evidence: by reading; the new test, with a hand-over that never ends, fails on the code before.

Change: it waits half of the time that a shutdown may take.

Measured: the tests of planned stops pass.

--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -345,7 +345,8 @@
 
     async def _shut_down(self, server: HttpServer) -> None:
         await self._shared.stop.wait()
-        await self._host.retire()
+        with anyio.move_on_after(self._settings.drain_seconds / 2):
+            await self._host.retire()
         await anyio.sleep(READINESS_DELAY_SECONDS)
         server.should_exit = True
 
