--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -30,13 +30,12 @@
     return HelloReply('other', False, [], [], 0)
 
 
-class StallingServer:
-    """Never answers on the first connection, and serves later ones."""
+class CountingServer:
+    """Counts its connections."""
 
-    def __init__(self) -> None:
+    def __init__(self, rpc: RpcServer) -> None:
         self.accepted = 0
-        self._server = RpcServer(Log('test'))
-        self._server.register('hello', _reply_to_hello)
+        self.rpc = rpc
 
     async def serve(self, task_status: Any) -> None:
         listener = await anyio.create_tcp_listener(
@@ -49,9 +48,21 @@
 
     async def _handle_connection(self, stream: SocketStream) -> None:
         self.accepted += 1
-        if self.accepted == 1:
+        await self.rpc._handle_connection(stream)
+
+
+class StallingServer(CountingServer):
+    """Never answers on the first connection, and serves later ones."""
+
+    def __init__(self) -> None:
+        super().__init__(RpcServer(Log('test')))
+        self.rpc.register('hello', _reply_to_hello)
+
+    async def _handle_connection(self, stream: SocketStream) -> None:
+        if not self.accepted:
+            self.accepted += 1
             await anyio.sleep_forever()
-        await self._server._handle_connection(stream)
+        await super()._handle_connection(stream)
 
 
 SLOW = HelloRequest('slow', 'replica', configured=False)
@@ -68,28 +79,14 @@
         return await super()._handle_call(call)
 
 
-class SlowServer:
+class SlowServer(CountingServer):
     """Replies to slow calls after a time."""
 
     def __init__(self, seconds: float) -> None:
+        super().__init__(SilenceableServer(Log('test')))
         self.seconds = seconds
-        self.accepted = 0
-        self.rpc = SilenceableServer(Log('test'))
         self.rpc.register('hello', self._reply)
 
-    async def serve(self, task_status: Any) -> None:
-        listener = await anyio.create_tcp_listener(
-            local_host='127.0.0.1', local_port=0
-        )
-        port = listener.extra(anyio.abc.SocketAttribute.local_port)
-        async with listener:
-            task_status.started(port)
-            await listener.serve(self._handle_connection)
-
-    async def _handle_connection(self, stream: SocketStream) -> None:
-        self.accepted += 1
-        await self.rpc._handle_connection(stream)
-
     async def _reply(self, request: HelloRequest) -> HelloReply:
         if request.group == 'slow':
             await anyio.sleep(self.seconds)
--- a/tests/test_slow_elections.py
+++ b/tests/test_slow_elections.py
@@ -79,6 +79,14 @@
     run_with_mock_clock(run)
 
 
+def slow_down(group: ReplicaGroup, leader: Replica, kind: Slowness) -> None:
+    """Makes a group slow that has a leader, and stops some followers."""
+    others = [vm for vm in group.vms if vm != group.vm_of(leader)]
+    for vm in others[: kind.away]:
+        group.kill(vm)
+    kind.begin(group)
+
+
 @pytest.mark.parametrize('seed', SEEDS)
 @pytest.mark.parametrize('kind', KINDS, ids=str)
 def test_a_slow_group_confirms_a_change_in_time_after_a_loss_of_power(
@@ -102,10 +110,7 @@
     kind: Slowness, seed: int
 ) -> None:
     async def main(group: ReplicaGroup, leader: Replica) -> None:
-        others = [vm for vm in group.vms if vm != group.vm_of(leader)]
-        for vm in others[: kind.away]:
-            group.kill(vm)
-        kind.begin(group)
+        slow_down(group, leader, kind)
         slowest = 0.0
         for _ in range(20):
             seconds = await seconds_until_confirmed(group)
@@ -122,10 +127,7 @@
     kind: Slowness, seed: int
 ) -> None:
     async def main(group: ReplicaGroup, leader: Replica) -> None:
-        others = [vm for vm in group.vms if vm != group.vm_of(leader)]
-        for vm in others[: kind.away]:
-            group.kill(vm)
-        kind.begin(group)
+        slow_down(group, leader, kind)
         await anyio.sleep(3 * RECOVER_SECONDS)
         leader = await group.wait_leader(RECOVER_SECONDS)
         for _ in range(100):
