--- a/mulberryhitch/membership/call_order.py
+++ b/mulberryhitch/membership/call_order.py
@@ -5,7 +5,9 @@
 
 import anyio
 
+# A VM that did not answer is called after the others for so long.
 _SILENT_SECONDS = 1.0
+# A VM whose call failed is not called again for so long.
 _PAUSE_SECONDS = 0.25
 
 
--- a/mulberryhitch/replication/lease.py
+++ b/mulberryhitch/replication/lease.py
@@ -12,6 +12,7 @@
 from mulberryhitch.replication.progress import Progress
 from mulberryhitch.replication.state import ReplicaState
 
+# Answers have to be fast for so long before the election time is halved.
 _CALM_SECONDS = 5.0
 
 
