Idle connections that fell silent together cost one timeout, not one each

Callers saw silence: with six idle connections to an address that had all fallen silent, as through a device that drops them, seven requests in a row waited for their whole timeout before one got a new connection. It holds for our calls to workers too.

Cause: a request that timed out closed its own connection only, and the next one took another that had been idle for as long.

Change: if a connection that had delivered before gives no answer in time, all idle ones to that address are closed.

--- a/mulberryhitch/platform/client.py
+++ b/mulberryhitch/platform/client.py
@@ -50,9 +50,12 @@
 
 
 class _Connection:
+    """A connection; ``is_reused`` once it has delivered a response."""
+
     def __init__(self, stream: SocketStream) -> None:
         self._stream = stream
         self._reader = ResponseReader()
+        self.is_reused = False
 
     async def exchange(self, request_bytes: bytes) -> tuple[int, bytes]:
         """Sends a request; returns the status and body of the response.
@@ -75,6 +78,7 @@
         if not self._reader.is_reusable:
             return False
         self._reader.expect_next()
+        self.is_reused = True
         return True
 
     async def close(self) -> None:
@@ -135,6 +139,8 @@
                 status, response_body = await connection.exchange(request_bytes)
         except TimeoutError as error:
             await connection.close()
+            if connection.is_reused:
+                await self._close_idle(address)
             raise OutcomeUnknownError(
                 f'no response within {timeout_seconds:.3f} s',
                 where=f'{address}{path}',
@@ -163,6 +169,12 @@
         else:
             await connection.close()
 
+    async def _close_idle(self, address: str) -> None:
+        """Closes connections that may have fallen silent with another."""
+        idle = self._idle.pop(address, deque())
+        for connection in idle:
+            await connection.close()
+
 
 async def _connect(address: str) -> SocketStream:
     """Opens a connection.
