Say why a won pre-vote led to no candidacy, and log stored sizes

What callers saw: "no leader was found: 2 of 3 voters answered the election, 2 for this VM", again and again in one term, and nothing in the part of the record that operators send says why a candidate that wins its pre-vote doesn't enter the next term.

Three things lie between a won pre-vote and the new term: the state's lock, a check of contact and term, and the stored vote.

Test: a scheduler says that its full disk stored no vote (new; fails before, as the statement ends with "2 for this VM").

--- a/mulberryhitch/dispatch/service.py
+++ b/mulberryhitch/dispatch/service.py
@@ -44,7 +44,7 @@
 from mulberryhitch.membership.peers import PeerConnectionPool
 from mulberryhitch.observability.histograms import Histograms
 from mulberryhitch.observability.log import Log
-from mulberryhitch.replication.election import Election
+from mulberryhitch.replication.candidate import LeaderOverview
 from mulberryhitch.replication.members import vm_of
 from mulberryhitch.replication.replica import Replica
 from mulberryhitch.replication.roles import Role
@@ -125,7 +125,7 @@
             tuple(map(vm_of, replica.members.voters)),
             vm_of(overview.last_leader_id),
             overview.leaderless_seconds,
-            _view_of(overview.election) if overview.election else None,
+            _view_of(overview),
         )
         return KnownGroup(vm_of(replica.leader_id), self._member_vms(), view)
 
@@ -354,11 +354,15 @@
         )
 
 
-def _view_of(election: Election) -> ElectionView:
+def _view_of(overview: LeaderOverview) -> ElectionView | None:
+    election = overview.election
+    if election is None:
+        return None
     answered = {*election.granted, *election.refused}
     return ElectionView(
         len(election.voters),
         len(election.granted),
         {vm_of(name): why for name, why in election.refused.items()},
         tuple(vm_of(one) for one in election.voters if one not in answered),
+        overview.obstacle.value,
     )
--- a/mulberryhitch/membership/known_group.py
+++ b/mulberryhitch/membership/known_group.py
@@ -14,21 +14,25 @@
         granted: Number of voters that granted their votes.
         refusals: The reasons of those that answered with a refusal, by VM.
         missing_vms: The VMs of the voters that did not answer.
+        obstacle: What kept the replica from voting for itself after its last
+            pre-vote was won; empty if nothing did.
     """
 
     voters: int
     granted: int
     refusals: dict[str, str]
     missing_vms: tuple[str, ...]
+    obstacle: str = ''
 
     @property
     def statement(self) -> str:
         """One clause that says how many voters answered."""
         answered = self.voters - len(self.missing_vms)
         statement = f'{answered} of {self.voters} voters answered the election'
-        if answered > self.voters // 2:
-            return f'{statement}, {self.granted} for this VM'
-        return statement
+        if answered <= self.voters // 2:
+            return statement
+        statement = f'{statement}, {self.granted} for this VM'
+        return f'{statement}, {self.obstacle}' if self.obstacle else statement
 
     def log_fields(self) -> dict[str, object]:
         """Returns who did not vote for the replica, as fields of a line."""
--- a/mulberryhitch/replication/candidate.py
+++ b/mulberryhitch/replication/candidate.py
@@ -2,6 +2,7 @@
 
 import random
 from dataclasses import dataclass
+from enum import Enum
 
 import anyio
 
@@ -21,6 +22,18 @@
 _MAX_DOUBLINGS = 8
 
 
+class Obstacle(str, Enum):  # noqa: WPS600
+    """What keeps a replica from voting for itself after a won pre-vote."""
+
+    none = ''
+    state_in_use = 'waiting for its own state'
+    disk_silent = 'waiting for its disk'
+    disk_full = 'its vote not stored: disk full'
+    leader_found = 'a leader was heard'
+    another_candidate = 'it waits for another candidate'
+    newer_term = 'it entered a newer term'
+
+
 @dataclass(frozen=True, slots=True)
 class LeaderOverview:
     """The leader that a replica knows, or why it knows none.
@@ -33,12 +46,15 @@
             was, since the start; zero while one is live.
         election: The replica's newest round of votes or pre-votes, unless a
             leader was heard from since it began.
+        obstacle: What kept the replica from voting for itself, if it won its
+            last pre-vote.
     """
 
     leads: bool
     last_leader_id: str
     leaderless_seconds: float
     election: Election | None
+    obstacle: Obstacle = Obstacle.none
 
 
 class Candidate:
@@ -87,6 +103,7 @@
         self._gives_way_until = float()
         self._election: Election | None = None
         self._ended_election: Election | None = None
+        self._obstacle = Obstacle.none
 
     @property
     def overview(self) -> LeaderOverview:
@@ -100,6 +117,7 @@
             roles.last_leader_id,
             self._leaderless_seconds(),
             election,
+            self._obstacle,
         )
 
     async def run(self) -> None:
@@ -123,6 +141,7 @@
         try:
             await self._campaign(transferred_term)
         except DiskFullError as error:
+            self._obstacle = Obstacle.disk_full
             self._log.problem('replica.no_campaign', error.problem)
 
     def give_way(self, request: VoteRequest) -> None:
@@ -193,12 +212,12 @@
             term, pre_vote=True, transfer=False
         ):
             return
+        self._obstacle = Obstacle.state_in_use
         async with self._state.lock:
-            if not self._may_vote_for_itself(term - 1, transfer=transfer):
+            self._obstacle = self._present_obstacle(term - 1, transfer=transfer)
+            if self._obstacle:
                 return
-            with self._fail_stop:
-                await self._state.save_term(term, self._state.replica_id)
-            self._roles.become_candidate()
+            await self._vote_for_itself(term)
         won = await self._request_votes(term, pre_vote=False, transfer=transfer)
         if won and self._state.term == term and self._roles.is_candidate:
             self._lost_elections = 0
@@ -206,12 +225,21 @@
         else:
             self._lost_elections += 1
 
-    def _may_vote_for_itself(self, term: int, *, transfer: bool) -> bool:
+    async def _vote_for_itself(self, term: int) -> None:
+        self._obstacle = Obstacle.disk_silent
+        with self._fail_stop:
+            await self._state.save_term(term, self._state.replica_id)
+        self._obstacle = Obstacle.none
+        self._roles.become_candidate()
+
+    def _present_obstacle(self, term: int, *, transfer: bool) -> Obstacle:
         if self._roles.leads or self._state.term != term:
-            return False
-        if transfer:
-            return True
-        return not self._contact.is_live and self._gives_way_seconds() <= 0
+            return Obstacle.newer_term
+        if not transfer and self._contact.is_live:
+            return Obstacle.leader_found
+        if not transfer and self._gives_way_seconds() > 0:
+            return Obstacle.another_candidate
+        return Obstacle.none
 
     def _fitting_election_seconds(self) -> float:
         return self._options.fitting_election_seconds(self._round_trip_seconds)
--- a/mulberryhitch/replication/compaction.py
+++ b/mulberryhitch/replication/compaction.py
@@ -55,6 +55,18 @@
         return uncompacted >= self._options.compact_entries
 
     async def _compact(self) -> None:
+        storage = self._state.storage
+        former_log_bytes = storage.log_bytes
+        began_at = anyio.current_time()
         async with self._state.lock:
             with self._fail_stop:
                 await self._state.compact()
+        self._log.event(
+            'replica.compacted',
+            group=self._state.group,
+            snapshot_index=self._state.snapshot_index,
+            snapshot_bytes=storage.snapshot_bytes,
+            former_log_bytes=former_log_bytes,
+            log_bytes=storage.log_bytes,
+            seconds=round(anyio.current_time() - began_at, 3),
+        )
--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -76,6 +76,7 @@
         self._end = 0
         self._synced_end = 0
         self._snapshot_index = 0
+        self._snapshot_bytes = 0
         self._is_synced = False
         self._disk_lock = anyio.Lock()
 
@@ -84,6 +85,16 @@
         """Whether the last sync covers everything done to the log file."""
         return self._is_synced
 
+    @property
+    def log_bytes(self) -> int:
+        """The size of the log on disk."""
+        return self._end
+
+    @property
+    def snapshot_bytes(self) -> int:
+        """The size of the snapshot on disk."""
+        return self._snapshot_bytes
+
     def close(self) -> None:
         """Closes the log file."""
         os.close(self._descriptor)
@@ -201,6 +212,7 @@
         await self._run_in_thread(
             write_atomically, self._folder / 'snapshot', content
         )
+        self._snapshot_bytes = len(content)
         self._fail_points.reach('compact')
         self._snapshot_index = snapshot.last_index
         await self._run_in_thread(self._rewrite_log, entries)
@@ -311,6 +323,7 @@
         content = read_checked(self._folder / 'snapshot')
         if content is None:
             return None
+        self._snapshot_bytes = len(content)
         record = decode_record(SnapshotRecord, content)
         members = Members(tuple(record.voters), tuple(record.learners))
         return Snapshot(
--- a/mulberryhitch/replication/reporting.py
+++ b/mulberryhitch/replication/reporting.py
@@ -66,6 +66,7 @@
             last_term=state.last_term,
             last_index=state.last_index,
             snapshot_index=state.snapshot_index,
+            **self._stored_sizes(),
             voters=list(state.members.voters),
         )
 
@@ -149,6 +150,14 @@
             term=leadership.term,
             commit_index=self._state.commit_index,
             last_index=self._state.last_index,
+            **self._stored_sizes(),
             synced=leadership.synced_indexes(),
             silent_seconds=leadership.silent_seconds(),
         )
+
+    def _stored_sizes(self) -> dict[str, int]:
+        storage = self._state.storage
+        return {
+            'log_bytes': storage.log_bytes,
+            'snapshot_bytes': storage.snapshot_bytes,
+        }
--- a/mulberryhitch/replication/storage.py
+++ b/mulberryhitch/replication/storage.py
@@ -49,6 +49,14 @@
     def is_synced(self) -> bool:
         """Whether the last sync covers everything done to the log."""
 
+    @property
+    def log_bytes(self) -> int:
+        """The size of the log on disk."""
+
+    @property
+    def snapshot_bytes(self) -> int:
+        """The size of the snapshot on disk."""
+
     def load(self) -> StoredState:
         """Reads the stored state.
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -45,6 +45,17 @@
     def is_synced(self) -> bool:
         return self._written == self._stored.entries
 
+    @property
+    def log_bytes(self) -> int:
+        """Returns the size of the entries that were written."""
+        return sum(len(entry.body) for entry in self._written)
+
+    @property
+    def snapshot_bytes(self) -> int:
+        """Returns the size of the stored snapshot's state."""
+        snapshot = self._stored.snapshot
+        return len(snapshot.state) if snapshot else 0
+
     @property
     def synced_index(self) -> int:
         """Returns the last index that a loss of power leaves on the disk."""
--- a/tests/test_refusal_lines.py
+++ b/tests/test_refusal_lines.py
@@ -204,3 +204,26 @@
     alone = ReplicaView('a', True, False, 3, ('a', 'b'), 'a', 1, None)
     assert confirmed.statement == 'this VM leads'
     assert alone.statement == 'this VM leads, not confirmed by a majority'
+
+
+def test_a_scheduler_says_that_its_full_disk_stored_no_vote(
+    lines: io.StringIO,
+) -> None:
+    async def main() -> None:
+        group = JobsGroup(3, seed=1, spares=0)
+        async with group.running():
+            leader = group.vm_of(await group.wait_leader())
+            await anyio.sleep(2)
+            for disk in group.disks.values():
+                disk.fill()
+            group.kill(leader)
+            await anyio.sleep(8)
+            last = next(vm for vm in group.vms if vm != leader)
+            await request_configuration(
+                FakeSchedulers('', set()), known_by(group, last), last
+            )
+        line = sent_line(lines)
+        assert '2 for this VM, its vote not stored: disk full' in line
+        assert '"leaderless":' in line
+
+    run_with_mock_clock(main)
