--- /dev/null
+++ b/tests/bounded_disks.py
@@ -0,0 +1,131 @@
+"""Replicas that store real files on disks of a limited size."""
+
+import errno
+import os
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+
+from mulberryhitch.replication import durable_files, file_storage
+from mulberryhitch.replication.file_storage import FileStorage
+from mulberryhitch.replication.options import ReplicationOptions
+from mulberryhitch.replication.state import ReplicaState
+from mulberryhitch.replication.storage import StoredState
+from mulberryhitch.rpc.messages import LogEntry
+from tests.replica_group import OPTIONS, ReplicaGroup
+
+MEBIBYTE = 1024 * 1024
+SYNC_SECONDS = 0.009
+
+
+class LatestValues:
+    """A state machine that keeps the latest value of each key."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, str] = {}
+
+    def apply(self, entry: LogEntry) -> None:
+        key, _, value = entry.body.decode().partition('=')
+        self.values[key] = value
+
+    def snapshot(self) -> bytes:
+        return '\n'.join(
+            f'{key}={value}' for key, value in self.values.items()
+        ).encode()
+
+    def restore(self, state: bytes) -> None:
+        lines = state.decode().splitlines()
+        self.values = dict(line.split('=', 1) for line in lines)
+
+
+class BoundedDisk:
+    """The disk of one VM: a folder of real files whose bytes are limited.
+
+    Attributes:
+        foreign_bytes: Taken by files that are not the replica's.
+    """
+
+    def __init__(self, folder: Path, vm: str, capacity_bytes: int) -> None:
+        self.folder = folder
+        self.vm = vm
+        self.capacity_bytes = capacity_bytes
+        self.foreign_bytes = 0
+        self.most_used_bytes = 0
+        self._storage: FileStorage | None = None
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._storage, name)
+
+    @property
+    def free_bytes(self) -> int:
+        return self.capacity_bytes - self.foreign_bytes - self.own_bytes
+
+    @property
+    def own_bytes(self) -> int:
+        return sum(
+            path.stat().st_size
+            for path in self.folder.rglob('*')
+            if path.is_file()
+        )
+
+    def fill(self) -> None:
+        """Leaves no room for another byte."""
+        self.foreign_bytes += max(0, self.free_bytes)
+
+    def load(self) -> StoredState:
+        self._storage = FileStorage(self.folder, self.vm)
+        return self._storage.load()
+
+    def crash(self) -> None:
+        """Closes the files of a process that was killed."""
+        if self._storage is not None:
+            self._storage.close()
+
+    def write_file(self, descriptor: int, content: bytes) -> None:
+        """Writes what fits, and refuses the rest as a full disk does."""
+        position = os.lseek(descriptor, 0, os.SEEK_CUR)
+        growth = position + len(content) - os.fstat(descriptor).st_size
+        excess = max(0, growth - max(0, self.free_bytes))
+        os.write(descriptor, content[: len(content) - excess])
+        self.most_used_bytes = max(self.most_used_bytes, self.own_bytes)
+        if excess:
+            raise OSError(errno.ENOSPC, 'No space left on device')
+
+
+class BoundedDiskGroup(ReplicaGroup):
+    """A group of replicas that store files on disks of a limited size."""
+
+    def __init__(
+        self,
+        folder: Path,
+        monkeypatch: pytest.MonkeyPatch,
+        capacity_bytes: int,
+        options: ReplicationOptions = OPTIONS,
+    ) -> None:
+        super().__init__(3, 1, 0, options)
+        self.disks = {
+            vm: BoundedDisk(folder / vm, vm, capacity_bytes) for vm in self.vms
+        }
+        for module in (durable_files, file_storage):
+            monkeypatch.setattr(module, 'write_all', self._write)
+        monkeypatch.setattr(file_storage, 'run_sync', _run_inline)
+        monkeypatch.setattr(os, 'fsync', lambda descriptor: None)
+
+    def new_state_machine(self) -> LatestValues:
+        return LatestValues()
+
+    def _write(self, descriptor: int, content: bytes) -> None:
+        path = Path(f'/proc/self/fd/{descriptor}').resolve()
+        disk = next(
+            one for one in self.disks.values() if one.folder in path.parents
+        )
+        disk.write_file(descriptor, content)
+
+
+async def _run_inline(function: Callable[..., Any], *arguments: Any) -> Any:
+    """Runs a disk operation on the simulated clock instead of a thread."""
+    await anyio.sleep(SYNC_SECONDS)
+    return function(*arguments)
--- a/tests/replica_group.py
+++ b/tests/replica_group.py
@@ -102,7 +102,7 @@
             tasks.cancel_scope.cancel()
 
     def start(self, vm: str) -> None:
-        state_machine = KeyValueStateMachine()
+        state_machine = self.new_state_machine()
         gain = self.clock_gains.get(vm, 0)
         options = replace(
             self.options,
@@ -133,6 +133,9 @@
             except* StorageError:
                 self.network.nodes.pop(vm, None)
 
+    def new_state_machine(self) -> Any:
+        return KeyValueStateMachine()
+
     def kill(self, vm: str) -> None:
         self.cancel_scopes[vm].cancel()
         self.network.stop(vm)
