--- a/mulberryhitch/dispatch/service.py
+++ b/mulberryhitch/dispatch/service.py
@@ -44,7 +44,7 @@
 from mulberryhitch.membership.peers import PeerConnectionPool
 from mulberryhitch.observability.histograms import Histograms
 from mulberryhitch.observability.log import Log
-from mulberryhitch.replication.candidate import LeaderOverview
+from mulberryhitch.replication.leader_overview import LeaderOverview
 from mulberryhitch.replication.members import vm_of
 from mulberryhitch.replication.replica import Replica
 from mulberryhitch.replication.roles import Role
--- a/mulberryhitch/replication/candidate.py
+++ b/mulberryhitch/replication/candidate.py
@@ -1,8 +1,6 @@
 """The election timer of a replica, and its campaigns for the leadership."""
 
 import random
-from dataclasses import dataclass
-from enum import Enum
 
 import anyio
 
@@ -12,6 +10,7 @@
 from mulberryhitch.replication.election import Election
 from mulberryhitch.replication.failstop import FailStop
 from mulberryhitch.replication.interfaces import Transport
+from mulberryhitch.replication.leader_overview import LeaderOverview, Obstacle
 from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.reporting import ReplicationReporter
 from mulberryhitch.replication.roles import Roles
@@ -22,41 +21,6 @@
 _MAX_DOUBLINGS = 8
 
 
-class Obstacle(str, Enum):  # noqa: WPS600
-    """What keeps a replica from voting for itself after a won pre-vote."""
-
-    none = ''
-    state_in_use = 'waiting for its own state'
-    disk_silent = 'waiting for its disk'
-    disk_full = 'its vote not stored: disk full'
-    leader_found = 'a leader was heard'
-    another_candidate = 'it waits for another candidate'
-    newer_term = 'it entered a newer term'
-
-
-@dataclass(frozen=True, slots=True)
-class LeaderOverview:
-    """The leader that a replica knows, or why it knows none.
-
-    Attributes:
-        leads: Whether the replica leads, with or without a lease.
-        last_leader_id: The last leader, which may have ended; empty if the
-            replica has known none since its start.
-        leaderless_seconds: Time since a leader was heard from or, if none
-            was, since the start; zero while one is live.
-        election: The replica's newest round of votes or pre-votes, unless a
-            leader was heard from since it began.
-        obstacle: What kept the replica from voting for itself, if it won its
-            last pre-vote.
-    """
-
-    leads: bool
-    last_leader_id: str
-    leaderless_seconds: float
-    election: Election | None
-    obstacle: Obstacle = Obstacle.none
-
-
 class Candidate:
     """Campaigns for the leadership when no leader was heard from.
 
--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -13,18 +13,18 @@
 )
 from mulberryhitch.observability.log import Log
 from mulberryhitch.replication.bootstrap import Bootstrap
-from mulberryhitch.replication.candidate import Candidate, LeaderOverview
+from mulberryhitch.replication.candidate import Candidate
 from mulberryhitch.replication.compaction import Compaction
 from mulberryhitch.replication.contact import LeaderContact
-from mulberryhitch.replication.disk_watch import DiskWatch
 from mulberryhitch.replication.failstop import FailStop
 from mulberryhitch.replication.follower import Follower
 from mulberryhitch.replication.handover import Handover
 from mulberryhitch.replication.interfaces import Transport
+from mulberryhitch.replication.leader_overview import LeaderOverview
+from mulberryhitch.replication.leader_tasks import LeaderTasks
 from mulberryhitch.replication.leadership import Leadership
 from mulberryhitch.replication.members import Members
 from mulberryhitch.replication.options import ReplicationOptions
-from mulberryhitch.replication.reconciler import MembershipReconciler
 from mulberryhitch.replication.reporting import ReplicationReporter
 from mulberryhitch.replication.roles import Role, Roles
 from mulberryhitch.replication.state import ReplicaState
@@ -101,8 +101,17 @@
         )
         self._tasks: TaskGroup | None = None
         self._retiring = False
-        self._target_voters = options.target_voters or len(initial_vms)
         self._bootstrap = Bootstrap(state, transport, initial_vms, options)
+        self._leader_tasks = LeaderTasks(
+            state,
+            transport,
+            options,
+            self._bootstrap.hello_records,
+            self._candidate.unanswered,
+            options.target_voters or len(initial_vms),
+            log,
+            self.transfer_leadership,
+        )
         state.set_applied_callback(self._complete_proposal)
 
     @property
@@ -378,27 +387,9 @@
             return await self._contact.promise(election_seconds)
 
     async def _run_leadership(self, leadership: Leadership) -> None:
-        reconciler = MembershipReconciler(
-            self._state,
-            leadership,
-            self._options,
-            self._transport,
-            self._bootstrap.hello_records,
-            self._silent_since(),
-            self._target_voters,
-            self._log,
-        )
-        disk_watch = DiskWatch(
-            self.group,
-            leadership,
-            self._options,
-            self._log,
-            self.transfer_leadership,
-        )
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(reconciler.run)
-                tasks.start_soon(disk_watch.run)
+                tasks.start_soon(self._leader_tasks.run, leadership)
                 if self._retiring:
                     tasks.start_soon(self._transfer_when_ready, leadership)
                 with self._fail_stop:
@@ -407,17 +398,6 @@
         finally:
             self._end_leadership(leadership)
 
-    def _silent_since(self) -> dict[str, float]:
-        """Returns since when members have not answered, in seconds."""
-        silent_since = dict(self._bootstrap.hello_records.silent_since)
-        now = self._options.now()
-        for voter, seconds in self._candidate.unanswered.silent_seconds.items():
-            requested_at = now - seconds
-            silent_since[voter] = min(
-                silent_since.get(voter, requested_at), requested_at
-            )
-        return silent_since
-
     async def _transfer_when_ready(self, leadership: Leadership) -> None:
         await leadership.wait_ready()
         await self.transfer_leadership()
--- a/tests/test_refusal_lines.py
+++ b/tests/test_refusal_lines.py
@@ -79,6 +79,13 @@
     return known_group
 
 
+async def request_at(group: JobsGroup, vm: str) -> dict[str, Any]:
+    """Requests the configuration at a scheduler that can call no other."""
+    return await request_configuration(
+        FakeSchedulers('', set()), known_by(group, vm), vm
+    )
+
+
 def replica_of(group: JobsGroup, vm: str) -> ReplicaView:
     replica = known_by(group, vm)().replica
     assert replica is not None
@@ -94,9 +101,7 @@
             for vm in gone:
                 group.kill(vm)
             await anyio.sleep(8)
-            body = await request_configuration(
-                FakeSchedulers('', set()), known_by(group, last), last
-            )
+            body = await request_at(group, last)
         line = sent_line(lines)
         assert '1 of 3 voters answered the election' in line
         assert f'"missing":{json.dumps(gone, separators=(",", ":"))}' in line
@@ -219,9 +224,7 @@
             group.kill(leader)
             await anyio.sleep(8)
             last = next(vm for vm in group.vms if vm != leader)
-            await request_configuration(
-                FakeSchedulers('', set()), known_by(group, last), last
-            )
+            await request_at(group, last)
         line = sent_line(lines)
         assert '2 for this VM, its vote not stored: disk full' in line
         assert '"leaderless":' in line
