--- a/mulberryhitch/replication/compaction.py
+++ b/mulberryhitch/replication/compaction.py
@@ -12,11 +12,14 @@
 
 
 class Compaction:
-    """Takes a snapshot whenever enough entries have been applied.
+    """Takes a snapshot whenever the log has grown enough.
+
+    The log grows by at least the size of the former snapshot between two
+    snapshots, so that most of what is written is log.
 
     Args:
         state: The replica's state.
-        options: The number of entries, and the interval between checks.
+        options: The growth in entries and bytes.
         fail_stop: Stops the replica if the disk fails.
         log: Receives each snapshot that a full disk prevented.
     """
@@ -33,6 +36,10 @@
         self._options = options
         self._fail_stop = fail_stop
         self._log = log
+        # Size of the log after the latest snapshot, in bytes.
+        self._retained_bytes = 0
+        self._log_grown = anyio.Event()
+        state.set_committed_callback(self._wake_if_grown)
 
     async def run(self) -> None:
         """Takes the snapshots that are due, until cancelled.
@@ -41,7 +48,9 @@
             StorageError: The disk failed.
         """
         while True:
-            await anyio.sleep(self._options.election_seconds)
+            with anyio.move_on_after(self._options.election_seconds):
+                await self._log_grown.wait()
+            self._log_grown = anyio.Event()
             if not self._is_due():
                 continue
             try:
@@ -50,9 +59,24 @@
                 self._log.problem('replica.not_compacted', error.problem)
                 await anyio.sleep(_DISK_FULL_RETRY_SECONDS)
 
+    def _wake_if_grown(self) -> None:
+        if self._has_grown():
+            self._log_grown.set()
+
     def _is_due(self) -> bool:
         uncompacted = self._state.commit_index - self._state.snapshot_index
-        return uncompacted >= self._options.compact_entries
+        if uncompacted >= self._options.compact_entries:
+            return True
+        return uncompacted > 0 and self._has_grown()
+
+    def _has_grown(self) -> bool:
+        storage = self._state.storage
+        # A snapshot of the leader or a truncation may have shortened the log.
+        self._retained_bytes = min(self._retained_bytes, storage.log_bytes)
+        growth = storage.log_bytes - self._retained_bytes
+        return growth >= max(
+            self._options.compact_bytes, storage.snapshot_bytes
+        )
 
     async def _compact(self) -> None:
         storage = self._state.storage
@@ -61,6 +85,7 @@
         async with self._state.lock:
             with self._fail_stop:
                 await self._state.compact()
+        self._retained_bytes = storage.log_bytes
         self._log.event(
             'replica.compacted',
             group=self._state.group,
--- a/mulberryhitch/replication/options.py
+++ b/mulberryhitch/replication/options.py
@@ -28,6 +28,8 @@
             of newly committed entries; zero notifies it immediately.
         window: Maximum appends in flight to one peer.
         compact_entries: Applied entries after which a snapshot is taken.
+        compact_bytes: Growth of the log after which a snapshot is taken, unless
+            the former snapshot is larger.
         chunk_bytes: Maximum size of a snapshot chunk.
         repair_seconds: Time without contact after which a voter is replaced
             by a spare, or a learner removed.
@@ -51,6 +53,7 @@
     commit_notify_seconds: float = 0
     window: int = 4
     compact_entries: int = 20_000
+    compact_bytes: int = 8_388_608
     chunk_bytes: int = 1_048_576
     repair_seconds: float = 60.0
     reconcile_seconds: float = 0.8
--- a/mulberryhitch/replication/state.py
+++ b/mulberryhitch/replication/state.py
@@ -49,6 +49,7 @@
         self._sync_lock = anyio.Lock()
         self._member_changes: list[tuple[int, Members]] = []
         self._on_applied: Callable[[LogEntry, Any, Any], None] | None = None
+        self._on_committed: Callable[[], None] | None = None
         if stored.snapshot is not None:
             self._restore(stored.snapshot)
         self._index_before_write = self.last_index
@@ -106,6 +107,10 @@
         """Sets the callback for each applied entry, its result and error."""
         self._on_applied = callback
 
+    def set_committed_callback(self, callback: Callable[[], None]) -> None:
+        """Sets the callback for each advance of the commit index."""
+        self._on_committed = callback
+
     def term_at(self, index: int) -> int | None:
         """Returns the term of an entry, or ``None`` if it is not in the log."""
         if index == self.snapshot_index:
@@ -226,6 +231,8 @@
             entry = self.entries_from(self.commit_index + 1, 1)[0]
             self.commit_index = entry.index
             self._apply(entry)
+        if self._on_committed is not None:
+            self._on_committed()
 
     async def bootstrap(self, members: Members) -> None:
         """Initialises an empty replica as a member of a new group."""
