Store votes in place, so that a full disk can't refuse them

Saving a vote took a new file, which a full disk refuses ("No space left on device: .../vote.aside").

The vote is now written into two slots of one file of a fixed size, each block with a checksum of its own; each is synced before the save goes on. The former file is replaced by a rename under the same name, so no step of the takeover has two votes to choose from; while the disk has no room for 8192 bytes, votes are saved in the former format.

The test of an unsynced rename of a vote runs on a disk that has no room for slots, and a new one covers the rename of the takeover.

--- a/mulberryhitch/replication/durable_files.py
+++ b/mulberryhitch/replication/durable_files.py
@@ -15,15 +15,19 @@
 
 
 def write_atomically(path: Path, content: bytes) -> None:
+    """Replaces a file atomically and durably by a content and its checksum."""
+    replace_file(path, content + _CHECKSUM.pack(zlib.crc32(content)))
+
+
+def replace_file(path: Path, content: bytes) -> None:
     """Replaces a file atomically and durably.
 
-    Writes the content and its checksum to a temporary file, syncs and renames
-    it, then syncs the folder.
+    Writes the content to a temporary file, syncs and renames it, then syncs
+    the folder.
     """
     temporary_path = path.with_suffix('.aside')
-    record = content + _CHECKSUM.pack(zlib.crc32(content))
     with new_file(temporary_path) as descriptor:
-        write_all(descriptor, record)
+        write_all(descriptor, content)
         os.fsync(descriptor)
         temporary_path.rename(path)
     os.close(descriptor)
--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -39,6 +39,7 @@
 )
 from mulberryhitch.replication.members import Members
 from mulberryhitch.replication.storage import Snapshot, StoredState
+from mulberryhitch.replication.vote_file import VoteFile
 from mulberryhitch.rpc.codec import decode_record, encode_record
 from mulberryhitch.rpc.messages import (
     IdentityRecord,
@@ -67,6 +68,7 @@
         folder.mkdir(parents=True, exist_ok=True)
         sync_folder(folder.parent)
         self._log_path = folder / 'log'
+        self._vote_file = VoteFile(folder / 'vote')
         # Renames that a killed process left unsynced count as durable now.
         sync_folder(folder)
         self._descriptor = self._open_log()
@@ -106,7 +108,7 @@
             DamagedFileError: A checksum does not match, or the files are
                 inconsistent.
         """
-        vote = self._read_vote()
+        vote = self._vote_file.load()
         snapshot = self._read_snapshot()
         self._snapshot_index = snapshot.last_index if snapshot else 0
         self._load_log()
@@ -120,8 +122,10 @@
             )
         if self._encoder is None and snapshot:
             self._rewrite_log_if_possible()
+        replica_id = self._load_identity()
+        self._vote_file.take_over(vote)
         return StoredState(
-            self._load_identity(),
+            replica_id,
             vote.term,
             vote.voted_for,
             snapshot,
@@ -186,10 +190,8 @@
             StorageError: The disk is full or faulty.
         """
         self._fail_points.reach('vote')
-        content = encode_record(VoteRecord(term, voted_for, promised_seconds))
-        await self._run_in_thread(
-            write_atomically, self._folder / 'vote', content
-        )
+        vote = VoteRecord(term, voted_for, promised_seconds)
+        await self._run_in_thread(self._vote_file.save, vote)
 
     async def save_snapshot(
         self, snapshot: Snapshot, entries: list[LogEntry]
@@ -313,12 +315,6 @@
         write_atomically(path, encode_record(IdentityRecord(replica_id)))
         return replica_id
 
-    def _read_vote(self) -> VoteRecord:
-        content = read_checked(self._folder / 'vote')
-        if content is None:
-            return VoteRecord(0, '')
-        return decode_record(VoteRecord, content)
-
     def _read_snapshot(self) -> Snapshot | None:
         content = read_checked(self._folder / 'snapshot')
         if content is None:
--- a/mulberryhitch/replication/inspection.py
+++ b/mulberryhitch/replication/inspection.py
@@ -8,12 +8,12 @@
 from mulberryhitch.replication.log_records import read_log
 from mulberryhitch.replication.members import Members
 from mulberryhitch.replication.storage import Snapshot
+from mulberryhitch.replication.vote_file import read_vote
 from mulberryhitch.rpc.codec import decode_record
 from mulberryhitch.rpc.messages import (
     IdentityRecord,
     LogEntry,
     SnapshotRecord,
-    VoteRecord,
 )
 
 
@@ -51,10 +51,7 @@
     identity = read_checked(folder / 'identity')
     if identity is None:
         raise DamagedFileError('identity file is missing', where=str(folder))
-    vote_bytes = read_checked(folder / 'vote')
-    vote = VoteRecord(0, '')
-    if vote_bytes is not None:
-        vote = decode_record(VoteRecord, vote_bytes)
+    vote = read_vote(folder / 'vote').record
     return FolderReport(
         decode_record(IdentityRecord, identity).replica_id,
         vote.term,
--- a/tests/test_lost_renames.py
+++ b/tests/test_lost_renames.py
@@ -7,11 +7,14 @@
 import anyio
 import pytest
 
+from mulberryhitch.replication import vote_file
 from mulberryhitch.replication.file_storage import FileStorage
 from mulberryhitch.replication.members import Members
 from mulberryhitch.replication.storage import Snapshot
-from mulberryhitch.rpc.messages import LogEntry
+from mulberryhitch.rpc.messages import LogEntry, VoteRecord
+from tests.test_files import refuse_writes
 from tests.unsynced_folder import KilledError, UnsyncedFolder
+from tests.vote_files import write_former_vote
 
 SNAPSHOT = Snapshot(2, 1, Members(('vm-1#x',)), b'state')
 
@@ -57,6 +60,8 @@
 ) -> None:
     folder = tmp_path / 'jobs'
     unsynced = UnsyncedFolder(folder, tmp_path / 'synced', monkeypatch)
+    # A disk without room for slots: the vote is saved by a rename.
+    monkeypatch.setattr(vote_file, 'replace_file', refuse_writes)
     storage = _storage_with_entries(folder)
     unsynced.kill_before_sync(1)
     with pytest.raises(KilledError):
@@ -68,3 +73,24 @@
     unsynced.lose_power()
     stored = FileStorage(folder, 'vm-1').load()
     assert (stored.term, stored.voted_for) == (2, 'vm-2#x')
+
+
+def test_a_vote_saved_after_a_killed_takeover_does_not_go_with_a_power_loss(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    folder = tmp_path / 'jobs'
+    unsynced = UnsyncedFolder(folder, tmp_path / 'synced', monkeypatch)
+    _storage_with_entries(folder).close()
+    write_former_vote(folder / 'vote', VoteRecord(1, ''))
+    # The constructor syncs the folder first, then the takeover does.
+    unsynced.kill_before_sync(2)
+    with pytest.raises(KilledError):
+        FileStorage(folder, 'vm-1').load()
+    restarted = FileStorage(folder, 'vm-1')
+    assert restarted.load().term == 1
+    _run(restarted.save_vote, 2, 'vm-2#x')
+    restarted.write([_entry(6, 2)])
+    _run(restarted.sync)
+    unsynced.lose_power()
+    stored = FileStorage(folder, 'vm-1').load()
+    assert (stored.term, stored.voted_for) == (2, 'vm-2#x')
