--- a/mulberryhitch/replication/disk_errors.py
+++ b/mulberryhitch/replication/disk_errors.py
@@ -10,6 +10,11 @@
 _DISK_FULL_ERRNOS = frozenset((errno.ENOSPC, errno.EDQUOT))
 
 
+def is_disk_full(error: BaseException | None) -> bool:
+    """Whether the operating system, or a file system's quota, has no room."""
+    return isinstance(error, OSError) and error.errno in _DISK_FULL_ERRNOS
+
+
 @contextmanager
 def typed_disk_errors(path: Path) -> Iterator[None]:
     """A context manager that raises storage errors instead of ``OSError``.
@@ -24,6 +29,5 @@
     try:
         yield
     except OSError as error:
-        is_full = error.errno in _DISK_FULL_ERRNOS
-        error_type = DiskFullError if is_full else StorageError
+        error_type = DiskFullError if is_disk_full(error) else StorageError
         raise error_type(str(error), where=str(path)) from error
--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -7,8 +7,10 @@
 
 import os
 import secrets
+import sys
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
+from functools import partial
 from pathlib import Path
 
 import anyio
@@ -20,7 +22,10 @@
     ProtocolError,
     StorageError,
 )
-from mulberryhitch.replication.disk_errors import typed_disk_errors
+from mulberryhitch.replication.disk_errors import (
+    is_disk_full,
+    typed_disk_errors,
+)
 from mulberryhitch.replication.durable_files import (
     CREATE_FLAGS,
     FILE_MODE,
@@ -37,7 +42,9 @@
     read_log,
     remove_from,
 )
-from mulberryhitch.replication.members import Members
+from mulberryhitch.replication.members import MEMBERS_KIND, Members
+from mulberryhitch.replication.reserve import Reserve
+from mulberryhitch.replication.state import NOOP_KIND
 from mulberryhitch.replication.storage import Snapshot, StoredState
 from mulberryhitch.replication.vote_file import VoteFile
 from mulberryhitch.rpc.codec import decode_record, encode_record
@@ -49,17 +56,35 @@
 )
 
 
+# Room for an election's entries, a first snapshot and the rewritten log.
+RESERVE_BYTES = 8_388_608
+_RELEASE_STEP_BYTES = 262_144
+# An election, a membership change or a truncation must not need free room.
+_KINDS_THAT_MAY_USE_RESERVE = frozenset((NOOP_KIND, MEMBERS_KIND))
+
+
 class FileStorage:
     """File-based storage of one replica.
 
+    Room is kept in a file, ``reserve``, which is as large as the snapshot and
+    ``reserve_bytes``. On a full disk, snapshots and the entries of elections
+    and membership changes get this room; while it is short, all other entries
+    are refused. :meth:`keep_room` writes it and restores it.
+
     Args:
         folder: The replica's folder; created if missing.
         vm: The VM's name, used as the prefix of a new replica id.
         fail_points: Failpoints for tests.
+        reserve_bytes: The room to keep beside that for a snapshot of the
+            present size; 0 keeps none.
     """
 
     def __init__(
-        self, folder: Path, vm: str, fail_points: FailPoints | None = None
+        self,
+        folder: Path,
+        vm: str,
+        fail_points: FailPoints | None = None,
+        reserve_bytes: int = RESERVE_BYTES,
     ) -> None:
         """Creates the folder if needed and opens the log file."""
         self._folder = folder
@@ -67,8 +92,8 @@
         self._fail_points = fail_points or FailPoints()
         folder.mkdir(parents=True, exist_ok=True)
         sync_folder(folder.parent)
-        self._log_path = folder / 'log'
         self._vote_file = VoteFile(folder / 'vote')
+        self._reserve = Reserve(folder / 'reserve', reserve_bytes)
         # Renames that a killed process left unsynced count as durable now.
         sync_folder(folder)
         self._descriptor = self._open_log()
@@ -97,6 +122,11 @@
         """The size of the snapshot on disk."""
         return self._snapshot_bytes
 
+    @property
+    def is_room_kept(self) -> bool:
+        """Whether all the room is kept that snapshots and elections need."""
+        return self._reserve.is_complete
+
     def close(self) -> None:
         """Closes the log file."""
         os.close(self._descriptor)
@@ -111,6 +141,7 @@
         vote = self._vote_file.load()
         snapshot = self._read_snapshot()
         self._snapshot_index = snapshot.last_index if snapshot else 0
+        self._reserve.fit_to(self._snapshot_bytes)
         self._load_log()
         if snapshot and not self._log_continues(snapshot):
             self._entries.clear()
@@ -140,17 +171,27 @@
     def write(self, entries: list[LogEntry]) -> None:
         """Appends entries to the log without syncing.
 
+        A batch with an entry of an election or a membership change may use the
+        kept room, with the entries before it that a follower lacks.
+
         Raises:
-            DiskFullError: The write failed for any reason; nothing was added.
+            DiskFullError: The write failed for any reason, or the kept room
+                is short; nothing was added.
             StorageError: What a failed write left could not be removed.
         """
-        with self._write_errors():
-            self._fail_points.reach('write')
-            self._append(
-                self._present_encoder().encode_entries(
-                    entries, self._end, self._synced_end
-                )
+        kinds = {entry.kind for entry in entries}
+        if kinds & _KINDS_THAT_MAY_USE_RESERVE:
+            self._use_reserve(
+                partial(self._write, entries), _RELEASE_STEP_BYTES
             )
+        elif self._reserve.is_short:
+            raise DiskFullError(
+                'No space left on device beside the room kept for elections '
+                'and snapshots',
+                where=str(self._log_path),
+            )
+        else:
+            self._write(entries)
         self._entries.extend(entries)
 
     async def sync(self) -> None:
@@ -172,12 +213,9 @@
             DiskFullError: Nothing was removed.
             StorageError: The sync failed; what is durable is unknown.
         """
-        with self._write_errors():
-            self._append(
-                self._present_encoder().encode_truncation(
-                    index, self._end, self._synced_end
-                )
-            )
+        self._use_reserve(
+            partial(self._write_truncation, index), _RELEASE_STEP_BYTES
+        )
         remove_from(self._entries, index)
         await self.sync()
 
@@ -191,13 +229,18 @@
         """
         self._fail_points.reach('vote')
         vote = VoteRecord(term, voted_for, promised_seconds)
-        await self._run_in_thread(self._vote_file.save, vote)
+        await self._run_in_thread(
+            self._use_reserve, partial(self._vote_file.save, vote)
+        )
 
     async def save_snapshot(
         self, snapshot: Snapshot, entries: list[LogEntry]
     ) -> None:
         """Stores a snapshot, then rewrites the log with only these entries.
 
+        On a full disk it uses the kept room, whose size is then adapted to
+        the snapshot's.
+
         Raises:
             StorageError: The disk is full or faulty.
         """
@@ -211,13 +254,70 @@
                 snapshot.state,
             ),
         )
+        path = self._folder / 'snapshot'
         await self._run_in_thread(
-            write_atomically, self._folder / 'snapshot', content
+            self._use_reserve, partial(write_atomically, path, content)
         )
         self._snapshot_bytes = len(content)
+        self._reserve.fit_to(self._snapshot_bytes)
         self._fail_points.reach('compact')
         self._snapshot_index = snapshot.last_index
-        await self._run_in_thread(self._rewrite_log, entries)
+        await self._run_in_thread(
+            self._use_reserve, partial(self._rewrite_log, entries)
+        )
+
+    async def keep_room(self) -> None:
+        """Writes what the reserve lacks of its full size.
+
+        Raises:
+            DiskFullError: There is no room; ordinary entries are refused
+                until there is.
+            StorageError: The disk failed.
+        """
+        with typed_disk_errors(self._folder):
+            await run_sync(self._reserve.restore, abandon_on_cancel=True)
+
+    @property
+    def _log_path(self) -> Path:
+        return self._folder / 'log'
+
+    def _use_reserve(
+        self,
+        write: Callable[[], object],
+        step_bytes: int = sys.maxsize,
+    ) -> None:
+        """Writes; on a full disk repeats it with room from the reserve.
+
+        Args:
+            write: The write; leaves nothing behind if it fails.
+            step_bytes: How much room to give back before each attempt.
+        """
+        while True:
+            try:
+                write()
+            except (OSError, DiskFullError) as error:
+                is_full = is_disk_full(error) or is_disk_full(error.__cause__)
+                if not is_full or not self._reserve.release(step_bytes):
+                    raise
+            else:
+                return
+
+    def _write(self, entries: list[LogEntry]) -> None:
+        with self._write_errors():
+            self._fail_points.reach('write')
+            self._append(
+                self._present_encoder().encode_entries(
+                    entries, self._end, self._synced_end
+                )
+            )
+
+    def _write_truncation(self, index: int) -> None:
+        with self._write_errors():
+            self._append(
+                self._present_encoder().encode_truncation(
+                    index, self._end, self._synced_end
+                )
+            )
 
     def _load_log(self) -> None:
         stored = read_log(self._log_path.read_bytes(), str(self._log_path))
--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -14,7 +14,6 @@
 from mulberryhitch.observability.log import Log
 from mulberryhitch.replication.bootstrap import Bootstrap
 from mulberryhitch.replication.candidate import Candidate, LeaderOverview
-from mulberryhitch.replication.compaction import Compaction
 from mulberryhitch.replication.contact import LeaderContact
 from mulberryhitch.replication.disk_watch import DiskWatch
 from mulberryhitch.replication.failstop import FailStop
@@ -28,6 +27,7 @@
 from mulberryhitch.replication.reporting import ReplicationReporter
 from mulberryhitch.replication.roles import Role, Roles
 from mulberryhitch.replication.state import ReplicaState
+from mulberryhitch.replication.upkeep import StorageUpkeep
 from mulberryhitch.replication.voter import Voter
 from mulberryhitch.rpc.messages import (
     AppendReply,
@@ -79,7 +79,7 @@
         self._follower = Follower(state)
         self._fail_stop = FailStop(self._record_fatal_error)
         self._reporter = ReplicationReporter(state, log)
-        self._compaction = Compaction(state, options, self._fail_stop, log)
+        self._upkeep = StorageUpkeep(state, options, self._fail_stop, log)
         self._handover = Handover(state, transport, log)
         self._candidate = Candidate(
             state,
@@ -183,7 +183,7 @@
             self._tasks = tasks
             tasks.start_soon(self._candidate.run)
             tasks.start_soon(self._bootstrap.run, self._is_detached)
-            tasks.start_soon(self._compaction.run)
+            self._upkeep.start(tasks)
             await self._failed.wait()
             tasks.cancel_scope.cancel()
         if self._fatal_error is not None:
--- /dev/null
+++ b/mulberryhitch/replication/reserve.py
@@ -0,0 +1,110 @@
+"""Keeps room on a disk in a file of zeros, which is given back when needed."""
+
+import os
+import threading
+from contextlib import suppress
+from pathlib import Path
+
+from mulberryhitch.replication.durable_files import (
+    CREATE_FLAGS,
+    FILE_MODE,
+    write_all,
+)
+
+# A sync of each chunk: no sync of the log waits for all of the file.
+_CHUNK_BYTES = 1_048_576
+
+
+class Reserve:
+    """A file that keeps room for elections and snapshots.
+
+    It is as large as the last snapshot and ``base_bytes``: room for the next
+    snapshot and the rewritten log beside the present files, if they have grown
+    by no more than that. Thread-safe.
+
+    Args:
+        path: The file; what a killed process left of it counts.
+        base_bytes: The size without a snapshot; 0 keeps no room at all.
+    """
+
+    def __init__(self, path: Path, base_bytes: int) -> None:
+        """Initialises the reserve without writing anything."""
+        self._path = path
+        self._base_bytes = base_bytes
+        self._target_bytes = base_bytes
+        self._size = path.stat().st_size if path.exists() else 0
+        self._is_short = False
+        self._releases = 0
+        self._lock = threading.Lock()
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the file has its full size."""
+        return self._size == self._target_bytes
+
+    @property
+    def is_short(self) -> bool:
+        """Whether room was given back or refused, and is not there again."""
+        return self._is_short and not self.is_complete
+
+    def fit_to(self, snapshot_bytes: int) -> None:
+        """Adapts the full size to a snapshot; :meth:`restore` applies it."""
+        if self._base_bytes:
+            self._target_bytes = self._base_bytes + snapshot_bytes
+
+    def release(self, wanted_bytes: int) -> bool:
+        """Gives up to this much room back; returns whether there was any."""
+        with self._lock:
+            if not self._size:
+                return False
+            return self._shrink(max(0, self._size - wanted_bytes))
+
+    def restore(self) -> None:
+        """Extends the file to its full size.
+
+        If the disk has no room for all of it, the file is left as it was: the
+        rest of the room serves elections, also those of other groups.
+
+        Raises:
+            OSError: The disk is full or faulty.
+        """
+        former_size, began = self._size, self._releases
+        has_more = True
+        try:
+            while has_more:
+                has_more = self._extend(began)
+        except OSError:
+            with self._lock:
+                self._is_short = True
+                self._shrink(min(self._size, former_size))
+            raise
+
+    def _extend(self, began: int) -> bool:
+        """Writes one more chunk; returns whether there may be more to write."""
+        with self._lock:
+            missing = self._target_bytes - self._size
+            if missing < 0:
+                self._shrink(self._target_bytes)
+            if missing <= 0 or self._releases != began:
+                return False
+            self._append(min(missing, _CHUNK_BYTES))
+            return True
+
+    def _append(self, size: int) -> None:
+        descriptor = os.open(self._path, CREATE_FLAGS, FILE_MODE)
+        try:
+            os.lseek(descriptor, self._size, os.SEEK_SET)
+            write_all(descriptor, bytes(size))
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+        self._size += size
+
+    def _shrink(self, size: int) -> bool:
+        with suppress(OSError):
+            os.truncate(self._path, size)
+            self._size = size
+            self._is_short = self._size < self._target_bytes
+            self._releases += 1
+            return True
+        return False
--- a/mulberryhitch/replication/storage.py
+++ b/mulberryhitch/replication/storage.py
@@ -57,6 +57,10 @@
     def snapshot_bytes(self) -> int:
         """The size of the snapshot on disk."""
 
+    @property
+    def is_room_kept(self) -> bool:
+        """Whether all the room is kept that snapshots and elections need."""
+
     def load(self) -> StoredState:
         """Reads the stored state.
 
@@ -103,3 +107,15 @@
         Raises:
             StorageError: The disk is full or faulty.
         """
+
+    async def keep_room(self) -> None:
+        """Keeps room on the disk for snapshots and elections.
+
+        While it is refused, or has been used and not restored, ``write``
+        refuses all entries but those of elections and membership changes.
+        Takes no lock and may be called at any time.
+
+        Raises:
+            DiskFullError: There is no room.
+            StorageError: The disk failed.
+        """
--- a/tests/bounded_disks.py
+++ b/tests/bounded_disks.py
@@ -9,7 +9,12 @@
 import anyio
 import pytest
 
-from mulberryhitch.replication import durable_files, file_storage
+from mulberryhitch.replication import (
+    durable_files,
+    file_storage,
+    reserve,
+    vote_file,
+)
 from mulberryhitch.replication.file_storage import FileStorage
 from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.state import ReplicaState
@@ -109,23 +114,33 @@
         self.disks = {
             vm: BoundedDisk(folder / vm, vm, capacity_bytes) for vm in self.vms
         }
-        for module in (durable_files, file_storage):
-            monkeypatch.setattr(module, 'write_all', self._write)
+        bound_writes(monkeypatch, list(self.disks.values()))
         monkeypatch.setattr(file_storage, 'run_sync', _run_inline)
         monkeypatch.setattr(os, 'fsync', lambda descriptor: None)
 
     def new_state_machine(self) -> LatestValues:
         return LatestValues()
 
-    def _write(self, descriptor: int, content: bytes) -> None:
+
+def bound_writes(
+    monkeypatch: pytest.MonkeyPatch, disks: list[BoundedDisk]
+) -> None:
+    """Lets a storage write to these disks what fits on them."""
+
+    def write(descriptor: int, content: bytes) -> None:
         path = Path(f'/proc/self/fd/{descriptor}').resolve()
-        disk = next(
-            one for one in self.disks.values() if one.folder in path.parents
-        )
+        disk = next(one for one in disks if one.folder in path.parents)
         disk.write_file(descriptor, content)
 
+    for module in (durable_files, file_storage, reserve, vote_file):
+        monkeypatch.setattr(module, 'write_all', write)
+
 
-async def _run_inline(function: Callable[..., Any], *arguments: Any) -> Any:
+async def _run_inline(
+    function: Callable[..., Any],
+    *arguments: Any,
+    abandon_on_cancel: bool = False,
+) -> Any:
     """Runs a disk operation on the simulated clock instead of a thread."""
     await anyio.sleep(SYNC_SECONDS)
     return function(*arguments)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -56,6 +56,10 @@
         snapshot = self._stored.snapshot
         return len(snapshot.state) if snapshot else 0
 
+    @property
+    def is_room_kept(self) -> bool:
+        return True
+
     @property
     def synced_index(self) -> int:
         """Returns the last index that a loss of power leaves on the disk."""
@@ -157,6 +161,9 @@
         self._written = list(entries)
         self._stored.entries = list(entries)
 
+    async def keep_room(self) -> None:
+        """Keeps no room: the fake's disk has no size."""
+
     async def _wait_for_disk(self, seconds: float) -> None:
         """Waits for the disk, which no cancellation interrupts."""
         await anyio.sleep(seconds)
--- a/tests/test_starts_on_full_disks.py
+++ b/tests/test_starts_on_full_disks.py
@@ -11,7 +11,12 @@
 
 from mulberryhitch.errors import DiskFullError, StorageError
 from mulberryhitch.observability.log import Log
-from mulberryhitch.replication import durable_files, file_storage
+from mulberryhitch.replication import (
+    durable_files,
+    file_storage,
+    reserve,
+    vote_file,
+)
 from mulberryhitch.replication.loading import load_state
 from mulberryhitch.replication.state import ReplicaState
 from mulberryhitch.rpc.messages import LogEntry
@@ -27,7 +32,7 @@
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self.waits = 0
         self._monkeypatch = monkeypatch
-        for module in (durable_files, file_storage):
+        for module in (durable_files, file_storage, reserve, vote_file):
             monkeypatch.setattr(module, 'write_all', refuse_writes)
         for name in ('truncate', 'ftruncate', 'rename', 'mkdir'):
             monkeypatch.setattr(os, name, refuse_writes)
