Bound the bodies of requests in progress by their bytes

Seen by callers: the platform's processes are ended for their memory. Each request was allowed a body of up to 8 MiB (an entry: the configured limit), but nothing bounded how many were held at once, and a body that stopped coming was held for ever.

All bodies of a server now hold at most 12 MiB; 4 MiB of them only bodies up to 64 KiB may use, so that heartbeats come through. More are refused early with 503 overloaded and Retry-After; nothing has run. A large body alone is always admitted. A body of which no part comes for 15 s is refused as well.

--- /dev/null
+++ b/mulberryhitch/byte_budget.py
@@ -0,0 +1,95 @@
+"""A limit on the bytes that a process holds at once for requests."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from mulberryhitch.errors import OverloadedError
+
+_SMALL_BYTES = 64 * 1024
+_RETRY_AFTER_SECONDS = 1.0
+
+
+class ByteBudget:
+    """Bytes that may be held at once; more are refused.
+
+    A part is reserved for small amounts, so that large ones can't keep them
+    out. A large amount is never refused while no other large one is held, so
+    that each that is allowed at all is admitted at some time.
+
+    Args:
+        limit_bytes: Maximum number of bytes held.
+        reserved_bytes: The part of it that only small amounts may use.
+    """
+
+    def __init__(self, limit_bytes: int, reserved_bytes: int) -> None:
+        """Initialises the budget; nothing is held."""
+        self._limit_bytes = limit_bytes
+        self._reserved_bytes = reserved_bytes
+        self._large_count = 0
+        self._held_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes held."""
+        return self._held_bytes
+
+    @contextmanager
+    def reservation(self) -> Iterator['Reservation']:
+        """Returns an empty reservation, which is released at the end."""
+        reservation = Reservation(self)
+        try:
+            yield reservation
+        finally:
+            self._release(reservation.held_bytes)
+
+    def admit(self, held_bytes: int, total_bytes: int) -> None:
+        """Enlarges an amount that is held.
+
+        Raises:
+            OverloadedError: There is no room for it; nothing has changed.
+        """
+        is_large = total_bytes > _SMALL_BYTES
+        was_large = held_bytes > _SMALL_BYTES
+        limit_bytes = self._limit_bytes
+        if is_large:
+            limit_bytes -= self._reserved_bytes
+        is_only_large = is_large and self._large_count == int(was_large)
+        added_bytes = total_bytes - held_bytes
+        if self._held_bytes + added_bytes > limit_bytes and not is_only_large:
+            raise OverloadedError(
+                f'{self._held_bytes} bytes of other requests are held, '
+                f'the limit is {limit_bytes}',
+                retry_after_seconds=_RETRY_AFTER_SECONDS,
+            )
+        self._held_bytes += added_bytes
+        self._large_count += int(is_large) - int(was_large)
+
+    def _release(self, held_bytes: int) -> None:
+        self._held_bytes -= held_bytes
+        self._large_count -= int(held_bytes > _SMALL_BYTES)
+
+
+class Reservation:
+    """An amount that one request holds.
+
+    Args:
+        budget: The budget that it belongs to.
+
+    Attributes:
+        held_bytes: The amount.
+    """
+
+    def __init__(self, budget: ByteBudget) -> None:
+        """Initialises an empty reservation."""
+        self._budget = budget
+        self.held_bytes = 0
+
+    def grow_to(self, total_bytes: int) -> None:
+        """Holds at least this amount.
+
+        Raises:
+            OverloadedError: There is no room for it; the amount is unchanged.
+        """
+        if total_bytes > self.held_bytes:
+            self._budget.admit(self.held_bytes, total_bytes)
+            self.held_bytes = total_bytes
--- a/mulberryhitch/platform/asgi.py
+++ b/mulberryhitch/platform/asgi.py
@@ -9,8 +9,13 @@
 import anyio
 import orjson
 
-from mulberryhitch.constants import MILLISECONDS_PER_SECOND
+from mulberryhitch.byte_budget import ByteBudget, Reservation
+from mulberryhitch.constants import (
+    BYTES_PER_MEBIBYTE,
+    MILLISECONDS_PER_SECOND,
+)
 from mulberryhitch.errors import (
+    DeadlinePassedError,
     HeadersTooLargeError,
     InvalidInputError,
     MulberryhitchError,
@@ -30,6 +35,9 @@
 _MAX_TIMEOUT_SECONDS = 1.5
 _DEADLINE_SHARE = 0.4
 _RETRY_AFTER_SECONDS = b'1'
+_BODY_IDLE_SECONDS = 15.0
+_BODIES_BYTES = 12 * BYTES_PER_MEBIBYTE
+_SMALL_BODIES_BYTES = 4 * BYTES_PER_MEBIBYTE
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +92,7 @@
         self._log = log
         self._limits = limits
         self._is_closing = is_closing
+        self._bodies = ByteBudget(_BODIES_BYTES, _SMALL_BODIES_BYTES)
         self.in_flight = 0
 
     async def __call__(
@@ -125,8 +134,9 @@
 
     async def _respond(self, scope: Scope, receive: Receive) -> HttpResponse:
         try:
-            request = await self._read(scope, receive)
-            return await self._handler(request)
+            with self._bodies.reservation() as reservation:
+                request = await self._read(scope, receive, reservation)
+                return await self._handler(request)
         except MulberryhitchError as error:
             self._log.problem(
                 'request.refused',
@@ -143,7 +153,9 @@
             unknown = OutcomeUnknownError('unexpected error')
             return HttpResponse(http_status_of(unknown))
 
-    async def _read(self, scope: Scope, receive: Receive) -> HttpRequest:
+    async def _read(
+        self, scope: Scope, receive: Receive, reservation: Reservation
+    ) -> HttpRequest:
         headers = dict(scope['headers'])
         limits = self._limits()
         size = sum(len(name) + len(value) for name, value in scope['headers'])
@@ -152,30 +164,13 @@
                 f'headers have {size} bytes, over {limits.header_bytes}',
                 where='headers',
             )
-        parts: list[bytes] = []
-        total = 0
-        more = True
-        while more:
-            message = await receive()
-            if message['type'] == 'http.disconnect':
-                raise InvalidInputError(
-                    f'client disconnected after {total} bytes of the body',
-                    where='body',
-                )
-            part = message.get('body', b'')
-            total += len(part)
-            if total > limits.body_bytes:
-                raise TooLargeError(
-                    f'body is over {limits.body_bytes} bytes', where='body'
-                )
-            parts.append(part)
-            more = message.get('more_body', False)
+        body = await _read_body(receive, limits.body_bytes, reservation)
         host = headers.get(b'host', b'').decode('latin-1')
         return HttpRequest(
             scope['method'],
             host.partition(':')[0],
             scope['path'],
-            b''.join(parts),
+            body,
             _timeout_seconds(headers.get(b'x-deadline-ms', b'')),
         )
 
@@ -198,6 +193,50 @@
         await send({'type': 'http.response.body', 'body': response.content})
 
 
+async def _read_body(
+    receive: Receive, limit_bytes: int, reservation: Reservation
+) -> bytes:
+    """Reads a body.
+
+    Raises:
+        TooLargeError: It is longer than the limit.
+        OverloadedError: Too many bytes of bodies are held.
+        DeadlinePassedError: No part arrived for some time.
+        InvalidInputError: The client left before the end.
+    """
+    parts: list[bytes] = []
+    total = 0
+    more = True
+    while more:
+        message = await _receive_part(receive, total)
+        if message['type'] == 'http.disconnect':
+            raise InvalidInputError(
+                f'client disconnected after {total} bytes of the body',
+                where='body',
+            )
+        part = message.get('body', b'')
+        total += len(part)
+        if total > limit_bytes:
+            raise TooLargeError(
+                f'body is over {limit_bytes} bytes', where='body'
+            )
+        reservation.grow_to(total)
+        parts.append(part)
+        more = message.get('more_body', False)
+    return b''.join(parts)
+
+
+async def _receive_part(receive: Receive, received_bytes: int) -> Any:
+    try:
+        with anyio.fail_after(_BODY_IDLE_SECONDS):
+            return await receive()
+    except TimeoutError as error:
+        raise DeadlinePassedError(
+            f'no more than {received_bytes} bytes of the body came',
+            where='body',
+        ) from error
+
+
 def _error_response(error: MulberryhitchError) -> HttpResponse:
     return HttpResponse(
         http_status_of(error),
