Refuse calls, replies and operations that exceed a frame, before they are sent

Seen by callers: a change of the configuration of 6 to 8 MiB was allowed by the control server, but took over 16 MiB as an operation (2.1 times its size with 20,000 routes, measured). The receiver closed the connection at the long frame; with it all other calls of that process failed with an unknown outcome, those of the log as well, and each resend did it again.

The client refuses such a call with too_large (not_run, 413), the server turns such a reply into an error of that call alone, and an operation may have 12 MiB, so that the entry made of it always fits into a frame of the log.

--- a/mulberryhitch/constants.py
+++ b/mulberryhitch/constants.py
@@ -14,6 +14,8 @@
 RPC_SILENCE_SECONDS: Final = 1.0
 RPC_MAX_FRAME_BYTES: Final = 16 * BYTES_PER_MEBIBYTE
 RPC_MAX_PENDING_CALLS: Final = 1024
+# The frame that sends an operation's log entry to a replica has other fields.
+OPERATION_MAX_BYTES: Final = 12 * BYTES_PER_MEBIBYTE
 
 TASK_LEASE_SECONDS: Final = 5.0
 TASK_LEASE_RENEWAL_SECONDS: Final = 1.0
--- a/mulberryhitch/membership/leader_client.py
+++ b/mulberryhitch/membership/leader_client.py
@@ -7,11 +7,13 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from mulberryhitch.constants import OPERATION_MAX_BYTES
 from mulberryhitch.errors import (
     LostAuthorityError,
     MulberryhitchError,
     NotLeaderError,
     ProtocolError,
+    TooLargeError,
 )
 from mulberryhitch.membership.attempts import (
     Attempts,
@@ -58,6 +60,16 @@
     return decode_as(reply_type, reply.body)
 
 
+def _encoded(operation: object) -> bytes:
+    body = encode(operation)
+    if len(body) > OPERATION_MAX_BYTES:
+        raise TooLargeError(
+            f'the operation has {len(body)} bytes, over {OPERATION_MAX_BYTES}',
+            where=kind_of(operation),
+        )
+    return body
+
+
 class _Operation:
     """The calls of one operation.
 
@@ -172,6 +184,7 @@
         The details of an error are the :class:`LeaderSearch`.
 
         Raises:
+            TooLargeError: The operation is too large; nothing was sent.
             NoQuorumError: No leader was found; nothing was executed.
             OutcomeUnknownError: The operation may have been executed, also if
                 another call was rejected.
@@ -179,7 +192,7 @@
                 other call was left without a reply.
         """
         calls_of = _Operation(
-            ExecuteRequest(group, kind_of(operation), encode(operation)),
+            ExecuteRequest(group, kind_of(operation), _encoded(operation)),
             anyio.current_time() + timeout_seconds,
             self._order.leader_of(group),
         )
--- a/mulberryhitch/rpc/client.py
+++ b/mulberryhitch/rpc/client.py
@@ -8,7 +8,10 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from mulberryhitch.constants import RPC_MAX_PENDING_CALLS
+from mulberryhitch.constants import (
+    RPC_MAX_FRAME_BYTES,
+    RPC_MAX_PENDING_CALLS,
+)
 from mulberryhitch.errors import (
     ConnectionLostError,
     DeadlinePassedError,
@@ -16,6 +19,7 @@
     OverloadedError,
     Problem,
     ProtocolError,
+    TooLargeError,
     UnreachableError,
     error_from_problem,
 )
@@ -96,6 +100,7 @@
         """Calls a method of the peer and returns its reply.
 
         Raises:
+            TooLargeError: The call exceeds a frame; nothing was sent.
             OverloadedError: Too many calls are pending; nothing was sent.
             UnreachableError: No connection could be made, or :meth:`run` is
                 not running; nothing was sent.
@@ -126,6 +131,11 @@
         sequence_id = next(self._sequence_ids)
         header = CallHeader(self._caller, timeout_seconds)
         frame = encode_call(Call(method, sequence_id, header, request))
+        if len(frame) > RPC_MAX_FRAME_BYTES:
+            raise TooLargeError(
+                f'{method} has {len(frame)} bytes, over {RPC_MAX_FRAME_BYTES}',
+                where=self._host,
+            )
         link: Link | None = None
         sent_at = anyio.current_time()
         try:
--- a/mulberryhitch/rpc/server.py
+++ b/mulberryhitch/rpc/server.py
@@ -8,7 +8,10 @@
 from anyio.abc import ByteStream, SocketListener, TaskGroup
 from anyio.streams.tls import TLSStream
 
-from mulberryhitch.constants import RPC_MAX_PENDING_CALLS
+from mulberryhitch.constants import (
+    RPC_MAX_FRAME_BYTES,
+    RPC_MAX_PENDING_CALLS,
+)
 from mulberryhitch.errors import (
     MulberryhitchError,
     NotFoundError,
@@ -139,9 +142,7 @@
     async def _handle_call(self, call: Call) -> bytes:
         try:
             reply = await self._dispatch(call)
-            return encode_result(
-                CallResult(call.method, call.sequence_id, reply, None)
-            )
+            return _encode_reply(call, reply)
         except MulberryhitchError as error:
             return self._encode_error(call, error.problem)
         except Exception as unexpected:  # noqa: BLE001
@@ -175,3 +176,15 @@
         return encode_result(
             CallResult(call.method, call.sequence_id, None, problem)
         )
+
+
+def _encode_reply(call: Call, reply: Any) -> bytes:
+    frame = encode_result(
+        CallResult(call.method, call.sequence_id, reply, None)
+    )
+    if len(frame) > RPC_MAX_FRAME_BYTES:
+        raise OutcomeUnknownError(
+            f'the reply has {len(frame)} bytes, over {RPC_MAX_FRAME_BYTES}',
+            where=call.method,
+        )
+    return frame
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -10,10 +10,12 @@
 import pytest
 from anyio.abc import SocketStream
 
+from mulberryhitch.constants import RPC_MAX_FRAME_BYTES
 from mulberryhitch.errors import (
     ConnectionLostError,
     DeadlinePassedError,
     OutcomeUnknownError,
+    TooLargeError,
     UnreachableError,
 )
 from mulberryhitch.observability.log import Log
@@ -125,6 +127,48 @@
     _run_with_peer(SlowServer(0.6), play)
 
 
+def test_a_call_over_the_size_of_a_frame_does_not_fail_the_others() -> None:
+    replies = []
+
+    async def call_slowly(peer: PeerConnection) -> None:
+        replies.append(await peer.call('hello', SLOW, 20))
+
+    async def play(peer: PeerConnection) -> None:
+        large = HelloRequest('x' * RPC_MAX_FRAME_BYTES, 'replica', False)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call_slowly, peer)
+            await anyio.sleep(0.1)
+            with pytest.raises(TooLargeError):
+                await peer.call('hello', large, 20)
+        assert len(replies) == 1
+
+    _run_with_peer(SlowServer(0.6), play)
+
+
+def test_a_reply_over_the_size_of_a_frame_does_not_fail_the_others() -> None:
+    server = SlowServer(0.6)
+    replies = []
+
+    async def reply_at_length(request: HelloRequest) -> HelloReply:
+        if request.group == 'slow':
+            return await server._reply(request)
+        return HelloReply('x' * RPC_MAX_FRAME_BYTES, False, [], [], 0)
+
+    async def call_slowly(peer: PeerConnection) -> None:
+        replies.append(await peer.call('hello', SLOW, 20))
+
+    async def play(peer: PeerConnection) -> None:
+        server.rpc.register('hello', reply_at_length)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call_slowly, peer)
+            await anyio.sleep(0.1)
+            with pytest.raises(OutcomeUnknownError):
+                await peer.call('hello', HELLO, 20)
+        assert len(replies) == 1
+
+    _run_with_peer(server, play)
+
+
 def test_calls_shorter_than_the_round_trip_do_not_replace_the_connection() -> (
     None
 ):
