Bound the operations that a leader executes at once by their bytes

Seen by callers: a leader is ended for its memory while large configurations come from several processes. The number of calls was bounded (1,024), their size was not: a change of 6.8 MiB holds 8.0 MiB decoded, 5.3 MiB as a change and 6.8 MiB as an entry beside its frame (measured, trial with tracemalloc).

A leader's operations now hold at most 20 MiB as they were sent, 4 MiB of which only those up to 64 KiB may use: heartbeats and jobs. More are refused early with overloaded (not_run, Retry-After); a large one alone is always executed. Followers refuse with not_leader as before, whatever they are sent.

--- a/mulberryhitch/scheduler/host.py
+++ b/mulberryhitch/scheduler/host.py
@@ -6,12 +6,14 @@
 
 import anyio
 
+from mulberryhitch.byte_budget import ByteBudget
 from mulberryhitch.configuration.cell import CellState
 from mulberryhitch.configuration.operations import (
     ChangeConfiguration,
     ConfigurationView,
     ReadConfiguration,
 )
+from mulberryhitch.constants import BYTES_PER_MEBIBYTE
 from mulberryhitch.errors import (
     MulberryhitchError,
     NotFoundError,
@@ -29,6 +31,8 @@
 
 _REPLICA_METHODS = ('hello', 'vote', 'append', 'install_snapshot', 'take_over')
 _POLL_SECONDS = 0.05
+_OPERATIONS_BYTES = 20 * BYTES_PER_MEBIBYTE
+_SMALL_OPERATIONS_BYTES = 4 * BYTES_PER_MEBIBYTE
 
 
 class GroupService(Protocol):
@@ -125,6 +129,9 @@
     def __init__(self, server: RpcServer) -> None:
         """Registers the RPC methods; no group is hosted yet."""
         self._groups: dict[str, GroupService] = {}
+        self._operations = ByteBudget(
+            _OPERATIONS_BYTES, _SMALL_OPERATIONS_BYTES
+        )
         for method in _REPLICA_METHODS:
             server.register(method, self._handler(method))
         server.register('execute', self._execute)
@@ -178,5 +185,9 @@
 
     async def _execute(self, request: ExecuteRequest) -> ExecuteReply:
         service = self._service(request.group)
-        operation = decode(request.name, request.body)
-        return ExecuteReply(encode(await service.execute(operation)))
+        with self._operations.reservation() as reservation:
+            # Another replica refuses the operation and holds nothing of it.
+            if service.replica.has_authority:
+                reservation.grow_to(len(request.body))
+            operation = decode(request.name, request.body)
+            return ExecuteReply(encode(await service.execute(operation)))
