Bound the number of duration histograms

Seen by callers: each HTTP method that a client invents, with any token or none, made a histogram of 27 KB that was never removed (measured: 26.5 MiB for 1,000), and so did each name of a queue that a configuration ever had. 10,000 methods end a process of 296 MB.

Methods that no standard knows share the label "other". A process has at most 500 histograms (13 MiB) and one more for each measured duration, in which the rest is recorded together.

--- a/mulberryhitch/observability/histograms.py
+++ b/mulberryhitch/observability/histograms.py
@@ -8,6 +8,9 @@
 
 _MAX_MICROSECONDS = 3600 * MICROSECONDS_PER_SECOND
 _SIGNIFICANT_DIGITS = 2
+# Each takes about 27 KB.
+_MAX_HISTOGRAMS = 500
+_OTHER = 'other'
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,7 +32,11 @@
 
 
 class Histograms:
-    """All histograms of one process."""
+    """All histograms of one process.
+
+    Durations of tenants and labels beyond the maximum number of histograms
+    are recorded together, by name, as those of the tenant ``other``.
+    """
 
     def __init__(self) -> None:
         """Initialises the registry without histograms."""
@@ -39,11 +46,7 @@
         self, name: str, tenant: str, label: str, seconds: float
     ) -> None:
         """Records a duration, clamped to the range 1 µs to 1 h."""
-        key = (name, tenant, label)
-        histogram = self._histograms.get(key)
-        if histogram is None:
-            histogram = HdrHistogram(1, _MAX_MICROSECONDS, _SIGNIFICANT_DIGITS)
-            self._histograms[key] = histogram
+        histogram = self._histogram((name, tenant, label))
         microseconds = int(seconds * MICROSECONDS_PER_SECOND)
         maximum = _MAX_MICROSECONDS
         histogram.record_value(min(max(microseconds, 1), maximum))
@@ -61,6 +64,16 @@
             for key, histogram in sorted(self._histograms.items())
         ]
 
+    def _histogram(self, key: tuple[str, str, str]) -> HdrHistogram:
+        is_new = key not in self._histograms
+        if is_new and len(self._histograms) >= _MAX_HISTOGRAMS:
+            key = (key[0], _OTHER, '')
+        histogram = self._histograms.get(key)
+        if histogram is None:
+            histogram = HdrHistogram(1, _MAX_MICROSECONDS, _SIGNIFICANT_DIGITS)
+            self._histograms[key] = histogram
+        return histogram
+
 
 def _percentile_seconds(histogram: HdrHistogram, percentile: float) -> float:
     microseconds = histogram.get_value_at_percentile(percentile)
--- a/mulberryhitch/platform/asgi.py
+++ b/mulberryhitch/platform/asgi.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from http import HTTPStatus
+from http import HTTPMethod, HTTPStatus
 from typing import Any, TypeAlias
 
 import anyio
@@ -107,7 +107,7 @@
             response = await self._respond_unless_cut_off(scope, receive, send)
             self._histograms.record(
                 'answer',
-                scope['method'],
+                _method_label(scope['method']),
                 str(int(response.status)),
                 time.monotonic() - started_at,
             )
@@ -237,6 +237,11 @@
         ) from error
 
 
+def _method_label(method: str) -> str:
+    """Returns a method of the standard, or ``other``."""
+    return method if method in HTTPMethod.__members__ else 'other'
+
+
 def _error_response(error: MulberryhitchError) -> HttpResponse:
     return HttpResponse(
         http_status_of(error),
