Bound the history of configurations, and stored headers, by their size

Keys and names of operators were stored at any length (a header of up to 16 KiB, 10,000 keys), keys of workloads as well.

At most 8 Mi characters of documents are kept, always the newest one; an older version is not_found, as one before the last 200 was.

The two new tests in tests/test_configuration.py and that of tests/test_inputs.py failed before.

--- a/mulberryhitch/configuration/cell.py
+++ b/mulberryhitch/configuration/cell.py
@@ -18,6 +18,7 @@
 from mulberryhitch.rpc.records import decode, decode_as, encode
 
 _MAX_VERSIONS = 200
+_MAX_HISTORY_CHARACTERS = 8 * 1024 * 1024
 _MAX_KEYS = 10_000
 
 
@@ -85,8 +86,7 @@
         view = ConfigurationView(
             self.version + 1, change.document, change.author, change.at
         )
-        self._history.append(view)
-        self._history = self._history[-_MAX_VERSIONS:]
+        self._history = _kept_views([*self._history, view])
         if change.key:
             self._keys[change.key] = view.version
         while len(self._keys) > _MAX_KEYS:
@@ -111,7 +111,19 @@
                 f'snapshot version {version} is older than the current version '
                 f'{self.version}'
             )
-        self._history = snapshot.history
+        self._history = _kept_views(snapshot.history)
         self._keys = OrderedDict(
             (entry.key, entry.version) for entry in snapshot.keys
         )
+
+
+def _kept_views(history: list[ConfigurationView]) -> list[ConfigurationView]:
+    """Returns the newest view, and those before it within the limits."""
+    kept = history[-1:]
+    characters = sum(len(view.document) for view in kept)
+    for view in reversed(history[-_MAX_VERSIONS:-1]):
+        characters += len(view.document)
+        if characters > _MAX_HISTORY_CHARACTERS:
+            break
+        kept.append(view)
+    return sorted(kept, key=lambda view: view.version)
--- a/mulberryhitch/http/operators.py
+++ b/mulberryhitch/http/operators.py
@@ -26,6 +26,7 @@
     json_response,
     principal_of,
     route,
+    stored_header,
 )
 from mulberryhitch.http.workloads import data_centre_group
 from mulberryhitch.scheduler import operations as ops
@@ -97,8 +98,8 @@
         ChangeConfiguration(
             document.model_dump_json(),
             int(expected),
-            request.headers.get('idempotency-key', ''),
-            request.headers.get('mulberryhitch-operator', 'operator'),
+            stored_header(request, 'Idempotency-Key'),
+            stored_header(request, 'Mulberryhitch-Operator', 'operator'),
             time.time(),
         ),
         ConfigurationChanged,
--- a/mulberryhitch/http/routes.py
+++ b/mulberryhitch/http/routes.py
@@ -13,7 +13,11 @@
     parse_json,
     validate,
 )
-from mulberryhitch.errors import MulberryhitchError, TooLargeError
+from mulberryhitch.errors import (
+    InvalidInputError,
+    MulberryhitchError,
+    TooLargeError,
+)
 from mulberryhitch.outcomes import Outcome
 from mulberryhitch.tenants.authentication import Principal
 
@@ -27,6 +31,7 @@
 _JSON_MEDIA_TYPE = 'application/json'
 _PROBLEM_JSON_MEDIA_TYPE = 'application/problem+json'
 _MAX_JSON_BYTES = 4 * 1024 * 1024
+_MAX_STORED_CHARACTERS = 255
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,6 +125,22 @@
     return validate(model, parse_json(bytes(content), 'body'), 'body: ')
 
 
+def stored_header(request: Request, name: str, default: str = '') -> str:
+    """Returns a header that is stored with the request.
+
+    Raises:
+        InvalidInputError: It is too long.
+    """
+    text = request.headers.get(name, default)
+    if len(text) > _MAX_STORED_CHARACTERS:
+        raise InvalidInputError(
+            f'{len(text)} characters; at most {_MAX_STORED_CHARACTERS} are '
+            'allowed',
+            where=name,
+        )
+    return text
+
+
 def _to_json_value(value: Any) -> Any:
     if hasattr(value, 'model_dump'):
         return value.model_dump()
--- a/mulberryhitch/http/workloads.py
+++ b/mulberryhitch/http/workloads.py
@@ -16,6 +16,7 @@
     json_response,
     principal_of,
     route,
+    stored_header,
 )
 from mulberryhitch.membership.members import MemberRole
 from mulberryhitch.scheduler import operations as ops
@@ -83,7 +84,7 @@
     )
     if tenant not in entry.configuration.current.tenants:
         raise NotFoundError(f'no tenant named {tenant}', where='tenant')
-    key = request.headers.get('idempotency-key', '')
+    key = stored_header(request, 'Idempotency-Key')
     data_centre = choose_data_centre(entry, body, tenant, key)
     spec = _make_spec(body, tenant, key, data_centre)
     submitted = await entry.leader_client.execute(
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -2,6 +2,7 @@
 
 import time
 
+import orjson
 import pytest
 
 from mulberryhitch.configuration.cell import CellState
@@ -12,11 +13,14 @@
 from mulberryhitch.errors import (
     InvalidInputError,
     InvariantError,
+    NotFoundError,
     VersionConflictError,
 )
 from mulberryhitch.rpc.messages import LogEntry
 from mulberryhitch.rpc.records import encode, kind_of
 
+MEBIBYTE = 1024 * 1024
+
 
 def make_change(expected: int, key: str = '', weight: int = 1) -> LogEntry:
     document = f'{{"base": {{"tenants": {{"north": {{"weight": {weight}}}}}}}}}'
@@ -54,6 +58,36 @@
     assert state.apply(make_change(1, 'b')).version == 2
 
 
+def test_large_configurations_do_not_fill_the_memory_with_their_history() -> (
+    None
+):
+    state = CellState()
+    for number in range(20):
+        document = f'{number}{"x" * 4 * MEBIBYTE}'
+        change = ChangeConfiguration(document, number, f'key-{number}', 'me', 0)
+        state.apply(LogEntry(1, 1, kind_of(change), encode(change)))
+    snapshot = state.snapshot()
+    assert len(snapshot) < 9 * MEBIBYTE
+    assert state.view(0).version == state.version == 20
+    with pytest.raises(NotFoundError):
+        state.view(1)
+    restored = CellState()
+    restored.restore(snapshot)
+    assert restored.snapshot() == snapshot
+    assert restored.apply(make_change(3, 'key-3')).version == 4
+
+
+def test_a_history_of_an_earlier_release_is_shortened_when_restored() -> None:
+    views = [
+        {'version': number, 'document': 'x' * MEBIBYTE, 'author': '', 'at': 0}
+        for number in range(1, 51)
+    ]
+    state = CellState()
+    state.restore(orjson.dumps({'history': views, 'keys': []}))
+    assert (state.version, len(state.snapshot()) < 9 * MEBIBYTE) == (50, True)
+    assert state.view(43).version == 43
+
+
 def test_hundreds_of_changes_survive_a_restart_from_a_snapshot() -> None:
     state = CellState()
     for number in range(500):
--- a/tests/test_inputs.py
+++ b/tests/test_inputs.py
@@ -60,6 +60,23 @@
         assert content['where'].startswith(where), content
 
 
+async def _check_stored_headers(callers: Any) -> None:
+    workload = {'kind': 'batch', 'size': SIZE}
+    cases: list[tuple[str, str, Any, str]] = [
+        ('north', 'POST', workload, 'Idempotency-Key'),
+        ('operator', 'PUT', {}, 'Idempotency-Key'),
+        ('operator', 'PUT', {}, 'Mulberryhitch-Operator'),
+    ]
+    for caller, method, body, name in cases:
+        path = '/v1/workloads' if method == 'POST' else '/v1/configuration'
+        headers = {name: 'k' * 256, 'If-Match': '0'}
+        _, answer, content = await callers[caller].call(
+            method, path, body, headers
+        )
+        assert (content['code'], content['where']) == ('invalid_input', name)
+        assert answer['mulberryhitch-outcome'] == 'not_run'
+
+
 async def _check_header_inputs(callers: Any) -> None:
     cases = [
         ({'Mulberryhitch-Deadline': 'soon'}, 'Mulberryhitch-Deadline'),
@@ -103,6 +120,7 @@
         async with running_cell(tmp_path, workers=1, servers=1) as callers:
             await _check_json_inputs(callers)
             await _check_header_inputs(callers)
+            await _check_stored_headers(callers)
             await _check_raw_inputs(callers['north'].port)
             status, _, _ = await callers['north'].call('GET', PATH)
             assert status == 200
