Keep a leader while all disks are full

Callers of a group whose disks are all full: reads and heartbeats met another leader every few tenths of a second, as each leader handed over on the first refused write, to a voter whose disk is full as well.

A follower now says in its answers whether its disk refuses ordinary entries. A leader with a full disk hands over only if another voter may have room, and prefers such a voter.

--- a/mulberryhitch/replication/disk_watch.py
+++ b/mulberryhitch/replication/disk_watch.py
@@ -44,16 +44,25 @@
             tasks.start_soon(self._transfer_when_stalled)
 
     async def _transfer_when_full(self) -> None:
-        """Transfers the leadership if writes keep failing on a full disk."""
+        """Transfers the leadership if writes keep failing on a full disk.
+
+        While all disks are full, it stays and serves reads.
+        """
         leadership = self._leadership
         while True:
             await leadership.disk_full.wait()
             self._log.event('replica.disk_full', group=self._group)
             leadership.disk_full = anyio.Event()
             await anyio.sleep(_DISK_FULL_RETRY_SECONDS)
-            if leadership.ready and leadership.disk_full.is_set():
+            if self._may_be_served_better():
                 await self._transfer()
 
+    def _may_be_served_better(self) -> bool:
+        """Whether writes still fail, and another voter may have room."""
+        leadership = self._leadership
+        is_full = leadership.ready and leadership.disk_full.is_set()
+        return is_full and leadership.has_successor_with_room
+
     async def _transfer_when_stalled(self) -> None:
         while not self._leadership.disk_stalled:
             await anyio.sleep(self._options.heartbeat_seconds)
--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -127,6 +127,11 @@
         """Whether all the room is kept that snapshots and elections need."""
         return self._reserve.is_complete
 
+    @property
+    def is_room_short(self) -> bool:
+        """Whether ordinary entries are refused, to keep room for others."""
+        return self._reserve.is_short
+
     def close(self) -> None:
         """Closes the log file."""
         os.close(self._descriptor)
--- a/mulberryhitch/replication/follower.py
+++ b/mulberryhitch/replication/follower.py
@@ -48,7 +48,7 @@
         if not in_snapshot and local_term != request.previous_term:
             hint = min(self._state.last_index, request.previous_index - 1)
             hint = max(hint, self._state.commit_index)
-            return AppendReply(self._state.term, False, hint, promised_seconds)
+            return self._reply(hint, promised_seconds, success=False)
         await self._state.sync()
         await self._append_entries(request.entries)
         last = request.previous_index + len(request.entries)
@@ -56,7 +56,7 @@
         commit = min(request.commit_index, last)
         if commit > self._state.commit_index:
             self._state.commit(commit)
-        return AppendReply(self._state.term, True, last, promised_seconds)
+        return self._reply(last, promised_seconds, success=True)
 
     async def receive_chunk(self, request: SnapshotRequest) -> SnapshotReply:
         """Adds a chunk of a snapshot and installs it after the last chunk.
@@ -84,6 +84,17 @@
             await self._install_snapshot(request)
         return SnapshotReply(self._state.term, offset)
 
+    def _reply(
+        self, last_index: int, promised_seconds: float, *, success: bool
+    ) -> AppendReply:
+        return AppendReply(
+            self._state.term,
+            success,
+            last_index,
+            promised_seconds,
+            self._state.storage.is_room_short,
+        )
+
     async def _append_entries(self, entries: list[LogEntry]) -> None:
         for position, entry in enumerate(entries):
             if entry.index <= self._state.commit_index:
--- a/mulberryhitch/replication/leadership.py
+++ b/mulberryhitch/replication/leadership.py
@@ -177,6 +177,11 @@
         is_alone = len(self._state.members.voters) == 1
         return is_late and self.has_authority and not is_alone
 
+    @property
+    def has_successor_with_room(self) -> bool:
+        """Whether another voter's disk is not known to refuse entries."""
+        return any(not peer.is_room_short for peer in self._other_voters())
+
     def synced_indexes(self) -> dict[str, int]:
         """Returns the last index that each member is known to have synced."""
         peers = {name: peer.match_index for name, peer in self._peers.items()}
@@ -272,20 +277,16 @@
         """Ends this leader's authority and returns the possible successors.
 
         Waits up to one election time for open proposals. The successors are
-        the other voters: first those that answer, the most up-to-date first.
+        the other voters: first those that answer, of them those whose disks
+        have room, of them the most up-to-date.
         """
         self._transferring = True
         with anyio.move_on_after(self.election_seconds):
             while self._pending or self._queue:
                 await anyio.sleep(self._options.heartbeat_seconds / 2)
-        voters = set(self._state.members.voters)
-        peers = [
-            peer
-            for replica_id, peer in self._peers.items()
-            if replica_id in voters
-        ]
-        peers.sort(key=self._eligibility, reverse=True)
-        return [peer.replica_id for peer in peers]
+        successors = self._other_voters()
+        successors.sort(key=self._eligibility, reverse=True)
+        return [peer.replica_id for peer in successors]
 
     def complete_proposal(
         self, entry: LogEntry, result: Any, failure: Any
@@ -295,11 +296,16 @@
             self._ready.set()
         self._complete_pending(entry.index, result, failure)
 
-    def _eligibility(self, peer: Progress) -> tuple[bool, int, str]:
+    def _other_voters(self) -> list[Progress]:
+        voters = self._state.members.voters
+        return [peer for name, peer in self._peers.items() if name in voters]
+
+    def _eligibility(self, peer: Progress) -> tuple[bool, bool, int, str]:
         """Returns the order of possible successors; the highest is first."""
         silent_seconds = self._options.now() - peer.last_contact
         answers = silent_seconds < self.needed_election_seconds / 2
-        return answers, peer.match_index, peer.replica_id
+        has_room = not peer.is_room_short
+        return answers, has_room, peer.match_index, peer.replica_id
 
     def _update_peers(self, now: float) -> None:
         target_ids = set(self._state.members.replica_ids) - {
--- a/mulberryhitch/replication/progress.py
+++ b/mulberryhitch/replication/progress.py
@@ -24,6 +24,7 @@
         receives_snapshot: Whether a snapshot is being sent to it.
         probing: Whether the index up to which the logs match is unknown; the
             peer is then sent one append at a time.
+        is_room_short: Whether its disk refuses ordinary entries.
         scope: Cancels the peer's replication task.
     """
 
@@ -44,6 +45,7 @@
         self.sent_commit_index = 0
         self.last_sent = float()
         self.unreachable = False
+        self.is_room_short = False
         self.scope = anyio.CancelScope()
         self._woken = anyio.Event()
 
--- a/mulberryhitch/replication/storage.py
+++ b/mulberryhitch/replication/storage.py
@@ -61,6 +61,10 @@
     def is_room_kept(self) -> bool:
         """Whether all the room is kept that snapshots and elections need."""
 
+    @property
+    def is_room_short(self) -> bool:
+        """Whether ordinary entries are refused, to keep room for others."""
+
     def load(self) -> StoredState:
         """Reads the stored state.
 
--- a/mulberryhitch/rpc/messages.py
+++ b/mulberryhitch/rpc/messages.py
@@ -129,12 +129,14 @@
             the leader's log; otherwise the previous index to retry with.
         promised_seconds: Time in which the follower votes for no other; 0 for
             the configured time.
+        is_room_short: Whether the follower's disk refuses ordinary entries.
     """
 
     term: int
     success: bool
     last_index: int
     promised_seconds: float = 0
+    is_room_short: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/mulberryhitch/rpc/mulberryhitch.thrift
+++ b/mulberryhitch/rpc/mulberryhitch.thrift
@@ -80,6 +80,7 @@
   2: bool success,
   3: i64 last_index,
   4: double promised_seconds = 0,
+  5: bool is_room_short = false,
 }
 
 struct SnapshotRequest {
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -45,6 +45,11 @@
     def is_synced(self) -> bool:
         return self._written == self._stored.entries
 
+    @property
+    def is_room_short(self) -> bool:
+        """Returns whether ordinary entries are refused for others."""
+        return False
+
     @property
     def log_bytes(self) -> int:
         """Returns the size of the entries that were written."""
--- a/tests/test_bounded_disks.py
+++ b/tests/test_bounded_disks.py
@@ -1,11 +1,12 @@
 """What a group stores is bounded, and elections need no room of their own."""
 
+from contextlib import suppress
 from pathlib import Path
 
 import anyio
 import pytest
 
-from mulberryhitch.errors import MulberryhitchError
+from mulberryhitch.errors import MulberryhitchError, NotLeaderError
 from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.replica import Replica
 from tests.bounded_disks import MEBIBYTE, BoundedDiskGroup
@@ -66,3 +67,26 @@
             assert raised.value.outcome.value == 'not_run'
 
     run_with_mock_clock(main)
+
+
+def test_a_leader_is_not_replaced_again_and_again_while_all_disks_are_full(
+    group: BoundedDiskGroup,
+) -> None:
+    async def main() -> None:
+        async with group.running():
+            await _put(group, 'key', 'before')
+            await anyio.sleep(2)
+            for disk in group.disks.values():
+                disk.fill()
+            terms = set()
+            for _ in range(100):
+                leader = await _leader(group)
+                terms.add(leader.term)
+                with suppress(NotLeaderError):
+                    await leader.read_barrier()
+                with pytest.raises(MulberryhitchError):
+                    await leader.propose('put', f'key={LARGE_VALUE}'.encode())
+                await anyio.sleep(0.2)
+            assert len(terms) <= 3
+
+    run_with_mock_clock(main)
