--- a/mulberryhitch/replication/compaction.py
+++ b/mulberryhitch/replication/compaction.py
@@ -84,7 +84,9 @@
         began_at = anyio.current_time()
         async with self._state.lock:
             with self._fail_stop:
-                await self._state.compact()
+                await self._state.compact(
+                    self._options.retained_entries, self._options.retained_bytes
+                )
         self._retained_bytes = storage.log_bytes
         self._log.event(
             'replica.compacted',
--- /dev/null
+++ b/mulberryhitch/replication/entry_sizes.py
@@ -0,0 +1,11 @@
+"""The sizes of log entries."""
+
+from mulberryhitch.rpc.messages import LogEntry
+
+# What a record in the log file has beside the body of its entry.
+_RECORD_OVERHEAD_BYTES = 64
+
+
+def stored_bytes(entry: LogEntry) -> int:
+    """Returns about how many bytes an entry takes in a log file."""
+    return len(entry.body) + _RECORD_OVERHEAD_BYTES
--- a/mulberryhitch/replication/log_sender.py
+++ b/mulberryhitch/replication/log_sender.py
@@ -83,7 +83,7 @@
         return peer.last_sent + interval - anyio.current_time()
 
     async def _send_next(self, peer: Progress, send_tasks: TaskGroup) -> None:
-        needs_snapshot = peer.next_index <= self._state.snapshot_index
+        needs_snapshot = self._state.term_at(peer.next_index - 1) is None
         if needs_snapshot and not peer.receives_snapshot:
             peer.receives_snapshot = True
             send_tasks.start_soon(self._send_snapshot, peer)
--- a/mulberryhitch/replication/options.py
+++ b/mulberryhitch/replication/options.py
@@ -67,6 +67,16 @@
         """Returns the longest election time that a slow group may use."""
         return self.election_seconds * _MAX_ELECTION_FACTOR
 
+    @property
+    def retained_entries(self) -> int:
+        """Returns how many entries a snapshot leaves for lagging peers."""
+        return self.compact_entries // 4
+
+    @property
+    def retained_bytes(self) -> int:
+        """Returns the maximum size of these entries."""
+        return self.compact_bytes // 2
+
     def lease_seconds(self, promised_seconds: float) -> float:
         """Returns how long a leader may rely on a promise, by its own clock."""
         drift_share = self.drift_seconds / self.election_seconds
--- a/mulberryhitch/replication/state.py
+++ b/mulberryhitch/replication/state.py
@@ -9,6 +9,7 @@
 import anyio
 
 from mulberryhitch.errors import InvariantError, MulberryhitchError
+from mulberryhitch.replication.entry_sizes import stored_bytes
 from mulberryhitch.replication.interfaces import StateMachine
 from mulberryhitch.replication.members import MEMBERS_KIND, Members
 from mulberryhitch.replication.storage import Snapshot, Storage
@@ -45,6 +46,7 @@
         self.promised_seconds = stored.promised_seconds
         self.commit_index = 0
         self.snapshot = stored.snapshot
+        # May begin with entries that the snapshot covers, for lagging peers.
         self._entries = stored.entries
         self._sync_lock = anyio.Lock()
         self._member_changes: list[tuple[int, Members]] = []
@@ -82,7 +84,7 @@
     @property
     def last_index(self) -> int:
         """Returns the index of the last entry."""
-        return self.snapshot_index + len(self._entries)
+        return self._first_index + len(self._entries) - 1
 
     @property
     def synced_index(self) -> int:
@@ -115,13 +117,13 @@
         """Returns the term of an entry, or ``None`` if it is not in the log."""
         if index == self.snapshot_index:
             return self.snapshot.last_term if self.snapshot else 0
-        if self.snapshot_index < index <= self.last_index:
-            return self._entries[index - self.snapshot_index - 1].term
+        if self._first_index <= index <= self.last_index:
+            return self._entries[index - self._first_index].term
         return None
 
     def entries_from(self, index: int, limit: int) -> list[LogEntry]:
-        """Returns up to ``limit`` entries, from an index after the snapshot."""
-        start = index - self.snapshot_index - 1
+        """Returns up to ``limit`` entries, from an index in the log."""
+        start = index - self._first_index
         return self._entries[start : start + limit]
 
     def is_not_newer_than(self, last_term: int, last_index: int) -> bool:
@@ -213,7 +215,7 @@
         await self.sync()
         self._index_before_write = index - 1
         await self.storage.truncate(index)
-        self._entries = self._entries[: index - self.snapshot_index - 1]
+        self._entries = self._entries[: index - self._first_index]
         self._rebuild_member_changes()
 
     def commit(self, index: int) -> None:
@@ -262,9 +264,17 @@
         self._restore(snapshot)
         self._rebuild_member_changes()
 
-    async def compact(self) -> None:
+    async def compact(
+        self, retained_entries: int = 0, retained_bytes: int = 0
+    ) -> None:
         """Takes a snapshot at the commit index and drops covered entries.
 
+        The latest of them may be kept, for peers that lag a little.
+
+        Args:
+            retained_entries: Maximum number of covered entries to keep.
+            retained_bytes: Maximum size of the covered entries to keep.
+
         Raises:
             StorageError: The snapshot was not stored.
         """
@@ -278,12 +288,35 @@
             self._members_as_of(index),
             self.machine.snapshot(),
         )
-        retained = self.entries_from(index + 1, self.last_index)
+        first_index = self._first_retained(
+            index, retained_entries, retained_bytes
+        )
+        retained = self.entries_from(first_index, len(self._entries))
         await self.storage.save_snapshot(snapshot, retained)
         self._entries = retained
         self.snapshot = snapshot
         self._rebuild_member_changes()
 
+    @property
+    def _first_index(self) -> int:
+        """Returns the index of the first entry, or of the next if none."""
+        if self._entries:
+            return self._entries[0].index
+        return self.snapshot_index + 1
+
+    def _first_retained(
+        self, index: int, max_entries: int, max_bytes: int
+    ) -> int:
+        """Returns the first index that a snapshot at ``index`` retains."""
+        first_index = index + 1
+        free_bytes = max_bytes
+        for entry in reversed(self._entries[: first_index - self._first_index]):
+            free_bytes -= stored_bytes(entry)
+            if free_bytes < 0 or index - entry.index >= max_entries:
+                break
+            first_index = entry.index
+        return first_index
+
     def _apply(self, entry: LogEntry) -> None:
         result: Any = None
         failure: MulberryhitchError | None = None
@@ -315,5 +348,5 @@
         self._member_changes = [
             (entry.index, Members.decode(entry.body))
             for entry in self._entries
-            if entry.kind == MEMBERS_KIND
+            if entry.kind == MEMBERS_KIND and entry.index > self.snapshot_index
         ]
