Bound a log and its queued proposals in bytes

A leader's log has a limit now, max_log_bytes (32 MiB). A proposal for which it or the queue (a quarter of it) has no room is refused at once: OverloadedError, not_run, with a time for the retry. One that could never fit the log or a frame gets TooLargeError. Entries of the group itself (noop, members) are always taken, and the leader stays. A follower takes the first entries that fit 1.5 times the limit and confirms just these; it is sent the others once a heartbeat. The extra half is room for a leader's whole log beside covered and truncated records: with the leader's limit a follower could refuse the entries that its term needs for its first commit. A log beyond half of the limit is rewritten as soon as a quarter of the limit can be dropped, truncated records included.

--- a/mulberryhitch/replication/compaction.py
+++ b/mulberryhitch/replication/compaction.py
@@ -15,11 +15,13 @@
     """Takes a snapshot whenever the log has grown enough.
 
     The log grows by at least the size of the former snapshot between two
-    snapshots, so that most of what is written is log.
+    snapshots, so that most of what is written is log. A log that nears its
+    limit has one at each check that can shorten it.
 
     Args:
         state: The replica's state.
-        options: The growth in entries and bytes.
+        options: The growth in entries and bytes, the limit of the log, and the
+            interval between checks.
         fail_stop: Stops the replica if the disk fails.
         log: Receives each snapshot that a full disk prevented.
     """
@@ -67,16 +69,24 @@
         uncompacted = self._state.commit_index - self._state.snapshot_index
         if uncompacted >= self._options.compact_entries:
             return True
-        return uncompacted > 0 and self._has_grown()
+        is_due = uncompacted > 0 and self._has_grown()
+        return is_due or self._may_shorten_long_log()
+
+    def _may_shorten_long_log(self) -> bool:
+        """Whether much of a log that nears its limit may be dropped."""
+        limit = self._options.max_log_bytes
+        log_bytes = self._state.storage.log_bytes
+        if log_bytes < limit // 2:
+            return False
+        return log_bytes - self._state.uncommitted_bytes() > limit // 4
 
     def _has_grown(self) -> bool:
         storage = self._state.storage
         # A snapshot of the leader or a truncation may have shortened the log.
         self._retained_bytes = min(self._retained_bytes, storage.log_bytes)
         growth = storage.log_bytes - self._retained_bytes
-        return growth >= max(
-            self._options.compact_bytes, storage.snapshot_bytes
-        )
+        due_growth = max(self._options.compact_bytes, storage.snapshot_bytes)
+        return growth >= min(due_growth, self._options.max_log_bytes // 2)
 
     async def _compact(self) -> None:
         storage = self._state.storage
--- a/mulberryhitch/replication/follower.py
+++ b/mulberryhitch/replication/follower.py
@@ -3,7 +3,9 @@
 The caller must hold ``ReplicaState.lock``.
 """
 
+from mulberryhitch.replication.entry_sizes import stored_bytes
 from mulberryhitch.replication.members import Members
+from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.state import ReplicaState
 from mulberryhitch.replication.storage import Snapshot
 from mulberryhitch.rpc.messages import (
@@ -15,16 +17,26 @@
 )
 
 
+_DEFAULT_OPTIONS = ReplicationOptions()
+
+
 class Follower:
     """Handles replication requests from the leader.
 
     Args:
         state: The replica's state.
+        options: The maximum size of the log; entries for which it has no room
+            are accepted after the next snapshot.
     """
 
-    def __init__(self, state: ReplicaState) -> None:
+    def __init__(
+        self,
+        state: ReplicaState,
+        options: ReplicationOptions = _DEFAULT_OPTIONS,
+    ) -> None:
         """Initialises the follower with an empty snapshot buffer."""
         self._state = state
+        self._max_log_bytes = options.max_follower_log_bytes
         self._snapshot_buffer = bytearray()
         self._buffered_snapshot = (0, 0, 0)
 
@@ -33,8 +45,9 @@
     ) -> AppendReply:
         """Appends entries that match the log and advances the commit index.
 
-        A success confirms synced entries only. On a mismatch the reply's
-        ``last_index`` is where to try next.
+        A success confirms synced entries only, up to ``last_index`` of the
+        reply: fewer than were sent if the log has no room for the others. On a
+        mismatch ``last_index`` is where to try next.
 
         Args:
             request: The append.
@@ -93,10 +106,19 @@
                 continue
             if local_term is not None:
                 await self._state.truncate(entry.index)
-            self._state.write(entries[position:])
+            self._state.write(self._fitting(entries[position:]))
             await self._state.sync()
             return
 
+    def _fitting(self, entries: list[LogEntry]) -> list[LogEntry]:
+        """Returns the first entries, as many as the log has room for."""
+        free_bytes = self._max_log_bytes - self._state.storage.log_bytes
+        for position, entry in enumerate(entries):
+            free_bytes -= stored_bytes(entry)
+            if free_bytes < 0:
+                return entries[:position]
+        return entries
+
     async def _install_snapshot(self, request: SnapshotRequest) -> None:
         content = bytes(self._snapshot_buffer)
         self._snapshot_buffer.clear()
--- a/mulberryhitch/replication/leadership.py
+++ b/mulberryhitch/replication/leadership.py
@@ -3,7 +3,6 @@
 The leader's authority is a lease, see :mod:`.lease`.
 """
 
-from collections import deque
 from enum import Enum
 from typing import Any
 
@@ -17,7 +16,6 @@
     MulberryhitchError,
     NotLeaderError,
     OutcomeUnknownError,
-    OverloadedError,
 )
 from mulberryhitch.replication.interfaces import Transport
 from mulberryhitch.replication.lease import Lease
@@ -25,11 +23,10 @@
 from mulberryhitch.replication.members import MEMBERS_KIND, Members
 from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.progress import Progress
+from mulberryhitch.replication.proposals import Proposal, ProposalQueue
 from mulberryhitch.replication.state import NOOP_KIND, ReplicaState
 from mulberryhitch.rpc.messages import LogEntry
 
-_MAX_QUEUED_PROPOSALS = 20_000
-
 
 class EndReason(str, Enum):  # noqa: WPS600
     """Why a leadership ended."""
@@ -42,35 +39,6 @@
     stopped = 'stopped'
 
 
-class Proposal:
-    """An entry waiting to be committed and applied."""
-
-    def __init__(self, kind: str, body: bytes) -> None:
-        """Initialises a pending proposal."""
-        self.kind = kind
-        self.body = body
-        self.result: Any = None
-        self.failure: MulberryhitchError | None = None
-        self._completed = anyio.Event()
-
-    def complete(self, result: Any, failure: MulberryhitchError | None) -> None:
-        """Sets the outcome and wakes the proposer."""
-        self.result = result
-        self.failure = failure
-        self._completed.set()
-
-    async def wait(self) -> Any:
-        """Waits for the outcome and returns the state machine's result.
-
-        Raises:
-            MulberryhitchError: The proposal failed with this error.
-        """
-        await self._completed.wait()
-        if self.failure is not None:
-            raise self.failure
-        return self.result
-
-
 class Leadership:
     """The leader role of a replica in one term.
 
@@ -106,9 +74,8 @@
             on_match=self._advance_commit_index,
             on_newer_term=self._end_for_newer_term,
         )
-        self._queue: deque[Proposal] = deque()
+        self._queue = ProposalQueue(state.storage, options)
         self._pending: dict[int, Proposal] = {}
-        self._proposals_queued = anyio.Event()
         self._ended = anyio.Event()
         self._ready = anyio.Event()
         self.disk_full = anyio.Event()
@@ -199,8 +166,7 @@
         try:
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
-                self._queue.appendleft(Proposal(NOOP_KIND, b''))
-                self._proposals_queued.set()
+                self._queue.add_first(Proposal(NOOP_KIND, b''))
                 self._update_peers(self.started_at)
                 tasks.start_soon(self._write_proposals)
                 tasks.start_soon(self._check_quorum)
@@ -222,20 +188,17 @@
         Raises:
             NotLeaderError: The leadership ended or is being transferred;
                 nothing was written.
-            OverloadedError: Too many proposals; nothing was written.
+            TooLargeError: The entry is too large for the log; nothing was
+                written.
+            OverloadedError: The queue or the log is full; nothing was written.
             StorageError: The disk is full; nothing was written.
             OutcomeUnknownError: The leadership ended before the outcome was
                 known; the entry may be committed.
         """
         if self.ended or self._transferring:
             raise NotLeaderError('no longer the leader')
-        if len(self._queue) >= _MAX_QUEUED_PROPOSALS:
-            raise OverloadedError(
-                f'{_MAX_QUEUED_PROPOSALS} proposals are already queued'
-            )
         proposal = Proposal(kind, body)
-        self._queue.append(proposal)
-        self._proposals_queued.set()
+        self._queue.add(proposal)
         return await proposal.wait()
 
     async def change_members(self, members: Members) -> None:
@@ -315,8 +278,7 @@
 
     async def _write_proposals(self) -> None:
         while True:
-            await self._proposals_queued.wait()
-            self._proposals_queued = anyio.Event()
+            await self._queue.wait()
             self._write_began_at = self._options.now()
             async with self._state.lock:
                 if self._state.term != self.term:
@@ -331,10 +293,9 @@
             self._advance_commit_index()
 
     async def _write_batch(self) -> None:
-        if not self._queue:
+        batch = self._queue.take_batch()
+        if not batch:
             return
-        batch = list(self._queue)
-        self._queue.clear()
         entries = [
             LogEntry(
                 self._state.last_index + position,
@@ -409,8 +370,7 @@
         self.step_down(EndReason.newer_term)
 
     def _fail_pending(self) -> None:
-        for queued in self._queue:
-            queued.complete(None, NotLeaderError('no longer the leader'))
+        self._queue.fail_all(NotLeaderError('no longer the leader'))
         for proposal in self._pending.values():
             proposal.complete(
                 None,
@@ -419,5 +379,4 @@
                     'was known'
                 ),
             )
-        self._queue.clear()
         self._pending.clear()
--- a/mulberryhitch/replication/log_sender.py
+++ b/mulberryhitch/replication/log_sender.py
@@ -74,8 +74,10 @@
         if not peer.may_send(self._options.window, answer_seconds):
             return interval
         has_unsent_entries = peer.next_index <= self._state.last_index
-        may_send_entries = not (peer.unreachable or peer.receives_snapshot)
-        if has_unsent_entries and may_send_entries:
+        must_wait = (
+            peer.unreachable or peer.lacks_room or peer.receives_snapshot
+        )
+        if has_unsent_entries and not must_wait:
             return 0
         commit_unsent = peer.sent_commit_index < self._state.commit_index
         if commit_unsent and not peer.unreachable:
@@ -158,7 +160,10 @@
         peer.record_round_trip(self._options.now() - sent_at)
         if reply.success:
             matched = request.previous_index + len(request.entries)
-            peer.record_match(min(matched, reply.last_index))
+            if reply.last_index < matched:
+                peer.record_partial_match(reply.last_index)
+            else:
+                peer.record_match(matched)
             self._on_match()
         else:
             peer.record_rejection(reply.last_index)
--- a/mulberryhitch/replication/options.py
+++ b/mulberryhitch/replication/options.py
@@ -5,6 +5,8 @@
 
 import anyio
 
+from mulberryhitch.constants import RPC_MAX_FRAME_BYTES
+
 _MAX_ELECTION_FACTOR = 8
 
 
@@ -30,6 +32,8 @@
         compact_entries: Applied entries after which a snapshot is taken.
         compact_bytes: Growth of the log after which a snapshot is taken, unless
             the former snapshot is larger.
+        max_log_bytes: Maximum size of a leader's log; a proposal for which it
+            has no room is refused until a snapshot has been taken.
         chunk_bytes: Maximum size of a snapshot chunk.
         repair_seconds: Time without contact after which a voter is replaced
             by a spare, or a learner removed.
@@ -54,6 +58,7 @@
     window: int = 4
     compact_entries: int = 20_000
     compact_bytes: int = 8_388_608
+    max_log_bytes: int = 33_554_432
     chunk_bytes: int = 1_048_576
     repair_seconds: float = 60.0
     reconcile_seconds: float = 0.8
@@ -75,7 +80,26 @@
     @property
     def retained_bytes(self) -> int:
         """Returns the maximum size of these entries."""
-        return self.compact_bytes // 2
+        return min(self.compact_bytes // 2, self.max_log_bytes // 8)
+
+    @property
+    def max_queued_bytes(self) -> int:
+        """Returns the maximum size of the proposals that wait to be written."""
+        return self.max_log_bytes // 4
+
+    @property
+    def max_proposal_bytes(self) -> int:
+        """Returns the maximum size of one entry, which must fit in a frame."""
+        return min(self.max_log_bytes // 2, RPC_MAX_FRAME_BYTES * 3 // 4)
+
+    @property
+    def max_follower_log_bytes(self) -> int:
+        """Returns the maximum size of a follower's log.
+
+        It has room for a leader's longest log beside the covered and truncated
+        entries that a snapshot may leave.
+        """
+        return self.max_log_bytes * 3 // 2
 
     def lease_seconds(self, promised_seconds: float) -> float:
         """Returns how long a leader may rely on a promise, by its own clock."""
--- a/mulberryhitch/replication/progress.py
+++ b/mulberryhitch/replication/progress.py
@@ -20,6 +20,8 @@
             seconds.
         unreachable: Whether the last call failed; the peer is then
             contacted only once per heartbeat.
+        lacks_room: Whether its log had no room for the last entries sent; it
+            is then sent entries only once per heartbeat.
         promised_until: Until when it votes for no other, less the drift.
         receives_snapshot: Whether a snapshot is being sent to it.
         probing: Whether the index up to which the logs match is unknown; the
@@ -44,6 +46,7 @@
         self.sent_commit_index = 0
         self.last_sent = float()
         self.unreachable = False
+        self.lacks_room = False
         self.scope = anyio.CancelScope()
         self._woken = anyio.Event()
 
@@ -105,6 +108,7 @@
     def record_match(self, index: int) -> None:
         """Records that the peer's log matches up to an index."""
         self.unreachable = False
+        self.lacks_room = False
         self.match_index = max(self.match_index, index)
         if self.probing:
             self.probing = False
@@ -118,6 +122,16 @@
         hinted_index = min(hint + 1, self.next_index)
         self.next_index = max(self.match_index + 1, hinted_index)
 
+    def record_partial_match(self, index: int) -> None:
+        """Records that the peer confirmed only some of the entries sent.
+
+        Its log has no room for the others now; they will be sent again.
+        """
+        self.record_match(index)
+        self.probing = True
+        self.lacks_room = True
+        self.next_index = self.match_index + 1
+
     def record_failure(self) -> None:
         """Records a failed call; entries not known to match are resent."""
         self.probing = True
--- a/mulberryhitch/replication/replica.py
+++ b/mulberryhitch/replication/replica.py
@@ -76,7 +76,7 @@
         self._contact = LeaderContact(state, options)
         self._fatal_error: StorageError | None = None
         self._failed = anyio.Event()
-        self._follower = Follower(state)
+        self._follower = Follower(state, options)
         self._fail_stop = FailStop(self._record_fatal_error)
         self._reporter = ReplicationReporter(state, log)
         self._upkeep = StorageUpkeep(state, options, self._fail_stop, log)
--- a/mulberryhitch/replication/state.py
+++ b/mulberryhitch/replication/state.py
@@ -126,6 +126,11 @@
         start = index - self._first_index
         return self._entries[start : start + limit]
 
+    def uncommitted_bytes(self) -> int:
+        """Returns about how many bytes of the log may not be dropped yet."""
+        uncommitted = self.entries_from(self.commit_index + 1, self.last_index)
+        return sum(map(stored_bytes, uncommitted))
+
     def is_not_newer_than(self, last_term: int, last_index: int) -> bool:
         """Whether a log with this last entry is at least as up to date."""
         return (self.last_term, self.last_index) <= (last_term, last_index)
@@ -269,7 +274,8 @@
     ) -> None:
         """Takes a snapshot at the commit index and drops covered entries.
 
-        The latest of them may be kept, for peers that lag a little.
+        The latest of them may be kept, for peers that lag a little. Records of
+        truncated entries are dropped as well.
 
         Args:
             retained_entries: Maximum number of covered entries to keep.
@@ -280,7 +286,7 @@
         """
         await self.sync()
         index = self.commit_index
-        if index <= self.snapshot_index:
+        if not self.configured:
             return
         snapshot = Snapshot(
             index,
