Remove left-over files that fill a disk

Unfinished files of killed processes (*.aside) stayed for good, and each damaged folder was kept, as large as the replica's.

--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -36,6 +36,7 @@
     write_atomically,
 )
 from mulberryhitch.replication.failpoints import FailPoints
+from mulberryhitch.replication.left_over_files import remove_unfinished_files
 from mulberryhitch.replication.log_records import (
     LogEncoder,
     encode_new_log,
@@ -92,6 +93,7 @@
         self._fail_points = fail_points or FailPoints()
         folder.mkdir(parents=True, exist_ok=True)
         sync_folder(folder.parent)
+        remove_unfinished_files(folder)
         self._vote_file = VoteFile(folder / 'vote')
         self._reserve = Reserve(folder / 'reserve', reserve_bytes)
         # Renames that a killed process left unsynced count as durable now.
--- a/mulberryhitch/replication/loading.py
+++ b/mulberryhitch/replication/loading.py
@@ -1,4 +1,7 @@
-"""Loads a replica's folder; a damaged one is renamed and replaced."""
+"""Loads a replica's folder; a damaged one is renamed and replaced.
+
+Only the newest damaged folder is kept, as each is as large as the replica's.
+"""
 
 import time
 from pathlib import Path
@@ -8,6 +11,10 @@
 from mulberryhitch.replication.disk_errors import typed_disk_errors
 from mulberryhitch.replication.file_storage import FileStorage
 from mulberryhitch.replication.interfaces import StateMachine
+from mulberryhitch.replication.left_over_files import (
+    remove_former_damaged_folders,
+    set_aside_as_damaged,
+)
 from mulberryhitch.replication.state import ReplicaState
 
 _DISK_FULL_RETRY_SECONDS = 1.0
@@ -43,14 +50,21 @@
     group: str, folder: Path, vm: str, machine: StateMachine, log: Log
 ) -> ReplicaState:
     with typed_disk_errors(folder):
+        _remove_former_damaged_folders(folder, log)
         try:
             return _load(group, folder, vm, machine)
         except DamagedFileError as error:
             log.problem('storage.damaged', error.problem)
-            folder.rename(f'{folder}.damaged-{int(time.time())}')
+            set_aside_as_damaged(folder)
+        _remove_former_damaged_folders(folder, log)
         return _load(group, folder, vm, machine)
 
 
+def _remove_former_damaged_folders(folder: Path, log: Log) -> None:
+    for path in remove_former_damaged_folders(folder):
+        log.event('storage.damaged_removed', folder=str(path))
+
+
 def _load(
     group: str, folder: Path, vm: str, machine: StateMachine
 ) -> ReplicaState:
