Load a log record by record, and rewrite it in chunks

Schedulers ended for memory on logs of 110 MB (296 MB of memory): a start held the file, its records and the entries, and a rewritten log was encoded at once.

One batch is still encoded before it is written, so that what a failed encoding leaves can't follow it.

--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -8,7 +8,7 @@
 import os
 import secrets
 import sys
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager, suppress
 from functools import partial
 from pathlib import Path
@@ -38,8 +38,10 @@
 from mulberryhitch.replication.failpoints import FailPoints
 from mulberryhitch.replication.left_over_files import remove_unfinished_files
 from mulberryhitch.replication.log_records import (
+    FIRST_RECORD_OFFSET,
     LogEncoder,
-    encode_new_log,
+    encode_file_header,
+    new_salt,
     read_log,
     remove_from,
 )
@@ -312,22 +314,20 @@
     def _write(self, entries: list[LogEntry]) -> None:
         with self._write_errors():
             self._fail_points.reach('write')
-            self._append(
-                self._present_encoder().encode_entries(
-                    entries, self._end, self._synced_end
-                )
+            records = self._present_encoder().encode_entries(
+                entries, self._end, self._synced_end
             )
+            self._append(b''.join(records))
 
     def _write_truncation(self, index: int) -> None:
         with self._write_errors():
-            self._append(
-                self._present_encoder().encode_truncation(
-                    index, self._end, self._synced_end
-                )
+            record = self._present_encoder().encode_truncation(
+                index, self._end, self._synced_end
             )
+            self._append(record)
 
     def _load_log(self) -> None:
-        stored = read_log(self._log_path.read_bytes(), str(self._log_path))
+        stored = read_log(self._log_path)
         self._entries = stored.entries
         self._encoder = LogEncoder(stored.salt) if stored.salt else None
         self._end = stored.end
@@ -360,11 +360,20 @@
             ) from error
 
     def _append(self, records: bytes) -> None:
-        os.lseek(self._descriptor, self._end, os.SEEK_SET)
-        write_all(self._descriptor, records)
-        self._end += len(records)
+        self._end = self._write_chunks(self._descriptor, (records,), self._end)
         self._is_synced = False
 
+    def _write_chunks(
+        self, descriptor: int, chunks: Iterable[bytes], start: int
+    ) -> int:
+        """Writes from an offset on; returns where what was written ends."""
+        os.lseek(descriptor, start, os.SEEK_SET)
+        end = start
+        for chunk in chunks:
+            write_all(descriptor, chunk)
+            end += len(chunk)
+        return end
+
     def _remove_failed_write(self) -> None:
         """Cuts off the part of a failed write that the file received."""
         if os.fstat(self._descriptor).st_size > self._end:
@@ -389,20 +398,26 @@
     def _rewrite_log(self, entries: list[LogEntry]) -> LogEncoder:
         """Replaces the log file by a new, synced one."""
         temporary_path = self._folder / 'log.aside'
-        salt, content = encode_new_log(entries)
+        salt = new_salt()
+        encoder = LogEncoder(salt)
+        records = encoder.encode_entries(
+            entries, FIRST_RECORD_OFFSET, FIRST_RECORD_OFFSET
+        )
         with new_file(temporary_path) as descriptor:
-            write_all(descriptor, content)
+            end = self._write_chunks(descriptor, records, FIRST_RECORD_OFFSET)
+            header = encode_file_header(salt, end)
+            self._write_chunks(descriptor, (header,), 0)
             os.fsync(descriptor)
             temporary_path.rename(self._log_path)
         os.close(self._descriptor)
         self._descriptor = descriptor
-        self._encoder = LogEncoder(salt)
+        self._encoder = encoder
         self._entries = list(entries)
-        self._end = len(content)
-        self._synced_end = self._end
+        self._end = end
+        self._synced_end = end
         self._is_synced = True
         self._sync_renamed_log()
-        return self._encoder
+        return encoder
 
     def _sync_renamed_log(self) -> None:
         """Syncs the folder; the former log may return if that fails."""
--- a/mulberryhitch/replication/former_log_records.py
+++ b/mulberryhitch/replication/former_log_records.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from mulberryhitch.errors import DamagedFileError
+from mulberryhitch.replication.file_bytes import FileBytes
 from mulberryhitch.rpc.codec import decode_record
 from mulberryhitch.rpc.messages import LogEntry
 
@@ -26,7 +27,7 @@
 
 
 def read_former_log_records(
-    content: bytes, where: str
+    content: FileBytes, where: str
 ) -> Iterator[FormerLogRecord]:
     """Yields all complete records and stops at a torn tail.
 
@@ -35,22 +36,22 @@
     """
     offset = 0
     chain_checksum = 0
-    while len(content) - offset >= _HEADER.size:
-        length, header_checksum = _HEADER.unpack_from(content, offset)
+    while content.size - offset >= _HEADER.size:
+        payload_start = offset + _HEADER.size
+        header = content.read(offset, payload_start)
+        length, header_checksum = _HEADER.unpack(header)
         expected = zlib.crc32(struct.pack('>I', length), chain_checksum)
         if header_checksum != expected:
             raise DamagedFileError(
                 'log record header checksum mismatch', where=f'{where}@{offset}'
             )
-        payload_start = offset + _HEADER.size
-        end = payload_start + length + _CHECKSUM.size
-        if end > len(content):
+        payload_end = payload_start + length
+        end = payload_end + _CHECKSUM.size
+        if end > content.size:
             return
-        payload = content[payload_start : payload_start + length]
+        payload = content.read(payload_start, payload_end)
         chain_checksum = zlib.crc32(payload, chain_checksum)
-        if _CHECKSUM.unpack_from(content, payload_start + length) != (
-            chain_checksum,
-        ):
+        if content.read(payload_end, end) != _CHECKSUM.pack(chain_checksum):
             raise DamagedFileError(
                 'log record payload checksum mismatch',
                 where=f'{where}@{offset}',
--- a/mulberryhitch/replication/inspection.py
+++ b/mulberryhitch/replication/inspection.py
@@ -41,8 +41,7 @@
     Raises:
         DamagedFileError: A checksum does not match, or there is no identity.
     """
-    log_path = folder / 'log'
-    stored_log = read_log(log_path.read_bytes(), str(log_path))
+    stored_log = read_log(folder / 'log')
     snapshot = _read_snapshot(folder)
     snapshot_index = snapshot.last_index if snapshot else 0
     entries = [
--- a/mulberryhitch/replication/log_records.py
+++ b/mulberryhitch/replication/log_records.py
@@ -7,13 +7,17 @@
 so; otherwise it belongs to a write that a loss of power has torn.
 """
 
+import os
 import secrets
 import struct
 import zlib
+from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import IntEnum
+from pathlib import Path
 
 from mulberryhitch.errors import DamagedFileError
+from mulberryhitch.replication.file_bytes import FileBytes
 from mulberryhitch.replication.former_log_records import (
     read_former_log_records,
 )
@@ -22,6 +26,8 @@
 
 _MAGIC = b'MULBLOG2'
 _SALT_BYTES = 8
+# The memory that encoding takes beside the entries, and one entry more.
+_CHUNK_BYTES = 1_048_576
 # Magic number, salt and synced size.
 _FILE_HEADER = struct.Struct('>8s8sQ')
 # Salt, kind, payload length and synced size.
@@ -29,7 +35,7 @@
 _OFFSET = struct.Struct('>Q')
 _INDEX = struct.Struct('>Q')
 _CHECKSUM = struct.Struct('>I')
-_FIRST_RECORD_OFFSET = _FILE_HEADER.size + _CHECKSUM.size
+FIRST_RECORD_OFFSET = _FILE_HEADER.size + _CHECKSUM.size
 
 
 class _Kind(IntEnum):
@@ -82,21 +88,29 @@
 
     def encode_entries(
         self, entries: list[LogEntry], offset: int, synced_size: int
-    ) -> bytes:
-        """Returns the records of entries.
+    ) -> Iterator[bytes]:
+        """Yields the records of entries, some of them at a time.
 
         Args:
             entries: The entries.
             offset: Where the first record will be written, in bytes.
             synced_size: How much of the file is synced, in bytes.
         """
-        records = []
+        records: list[bytes] = []
+        size = 0
         for entry in entries:
-            payload = encode_record(entry)
-            record = self._encode(_Kind.entry, payload, offset, synced_size)
-            offset += len(record)
+            record = self._encode(
+                _Kind.entry, encode_record(entry), offset, synced_size
+            )
             records.append(record)
-        return b''.join(records)
+            offset += len(record)
+            size += len(record)
+            if size >= _CHUNK_BYTES:
+                yield b''.join(records)
+                records.clear()
+                size = 0
+        if records:
+            yield b''.join(records)
 
     def encode_truncation(
         self, index: int, offset: int, synced_size: int
@@ -123,32 +137,52 @@
         )
 
 
-def encode_new_log(entries: list[LogEntry]) -> tuple[bytes, bytes]:
-    """Returns the salt and the content of a new log file.
+def new_salt() -> bytes:
+    """Returns a salt for a new log file."""
+    return secrets.token_bytes(_SALT_BYTES)
+
+
+def encode_file_header(salt: bytes, size: int) -> bytes:
+    """Returns the header of a new log file.
 
     The file must be synced before it replaces the former one.
+
+    Args:
+        salt: The file's salt.
+        size: The size of the file with its first records, in bytes.
     """
-    salt = secrets.token_bytes(_SALT_BYTES)
-    records = LogEncoder(salt).encode_entries(
-        entries, _FIRST_RECORD_OFFSET, _FIRST_RECORD_OFFSET
-    )
-    size = _FIRST_RECORD_OFFSET + len(records)
     header = _FILE_HEADER.pack(_MAGIC, salt, size)
-    checksum = _CHECKSUM.pack(zlib.crc32(header))
-    return salt, b''.join((header, checksum, records))
+    return header + _CHECKSUM.pack(zlib.crc32(header))
 
 
-def read_log(content: bytes, where: str) -> StoredLog:
+def read_log(path: Path) -> StoredLog:
     """Returns the intact part of a log file, without a torn last write.
 
+    The file is never in memory as a whole beside its entries.
+
     Raises:
         DamagedFileError: What was synced is damaged.
     """
-    if not content or not content.startswith(_MAGIC[: len(content)]):
+    descriptor = os.open(path, os.O_RDONLY)
+    try:
+        return _read_log(FileBytes(descriptor), str(path))
+    finally:
+        os.close(descriptor)
+
+
+def remove_from(entries: list[LogEntry], index: int) -> None:
+    """Removes all entries from an index on."""
+    while entries and entries[-1].index >= index:
+        entries.pop()
+
+
+def _read_log(content: FileBytes, where: str) -> StoredLog:
+    magic = content.read(0, len(_MAGIC))
+    if not magic or not _MAGIC.startswith(magic):
         return _read_former_log(content, where)
     salt, synced_size = _read_file_header(content, where)
     entries: list[LogEntry] = []
-    end = _FIRST_RECORD_OFFSET
+    end = FIRST_RECORD_OFFSET
     record = _record_at(content, end, salt)
     while record is not None:
         record.replay(entries)
@@ -161,47 +195,44 @@
     return StoredLog(entries, end, salt)
 
 
-def remove_from(entries: list[LogEntry], index: int) -> None:
-    """Removes all entries from an index on."""
-    while entries and entries[-1].index >= index:
-        entries.pop()
-
-
-def _read_former_log(content: bytes, where: str) -> StoredLog:
-    records = list(read_former_log_records(content, where))
-    end = records[-1].end if records else 0
-    return StoredLog([record.entry for record in records], end)
+def _read_former_log(content: FileBytes, where: str) -> StoredLog:
+    entries: list[LogEntry] = []
+    end = 0
+    for record in read_former_log_records(content, where):
+        entries.append(record.entry)
+        end = record.end
+    return StoredLog(entries, end)
 
 
-def _read_file_header(content: bytes, where: str) -> tuple[bytes, int]:
-    header = content[: _FILE_HEADER.size]
-    checksum = content[_FILE_HEADER.size : _FIRST_RECORD_OFFSET]
+def _read_file_header(content: FileBytes, where: str) -> tuple[bytes, int]:
+    header = content.read(0, _FILE_HEADER.size)
+    checksum = content.read(_FILE_HEADER.size, FIRST_RECORD_OFFSET)
     if checksum != _CHECKSUM.pack(zlib.crc32(header)):
         raise DamagedFileError('log file header checksum mismatch', where=where)
     _, salt, synced_size = _FILE_HEADER.unpack(header)
     return salt, synced_size
 
 
-def _record_at(content: bytes, offset: int, salt: bytes) -> _Record | None:
+def _record_at(content: FileBytes, offset: int, salt: bytes) -> _Record | None:
     """Returns the record at an offset if it is complete and intact."""
     payload_start = offset + _RECORD_HEADER.size + _CHECKSUM.size
-    if payload_start > len(content):
+    header = content.read(offset, payload_start)
+    checksum = _header_checksum(header[: _RECORD_HEADER.size], offset)
+    if header[_RECORD_HEADER.size :] != _CHECKSUM.pack(checksum):
         return None
-    header = content[offset : offset + _RECORD_HEADER.size]
-    checksum = _header_checksum(header, offset)
-    stored_checksum = content[payload_start - _CHECKSUM.size : payload_start]
-    record_salt, kind, length, synced_size = _RECORD_HEADER.unpack(header)
-    if record_salt != salt or stored_checksum != _CHECKSUM.pack(checksum):
+    record_salt, kind, length, synced_size = _RECORD_HEADER.unpack_from(header)
+    payload_end = payload_start + length
+    end = payload_end + _CHECKSUM.size
+    if record_salt != salt or end > content.size:
         return None
-    end = payload_start + length + _CHECKSUM.size
-    payload = content[payload_start : payload_start + length]
+    payload = content.read(payload_start, payload_end)
     payload_checksum = _CHECKSUM.pack(zlib.crc32(payload, checksum))
-    if content[end - _CHECKSUM.size : end] != payload_checksum:
+    if content.read(payload_end, end) != payload_checksum:
         return None
     return _Record(kind, payload, synced_size, end)
 
 
-def _was_synced(content: bytes, offset: int, salt: bytes) -> bool:
+def _was_synced(content: FileBytes, offset: int, salt: bytes) -> bool:
     """Whether an intact record behind an offset says that it was synced."""
     position = content.find(salt, offset + 1)
     while position >= 0:
