Start on disks that the group's own log has filled

What callers see: a group in this state answers 503 until its disks have room.

Of the new tests of filled disks only the one with unfinished files failed on the code before; the others hold for it as well and guard what is there.

--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -160,7 +160,7 @@
             raise DamagedFileError(
                 f'vote has term {vote.term}, older than the log', where='vote'
             )
-        if self._encoder is None and snapshot:
+        if snapshot and (self._encoder is None or self._has_covered_entries()):
             self._rewrite_log_if_possible()
         replica_id = self._load_identity()
         self._vote_file.take_over(vote)
@@ -337,10 +337,23 @@
         self._synced_end = self._end
         self._is_synced = True
 
+    def _has_covered_entries(self) -> bool:
+        """Whether a process was killed before it rewrote the log."""
+        entries = self._entries
+        return bool(entries) and entries[0].index <= self._snapshot_index
+
     def _rewrite_log_if_possible(self) -> None:
-        """Rewrites the log, unless the disk is full; the next write tries."""
+        """Rewrites the log without the entries that the snapshot covers.
+
+        On a full disk the next write or snapshot does so.
+        """
+        entries = [
+            entry
+            for entry in self._entries
+            if entry.index > self._snapshot_index
+        ]
         with suppress(DiskFullError), typed_disk_errors(self._log_path):
-            self._rewrite_log(self._entries)
+            self._use_reserve(partial(self._rewrite_log, entries))
 
     def _present_encoder(self) -> LogEncoder:
         """Returns the encoder; creates the log file first if necessary."""
--- a/mulberryhitch/replication/reserve.py
+++ b/mulberryhitch/replication/reserve.py
@@ -1,5 +1,6 @@
 """Keeps room on a disk in a file of zeros, which is given back when needed."""
 
+import errno
 import os
 import threading
 from contextlib import suppress
@@ -71,6 +72,7 @@
         former_size, began = self._size, self._releases
         has_more = True
         try:
+            self._check_free_bytes()
             while has_more:
                 has_more = self._extend(began)
         except OSError:
@@ -79,6 +81,16 @@
                 self._shrink(min(self._size, former_size))
             raise
 
+    def _check_free_bytes(self) -> None:
+        """Refuses early what wouldn't fit, so as not to fill the disk in vain.
+
+        A quota, or a file system that doesn't tell its size, refuses later.
+        """
+        disk = os.statvfs(self._path.parent)
+        free_bytes = disk.f_bavail * disk.f_frsize
+        if disk.f_blocks and free_bytes < self._target_bytes - self._size:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
     def _extend(self, began: int) -> bool:
         """Writes one more chunk; returns whether there may be more to write."""
         with self._lock:
