--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -35,6 +35,7 @@
     write_all,
     write_atomically,
 )
+from mulberryhitch.replication.entry_sizes import stored_bytes
 from mulberryhitch.replication.failpoints import FailPoints
 from mulberryhitch.replication.left_over_files import remove_unfinished_files
 from mulberryhitch.replication.log_records import (
@@ -160,7 +161,7 @@
             raise DamagedFileError(
                 f'vote has term {vote.term}, older than the log', where='vote'
             )
-        if snapshot and (self._encoder is None or self._has_covered_entries()):
+        if snapshot and (self._encoder is None or self._is_mostly_covered()):
             self._rewrite_log_if_possible()
         replica_id = self._load_identity()
         self._vote_file.take_over(vote)
@@ -337,10 +338,14 @@
         self._synced_end = self._end
         self._is_synced = True
 
-    def _has_covered_entries(self) -> bool:
+    def _is_mostly_covered(self) -> bool:
         """Whether a process was killed before it rewrote the log."""
-        entries = self._entries
-        return bool(entries) and entries[0].index <= self._snapshot_index
+        covered = sum(
+            stored_bytes(entry)
+            for entry in self._entries
+            if entry.index <= self._snapshot_index
+        )
+        return covered > self._end // 2
 
     def _rewrite_log_if_possible(self) -> None:
         """Rewrites the log without the entries that the snapshot covers.
--- a/mulberryhitch/replication/reserve.py
+++ b/mulberryhitch/replication/reserve.py
@@ -1,6 +1,7 @@
 """Keeps room on a disk in a file of zeros, which is given back when needed."""
 
 import errno
+import math
 import os
 import threading
 from contextlib import suppress
@@ -86,9 +87,8 @@
 
         A quota, or a file system that doesn't tell its size, refuses later.
         """
-        disk = os.statvfs(self._path.parent)
-        free_bytes = disk.f_bavail * disk.f_frsize
-        if disk.f_blocks and free_bytes < self._target_bytes - self._size:
+        free_bytes = _free_bytes(self._path.parent)
+        if free_bytes < self._target_bytes - self._size:
             raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
 
     def _extend(self, began: int) -> bool:
@@ -120,3 +120,12 @@
             self._releases += 1
             return True
         return False
+
+
+def _free_bytes(folder: Path) -> float:
+    """Returns the free room of a disk; infinite if the disk doesn't tell."""
+    try:
+        disk = os.statvfs(folder)
+    except OSError:
+        return math.inf
+    return disk.f_bavail * disk.f_frsize if disk.f_blocks else math.inf
