--- a/tests/replica_group.py
+++ b/tests/replica_group.py
@@ -109,7 +109,7 @@
             data_centre=self.data_centres.get(vm, ''),
             suspended=lambda: gain * anyio.current_time(),
         )
-        state = ReplicaState('group', self.disks[vm], state_machine)
+        state = ReplicaState('group', self.storage_of(vm), state_machine)
         replica = Replica(
             state,
             self.network.transport(vm),
@@ -136,6 +136,10 @@
     def new_state_machine(self) -> Any:
         return KeyValueStateMachine()
 
+    def storage_of(self, vm: str) -> Any:
+        """Returns the storage that a process uses from its start on."""
+        return self.disks[vm]
+
     def kill(self, vm: str) -> None:
         self.cancel_scopes[vm].cancel()
         self.network.stop(vm)
