--- a/tests/crashing_disk.py
+++ b/tests/crashing_disk.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -195,12 +196,8 @@
             with suppress(OSError):
                 self._storage.close()
 
-    async def run(self, function: Callable[..., Any], *arguments: Any) -> Any:
+    async def run(self, operation: Callable[[], Any]) -> Any:
         """Runs a disk operation on the simulated clock instead of a thread."""
-
-        def operation() -> Any:
-            return function(*arguments)
-
         self._waiting.append(operation)
         try:
             await anyio.sleep(self._disk.sync_seconds)
@@ -262,6 +259,13 @@
         disk.reach_call()
         disk.truncate_at(descriptor, size)
 
+    def truncate(self, path: Any, size: int) -> None:
+        descriptor = os.open(path, os.O_RDWR)
+        try:
+            self.ftruncate(descriptor, size)
+        finally:
+            os.close(descriptor)
+
     def fsync(self, descriptor: int) -> None:
         disk = self._disk_of(descriptor)
         if disk is not None:
@@ -294,7 +298,7 @@
     """Runs the storage on these disks and on the simulated clock."""
     calls = _SystemCalls(disks)
     with pytest.MonkeyPatch.context() as patch:
-        for name in ('write', 'pwrite', 'ftruncate', 'fsync'):
+        for name in ('write', 'pwrite', 'ftruncate', 'truncate', 'fsync'):
             patch.setattr(os, name, getattr(calls, name))
         for name in ('rename', 'replace', 'unlink'):
             patch.setattr(os, name, calls.wrapped(getattr(os, name)))
@@ -305,8 +309,12 @@
         yield
 
 
-async def _run_in_process(function: Callable[..., Any], *arguments: Any) -> Any:
-    return await _PROCESS.get().run(function, *arguments)
+async def _run_in_process(
+    function: Callable[..., Any],
+    *arguments: Any,
+    abandon_on_cancel: bool = False,
+) -> Any:
+    return await _PROCESS.get().run(partial(function, *arguments))
 
 
 def _ignore(*arguments: Any) -> None:
