Elections keep their room while others take what a replica frees

No term's first entry could be written, since the reserve had 0 bytes on all disks.

test_others_that_take_all_free_room_leave_room_for_elections failed before with "No space left on device".

--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -58,7 +58,10 @@
 
 # Room for an election's entries, a first snapshot and the rewritten log.
 RESERVE_BYTES = 8_388_608
-_RELEASE_STEP_BYTES = 262_144
+# Part of it that only elections and membership changes get.
+_ELECTION_ROOM_BYTES = 1_048_576
+# A block of the file system; other processes may take what is not used of it.
+_RELEASE_STEP_BYTES = 4096
 # An election, a membership change or a truncation must not need free room.
 _KINDS_THAT_MAY_USE_RESERVE = frozenset((NOOP_KIND, MEMBERS_KIND))
 
@@ -186,9 +189,7 @@
         """
         kinds = {entry.kind for entry in entries}
         if kinds & _KINDS_THAT_MAY_USE_RESERVE:
-            self._use_reserve(
-                partial(self._write, entries), _RELEASE_STEP_BYTES
-            )
+            self._use_reserve(partial(self._write, entries))
         elif self._reserve.is_short:
             raise DiskFullError(
                 'No space left on device beside the room kept for elections '
@@ -218,9 +219,7 @@
             DiskFullError: Nothing was removed.
             StorageError: The sync failed; what is durable is unknown.
         """
-        self._use_reserve(
-            partial(self._write_truncation, index), _RELEASE_STEP_BYTES
-        )
+        self._use_reserve(partial(self._write_truncation, index))
         remove_from(self._entries, index)
         await self.sync()
 
@@ -261,14 +260,16 @@
         )
         path = self._folder / 'snapshot'
         await self._run_in_thread(
-            self._use_reserve, partial(write_atomically, path, content)
+            self._use_reserve_of_snapshots,
+            partial(write_atomically, path, content),
         )
         self._snapshot_bytes = len(content)
         self._reserve.fit_to(self._snapshot_bytes)
         self._fail_points.reach('compact')
         self._snapshot_index = snapshot.last_index
         await self._run_in_thread(
-            self._use_reserve, partial(self._rewrite_log, entries)
+            self._use_reserve_of_snapshots,
+            partial(self._rewrite_log, entries),
         )
 
     async def keep_room(self) -> None:
@@ -286,26 +287,46 @@
     def _log_path(self) -> Path:
         return self._folder / 'log'
 
-    def _use_reserve(
-        self,
-        write: Callable[[], object],
-        step_bytes: int = sys.maxsize,
-    ) -> None:
-        """Writes; on a full disk repeats it with room from the reserve.
+    def _use_reserve(self, write: Callable[[], object]) -> None:
+        """Writes; on a full disk repeats it with more and more of the reserve.
+
+        It gives back little, as others may take what is not used of it.
 
         Args:
             write: The write; leaves nothing behind if it fails.
-            step_bytes: How much room to give back before each attempt.
         """
-        while True:
-            try:
-                write()
-            except (OSError, DiskFullError) as error:
-                is_full = is_disk_full(error) or is_disk_full(error.__cause__)
-                if not is_full or not self._reserve.release(step_bytes):
-                    raise
-            else:
-                return
+        step_bytes = _RELEASE_STEP_BYTES
+        while not self._try_to_write(write, step_bytes):
+            step_bytes *= 2
+
+    def _use_reserve_of_snapshots(self, write: Callable[[], object]) -> None:
+        """Writes; on a full disk with the reserve but the part for elections.
+
+        Args:
+            write: The write; leaves nothing behind if it fails.
+        """
+        kept_bytes = min(_ELECTION_ROOM_BYTES, self._reserve.base_bytes // 2)
+        is_written = False
+        while not is_written:
+            is_written = self._try_to_write(write, sys.maxsize, kept_bytes)
+
+    def _try_to_write(
+        self,
+        write: Callable[[], object],
+        released_bytes: int,
+        kept_bytes: int = 0,
+    ) -> bool:
+        """Writes, or gives room back; returns whether it has written."""
+        try:
+            write()
+        except (OSError, DiskFullError) as error:
+            is_full = is_disk_full(error) or is_disk_full(error.__cause__)
+            if not is_full:
+                raise
+            if not self._reserve.release(released_bytes, kept_bytes):
+                raise
+            return False
+        return True
 
     def _write(self, entries: list[LogEntry]) -> None:
         with self._write_errors():
--- a/mulberryhitch/replication/reserve.py
+++ b/mulberryhitch/replication/reserve.py
@@ -37,6 +37,11 @@
         self._releases = 0
         self._lock = threading.Lock()
 
+    @property
+    def base_bytes(self) -> int:
+        """The size without a snapshot."""
+        return self._base_bytes
+
     @property
     def is_complete(self) -> bool:
         """Whether the file has its full size."""
@@ -52,12 +57,17 @@
         if self._base_bytes:
             self._target_bytes = self._base_bytes + snapshot_bytes
 
-    def release(self, wanted_bytes: int) -> bool:
-        """Gives up to this much room back; returns whether there was any."""
+    def release(self, wanted_bytes: int, kept_bytes: int = 0) -> bool:
+        """Gives up to this much room back; returns whether there was any.
+
+        Args:
+            wanted_bytes: The most that is given back.
+            kept_bytes: What is not given back in any case.
+        """
         with self._lock:
-            if not self._size:
+            if self._size <= kept_bytes:
                 return False
-            return self._shrink(max(0, self._size - wanted_bytes))
+            return self._shrink(max(kept_bytes, self._size - wanted_bytes))
 
     def restore(self) -> None:
         """Extends the file to its full size.
--- a/tests/test_reserve.py
+++ b/tests/test_reserve.py
@@ -88,6 +88,21 @@
     assert _reserve_bytes(disk) > RESERVE_BYTES * 0.9
 
 
+def test_others_that_take_all_free_room_leave_room_for_elections(
+    disk: BoundedDisk,
+) -> None:
+    _write(disk, _entry(1))
+    disk.fill()
+    run(disk.save_snapshot, Snapshot(1, 1, MEMBERS, STATE), [])
+    disk.fill()
+    with pytest.raises(DiskFullError):
+        run(disk.save_snapshot, Snapshot(1, 1, MEMBERS, STATE * 8), [])
+    for index in range(2, 200):
+        disk.fill()
+        _write(disk, _entry(index, NOOP_KIND))
+    assert _last_index(disk) == 199
+
+
 def test_a_full_disk_takes_the_entries_before_an_election_with_it(
     disk: BoundedDisk,
 ) -> None:
