A write that finds no room even so gives no kept room back

A new leader sent followers on full disks six large entries with the first one of its term; they needed more than the kept room. Each attempt gave all of it back before it was refused, others took it, and no later election found room.

Room is given back only if it is enough, as far as the file system tells what is free. test_a_write_that_finds_no_room_even_so_gives_no_kept_room_back failed before (0 bytes kept).

--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -49,6 +49,7 @@
 from mulberryhitch.replication.reserve import Reserve
 from mulberryhitch.replication.state import NOOP_KIND
 from mulberryhitch.replication.storage import Snapshot, StoredState
+from mulberryhitch.replication.vote_file import FILE_BYTES as VOTE_FILE_BYTES
 from mulberryhitch.replication.vote_file import VoteFile
 from mulberryhitch.rpc.codec import decode_record, encode_record
 from mulberryhitch.rpc.messages import (
@@ -193,7 +194,9 @@
         """
         kinds = {entry.kind for entry in entries}
         if kinds & _KINDS_THAT_MAY_USE_RESERVE:
-            self._use_reserve(partial(self._write, entries))
+            self._use_reserve(
+                partial(self._write, entries), _stored_bytes(entries)
+            )
         elif self._reserve.is_short:
             raise DiskFullError(
                 'No space left on device beside the room kept for elections '
@@ -223,7 +226,9 @@
             DiskFullError: Nothing was removed.
             StorageError: The sync failed; what is durable is unknown.
         """
-        self._use_reserve(partial(self._write_truncation, index))
+        self._use_reserve(
+            partial(self._write_truncation, index), _RELEASE_STEP_BYTES
+        )
         remove_from(self._entries, index)
         await self.sync()
 
@@ -238,7 +243,9 @@
         self._fail_points.reach('vote')
         vote = VoteRecord(term, voted_for, promised_seconds)
         await self._run_in_thread(
-            self._use_reserve, partial(self._vote_file.save, vote)
+            self._use_reserve,
+            partial(self._vote_file.save, vote),
+            VOTE_FILE_BYTES,
         )
 
     async def save_snapshot(
@@ -266,6 +273,7 @@
         await self._run_in_thread(
             self._use_reserve_of_snapshots,
             partial(write_atomically, path, content),
+            len(content),
         )
         self._snapshot_bytes = len(content)
         self._reserve.fit_to(self._snapshot_bytes)
@@ -274,6 +282,7 @@
         await self._run_in_thread(
             self._use_reserve_of_snapshots,
             partial(self._rewrite_log, entries),
+            _stored_bytes(entries),
         )
 
     async def keep_room(self) -> None:
@@ -291,33 +300,42 @@
     def _log_path(self) -> Path:
         return self._folder / 'log'
 
-    def _use_reserve(self, write: Callable[[], object]) -> None:
+    def _use_reserve(
+        self, write: Callable[[], object], needed_bytes: int
+    ) -> None:
         """Writes; on a full disk repeats it with more and more of the reserve.
 
         It gives back little, as others may take what is not used of it.
 
         Args:
             write: The write; leaves nothing behind if it fails.
+            needed_bytes: About how much room it needs.
         """
-        step_bytes = _RELEASE_STEP_BYTES
-        while not self._try_to_write(write, step_bytes):
-            step_bytes *= 2
+        released_bytes = _RELEASE_STEP_BYTES
+        while not self._try_to_write(write, released_bytes, needed_bytes):
+            released_bytes *= 2
 
-    def _use_reserve_of_snapshots(self, write: Callable[[], object]) -> None:
+    def _use_reserve_of_snapshots(
+        self, write: Callable[[], object], needed_bytes: int
+    ) -> None:
         """Writes; on a full disk with the reserve but the part for elections.
 
         Args:
             write: The write; leaves nothing behind if it fails.
+            needed_bytes: About how much room it needs.
         """
         kept_bytes = min(_ELECTION_ROOM_BYTES, self._reserve.base_bytes // 2)
         is_written = False
         while not is_written:
-            is_written = self._try_to_write(write, sys.maxsize, kept_bytes)
+            is_written = self._try_to_write(
+                write, sys.maxsize, needed_bytes, kept_bytes
+            )
 
     def _try_to_write(
         self,
         write: Callable[[], object],
         released_bytes: int,
+        needed_bytes: int,
         kept_bytes: int = 0,
     ) -> bool:
         """Writes, or gives room back; returns whether it has written."""
@@ -327,7 +345,9 @@
             is_full = is_disk_full(error) or is_disk_full(error.__cause__)
             if not is_full:
                 raise
-            if not self._reserve.release(released_bytes, kept_bytes):
+            if not self._reserve.release(
+                released_bytes, needed_bytes, kept_bytes
+            ):
                 raise
             return False
         return True
@@ -374,7 +394,9 @@
             if entry.index > self._snapshot_index
         ]
         with suppress(DiskFullError), typed_disk_errors(self._log_path):
-            self._use_reserve(partial(self._rewrite_log, entries))
+            self._use_reserve(
+                partial(self._rewrite_log, entries), _stored_bytes(entries)
+            )
 
     def _present_encoder(self) -> LogEncoder:
         """Returns the encoder; creates the log file first if necessary."""
@@ -523,3 +545,8 @@
                     await run_sync(function, *args)
         except ProtocolError as error:
             raise StorageError(str(error), where=str(self._folder)) from error
+
+
+def _stored_bytes(entries: list[LogEntry]) -> int:
+    """Returns about how many bytes entries take in a log file, or less."""
+    return sum(len(entry.body) for entry in entries)
--- a/mulberryhitch/replication/reserve.py
+++ b/mulberryhitch/replication/reserve.py
@@ -58,15 +58,23 @@
         if self._base_bytes:
             self._target_bytes = self._base_bytes + snapshot_bytes
 
-    def release(self, wanted_bytes: int, kept_bytes: int = 0) -> bool:
+    def release(
+        self, wanted_bytes: int, needed_bytes: int = 0, kept_bytes: int = 0
+    ) -> bool:
         """Gives up to this much room back; returns whether there was any.
 
+        Gives none back for a write that would find no room even so.
+
         Args:
             wanted_bytes: The most that is given back.
+            needed_bytes: What the write needs on the disk.
             kept_bytes: What is not given back in any case.
         """
         with self._lock:
-            if self._size <= kept_bytes:
+            available_bytes = self._size - kept_bytes
+            if available_bytes <= 0:
+                return False
+            if available_bytes + (self._free_bytes() or 0) < needed_bytes:
                 return False
             return self._shrink(max(kept_bytes, self._size - wanted_bytes))
 
@@ -96,11 +104,16 @@
 
         A quota, or a file system that doesn't tell its size, refuses later.
         """
-        disk = os.statvfs(self._path.parent)
-        free_bytes = disk.f_bavail * disk.f_frsize
-        if disk.f_blocks and free_bytes < self._target_bytes - self._size:
+        free_bytes = self._free_bytes()
+        missing = self._target_bytes - self._size
+        if free_bytes is not None and free_bytes < missing:
             raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
 
+    def _free_bytes(self) -> int | None:
+        """Returns the disk's free bytes; ``None`` if it doesn't tell them."""
+        disk = os.statvfs(self._path.parent)
+        return disk.f_bavail * disk.f_frsize if disk.f_blocks else None
+
     def _extend(self, began: int) -> bool:
         """Writes one more chunk; returns whether there may be more to write."""
         with self._lock:
--- a/tests/test_reserve.py
+++ b/tests/test_reserve.py
@@ -1,6 +1,8 @@
 """Room that is kept on a disk for elections, membership changes, snapshots."""
 
+import os
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import anyio
@@ -24,6 +26,7 @@
 DISK_BYTES = 32 * MEBIBYTE
 STATE = b'x' * MEBIBYTE
 MEMBERS = Members(('vm-1#x',))
+_FULL = SimpleNamespace(f_blocks=1, f_bavail=0, f_frsize=1)
 
 
 @pytest.fixture
@@ -112,6 +115,20 @@
     assert _last_index(disk) == 2
 
 
+def test_a_write_that_finds_no_room_even_so_gives_no_kept_room_back(
+    disk: BoundedDisk, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(os, 'statvfs', lambda path: _FULL)
+    _write(disk, _entry(1))
+    disk.fill()
+    too_long = [_entry(2, body=STATE * 9), _entry(3, NOOP_KIND)]
+    with pytest.raises(DiskFullError):
+        disk.write(too_long)
+    with pytest.raises(DiskFullError):
+        run(disk.save_snapshot, Snapshot(1, 1, MEMBERS, STATE * 9), [])
+    assert _reserve_bytes(disk) == RESERVE_BYTES
+
+
 def test_a_full_disk_removes_the_entries_of_a_former_leader(
     disk: BoundedDisk,
 ) -> None:
