--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -50,6 +50,7 @@
 from mulberryhitch.replication.reserve import Reserve
 from mulberryhitch.replication.state import NOOP_KIND
 from mulberryhitch.replication.storage import Snapshot, StoredState
+from mulberryhitch.replication.vote_file import FILE_BYTES as VOTE_FILE_BYTES
 from mulberryhitch.replication.vote_file import VoteFile
 from mulberryhitch.rpc.codec import decode_record, encode_record
 from mulberryhitch.rpc.messages import (
@@ -62,7 +63,10 @@
 
 # Room for an election's entries, a first snapshot and the rewritten log.
 RESERVE_BYTES = 8_388_608
-_RELEASE_STEP_BYTES = 262_144
+# Part of it that only elections and membership changes get.
+_ELECTION_ROOM_BYTES = 1_048_576
+# A block of the file system; other processes may take what is not used of it.
+_RELEASE_STEP_BYTES = 4096
 # An election, a membership change or a truncation must not need free room.
 _KINDS_THAT_MAY_USE_RESERVE = frozenset((NOOP_KIND, MEMBERS_KIND))
 
@@ -192,7 +196,7 @@
         kinds = {entry.kind for entry in entries}
         if kinds & _KINDS_THAT_MAY_USE_RESERVE:
             self._use_reserve(
-                partial(self._write, entries), _RELEASE_STEP_BYTES
+                partial(self._write, entries), _stored_bytes(entries)
             )
         elif self._reserve.is_short:
             raise DiskFullError(
@@ -240,7 +244,9 @@
         self._fail_points.reach('vote')
         vote = VoteRecord(term, voted_for, promised_seconds)
         await self._run_in_thread(
-            self._use_reserve, partial(self._vote_file.save, vote)
+            self._use_reserve,
+            partial(self._vote_file.save, vote),
+            VOTE_FILE_BYTES,
         )
 
     async def save_snapshot(
@@ -266,14 +272,18 @@
         )
         path = self._folder / 'snapshot'
         await self._run_in_thread(
-            self._use_reserve, partial(write_atomically, path, content)
+            self._use_reserve_of_snapshots,
+            partial(write_atomically, path, content),
+            len(content),
         )
         self._snapshot_bytes = len(content)
         self._reserve.fit_to(self._snapshot_bytes)
         self._fail_points.reach('compact')
         self._snapshot_index = snapshot.last_index
         await self._run_in_thread(
-            self._use_reserve, partial(self._rewrite_log, entries)
+            self._use_reserve_of_snapshots,
+            partial(self._rewrite_log, entries),
+            _stored_bytes(entries),
         )
 
     async def keep_room(self) -> None:
@@ -292,25 +302,56 @@
         return self._folder / 'log'
 
     def _use_reserve(
-        self,
-        write: Callable[[], object],
-        step_bytes: int = sys.maxsize,
+        self, write: Callable[[], object], needed_bytes: int
+    ) -> None:
+        """Writes; on a full disk repeats it with more and more of the reserve.
+
+        It gives back little, as others may take what is not used of it.
+
+        Args:
+            write: The write; leaves nothing behind if it fails.
+            needed_bytes: About how much room it needs.
+        """
+        released_bytes = _RELEASE_STEP_BYTES
+        while not self._try_to_write(write, released_bytes, needed_bytes):
+            released_bytes *= 2
+
+    def _use_reserve_of_snapshots(
+        self, write: Callable[[], object], needed_bytes: int
     ) -> None:
-        """Writes; on a full disk repeats it with room from the reserve.
+        """Writes; on a full disk with the reserve but the part for elections.
 
         Args:
             write: The write; leaves nothing behind if it fails.
-            step_bytes: How much room to give back before each attempt.
+            needed_bytes: About how much room it needs.
         """
-        while True:
-            try:
-                write()
-            except (OSError, DiskFullError) as error:
-                is_full = is_disk_full(error) or is_disk_full(error.__cause__)
-                if not is_full or not self._reserve.release(step_bytes):
-                    raise
-            else:
-                return
+        kept_bytes = min(_ELECTION_ROOM_BYTES, self._reserve.base_bytes // 2)
+        is_written = False
+        while not is_written:
+            is_written = self._try_to_write(
+                write, sys.maxsize, needed_bytes, kept_bytes
+            )
+
+    def _try_to_write(
+        self,
+        write: Callable[[], object],
+        released_bytes: int,
+        needed_bytes: int,
+        kept_bytes: int = 0,
+    ) -> bool:
+        """Writes, or gives room back; returns whether it has written."""
+        try:
+            write()
+        except (OSError, DiskFullError) as error:
+            is_full = is_disk_full(error) or is_disk_full(error.__cause__)
+            if not is_full:
+                raise
+            if not self._reserve.release(
+                released_bytes, needed_bytes, kept_bytes
+            ):
+                raise
+            return False
+        return True
 
     def _write(self, entries: list[LogEntry]) -> None:
         with self._write_errors():
@@ -358,7 +399,9 @@
             if entry.index > self._snapshot_index
         ]
         with suppress(DiskFullError), typed_disk_errors(self._log_path):
-            self._use_reserve(partial(self._rewrite_log, entries))
+            self._use_reserve(
+                partial(self._rewrite_log, entries), _stored_bytes(entries)
+            )
 
     def _present_encoder(self) -> LogEncoder:
         """Returns the encoder; creates the log file first if necessary."""
@@ -507,3 +550,8 @@
                     await run_sync(function, *args)
         except ProtocolError as error:
             raise StorageError(str(error), where=str(self._folder)) from error
+
+
+def _stored_bytes(entries: list[LogEntry]) -> int:
+    """Returns about how many bytes entries take in a log file, or less."""
+    return sum(len(entry.body) for entry in entries)
--- a/mulberryhitch/replication/reserve.py
+++ b/mulberryhitch/replication/reserve.py
@@ -39,6 +39,11 @@
         self._releases = 0
         self._lock = threading.Lock()
 
+    @property
+    def base_bytes(self) -> int:
+        """The size without a snapshot."""
+        return self._base_bytes
+
     @property
     def is_complete(self) -> bool:
         """Whether the file has its full size."""
@@ -54,12 +59,26 @@
         if self._base_bytes:
             self._target_bytes = self._base_bytes + snapshot_bytes
 
-    def release(self, wanted_bytes: int) -> bool:
-        """Gives up to this much room back; returns whether there was any."""
+    def release(
+        self, wanted_bytes: int, needed_bytes: int = 0, kept_bytes: int = 0
+    ) -> bool:
+        """Gives up to this much room back; returns whether there was any.
+
+        Gives none back for a write that would find no room even so.
+
+        Args:
+            wanted_bytes: The most that is given back.
+            needed_bytes: What the write needs on the disk.
+            kept_bytes: What is not given back in any case.
+        """
         with self._lock:
-            if not self._size:
+            available_bytes = self._size - kept_bytes
+            if available_bytes <= 0:
+                return False
+            free_bytes = _free_bytes(self._path.parent, unknown=0)
+            if available_bytes + free_bytes < needed_bytes:
                 return False
-            return self._shrink(max(0, self._size - wanted_bytes))
+            return self._shrink(max(kept_bytes, self._size - wanted_bytes))
 
     def restore(self) -> None:
         """Extends the file to its full size.
@@ -87,7 +106,7 @@
 
         A quota, or a file system that doesn't tell its size, refuses later.
         """
-        free_bytes = _free_bytes(self._path.parent)
+        free_bytes = _free_bytes(self._path.parent, unknown=math.inf)
         if free_bytes < self._target_bytes - self._size:
             raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
 
@@ -122,10 +141,10 @@
         return False
 
 
-def _free_bytes(folder: Path) -> float:
-    """Returns the free room of a disk; infinite if the disk doesn't tell."""
+def _free_bytes(folder: Path, *, unknown: float) -> float:
+    """Returns the free room of a disk, or ``unknown`` if it doesn't tell."""
     try:
         disk = os.statvfs(folder)
     except OSError:
-        return math.inf
-    return disk.f_bavail * disk.f_frsize if disk.f_blocks else math.inf
+        return unknown
+    return disk.f_bavail * disk.f_frsize if disk.f_blocks else unknown
