Bound the responses that the ledger stores by their size

Only their number was bounded.

At most 16 MiB of responses are stored. Beyond it the body of the request that began first is removed; its entry stays, so it never runs again, and a resend gets 409 completed_before, as for a response over 64 KiB. A second report of the same response is still accepted after its body was removed; of two responses without bodies only the status is compared.

--- a/mulberryhitch/errors.py
+++ b/mulberryhitch/errors.py
@@ -274,7 +274,7 @@
 
 @register_error('completed_before')
 class CompletedBeforeError(MulberryhitchError):
-    """The request already ran; its response was too large to store."""
+    """The request already ran; its response is not stored."""
 
     status = HTTPStatus.CONFLICT
     outcome = Outcome.completed
--- a/mulberryhitch/requests/at_most_once.py
+++ b/mulberryhitch/requests/at_most_once.py
@@ -119,7 +119,8 @@
     Raises:
         InProgressError: The first request is still in progress.
         OutcomeUnknownError: The outcome of the first request is unknown.
-        CompletedBeforeError: The first response was too long to store.
+        CompletedBeforeError: The first response is not stored: it was too
+            long, or was removed to make room for later ones.
     """
     if entry.state is EntryState.in_progress:
         raise InProgressError(
@@ -134,8 +135,9 @@
         )
     if not entry.answer.whole:
         raise CompletedBeforeError(
-            'the request already completed; its response exceeds '
-            f'{STORED_RESPONSE_LIMIT_BYTES} bytes and was not stored',
+            'the request already completed; its response is not stored: it '
+            f'exceeds {STORED_RESPONSE_LIMIT_BYTES} bytes, or was removed to '
+            'make room for later ones',
             where='Idempotency-Key',
         )
     headers = [(REPLAYED_HEADER, b'true')]
--- a/mulberryhitch/requests/ledger.py
+++ b/mulberryhitch/requests/ledger.py
@@ -5,11 +5,13 @@
 progress or its outcome is unknown; it never runs a second time.
 """
 
+import heapq
 from collections import OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from enum import Enum
 
+from mulberryhitch.constants import BYTES_PER_MEBIBYTE
 from mulberryhitch.errors import (
     ConflictError,
     InvariantError,
@@ -18,6 +20,7 @@
 )
 
 _RETRY_AFTER_SECONDS = 30
+_MAX_STORED_BYTES = 16 * BYTES_PER_MEBIBYTE
 
 
 class EntryState(str, Enum):  # noqa: WPS600
@@ -33,7 +36,8 @@
     """A response stored for repeated requests.
 
     Attributes:
-        whole: Whether the body was short enough to be stored.
+        whole: Whether the body is stored: it was short enough, and not
+            removed to make room.
     """
 
     __pydantic_config__ = {  # noqa: RUF012
@@ -46,6 +50,21 @@
     body: bytes
     whole: bool
 
+    @property
+    def size_bytes(self) -> int:
+        """Bytes of the parts that have no fixed length."""
+        return len(self.content_type) + len(self.body)
+
+    def is_same(self, other: 'StoredResponse') -> bool:
+        """Whether both are of one response, with or without its body."""
+        if self.whole and other.whole:
+            return self == other
+        return self.status == other.status
+
+    def without_body(self) -> 'StoredResponse':
+        """Returns the response with its status only."""
+        return StoredResponse(self.status, '', b'', whole=False)
+
 
 @dataclass(frozen=True, slots=True)
 class LedgerEntry:
@@ -75,13 +94,24 @@
     Args:
         retention_seconds: How long an entry is kept.
         max_entries: Maximum number of entries; more are refused.
+        max_stored_bytes: Maximum size of all stored responses; beyond it, the
+            bodies of the oldest requests are removed.
     """
 
-    def __init__(self, retention_seconds: float, max_entries: int) -> None:
+    def __init__(
+        self,
+        retention_seconds: float,
+        max_entries: int,
+        max_stored_bytes: int = _MAX_STORED_BYTES,
+    ) -> None:
         """Initialises an empty ledger."""
         self._retention_seconds = retention_seconds
         self._max_entries = max_entries
+        self._max_stored_bytes = max_stored_bytes
         self._entries: OrderedDict[tuple[str, str], LedgerEntry] = OrderedDict()
+        self._stored_bytes = 0
+        # Start times and keys of the requests with a response.
+        self._answered: list[tuple[float, tuple[str, str]]] = []
 
     def __iter__(self) -> Iterator[LedgerEntry]:
         """Returns all entries, the oldest first."""
@@ -117,6 +147,7 @@
                 retry_after_seconds=_RETRY_AFTER_SECONDS,
             )
         self._entries[tenant_key] = entry
+        self._record_stored(entry)
         return entry
 
     def finish(
@@ -129,13 +160,17 @@
             InvariantError: It already has a different response.
         """
         existing = self._require_entry(tenant, key, request_id)
-        if existing.answer is not None and existing.answer != response:
+        if existing.answer is not None:
+            if existing.answer.is_same(response):
+                return
             raise InvariantError(
                 'the request already has a different response', where=key
             )
-        self._entries[tenant, key] = replace(
+        finished = replace(
             existing, state=EntryState.completed, answer=response
         )
+        self._entries[tenant, key] = finished
+        self._record_stored(finished)
 
     def mark_unknown(self, tenant: str, key: str, request_id: str) -> None:
         """Marks the outcome of a request in progress as unknown.
@@ -186,3 +221,40 @@
             if now - oldest.begun_at <= self._retention_seconds:
                 return
             self._entries.pop(tenant_key)
+            self._stored_bytes -= _stored_bytes(oldest)
+            self._forget_removed()
+
+    def _forget_removed(self) -> None:
+        while self._answered and not self._has_body(*self._answered[0]):
+            heapq.heappop(self._answered)
+
+    def _has_body(self, begun_at: float, tenant_key: tuple[str, str]) -> bool:
+        entry = self._entries.get(tenant_key)
+        if entry is None or entry.begun_at != begun_at:
+            return False
+        return _stored_bytes(entry) > 0
+
+    def _record_stored(self, entry: LedgerEntry) -> None:
+        """Counts an entry's response; removes bodies to keep to the limit."""
+        if not _stored_bytes(entry):
+            return
+        self._stored_bytes += _stored_bytes(entry)
+        tenant_key = (entry.tenant, entry.key)
+        heapq.heappush(self._answered, (entry.begun_at, tenant_key))
+        while self._stored_bytes > self._max_stored_bytes:
+            self._remove_oldest_body()
+
+    def _remove_oldest_body(self) -> None:
+        begun_at, tenant_key = heapq.heappop(self._answered)
+        if not self._has_body(begun_at, tenant_key):
+            return
+        entry = self._entries[tenant_key]
+        self._stored_bytes -= _stored_bytes(entry)
+        if entry.answer is not None:
+            self._entries[tenant_key] = replace(
+                entry, answer=entry.answer.without_body()
+            )
+
+
+def _stored_bytes(entry: LedgerEntry) -> int:
+    return entry.answer.size_bytes if entry.answer else 0
