Refuse heartbeats and ids of workers that are too large to be stored

Seen by callers: each change of a worker's record is written to the log, and its body had up to 8 MiB (labels, zone, service, address). One worker that changes its labels with each heartbeat fills a disk of 128 MiB with 16 of them (computed), while the worker answers.

A heartbeat of over 16 KiB is refused with too_large (413, not_run), a worker's id of over 255 characters with invalid_input. Heartbeats as the contract shows them have about 250 bytes.

Three cases of the new test in tests/test_worker_heartbeats.py failed before.

--- a/mulberryhitch/platform/wire.py
+++ b/mulberryhitch/platform/wire.py
@@ -11,7 +11,7 @@
 
 from mulberryhitch.configuration.addresses import check_address
 from mulberryhitch.constants import MILLISECONDS_PER_SECOND
-from mulberryhitch.errors import InvalidInputError
+from mulberryhitch.errors import InvalidInputError, TooLargeError
 from mulberryhitch.jobs.model import (
     JobSpec,
     Limits,
@@ -26,6 +26,8 @@
 
 _MAX_ARGUMENT_BYTES = 4000
 _MAX_COUNT = 20_000
+_MAX_HEARTBEAT_BYTES = 16 * 1024
+_MAX_WORKER_ID_CHARACTERS = 255
 _MAX_NUMBER = 2**53
 _HEADER_TEXT = re.compile('[!-~]+')
 _READY = 'ready'
@@ -217,8 +219,14 @@
 
     Raises:
         InvalidInputError: A field is invalid; names it.
+        TooLargeError: It is too large to be stored with each change.
     """
     body = read_body(_HeartbeatBody, content, 'heartbeat')
+    if len(content) > _MAX_HEARTBEAT_BYTES:
+        raise TooLargeError(
+            f'{len(content)} bytes, over {_MAX_HEARTBEAT_BYTES}',
+            where='heartbeat',
+        )
     if body.state not in {_READY, _DRAINING}:
         raise InvalidInputError(
             f'unknown state {body.state!r}', where='heartbeat.state'
@@ -249,6 +257,11 @@
             f'{worker_id!r} has characters other than visible ASCII',
             where='worker id',
         )
+    if len(worker_id) > _MAX_WORKER_ID_CHARACTERS:
+        raise InvalidInputError(
+            f'longer than {_MAX_WORKER_ID_CHARACTERS} characters',
+            where='worker id',
+        )
     check_address(address)
 
 
--- a/tests/test_worker_heartbeats.py
+++ b/tests/test_worker_heartbeats.py
@@ -10,7 +10,12 @@
 import pytest
 
 from mulberryhitch.dispatch.operations import Acknowledged, WorkerHeartbeat
-from mulberryhitch.errors import ConflictError, UnknownServiceError
+from mulberryhitch.errors import (
+    ConflictError,
+    InvalidInputError,
+    TooLargeError,
+    UnknownServiceError,
+)
 from mulberryhitch.jobs import changes
 from mulberryhitch.jobs.model import QueueTable, Step, WorkerRecord
 from mulberryhitch.jobs.state import JobState
@@ -149,6 +154,29 @@
     assert (await control.respond(request)).status == HTTPStatus.OK
 
 
+@pytest.mark.parametrize(
+    ('worker_id', 'fields'),
+    [
+        ('i-1', {'labels': ['x' * 1000] * 17}),
+        ('i-1', {'zone': 'x' * 20_000}),
+        ('i-' * 200, {}),
+    ],
+)
+def test_a_heartbeat_of_any_size_is_not_written_to_the_log(
+    worker_id: str, fields: dict[str, Any]
+) -> None:
+    async def main() -> None:
+        leader_client = RefusingLeaderClient()
+        control = ControlHandler(leader_client)  # type: ignore[arg-type]
+        body = orjson.dumps(make_heartbeat(**fields))
+        path = f'/instances/{worker_id}'
+        with pytest.raises((InvalidInputError, TooLargeError)):
+            await control.respond(HttpRequest('PUT', '', path, body, 1))
+        assert not leader_client.accepted
+
+    run_with_mock_clock(main)
+
+
 def test_a_refused_heartbeat_does_not_hide_the_worker_s_own() -> None:
     """A high incarnation made a scheduler drop the worker's heartbeats."""
 
