Bound large responses by their bytes, and the wait for clients that don't read

Seen by callers: each GET of the configuration handed its whole answer, of up to 8 MiB, to the connection's buffer. Clients that don't read, or read slowly, kept it there without any bound of number or time, until the process was ended for its memory.

A response over 64 KiB is now sent in parts, each once the client has read most of those before; at most 16 MiB of such responses are in progress, more are refused with 503 overloaded and Retry-After (only reads have them, so nothing has run). A client that reads nothing for 15 s is cut off, and that is logged as response.unread.

The test of unread responses in tests/test_bounded_bodies.py failed before: 40 MiB were in the buffers of 40 clients. The parts of smaller ones are as they were, with more_body false.

--- a/mulberryhitch/platform/asgi.py
+++ b/mulberryhitch/platform/asgi.py
@@ -20,6 +20,7 @@
     InvalidInputError,
     MulberryhitchError,
     OutcomeUnknownError,
+    OverloadedError,
     StorageError,
     TooLargeError,
 )
@@ -36,6 +37,10 @@
 _DEADLINE_SHARE = 0.4
 _RETRY_AFTER_SECONDS = b'1'
 _BODY_IDLE_SECONDS = 15.0
+# Responses that a connection's own buffer holds are not counted.
+_RESPONSE_PART_BYTES = 64 * 1024
+_RESPONSES_BYTES = 16 * BYTES_PER_MEBIBYTE
+_RESPONSE_IDLE_SECONDS = 15.0
 _BODIES_BYTES = 12 * BYTES_PER_MEBIBYTE
 _SMALL_BODIES_BYTES = 4 * BYTES_PER_MEBIBYTE
 
@@ -93,6 +98,7 @@
         self._limits = limits
         self._is_closing = is_closing
         self._bodies = ByteBudget(_BODIES_BYTES, _SMALL_BODIES_BYTES)
+        self._responses = ByteBudget(_RESPONSES_BYTES, 0)
         self.in_flight = 0
 
     async def __call__(
@@ -105,13 +111,15 @@
         started_at = time.monotonic()
         try:
             response = await self._respond_unless_cut_off(scope, receive, send)
-            self._histograms.record(
-                'answer',
-                _method_label(scope['method']),
-                str(int(response.status)),
-                time.monotonic() - started_at,
-            )
-            await self._send(response, send)
+            with self._responses.reservation() as reservation:
+                response = self._admit(response, scope, reservation)
+                self._histograms.record(
+                    'answer',
+                    _method_label(scope['method']),
+                    str(int(response.status)),
+                    time.monotonic() - started_at,
+                )
+                await self._send(response, send)
         finally:
             self.in_flight -= 1
 
@@ -138,21 +146,40 @@
                 request = await self._read(scope, receive, reservation)
                 return await self._handler(request)
         except MulberryhitchError as error:
-            self._log.problem(
-                'request.refused',
-                error.problem,
-                **error.summary_fields,
-                method=scope['method'],
-                path=scope['path'],
-                status=http_status_of(error),
-                **error.log_fields,
-            )
-            return _error_response(error)
+            return self._refuse(error, scope)
         except Exception as unexpected_error:  # noqa: BLE001
             self._log.unexpected_error('request.defect', unexpected_error)
             unknown = OutcomeUnknownError('unexpected error')
             return HttpResponse(http_status_of(unknown))
 
+    def _refuse(self, error: MulberryhitchError, scope: Scope) -> HttpResponse:
+        self._log.problem(
+            'request.refused',
+            error.problem,
+            **error.summary_fields,
+            method=scope['method'],
+            path=scope['path'],
+            status=http_status_of(error),
+            **error.log_fields,
+        )
+        return _error_response(error)
+
+    def _admit(
+        self, response: HttpResponse, scope: Scope, reservation: Reservation
+    ) -> HttpResponse:
+        """Returns the response, or a refusal if too many are being sent.
+
+        Only reads have large responses, so nothing has run.
+        """
+        size = len(response.content)
+        if size <= _RESPONSE_PART_BYTES:
+            return response
+        try:
+            reservation.grow_to(size)
+        except OverloadedError as error:
+            return self._refuse(error, scope)
+        return response
+
     async def _read(
         self, scope: Scope, receive: Receive, reservation: Reservation
     ) -> HttpRequest:
@@ -190,7 +217,14 @@
                 'headers': headers,
             },
         )
-        await send({'type': 'http.response.body', 'body': response.content})
+        try:
+            await _send_body(response.content, send)
+        except TimeoutError:
+            self._log.event(
+                'response.unread',
+                seconds=_RESPONSE_IDLE_SECONDS,
+                size=len(response.content),
+            )
 
 
 async def _read_body(
@@ -237,6 +271,25 @@
         ) from error
 
 
+async def _send_body(content: bytes, send: Send) -> None:
+    """Sends a body in parts, each once the client has read most before it.
+
+    Raises:
+        TimeoutError: The client has read nothing for some time.
+    """
+    end = max(len(content), 1)
+    for start in range(0, end, _RESPONSE_PART_BYTES):
+        stop = start + _RESPONSE_PART_BYTES
+        with anyio.fail_after(_RESPONSE_IDLE_SECONDS):
+            await send(
+                {
+                    'type': 'http.response.body',
+                    'body': content[start:stop],
+                    'more_body': stop < end,
+                },
+            )
+
+
 def _method_label(method: str) -> str:
     """Returns a method of the standard, or ``other``."""
     return method if method in HTTPMethod.__members__ else 'other'
--- a/tests/test_bounded_bodies.py
+++ b/tests/test_bounded_bodies.py
@@ -1,4 +1,4 @@
-"""Bodies of requests are bounded in bytes, whatever their number."""
+"""Bodies of requests and responses are bounded in bytes, whatever their number."""
 
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -133,6 +133,71 @@
     run_with_callers(script)
 
 
+def test_large_responses_that_nobody_reads_do_not_fill_the_memory() -> None:
+    statuses: list[int] = []
+    buffered: list[int] = []
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        return HttpResponse(200, b'x' * MEBIBYTE)
+
+    async def receive() -> dict[str, Any]:
+        return {'type': 'http.request', 'body': b''}
+
+    async def send(message: dict[str, Any]) -> None:
+        if message['type'] == 'http.response.start':
+            statuses.append(message['status'])
+            return
+        buffered.append(len(message['body']))
+        if message.get('more_body', False):
+            await anyio.sleep_forever()
+
+    async def main() -> None:
+        application = AsgiApplication(
+            handle, Log('test'), lambda: LIMITS, lambda: False, Histograms()
+        )
+        scope = {'type': 'http', 'method': 'GET', 'path': '/', 'headers': []}
+        async with anyio.create_task_group() as tasks:
+            for _ in range(40):
+                tasks.start_soon(application, scope, receive, send)
+            await anyio.sleep(1)
+            assert sum(buffered) < 4 * MEBIBYTE
+            assert sorted(statuses) == [200] * 16 + [503] * 24
+            assert application.in_flight == 16
+            await anyio.sleep(15)
+            assert not application.in_flight
+            tasks.cancel_scope.cancel()
+
+    run_with_mock_clock(main)
+
+
+@pytest.mark.parametrize('size', [0, 1, 65_536, 65_537, 3_000_000])
+def test_a_response_of_any_size_arrives_whole(size: int) -> None:
+    content = bytes(range(256)) * (size // 256 + 1)
+    received: list[dict[str, Any]] = []
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        return HttpResponse(200, content[:size])
+
+    async def receive() -> dict[str, Any]:
+        return {'type': 'http.request', 'body': b''}
+
+    async def send(message: dict[str, Any]) -> None:
+        received.append(message)
+
+    async def main() -> None:
+        application = AsgiApplication(
+            handle, Log('test'), lambda: LIMITS, lambda: False, Histograms()
+        )
+        scope = {'type': 'http', 'method': 'GET', 'path': '/', 'headers': []}
+        await application(scope, receive, send)
+
+    run_with_mock_clock(main)
+    bodies = received[1:]
+    assert b''.join(part['body'] for part in bodies) == content[:size]
+    more = [part.get('more_body', False) for part in bodies]
+    assert more == [True] * (len(bodies) - 1) + [False]
+
+
 def test_room_is_free_again_after_each_end() -> None:
     budget = ByteBudget(100_000, 30_000)
     with budget.reservation() as first, budget.reservation() as second:
