Bound the large results that wait for a peer which doesn't read

Seen by callers: a scheduler encodes each reply with the configuration (up to 8 MiB and more) and keeps it until the peer has read all before it. A peer that is paused or slow, with up to 1,024 calls in flight, kept as many in the leader's memory.

Each connection holds at most 8 MiB of results over 64 KiB; a read beyond it is refused with overloaded and a time to retry. Results up to 64 KiB, those of all changes, are never refused here, as the change has run. One large result is always sent.

--- a/mulberryhitch/byte_budget.py
+++ b/mulberryhitch/byte_budget.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
+from typing import Final
 
 from mulberryhitch.errors import OverloadedError
 
-_SMALL_BYTES = 64 * 1024
+SMALL_BYTES: Final = 64 * 1024
 _RETRY_AFTER_SECONDS = 1.0
 
 
@@ -48,8 +49,8 @@
         Raises:
             OverloadedError: There is no room for it; nothing has changed.
         """
-        is_large = total_bytes > _SMALL_BYTES
-        was_large = held_bytes > _SMALL_BYTES
+        is_large = total_bytes > SMALL_BYTES
+        was_large = held_bytes > SMALL_BYTES
         limit_bytes = self._limit_bytes
         if is_large:
             limit_bytes -= self._reserved_bytes
@@ -66,7 +67,7 @@
 
     def _release(self, held_bytes: int) -> None:
         self._held_bytes -= held_bytes
-        self._large_count -= int(held_bytes > _SMALL_BYTES)
+        self._large_count -= int(held_bytes > SMALL_BYTES)
 
 
 class Reservation:
--- a/mulberryhitch/rpc/server.py
+++ b/mulberryhitch/rpc/server.py
@@ -8,7 +8,9 @@
 from anyio.abc import ByteStream, SocketListener, TaskGroup
 from anyio.streams.tls import TLSStream
 
+from mulberryhitch.byte_budget import SMALL_BYTES, ByteBudget
 from mulberryhitch.constants import (
+    BYTES_PER_MEBIBYTE,
     RPC_MAX_FRAME_BYTES,
     RPC_MAX_PENDING_CALLS,
 )
@@ -29,6 +31,7 @@
 Handler: TypeAlias = Callable[[Any], Awaitable[Any]]
 
 _ACCEPT_RETRY_SECONDS = 0.1
+_LARGE_RESULTS_BYTES = 8 * BYTES_PER_MEBIBYTE
 _CONNECTION_ERRORS = (
     OSError,
     ssl.SSLError,
@@ -39,6 +42,33 @@
 )
 
 
+class _ResultSender:
+    """Sends the results of one connection, one at a time.
+
+    Large ones that wait for a peer which doesn't read are bounded by their
+    bytes.
+    """
+
+    def __init__(self, frames: FrameStream) -> None:
+        self._frames = frames
+        self._lock = anyio.Lock()
+        self._budget = ByteBudget(_LARGE_RESULTS_BYTES, 0)
+
+    async def send(self, call: Call, frame: bytes) -> None:
+        """Sends a result, or a refusal if it is large and too many wait.
+
+        Only reads have large results, so nothing has run.
+        """
+        with self._budget.reservation() as reservation:
+            if len(frame) > SMALL_BYTES:
+                try:
+                    reservation.grow_to(len(frame))
+                except OverloadedError as error:
+                    frame = _encode_error(call, error.problem)
+            async with self._lock:
+                await self._frames.send(frame)
+
+
 class RpcServer:
     """Serves calls of other members.
 
@@ -109,15 +139,15 @@
 
     async def _serve_stream(self, stream: ByteStream) -> None:
         frames = FrameStream(stream)
-        send_lock = anyio.Lock()
+        sender = _ResultSender(frames)
         async with anyio.create_task_group() as tasks:
             try:
-                await self._read_calls(frames, send_lock, tasks)
+                await self._read_calls(frames, sender, tasks)
             finally:
                 tasks.cancel_scope.cancel()
 
     async def _read_calls(
-        self, frames: FrameStream, send_lock: anyio.Lock, tasks: TaskGroup
+        self, frames: FrameStream, sender: _ResultSender, tasks: TaskGroup
     ) -> None:
         while True:
             try:
@@ -127,15 +157,12 @@
             except ProtocolError as error:
                 self._log.problem('rpc.connection', error.problem)
                 return
-            tasks.start_soon(self._serve_call, frames, send_lock, call)
+            tasks.start_soon(self._serve_call, sender, call)
 
-    async def _serve_call(
-        self, frames: FrameStream, send_lock: anyio.Lock, call: Call
-    ) -> None:
+    async def _serve_call(self, sender: _ResultSender, call: Call) -> None:
         result_frame = await self._handle_call(call)
         try:
-            async with send_lock:
-                await frames.send(result_frame)
+            await sender.send(call, result_frame)
         except _CONNECTION_ERRORS:
             return
 
@@ -144,10 +171,10 @@
             reply = await self._dispatch(call)
             return _encode_reply(call, reply)
         except MulberryhitchError as error:
-            return self._encode_error(call, error.problem)
+            return _encode_error(call, error.problem)
         except Exception as unexpected:  # noqa: BLE001
             self._log.unexpected_error('rpc.call', unexpected)
-            return self._encode_error(
+            return _encode_error(
                 call, Problem('outcome_unknown', repr(unexpected), call.method)
             )
 
@@ -172,10 +199,11 @@
         finally:
             self._active_calls -= 1
 
-    def _encode_error(self, call: Call, problem: Problem) -> bytes:
-        return encode_result(
-            CallResult(call.method, call.sequence_id, None, problem)
-        )
+
+def _encode_error(call: Call, problem: Problem) -> bytes:
+    return encode_result(
+        CallResult(call.method, call.sequence_id, None, problem)
+    )
 
 
 def _encode_reply(call: Call, reply: Any) -> bytes:
