Bound the bodies that an entry of the first product holds by their bytes

Seen by callers: an entry buffers the first 64 KiB of each request to a service while it waits for a slot, and up to 4 MiB of each other body. The requests waiting for a service were bounded by their number alone (2,000: 125 MiB for each service), those that still arrive not at all.

All bodies of an entry hold at most 48 MiB, 16 MiB of which only bodies up to 64 KiB may use. More are refused early with 503 overloaded, not_run and Retry-After.

Both cases of tests/test_bounded_entry_bodies.py failed before.

--- a/mulberryhitch/http/app.py
+++ b/mulberryhitch/http/app.py
@@ -60,7 +60,9 @@
     async def respond(request: Request) -> Response:
         try:
             _check_headers(request)
-            return await endpoint(entry, request)
+            with entry.bodies.reservation() as reservation:
+                request.state.body_reservation = reservation
+                return await endpoint(entry, request)
         except MulberryhitchError as error:
             entry.metrics.count(f'errors.{error.code}')
             return problem_response(error)
--- a/mulberryhitch/http/routes.py
+++ b/mulberryhitch/http/routes.py
@@ -8,6 +8,7 @@
 from starlette.requests import Request
 from starlette.responses import Response
 
+from mulberryhitch.byte_budget import Reservation
 from mulberryhitch.configuration.overlays import (
     ModelType,
     parse_json,
@@ -114,6 +115,7 @@
     Raises:
         InvalidInputError: The body is not JSON or does not fit the model.
         TooLargeError: The body exceeds the size limit.
+        OverloadedError: Too many bytes of bodies are held.
     """
     content = bytearray()
     async for chunk in request.stream():
@@ -122,9 +124,20 @@
             raise TooLargeError(
                 f'the body exceeds {_MAX_JSON_BYTES} bytes', where='body'
             )
+        hold_body(request, len(chunk))
     return validate(model, parse_json(bytes(content), 'body'), 'body: ')
 
 
+def hold_body(request: Request, part_bytes: int) -> None:
+    """Counts a part of the body that is held until the request has ended.
+
+    Raises:
+        OverloadedError: Too many bytes of bodies are held.
+    """
+    reservation: Reservation = request.state.body_reservation
+    reservation.grow_to(reservation.held_bytes + part_bytes)
+
+
 def stored_header(request: Request, name: str, default: str = '') -> str:
     """Returns a header that is stored with the request.
 
--- a/mulberryhitch/http/services.py
+++ b/mulberryhitch/http/services.py
@@ -20,7 +20,12 @@
     TooLargeError,
 )
 from mulberryhitch.http.entry import Entry
-from mulberryhitch.http.routes import OUTCOME_HEADER, principal_of, route
+from mulberryhitch.http.routes import (
+    OUTCOME_HEADER,
+    hold_body,
+    principal_of,
+    route,
+)
 from mulberryhitch.requests.messages import (
     HeaderList,
     ServiceRequest,
@@ -200,6 +205,7 @@
                 chunk = await anext(stream, None)
                 if chunk is None:
                     return bytes(body), None
+                hold_body(request, len(chunk))
                 body.extend(chunk)
     except TimeoutError as error:
         raise DeadlinePassedError(
