Keep the frame of a call only while it is being sent

Seen by callers: each call held its frame until its answer or time limit, beside the request itself, also while the connection was still being made. An operation is called at up to four schedulers at once, so a change of 6.8 MiB held 27 MiB of frames, and the 1,024 calls that may be pending at a peer any amount.

The link encodes a call when its turn to be sent has come; a call that waits for the connection, for its turn or for its answer holds its request alone, which the calls of one operation share.

The new test in tests/test_rpc.py failed before: 42.4 MB held by 40 calls of 1 MiB.

--- a/mulberryhitch/rpc/client.py
+++ b/mulberryhitch/rpc/client.py
@@ -8,10 +8,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from mulberryhitch.constants import (
-    RPC_MAX_FRAME_BYTES,
-    RPC_MAX_PENDING_CALLS,
-)
+from mulberryhitch.constants import RPC_MAX_PENDING_CALLS
 from mulberryhitch.errors import (
     ConnectionLostError,
     DeadlinePassedError,
@@ -19,11 +16,10 @@
     OverloadedError,
     Problem,
     ProtocolError,
-    TooLargeError,
     UnreachableError,
     error_from_problem,
 )
-from mulberryhitch.rpc.codec import Call, CallResult, encode_call
+from mulberryhitch.rpc.codec import Call, CallResult
 from mulberryhitch.rpc.connecting import open_stream
 from mulberryhitch.rpc.frames import FrameStream
 from mulberryhitch.rpc.link import Link
@@ -128,21 +124,15 @@
     async def _exchange(
         self, method: str, request: Request, timeout_seconds: float
     ) -> CallResult:
-        sequence_id = next(self._sequence_ids)
         header = CallHeader(self._caller, timeout_seconds)
-        frame = encode_call(Call(method, sequence_id, header, request))
-        if len(frame) > RPC_MAX_FRAME_BYTES:
-            raise TooLargeError(
-                f'{method} has {len(frame)} bytes, over {RPC_MAX_FRAME_BYTES}',
-                where=self._host,
-            )
+        call = Call(method, next(self._sequence_ids), header, request)
         link: Link | None = None
         sent_at = anyio.current_time()
         try:
             with anyio.fail_after(timeout_seconds):
                 link = await self._working_link()
                 sent_at = anyio.current_time()
-                return await link.exchange(sequence_id, frame)
+                return await link.exchange(call)
         except ConnectionLostError as error:
             raise ConnectionLostError(error.what, where=self._host) from error
         except TimeoutError as error:
--- a/mulberryhitch/rpc/link.py
+++ b/mulberryhitch/rpc/link.py
@@ -5,9 +5,18 @@
 
 import anyio
 
-from mulberryhitch.constants import RPC_SILENCE_SECONDS
-from mulberryhitch.errors import ConnectionLostError, MulberryhitchError
-from mulberryhitch.rpc.codec import CallResult, decode_result
+from mulberryhitch.constants import RPC_MAX_FRAME_BYTES, RPC_SILENCE_SECONDS
+from mulberryhitch.errors import (
+    ConnectionLostError,
+    MulberryhitchError,
+    TooLargeError,
+)
+from mulberryhitch.rpc.codec import (
+    Call,
+    CallResult,
+    decode_result,
+    encode_call,
+)
 from mulberryhitch.rpc.frames import FrameStream
 
 _CONNECTION_ERRORS = (
@@ -74,20 +83,23 @@
         waited = anyio.current_time() - self._awaited_since
         return RPC_SILENCE_SECONDS - max(waited, 0)
 
-    async def exchange(self, sequence_id: int, frame: bytes) -> CallResult:
+    async def exchange(self, call: Call) -> CallResult:
         """Sends a call and returns its result.
 
+        The frame of the call is kept only while it is being sent.
+
         Raises:
+            TooLargeError: The call exceeds a frame; nothing was sent.
             ConnectionLostError: The connection was lost; the call may have
                 been executed.
         """
         pending = _PendingCall()
-        self._pending[sequence_id] = pending
+        self._pending[call.sequence_id] = pending
         try:
-            await self._send(frame)
+            await self._send(call)
             await pending.done.wait()
         finally:
-            self._pending.pop(sequence_id, None)
+            self._pending.pop(call.sequence_id, None)
         if pending.call_result is None:
             raise ConnectionLostError('connection lost')
         return pending.call_result
@@ -124,8 +136,9 @@
         """Records that a call which was sent at this time got no result."""
         self.is_overdue = self._received_at < sent_at
 
-    async def _send(self, frame: bytes) -> None:
+    async def _send(self, call: Call) -> None:
         async with self._send_lock:
+            frame = _encode_frame(call)
             if math.isinf(self._awaited_since):
                 self._awaited_since = anyio.current_time()
             try:
@@ -149,3 +162,12 @@
             pending.call_result = call_result
             pending.done.set()
         self._on_result()
+
+
+def _encode_frame(call: Call) -> bytes:
+    frame = encode_call(call)
+    if len(frame) > RPC_MAX_FRAME_BYTES:
+        raise TooLargeError(
+            f'{call.method} has {len(frame)} bytes, over {RPC_MAX_FRAME_BYTES}'
+        )
+    return frame
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import ssl
+import tracemalloc
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -127,6 +128,43 @@
     _run_with_peer(SlowServer(0.6), play)
 
 
+def test_calls_that_wait_for_answers_keep_no_frames_in_memory() -> None:
+    large = HelloRequest('x' * 1024 * 1024, 'replica', configured=False)
+
+    async def read_only(stream: SocketStream) -> None:
+        async for _ in stream:
+            """Never answers."""
+
+    async def call(peer: PeerConnection) -> None:
+        with pytest.raises((OutcomeUnknownError, ConnectionLostError)):
+            await peer.call('hello', large, 0.9)
+
+    async def main() -> None:
+        listener = await anyio.create_tcp_listener(
+            local_host='127.0.0.1', local_port=0
+        )
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        peer = PeerConnection('caller', '127.0.0.1', port)
+        async with listener, anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, read_only)
+            tasks.start_soon(peer.run)
+            await anyio.sleep(0.1)
+            async with anyio.create_task_group() as calls:
+                before = tracemalloc.get_traced_memory()[0]
+                for _ in range(40):
+                    calls.start_soon(call, peer)
+                await anyio.sleep(0.6)
+                held = tracemalloc.get_traced_memory()[0] - before
+            tasks.cancel_scope.cancel()
+        assert held < 10 * 1024 * 1024
+
+    tracemalloc.start()
+    try:
+        anyio.run(main)
+    finally:
+        tracemalloc.stop()
+
+
 def test_a_call_over_the_size_of_a_frame_does_not_fail_the_others() -> None:
     replies = []
 
