Close all idle connections to a worker when one of them is found closed

Seen by callers: each worker that ended while up to six connections to it were idle left five descriptors open in the leader for good: only the connection that failed was closed. After about 800 such workers (computed) a process with 4,096 descriptors takes no connection any more. Where the worker's address is used again, the next five calls failed with an unknown outcome.

The others are closed with it, as after a time-out already.

--- a/mulberryhitch/platform/client.py
+++ b/mulberryhitch/platform/client.py
@@ -138,15 +138,13 @@
             with anyio.fail_after(timeout_seconds):
                 status, response_body = await connection.exchange(request_bytes)
         except TimeoutError as error:
-            await connection.close()
-            if connection.is_reused:
-                await self._close_idle(address)
+            await self._close_lost(address, connection)
             raise OutcomeUnknownError(
                 f'no response within {timeout_seconds:.3f} s',
                 where=f'{address}{path}',
             ) from error
         except _CONNECTION_ERRORS as error:
-            await connection.close()
+            await self._close_lost(address, connection)
             raise OutcomeUnknownError(
                 f'connection lost: {error!r}', where=f'{address}{path}'
             ) from error
@@ -169,11 +167,12 @@
         else:
             await connection.close()
 
-    async def _close_idle(self, address: str) -> None:
-        """Closes connections that may have fallen silent with another."""
-        idle = self._idle.pop(address, deque())
-        for connection in idle:
-            await connection.close()
+    async def _close_lost(self, address: str, connection: _Connection) -> None:
+        """Closes a connection, and those that were idle as long as it was."""
+        await connection.close()
+        if connection.is_reused:
+            for idle in self._idle.pop(address, deque()):
+                await idle.close()
 
 
 async def _connect(address: str) -> SocketStream:
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -1,5 +1,6 @@
-"""Connections to workers that all fell silent cost one timeout, not one each."""
+"""Connections to a worker that fell silent or has ended are given up together."""
 
+import os
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -57,3 +58,34 @@
             assert await send(proxy.address) == 200
 
     anyio.run(main)
+
+
+def test_workers_that_have_ended_leave_no_open_connections() -> None:
+    async def main() -> None:
+        client = PlatformClient()
+        open_before = len(os.listdir('/proc/self/fd'))
+        for _ in range(20):
+            await _use_worker_until_it_ends(client)
+        assert len(os.listdir('/proc/self/fd')) <= open_before + 5
+
+    anyio.run(main)
+
+
+async def _use_worker_until_it_ends(client: PlatformClient) -> None:
+    listener = await anyio.create_tcp_listener(
+        local_host='127.0.0.1', local_port=0
+    )
+    port = listener.extra(SocketAttribute.local_port)
+    address = f'127.0.0.1:{port}'
+
+    async def send() -> None:
+        await client.send(address, 'GET', '/', {}, 5)
+
+    async with listener, anyio.create_task_group() as server:
+        server.start_soon(listener.serve, _respond)
+        async with anyio.create_task_group() as tasks:
+            for _ in range(CONNECTIONS):
+                tasks.start_soon(send)
+        server.cancel_scope.cancel()
+    with pytest.raises(OutcomeUnknownError):
+        await send()
