Refuse announced names that are too long to be stored and sent to all members

Seen by callers: a backend server's announcement of up to 4 MiB (service, owner, id) was kept for ever and sent to every member with each heartbeat; a few of them exceed a frame, and then no heartbeat arrives. A worker's rack and id went into the log.

Names of over 255 characters are refused with invalid_input.

The new tests in tests/test_inputs.py, and the one of inputs to a whole cell, failed before.

--- a/mulberryhitch/http/announcements.py
+++ b/mulberryhitch/http/announcements.py
@@ -35,6 +35,7 @@
 
 _OPERATION_TIMEOUT_SECONDS = 3.0
 _MAX_NUMBER = 2**53
+_MAX_NAME_CHARACTERS = 255
 
 
 class BackendServerBody(BaseModel):
@@ -50,7 +51,7 @@
 
     model_config = ConfigDict(extra='forbid')
 
-    service: str
+    service: str = Field(max_length=_MAX_NAME_CHARACTERS)
     data_centre: str
     address: str
     state: ServerState = ServerState.ready
@@ -59,7 +60,7 @@
         default=CONNECTIONS_PER_BACKEND_SERVER, ge=1, le=_MAX_NUMBER
     )
     busy: int = Field(default=0, ge=0, le=_MAX_NUMBER)
-    owner: str = ''
+    owner: str = Field(default='', max_length=_MAX_NAME_CHARACTERS)
     owner_anchor: float = 0
     incarnation: int = Field(ge=0, le=_MAX_NUMBER)
     sequence: int = Field(ge=0, le=_MAX_NUMBER)
@@ -78,7 +79,7 @@
     _check_data_centre(entry, body.data_centre)
     check_address(body.address)
     worker = Worker(
-        request.path_params['worker_id'],
+        _checked_id(request.path_params['worker_id']),
         body.address,
         body.data_centre,
         body.rack,
@@ -105,7 +106,7 @@
     body = await json_body(request, BackendServerBody)
     _check_data_centre(entry, body.data_centre)
     announcement = Announcement(
-        request.path_params['backend_server_id'],
+        _checked_id(request.path_params['backend_server_id']),
         body.service,
         body.data_centre,
         body.address,
@@ -162,6 +163,14 @@
     return local or remote
 
 
+def _checked_id(name: str) -> str:
+    if len(name) > _MAX_NAME_CHARACTERS:
+        raise InvalidInputError(
+            f'longer than {_MAX_NAME_CHARACTERS} characters', where='path'
+        )
+    return name
+
+
 def _check_data_centre(entry: Entry, name: str) -> None:
     if name not in entry.settings.data_centres:
         raise InvalidInputError(
--- a/mulberryhitch/workers/protocol.py
+++ b/mulberryhitch/workers/protocol.py
@@ -5,6 +5,7 @@
 from pydantic import BaseModel, ConfigDict, Field
 
 # A float can hold each integer up to here.
+_MAX_NAME_CHARACTERS = 255
 _MAX_AMOUNT = 2**53
 
 
@@ -120,7 +121,7 @@
 
     address: str
     data_centre: str
-    rack: str
+    rack: str = Field(max_length=_MAX_NAME_CHARACTERS)
     size: SizeModel
     incarnation: int
     leaving: bool = False
--- a/tests/test_inputs.py
+++ b/tests/test_inputs.py
@@ -11,6 +11,7 @@
 from mulberryhitch.errors import InvalidSettingsError
 from mulberryhitch.http.announcements import BackendServerBody
 from mulberryhitch.http.protocol import FirstRequestTimeoutProtocol
+from mulberryhitch.workers.protocol import WorkerAnnouncement
 from tests.local_cell import running_cell
 
 PATH = '/v1/services/returns/x'
@@ -77,6 +78,20 @@
         assert answer['mulberryhitch-outcome'] == 'not_run'
 
 
+async def _check_announced_ids(callers: Any) -> None:
+    body = {
+        'address': '10.0.0.1:80',
+        'data_centre': 'home',
+        'rack': 'r1',
+        'size': SIZE,
+        'incarnation': 1,
+    }
+    _, _, content = await callers['worker'].call(
+        'PUT', f'/v1/workers/{"w" * 256}', body
+    )
+    assert (content['code'], content['where']) == ('invalid_input', 'path')
+
+
 async def _check_header_inputs(callers: Any) -> None:
     cases = [
         ({'Mulberryhitch-Deadline': 'soon'}, 'Mulberryhitch-Deadline'),
@@ -121,6 +136,7 @@
             await _check_json_inputs(callers)
             await _check_header_inputs(callers)
             await _check_stored_headers(callers)
+            await _check_announced_ids(callers)
             await _check_raw_inputs(callers['north'].port)
             status, _, _ = await callers['north'].call('GET', PATH)
             assert status == 200
@@ -192,3 +208,31 @@
     BackendServerBody.model_validate(announcement)
     with pytest.raises(ValidationError, match=name):
         BackendServerBody.model_validate({**announcement, name: 2**63})
+
+
+@pytest.mark.parametrize('name', ['service', 'owner'])
+def test_an_announced_name_of_any_length_is_not_sent_to_all_members(
+    name: str,
+) -> None:
+    announcement: dict[str, Any] = {
+        'service': 'returns',
+        'data_centre': 'home',
+        'address': '10.0.0.1:80',
+        'incarnation': 1,
+        'sequence': 1,
+    }
+    with pytest.raises(ValidationError, match=name):
+        BackendServerBody.model_validate({**announcement, name: 'x' * 256})
+
+
+def test_an_announced_rack_of_any_length_is_not_written_to_the_log() -> None:
+    announcement: dict[str, Any] = {
+        'address': '10.0.0.1:80',
+        'data_centre': 'home',
+        'rack': 'r1',
+        'size': SIZE,
+        'incarnation': 1,
+    }
+    WorkerAnnouncement.model_validate(announcement)
+    with pytest.raises(ValidationError, match='rack'):
+        WorkerAnnouncement.model_validate({**announcement, 'rack': 'x' * 256})
