Bound jobs and configurations by a budget of the disk and memory

JobStore keeps a running estimate of its bytes, checkpoints included. The leader refuses a new job beyond the limit (OverloadedError, not_run, 503 with a time for the retry) until ended jobs are forgotten, and a configuration of more than half of it (TooLargeError, 413). Repeated submissions, reads, cancels and configurations go on.

A state may still pass the limit by occurrences and checkpoints of accepted jobs.

--- a/mulberryhitch/dispatch/options.py
+++ b/mulberryhitch/dispatch/options.py
@@ -24,6 +24,8 @@
             run and its preemption.
         maximum_preempted_run: Highest run number of a task at which it may be
             preempted.
+        max_state_bytes: Size of the jobs and queues beyond which no further
+            job is accepted; a configuration may have half of it.
     """
 
     lease_seconds: float = 5.0
@@ -38,3 +40,4 @@
     permit_margin_seconds: float = 0.12
     preemption_grace_seconds: float = 1.0
     maximum_preempted_run: int = 1
+    max_state_bytes: int = 16_777_216
--- a/mulberryhitch/dispatch/service.py
+++ b/mulberryhitch/dispatch/service.py
@@ -31,10 +31,16 @@
     NotFoundError,
     NotLeaderError,
     OverloadedError,
+    TooLargeError,
 )
 from mulberryhitch.jobs import changes
 from mulberryhitch.jobs.clock import JobClock
-from mulberryhitch.jobs.model import Queue
+from mulberryhitch.jobs.model import JobSpec, Queue, QueueTable
+from mulberryhitch.jobs.sizes import (
+    occurrence_bytes,
+    spec_bytes,
+    table_bytes,
+)
 from mulberryhitch.jobs.store import JobStore
 from mulberryhitch.membership.known_group import (
     ElectionView,
@@ -241,6 +247,24 @@
             raise NotLeaderError('this VM has not started its term as leader')
         return self._dispatcher
 
+    def _check_room_for(self, spec: JobSpec) -> None:
+        limit = self._options.max_state_bytes
+        stored_bytes = self.job_store.stored_bytes
+        added_bytes = spec_bytes(spec) + occurrence_bytes(spec)
+        if stored_bytes + added_bytes > limit:
+            raise OverloadedError(
+                f'the jobs and queues take {stored_bytes} of {limit} bytes',
+                retry_after_seconds=_RETRY_AFTER_SECONDS,
+            )
+
+    def _check_size_of(self, table: QueueTable) -> None:
+        limit = self._options.max_state_bytes // 2
+        size = table_bytes(table)
+        if size > limit:
+            raise TooLargeError(
+                f'the configuration takes {size} bytes, more than {limit}'
+            )
+
     def _find_queue(self, host: str, path: str) -> tuple[Queue, str]:
         if self.job_store.queue_table.version < 0:
             raise OverloadedError(
@@ -264,6 +288,7 @@
         request.spec.validate()
         job = self.job_store.jobs.get(job_id)
         if job is None:
+            self._check_room_for(request.spec)
             now = self._clock.now()
             accepted = await self._commit(
                 [changes.accept(job_id, queue.name, request.spec, now)]
@@ -320,6 +345,7 @@
     @operation(ChangeTable)
     async def _change_table(self, request: ChangeTable) -> Acknowledged:
         if request.table.version > self.job_store.queue_table.version:
+            self._check_size_of(request.table)
             await self._commit([changes.configure(request.table)])
             self._log.event(
                 'configuration.in_force',
--- /dev/null
+++ b/mulberryhitch/jobs/sizes.py
@@ -0,0 +1,60 @@
+"""Estimates of how many bytes jobs and tables take in a snapshot."""
+
+from itertools import chain
+
+from mulberryhitch.jobs.model import JobSpec, QueueTable, Step
+from mulberryhitch.jobs.state import Job
+
+_JOB_BYTES = 420
+_STEP_BYTES = 360
+_UNIT_BYTES = 90
+_QUEUE_BYTES = 260
+
+
+def spec_bytes(spec: JobSpec) -> int:
+    """Returns about how many bytes a job takes, without its occurrences."""
+    steps = sum(map(_step_bytes, spec.steps))
+    return _JOB_BYTES + _text_bytes(spec.argument) + steps
+
+
+def occurrence_bytes(spec: JobSpec) -> int:
+    """Returns about how many bytes an occurrence takes, without checkpoints."""
+    units = sum(1 if step.gang else step.count for step in spec.steps)
+    return units * _UNIT_BYTES
+
+
+def job_bytes(job: Job) -> int:
+    """Returns about how many bytes a job takes with all that belongs to it."""
+    executions = chain.from_iterable(job.occurrences.values())
+    checkpoints = sum(
+        _text_bytes(unit.checkpoint)
+        for execution in executions
+        for unit in execution.units
+    )
+    occurrences = len(job.occurrences) * occurrence_bytes(job.spec)
+    return spec_bytes(job.spec) + occurrences + checkpoints
+
+
+def checkpoint_growth_bytes(former: str, checkpoint: str) -> int:
+    """Returns by how many bytes a state grows with a newer checkpoint."""
+    return _text_bytes(checkpoint) - _text_bytes(former)
+
+
+def table_bytes(table: QueueTable) -> int:
+    """Returns about how many bytes a queue table takes."""
+    names = sum(
+        len(queue.name) + len(queue.host) + len(queue.prefix)
+        for queue in table.queues
+    )
+    return (
+        _text_bytes(table.document) + len(table.queues) * _QUEUE_BYTES + names
+    )
+
+
+def _step_bytes(step: Step) -> int:
+    labels = len(step.label) + len(step.data_rack) + len(step.image)
+    return _STEP_BYTES + labels
+
+
+def _text_bytes(text: str) -> int:
+    return len(text.encode(errors='replace'))
--- a/mulberryhitch/jobs/store.py
+++ b/mulberryhitch/jobs/store.py
@@ -30,6 +30,13 @@
     TaskKey,
     WorkerRecord,
 )
+from mulberryhitch.jobs.sizes import (
+    checkpoint_growth_bytes,
+    job_bytes,
+    occurrence_bytes,
+    spec_bytes,
+    table_bytes,
+)
 from mulberryhitch.jobs.snapshots import decode_job, encode_job
 from mulberryhitch.jobs.state import (
     Job,
@@ -91,6 +98,8 @@
         self._queues: dict[str, Queue] = {}
         self._services: frozenset[str] = frozenset()
         self._queued_jobs: Counter[str] = Counter()
+        self._jobs_bytes = 0
+        self._table_bytes = 0
 
     def apply(self, entry: LogEntry) -> list[Any]:
         """Applies an entry and returns one result for each change.
@@ -104,6 +113,11 @@
             self._apply_change(change) for change in decode_changes(entry.body)
         ]
 
+    @property
+    def stored_bytes(self) -> int:
+        """Returns about how many bytes the jobs and queues take as stored."""
+        return self._jobs_bytes + self._table_bytes
+
     def used_resources(self, worker_id: str) -> Resources:
         """Returns the resources taken by the open runs on a worker."""
         return self._used_resources.get(worker_id, Resources())
@@ -161,6 +175,7 @@
         for row in content['jobs']:
             job = decode_job(row)
             self.jobs[job.job_id] = job
+            self._jobs_bytes += job_bytes(job)
             self._record_time(max(job.accepted_at, job.ended_at))
             self._index_job(job)
         self.listener = listener
@@ -183,6 +198,7 @@
         self._record_time(now)
         job = Job(job_id, queue, decode_spec(fields), now)
         self.jobs[job_id] = job
+        self._jobs_bytes += spec_bytes(job.spec)
         self._adjust_queued_jobs(job, 1)
         if not job.spec.repeat_count:
             self._create_occurrence(job, 0)
@@ -267,6 +283,9 @@
         if unit.state in {UnitState.done, UnitState.failed}:
             return
         if checkpoint and execution.step.checkpointing:
+            self._jobs_bytes += checkpoint_growth_bytes(
+                unit.checkpoint, checkpoint
+            )
             unit.checkpoint = checkpoint
         self._record_outcome(execution, unit, run, RunOutcome(outcome), now)
 
@@ -300,6 +319,7 @@
                 queue.name: queue for queue in self.queue_table.queues
             }
             self._services = self.queue_table.named_services()
+            self._table_bytes = table_bytes(self.queue_table)
         return self.queue_table.version
 
     @change_handler('forget')
@@ -308,6 +328,7 @@
             job = self.jobs.get(job_id)
             if job is not None and not job.active and not _has_holders(job):
                 self.jobs.pop(job_id)
+                self._jobs_bytes -= job_bytes(job)
 
     def _record_time(self, now: float) -> None:
         self.latest_time = max(self.latest_time, now)
@@ -316,6 +337,7 @@
         job.occurrences[occurrence] = create_step_executions(
             job.job_id, occurrence, job.spec
         )
+        self._jobs_bytes += occurrence_bytes(job.spec)
         self._mark_ready_steps(job.occurrences[occurrence])
 
     def _mark_ready_steps(self, executions: list[StepExecution]) -> None:
--- a/mulberryhitch/platform/settings.py
+++ b/mulberryhitch/platform/settings.py
@@ -13,6 +13,7 @@
 
 # Must match the port in the deploy file.
 METRICS_PORT = 9464
+_BYTES_PER_MEGABYTE = 1_000_000
 SETTINGS_VARIABLE = 'MULBERRYHITCH_BOOT'
 
 
@@ -33,6 +34,11 @@
     control: str = ''
 
 
+class _ProcessLimits(BaseModel):
+    memory_mb: float = 0
+    disk_mb: float = 0
+
+
 class _SettingsFile(BaseModel):
     node_name: str
     serves: list[str] = []
@@ -45,6 +51,7 @@
     data_dir: str | None = None
     fault_tolerance: _FaultTolerance = _FaultTolerance()
     bounds: _Bounds = _Bounds()
+    limits: _ProcessLimits = _ProcessLimits()
     advice: str | None = None
 
 
@@ -68,6 +75,8 @@
         drain_seconds: Maximum duration of a shutdown.
         retain_seconds: How long the state of an ended job must be kept.
         metrics_address: Listen address of the metrics endpoint.
+        memory_bytes: Limit of the process's memory; zero if unknown.
+        disk_bytes: Size of the disk; zero if unknown.
         source: The settings file, which may change; ``None`` if there is none.
     """
 
@@ -87,6 +96,8 @@
     drain_seconds: float
     retain_seconds: float
     metrics_address: str
+    memory_bytes: int = 0
+    disk_bytes: int = 0
     source: Path | None = None
 
 
@@ -128,5 +139,7 @@
         parsed.bounds.grace_s,
         parsed.bounds.status_s,
         f'{parsed.ip}:{METRICS_PORT}',
+        round(parsed.limits.memory_mb * _BYTES_PER_MEGABYTE),
+        round(parsed.limits.disk_mb * _BYTES_PER_MEGABYTE),
         settings_path,
     )
--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -48,6 +48,7 @@
     PlatformPermitClient,
     PlatformWorkerClient,
 )
+from mulberryhitch.replication.disk_budget import DiskBudget
 from mulberryhitch.replication.loading import load_state
 from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.replica import Replica
@@ -308,10 +309,12 @@
         settings = self._settings
         log = self._shared.log
         store = JobStore()
+        budget = DiskBudget(settings.disk_bytes, settings.memory_bytes)
         options = DispatchOptions(
             lease_seconds=min(_LEASE_SECONDS, settings.maximum_lease_seconds),
             maximum_lease_seconds=settings.maximum_lease_seconds,
             retain_seconds=settings.retain_seconds * 2,
+            max_state_bytes=budget.max_state_bytes,
         )
         folder = Path(settings.data_folder) / JOBS_GROUP
         state = load_state(JOBS_GROUP, folder, settings.vm, store, log)
@@ -325,6 +328,8 @@
                 commit_notify_seconds=_COMMIT_NOTIFY_SECONDS,
                 reconcile_seconds=_RECONCILE_SECONDS,
                 repair_seconds=_REPAIR_SECONDS,
+                compact_bytes=budget.compact_bytes,
+                max_log_bytes=budget.max_log_bytes,
                 target_voters=settings.target_voters,
                 data_centre=settings.data_centre,
                 may_bootstrap=settings.first_start,
--- a/tests/jobs_group.py
+++ b/tests/jobs_group.py
@@ -113,8 +113,15 @@
 class JobsGroup(ReplicaGroup):
     """Schedulers that dispatch to fake workers while they lead."""
 
-    def __init__(self, size: int, seed: int, spares: int) -> None:
+    def __init__(
+        self,
+        size: int,
+        seed: int,
+        spares: int,
+        dispatch_options: DispatchOptions | None = None,
+    ) -> None:
         super().__init__(size, seed, spares, QUICK_OPTIONS)
+        self._dispatch_options = dispatch_options or DispatchOptions()
         self.stores: dict[str, JobStore] = {}
         self.fleet = SchedulersFleet(self.stores)
         self.leader_client = LeaderClient(
@@ -137,7 +144,7 @@
             self.fleet,
             FakePermitClient(()),
             NoPeers(),
-            DispatchOptions(),
+            self._dispatch_options,
             Log(vm),
             Histograms(),
         )
--- a/tests/test_job_store.py
+++ b/tests/test_job_store.py
@@ -137,6 +137,7 @@
             assert restored.used_resources(worker) == self.store.used_resources(
                 worker
             )
+        assert restored.stored_bytes == self.store.stored_bytes
         assert restored.ready_steps.keys() == self.store.ready_steps.keys()
         self.store = restored
 
--- a/tests/test_platform_parts.py
+++ b/tests/test_platform_parts.py
@@ -41,6 +41,7 @@
     'fault_tolerance': {'machines': 2, 'zones': 1},
     'bounds': {'hold_max_ms': 6000, 'grace_s': 4, 'later': 1},
     'advice': '10.200.1.9:8169',
+    'limits': {'memory_mb': 296, 'disk_mb': 128, 'later': 1},
     'something_new': {'a': 1},
 }
 POLICY = PermitPolicy(0.1, 0, 1.5)
@@ -56,6 +57,8 @@
     assert settings.maximum_lease_seconds == 6
     assert settings.drain_seconds == 4
     assert settings.first_start
+    assert settings.memory_bytes == 296_000_000
+    assert settings.disk_bytes == 128_000_000
 
 
 @pytest.mark.parametrize(
