Bound the entries in flight to a peer in bytes

Up to four appends of 4 MiB were in flight to a peer, and appends without an answer stopped counting after half an election time, while their bytes were held until the call timed out: a stalled peer held several windows.

Entries are added to those in flight only below max_in_flight_bytes (4 MiB), all that have no answer or time-out counted, so that a peer holds at most 8 MiB; heartbeats go on without entries. A follower frees chunks that entries have made needless.

--- a/mulberryhitch/replication/follower.py
+++ b/mulberryhitch/replication/follower.py
@@ -69,6 +69,7 @@
         commit = min(request.commit_index, last)
         if commit > self._state.commit_index:
             self._state.commit(commit)
+            self._drop_covered_chunks()
         return self._reply(last, promised_seconds, success=True)
 
     async def receive_chunk(self, request: SnapshotRequest) -> SnapshotReply:
@@ -130,6 +131,12 @@
                 return entries[:position]
         return entries
 
+    def _drop_covered_chunks(self) -> None:
+        """Frees the chunks of a snapshot that is no longer needed."""
+        if self._buffered_snapshot[0] <= self._state.commit_index:
+            self._snapshot_buffer.clear()
+            self._buffered_snapshot = (0, 0, 0)
+
     async def _install_snapshot(self, request: SnapshotRequest) -> None:
         content = bytes(self._snapshot_buffer)
         self._snapshot_buffer.clear()
--- a/mulberryhitch/replication/log_sender.py
+++ b/mulberryhitch/replication/log_sender.py
@@ -11,7 +11,7 @@
 from mulberryhitch.replication.lease import Lease
 from mulberryhitch.replication.members import vm_of
 from mulberryhitch.replication.options import ReplicationOptions
-from mulberryhitch.replication.progress import Progress
+from mulberryhitch.replication.progress import AppendInFlight, Progress
 from mulberryhitch.replication.state import ReplicaState
 from mulberryhitch.rpc.messages import (
     AppendReply,
@@ -77,7 +77,7 @@
         must_wait = (
             peer.unreachable or peer.lacks_room or peer.receives_snapshot
         )
-        if has_unsent_entries and not must_wait:
+        if has_unsent_entries and not must_wait and self._may_add(peer):
             return 0
         commit_unsent = peer.sent_commit_index < self._state.commit_index
         if commit_unsent and not peer.unreachable:
@@ -96,8 +96,7 @@
             else peer.next_index
         )
         previous = next_index - 1
-        # Entries that may only be late are not sent twice over a slow link.
-        entries = [] if peer.is_probed else self._next_batch(next_index)
+        entries = self._next_batch(next_index) if self._may_add(peer) else []
         request = AppendRequest(
             self._state.group,
             peer.replica_id,
@@ -110,8 +109,16 @@
             self._lease.election_seconds,
             self._lease.epoch,
         )
-        sent_at = peer.record_sent(len(entries), self._state.commit_index)
-        send_tasks.start_soon(self._send, peer, request, sent_at)
+        append = peer.record_sent(entries, self._state.commit_index)
+        send_tasks.start_soon(self._send, peer, request, append)
+
+    def _may_add(self, peer: Progress) -> bool:
+        """Whether entries may be added to those in flight to a peer.
+
+        Entries that may only be late are not sent twice over a slow link.
+        """
+        has_room = peer.in_flight_bytes < self._options.max_in_flight_bytes
+        return has_room and not peer.is_probed
 
     def _next_batch(self, index: int) -> list[LogEntry]:
         """Returns the entries from an index on that one append may carry."""
@@ -126,7 +133,7 @@
         return batch
 
     async def _send(
-        self, peer: Progress, request: AppendRequest, in_flight_since: float
+        self, peer: Progress, request: AppendRequest, append: AppendInFlight
     ) -> None:
         sent_at = self._options.now()
         try:
@@ -141,7 +148,7 @@
                 peer.record_failure()
             return
         finally:
-            peer.record_end(in_flight_since)
+            peer.record_end(append)
         if isinstance(reply, AppendReply):
             self._handle_append_reply(peer, request, reply, sent_at)
 
--- a/mulberryhitch/replication/options.py
+++ b/mulberryhitch/replication/options.py
@@ -29,6 +29,8 @@
         commit_notify_seconds: Maximum delay before a follower is notified
             of newly committed entries; zero notifies it immediately.
         window: Maximum appends in flight to one peer.
+        max_in_flight_bytes: Size of the entries in flight to one peer from
+            which on no further ones are sent.
         compact_entries: Applied entries after which a snapshot is taken.
         compact_bytes: Growth of the log after which a snapshot is taken, unless
             the former snapshot is larger.
@@ -56,6 +58,7 @@
     batch_bytes: int = 4_194_304
     commit_notify_seconds: float = 0
     window: int = 4
+    max_in_flight_bytes: int = 4_194_304
     compact_entries: int = 20_000
     compact_bytes: int = 8_388_608
     max_log_bytes: int = 33_554_432
--- a/mulberryhitch/replication/progress.py
+++ b/mulberryhitch/replication/progress.py
@@ -1,12 +1,29 @@
 """A leader's view of how far one peer's log is replicated."""
 
 import math
+from dataclasses import dataclass
 
 import anyio
 
+from mulberryhitch.replication.entry_sizes import stored_bytes
+from mulberryhitch.rpc.messages import LogEntry
+
 _ROUND_TRIP_WEIGHT = 0.25
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class AppendInFlight:
+    """An append that has no answer yet.
+
+    Attributes:
+        sent_at: When it was sent, in seconds.
+        stored_bytes: About the size of its entries.
+    """
+
+    sent_at: float
+    stored_bytes: int
+
+
 class Progress:
     """Replication progress of one peer.
 
@@ -41,7 +58,7 @@
         self.last_contact = float()
         self.promised_until = float()
         self._round_trip_seconds = math.inf
-        self._sent_at: list[float] = []
+        self._in_flight: list[AppendInFlight] = []
         self.receives_snapshot = False
         self.probing = True
         self.sent_commit_index = 0
@@ -55,7 +72,12 @@
     @property
     def is_probed(self) -> bool:
         """Whether an append that probes the peer is in flight."""
-        return self.probing and bool(self._sent_at)
+        return self.probing and bool(self._in_flight)
+
+    @property
+    def in_flight_bytes(self) -> int:
+        """Returns about the size of the entries that have no answer yet."""
+        return sum(append.stored_bytes for append in self._in_flight)
 
     def may_send(self, window: int, answer_seconds: float) -> bool:
         """Whether another append may be sent now.
@@ -64,20 +86,24 @@
         """
         limit = 1 if self.probing else window
         oldest = anyio.current_time() - answer_seconds
-        return sum(sent_at > oldest for sent_at in self._sent_at) < limit
+        recent = [one for one in self._in_flight if one.sent_at > oldest]
+        return len(recent) < limit
 
-    def record_sent(self, entry_count: int, commit_index: int) -> float:
-        """Records that an append is in flight; returns since when."""
+    def record_sent(
+        self, entries: list[LogEntry], commit_index: int
+    ) -> AppendInFlight:
+        """Records that an append is in flight, and returns its record."""
         self.last_sent = anyio.current_time()
-        self._sent_at.append(self.last_sent)
+        append = AppendInFlight(self.last_sent, sum(map(stored_bytes, entries)))
+        self._in_flight.append(append)
         self.sent_commit_index = commit_index
         if not self.probing:
-            self.next_index += entry_count
-        return self.last_sent
+            self.next_index += len(entries)
+        return append
 
-    def record_end(self, sent_at: float) -> None:
+    def record_end(self, append: AppendInFlight) -> None:
         """Records that an append is no longer in flight."""
-        self._sent_at.remove(sent_at)
+        self._in_flight.remove(append)
 
     def record_promise(self, sent_at: float, lease_seconds: float) -> None:
         """Records an answer, and the lease that its promise gives."""
