Shrink ended jobs while the jobs take much of their room

With the limit of the state, a group that ends 80 jobs a second and keeps each for four minutes would refuse new jobs for the sake of ended ones: one takes 1 to 6 KB, of which a client may ask for its state only.

Test: ended jobs give their room to new ones and stay readable (refused before: "the jobs and queues take 97674 of 100000 bytes").

--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -16,6 +16,7 @@
     PreemptionCandidates,
 )
 from mulberryhitch.dispatch.reports.status_report import StatusReporter
+from mulberryhitch.dispatch.retention import Retention
 from mulberryhitch.dispatch.runs.run_controller import RunController
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
 from mulberryhitch.dispatch.runs.worker_registry import WorkerRegistry
@@ -44,6 +45,7 @@
     def __init__(self, term: Term) -> None:
         """Creates the parts of the dispatcher and connects them."""
         self._term = term
+        self._retention = Retention(term)
         self._uncommitted: dict[str, Resources] = {}
         self._committing_steps: set[StepKey] = set()
         self._estimates = EstimateCache()
@@ -267,7 +269,7 @@
                 continue
             await self._start_due_occurrences()
             await self.workers.remove_expired()
-            await self._delete_old_jobs()
+            await self._retention.enforce()
             self.request_round()
 
     async def _start_due_occurrences(self) -> None:
@@ -281,13 +283,3 @@
         ]
         if batch:
             await self._term.commit_or_log(batch)
-
-    async def _delete_old_jobs(self) -> None:
-        oldest = self._term.wall_time() - self._term.options.retain_seconds
-        old = [
-            job.job_id
-            for job in self._term.job_store.jobs.values()
-            if 0 < job.ended_at < oldest
-        ]
-        if old:
-            await self._term.commit_or_log([changes.delete_jobs(old)])
--- a/mulberryhitch/dispatch/options.py
+++ b/mulberryhitch/dispatch/options.py
@@ -18,6 +18,8 @@
         round_seconds: Minimum time between two placement rounds.
         maintenance_seconds: Interval between two maintenance passes.
         retain_seconds: How long the state of an ended job is kept.
+        required_retain_seconds: How long it is kept at least, while the jobs
+            take much of their room.
         permit_margin_seconds: Minimum remaining validity of a permit that is
             used.
         preemption_grace_seconds: Minimum time between the confirmation of a
@@ -37,6 +39,7 @@
     round_seconds: float = 0.004
     maintenance_seconds: float = 0.25
     retain_seconds: float = 240.0
+    required_retain_seconds: float = 120.0
     permit_margin_seconds: float = 0.12
     preemption_grace_seconds: float = 1.0
     maximum_preempted_run: int = 1
--- a/mulberryhitch/jobs/changes.py
+++ b/mulberryhitch/jobs/changes.py
@@ -75,6 +75,11 @@
     return ['forget', job_ids]
 
 
+def shrink_jobs(job_ids: list[str]) -> Change:
+    """Builds a change that keeps of ended jobs only how they ended."""
+    return ['shrink', job_ids]
+
+
 def encode_changes(changes: Sequence[Change]) -> bytes:
     """Serialises changes as the body of one log entry."""
     return orjson.dumps(changes)
--- a/mulberryhitch/jobs/state.py
+++ b/mulberryhitch/jobs/state.py
@@ -1,7 +1,8 @@
 """Execution state of jobs, their steps and their units."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
+from itertools import chain
 
 from mulberryhitch.jobs.model import (
     JobSpec,
@@ -157,6 +158,25 @@
         """Whether tasks of the job may still start."""
         return self.ended_at == 0
 
+    @property
+    def has_open_runs(self) -> bool:
+        """Whether a run of one of its tasks may still be executing."""
+        executions = chain.from_iterable(self.occurrences.values())
+        return any(
+            unit.holders for execution in executions for unit in execution.units
+        )
+
+    @property
+    def is_shrinkable(self) -> bool:
+        """Whether it has ended and has more than a client may ask for."""
+        has_more = bool(self.spec.steps or self.occurrences)
+        return has_more and not self.active and not self.has_open_runs
+
+    def shrink(self) -> None:
+        """Removes all but what tells how the job ended."""
+        self.occurrences.clear()
+        self.spec = replace(self.spec, argument='', steps=())
+
     def due_at(self, occurrence: int) -> float:
         """Returns when an occurrence may start, in seconds since 1970."""
         if self.spec.repeat_count:
--- a/mulberryhitch/jobs/store.py
+++ b/mulberryhitch/jobs/store.py
@@ -326,10 +326,19 @@
     def _delete_jobs(self, job_ids: list[str]) -> None:
         for job_id in job_ids:
             job = self.jobs.get(job_id)
-            if job is not None and not job.active and not _has_holders(job):
+            if job is not None and not job.active and not job.has_open_runs:
                 self.jobs.pop(job_id)
                 self._jobs_bytes -= job_bytes(job)
 
+    @change_handler('shrink')
+    def _shrink_jobs(self, job_ids: list[str]) -> None:
+        for job_id in job_ids:
+            job = self.jobs.get(job_id)
+            if job is not None and job.is_shrinkable:
+                self._jobs_bytes -= job_bytes(job)
+                job.shrink()
+                self._jobs_bytes += job_bytes(job)
+
     def _record_time(self, now: float) -> None:
         self.latest_time = max(self.latest_time, now)
 
@@ -451,10 +460,3 @@
                     self._add_run(unit, index, worker_id, execution)
             if execution.waiting_units:
                 self.ready_steps[execution.key] = execution
-
-
-def _has_holders(job: Job) -> bool:
-    executions = chain.from_iterable(job.occurrences.values())
-    return any(
-        unit.holders for execution in executions for unit in execution.units
-    )
--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -314,6 +314,7 @@
             lease_seconds=min(_LEASE_SECONDS, settings.maximum_lease_seconds),
             maximum_lease_seconds=settings.maximum_lease_seconds,
             retain_seconds=settings.retain_seconds * 2,
+            required_retain_seconds=settings.retain_seconds,
             max_state_bytes=budget.max_state_bytes,
         )
         folder = Path(settings.data_folder) / JOBS_GROUP
--- a/tests/test_bounded_state.py
+++ b/tests/test_bounded_state.py
@@ -1,5 +1,6 @@
 """Jobs, queues and a disk's parts are bounded by sizes that fit each other."""
 
+from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -19,8 +20,15 @@
 from mulberryhitch.dispatch.options import DispatchOptions
 from mulberryhitch.errors import OverloadedError, TooLargeError
 from mulberryhitch.jobs import changes
-from mulberryhitch.jobs.model import JobSpec, Queue, QueueTable, Step, TaskKey
-from mulberryhitch.jobs.state import RunOutcome
+from mulberryhitch.jobs.model import (
+    JobSpec,
+    Queue,
+    QueueTable,
+    Step,
+    TaskKey,
+    WorkerRecord,
+)
+from mulberryhitch.jobs.state import JobState, RunOutcome
 from mulberryhitch.jobs.store import JobStore
 from mulberryhitch.outcomes import Outcome
 from mulberryhitch.platform.asgi import http_status_of
@@ -185,3 +193,61 @@
             assert table.version == 1
 
     run_with_mock_clock(main)
+
+
+def test_ended_jobs_give_their_room_to_new_ones_and_stay_readable() -> None:
+    async def main() -> None:
+        options = replace(OPTIONS, retain_seconds=120)
+        group = JobsGroup(3, 1, 0, options)
+        async with group.running():
+            await group.wait_leader()
+            await _configure(group, 1, '{}')
+            accepted = await _fill_with_jobs(group)
+            for number in range(accepted):
+                cancellation = CancelJob('host', f'/q/job-{number}')
+                await _call(group, cancellation, JobReply)
+            await anyio.sleep(7)
+            await _call(group, _submission(accepted), JobReply)
+            job = await _call(group, ReadJob('host', '/q/job-0'), JobReply)
+            assert job.state == 'cancelled'
+
+    run_with_mock_clock(main)
+
+
+def test_a_shrunk_job_keeps_its_end_and_ignores_late_reports() -> None:
+    store = _store()
+    spec = JobSpec('x' * 100, (Step(1), Step(2, depends_on=(0,))))
+    _apply(store, changes.accept('job', 'queue', spec, 1))
+    _apply(store, changes.shrink_jobs(['job']))
+    assert store.jobs['job'].spec == spec
+    _apply(store, changes.cancel('job', 2), changes.shrink_jobs(['job']))
+    late = changes.end_run(TaskKey('job', 0, 0, 0), 1, RunOutcome.done, '', 3)
+    _apply(store, late)
+    restored = JobStore()
+    restored.restore(store.snapshot())
+    for each in (store, restored):
+        assert each.jobs['job'].state is JobState.cancelled
+        assert each.stored_bytes < 1000
+    assert restored.stored_bytes == store.stored_bytes
+    assert not store.ready_steps
+
+
+def test_a_job_with_open_runs_is_not_shrunk() -> None:
+    store = _store()
+    worker = WorkerRecord(
+        'w', 'ip:1', 'service', 'dc', '', (), 1000, 1000, 0, 1
+    )
+    task = TaskKey('job', 0, 0, 0)
+    _apply(
+        store,
+        changes.register_worker(worker),
+        changes.accept('job', 'queue', JobSpec('', (Step(1, 500, 100),)), 1),
+        changes.grant(task, 1, 'w'),
+        changes.cancel('job', 2),
+        changes.shrink_jobs(['job']),
+    )
+    assert store.open_runs['w'] == {task: 1}
+    ended = changes.end_run(task, 1, RunOutcome.stopped, '', 3)
+    _apply(store, ended, changes.shrink_jobs(['job']))
+    assert not store.open_runs['w']
+    assert not store.jobs['job'].occurrences
