--- a/tests/test_reserve.py
+++ b/tests/test_reserve.py
@@ -1,5 +1,6 @@
 """Room that is kept on a disk for elections, membership changes, snapshots."""
 
+import os
 from pathlib import Path
 from typing import Any
 
@@ -267,6 +268,34 @@
     assert not isinstance(raised.value, DiskFullError)
 
 
+@pytest.mark.parametrize('tells_size', [True, False])
+def test_room_that_is_not_there_is_not_tried_for(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, *, tells_size: bool
+) -> None:
+    class Disk:
+        f_bavail = RESERVE_BYTES // 4096 - 1
+        f_frsize = 4096
+        f_blocks = 10_000 if tells_size else 0
+
+    storage = FileStorage(tmp_path, 'vm-1')
+    storage.load()
+    with monkeypatch.context() as patches:
+        patches.setattr(os, 'statvfs', lambda path: Disk)
+        if tells_size:
+            patches.setattr(reserve, 'write_all', _refuse_to_be_called)
+            with pytest.raises(DiskFullError):
+                run(storage.keep_room)
+            assert storage.is_room_short
+        else:
+            run(storage.keep_room)
+    run(storage.keep_room)
+    assert storage.is_room_kept
+
+
+def _refuse_to_be_called(*arguments: Any) -> None:
+    raise AssertionError('a write to a disk without room')
+
+
 def test_a_storage_without_kept_room_writes_until_its_disk_is_full(
     tmp_path: Path,
 ) -> None:
