--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -126,6 +126,11 @@
         """The size of the snapshot on disk."""
         return self._snapshot_bytes
 
+    @property
+    def keeps_room(self) -> bool:
+        """Whether room is kept on the disk; if not, it never runs short."""
+        return self._reserve.is_enabled
+
     @property
     def is_room_kept(self) -> bool:
         """Whether all the room is kept that snapshots and elections need."""
--- a/mulberryhitch/replication/reserve.py
+++ b/mulberryhitch/replication/reserve.py
@@ -38,6 +38,11 @@
         self._releases = 0
         self._lock = threading.Lock()
 
+    @property
+    def is_enabled(self) -> bool:
+        """Whether any room is kept."""
+        return self._base_bytes > 0
+
     @property
     def is_complete(self) -> bool:
         """Whether the file has its full size."""
@@ -50,7 +55,7 @@
 
     def fit_to(self, snapshot_bytes: int) -> None:
         """Adapts the full size to a snapshot; :meth:`restore` applies it."""
-        if self._base_bytes:
+        if self.is_enabled:
             self._target_bytes = self._base_bytes + snapshot_bytes
 
     def release(self, wanted_bytes: int) -> bool:
--- a/mulberryhitch/replication/storage.py
+++ b/mulberryhitch/replication/storage.py
@@ -57,6 +57,10 @@
     def snapshot_bytes(self) -> int:
         """The size of the snapshot on disk."""
 
+    @property
+    def keeps_room(self) -> bool:
+        """Whether room is kept on the disk; if not, it never runs short."""
+
     @property
     def is_room_kept(self) -> bool:
         """Whether all the room is kept that snapshots and elections need."""
--- a/mulberryhitch/replication/upkeep.py
+++ b/mulberryhitch/replication/upkeep.py
@@ -29,9 +29,11 @@
     ) -> None:
         """Initialises the upkeep; :meth:`start` starts it."""
         self._compaction = Compaction(state, options, fail_stop, log)
+        self._keeps_room = state.storage.keeps_room
         self._room_keeper = RoomKeeper(state.group, state.storage, log)
 
     def start(self, tasks: TaskGroup) -> None:
         """Starts the tasks, which run until cancelled."""
         tasks.start_soon(self._compaction.run)
-        tasks.start_soon(self._room_keeper.run)
+        if self._keeps_room:
+            tasks.start_soon(self._room_keeper.run)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -61,6 +61,10 @@
         snapshot = self._stored.snapshot
         return len(snapshot.state) if snapshot else 0
 
+    @property
+    def keeps_room(self) -> bool:
+        return False
+
     @property
     def is_room_kept(self) -> bool:
         return True
--- a/tests/test_reserve.py
+++ b/tests/test_reserve.py
@@ -69,6 +69,7 @@
     path = disk.folder / 'reserve'
     assert path.read_bytes() == bytes(RESERVE_BYTES)
     assert path.stat().st_blocks * 512 >= RESERVE_BYTES
+    assert disk.keeps_room
     assert disk.is_room_kept
 
 
@@ -302,6 +303,7 @@
     storage = FileStorage(tmp_path, 'vm-1', reserve_bytes=0)
     storage.load()
     run(storage.save_snapshot, Snapshot(1, 0, MEMBERS, STATE), [])
+    assert not storage.keeps_room
     assert storage.is_room_kept
     assert not (tmp_path / 'reserve').exists()
 
