--- a/mulberryhitch/replication/reserve.py
+++ b/mulberryhitch/replication/reserve.py
@@ -44,6 +44,11 @@
         """The size without a snapshot."""
         return self._base_bytes
 
+    @property
+    def is_enabled(self) -> bool:
+        """Whether any room is kept."""
+        return self._base_bytes > 0
+
     @property
     def is_complete(self) -> bool:
         """Whether the file has its full size."""
@@ -56,7 +61,7 @@
 
     def fit_to(self, snapshot_bytes: int) -> None:
         """Adapts the full size to a snapshot; :meth:`restore` applies it."""
-        if self._base_bytes:
+        if self.is_enabled:
             self._target_bytes = self._base_bytes + snapshot_bytes
 
     def release(
