--- a/mulberryhitch/replication/compaction.py
+++ b/mulberryhitch/replication/compaction.py
@@ -1,5 +1,7 @@
 """Takes snapshots of a replica's state, which replace its older log entries."""
 
+import zlib
+
 import anyio
 
 from mulberryhitch.errors import DiskFullError
@@ -9,6 +11,8 @@
 from mulberryhitch.replication.state import ReplicaState
 
 _DISK_FULL_RETRY_SECONDS = 2.0
+_DUE_SPREAD = 0.25
+_CRC32_VALUES = 2**32
 
 
 class Compaction:
@@ -16,7 +20,8 @@
 
     The log grows by at least the size of the former snapshot between two
     snapshots, so that most of what is written is log. A log that nears its
-    limit has one at each check that can shorten it.
+    limit has one at each check that can shorten it. A snapshot holds up the
+    replica, so each replica takes its own after another growth.
 
     Args:
         state: The replica's state.
@@ -38,6 +43,7 @@
         self._options = options
         self._fail_stop = fail_stop
         self._log = log
+        self._due_share = _due_share(state.replica_id)
         # Size of the log after the latest snapshot, in bytes.
         self._retained_bytes = 0
         self._log_grown = anyio.Event()
@@ -67,7 +73,7 @@
 
     def _is_due(self) -> bool:
         uncompacted = self._state.commit_index - self._state.snapshot_index
-        if uncompacted >= self._options.compact_entries:
+        if uncompacted >= self._options.compact_entries * self._due_share:
             return True
         is_due = uncompacted > 0 and self._has_grown()
         return is_due or self._may_shorten_long_log()
@@ -86,7 +92,8 @@
         self._retained_bytes = min(self._retained_bytes, storage.log_bytes)
         growth = storage.log_bytes - self._retained_bytes
         due_growth = max(self._options.compact_bytes, storage.snapshot_bytes)
-        return growth >= min(due_growth, self._options.max_log_bytes // 2)
+        due_growth = min(due_growth, self._options.max_log_bytes // 2)
+        return growth >= due_growth * self._due_share
 
     async def _compact(self) -> None:
         storage = self._state.storage
@@ -107,3 +114,9 @@
             log_bytes=storage.log_bytes,
             seconds=round(anyio.current_time() - began_at, 3),
         )
+
+
+def _due_share(replica_id: str) -> float:
+    """Returns the share of the growth after which a replica's is due."""
+    position = zlib.crc32(replica_id.encode()) / _CRC32_VALUES
+    return 1 - _DUE_SPREAD * position
--- a/tests/test_bounded_disks.py
+++ b/tests/test_bounded_disks.py
@@ -90,3 +90,20 @@
             assert len(terms) <= 3
 
     run_with_mock_clock(main)
+
+
+def test_replicas_do_not_all_take_their_snapshots_at_the_same_entry(
+    group: BoundedDiskGroup,
+) -> None:
+    async def main() -> None:
+        async with group.running():
+            for number in range(30):
+                await _put(group, 'large', f'{number}{LARGE_VALUE}')
+            await anyio.sleep(2)
+            indexes = {
+                replica.state.snapshot_index
+                for replica in group.replicas.values()
+            }
+            assert len(indexes) > 1
+
+    run_with_mock_clock(main)
--- a/tests/test_lagging_followers.py
+++ b/tests/test_lagging_followers.py
@@ -9,19 +9,32 @@
 from mulberryhitch.replication.file_storage import FileStorage
 from mulberryhitch.replication.members import Members
 from mulberryhitch.replication.options import ReplicationOptions
+from mulberryhitch.replication.replica import Replica
 from mulberryhitch.replication.state import ReplicaState
 from mulberryhitch.rpc.messages import LogEntry
 from tests.fakes import KeyValueStateMachine
-from tests.replica_group import OPTIONS, ReplicaGroup, run_with_mock_clock
+from tests.replica_group import ReplicaGroup, run_with_mock_clock
 
 LAG_ENTRIES = 8
 
 
+async def _entries_until_a_snapshot(
+    group: ReplicaGroup, leader: Replica
+) -> int:
+    """Returns after how many entries the leader takes a snapshot."""
+    former_index = leader.state.snapshot_index
+    while leader.state.snapshot_index == former_index:
+        assert await group.put('key', 0)
+        await anyio.sleep(1)
+    return leader.state.snapshot_index - former_index
+
+
 async def _lag_behind_a_snapshot(group: ReplicaGroup) -> tuple[str, list[Any]]:
     """Returns a follower, and the snapshot chunks that it will receive."""
     leader = await group.wait_leader()
     vm = next(vm for vm in group.vms if vm != group.vm_of(leader))
-    for number in range(OPTIONS.compact_entries - LAG_ENTRIES):
+    entries = await _entries_until_a_snapshot(group, leader)
+    for number in range(entries - LAG_ENTRIES):
         assert await group.put('key', number)
     await anyio.sleep(1)
     chunks: list[Any] = []
