Write entries that a group itself needs alone

Kept room of a full disk is given to the entries of elections and membership changes. The first batch of a term held its first entry with all changes that were queued by then, so that these could use up the kept room.

Test: an entry of the group itself is written alone (before: all queued proposals in one batch).

--- a/mulberryhitch/replication/proposals.py
+++ b/mulberryhitch/replication/proposals.py
@@ -104,14 +104,22 @@
         await self._added.wait()
 
     def take_batch(self) -> list[Proposal]:
-        """Removes and returns the proposals to be written together."""
+        """Removes and returns the proposals to be written together.
+
+        An entry that the group itself needs is alone, as kept room of the disk
+        may be used for it.
+        """
         batch: list[Proposal] = []
         size = 0
         while self._queue:
             size += self._queue[0].stored_bytes
             if batch and size > self._options.batch_bytes:
                 break
+            if batch and self._queue[0].kind in _EXEMPT_KINDS:
+                break
             batch.append(self._queue.popleft())
+            if batch[0].kind in _EXEMPT_KINDS:
+                break
         self._queued_bytes -= sum(one.stored_bytes for one in batch)
         if not self._queue:
             self._added = anyio.Event()
--- a/tests/test_log_limits.py
+++ b/tests/test_log_limits.py
@@ -275,3 +275,14 @@
         size = sum(one.stored_bytes for one in batch)
         assert size <= OPTIONS.batch_bytes
     queue.add(proposal)
+
+
+def test_an_entry_of_the_group_itself_is_written_alone() -> None:
+    queue = ProposalQueue(FakeDisk('vm-1'), OPTIONS)
+    for kind in ('put', 'members', 'put', 'put'):
+        queue.add(Proposal(kind, b'x'))
+    queue.add_first(Proposal('noop', b''))
+    batches = []
+    while len(queue):
+        batches.append([proposal.kind for proposal in queue.take_batch()])
+    assert batches == [['noop'], ['put'], ['members'], ['put', 'put']]
