Count a log line that was written only in part, and end it before the next

Seen by operators: a line longer than the room left in its pipe (a worker's refusal is logged with its whole answer, of up to 8 MiB) was cut without a word, and the next line was appended to the rest, so that neither could be read.

Such a line is counted as dropped, like one that would block, and the next one begins on a line of its own. The new test in tests/test_platform_parts.py failed before.

--- a/mulberryhitch/observability/log.py
+++ b/mulberryhitch/observability/log.py
@@ -119,8 +119,9 @@
 class NonBlockingLineStream:
     """Writes lines to a file descriptor without blocking.
 
-    A line that would block is dropped and counted; the count is written
-    after the next line that succeeds.
+    A line that would block is dropped and counted, also one of which only the
+    beginning was written; the count is written after the next line that
+    succeeds.
 
     Args:
         descriptor: File descriptor of an open pipe or file.
@@ -133,6 +134,7 @@
         """Sets the descriptor to non-blocking mode."""
         os.set_blocking(descriptor, False)
         self._descriptor = descriptor
+        self._is_line_open = False
         self.dropped = 0
 
     def write(self, text: Any) -> int:
@@ -142,12 +144,15 @@
             line += b'{"message_type":"log.dropped","lines":%d}\n' % (
                 self.dropped
             )
+        if self._is_line_open:
+            line = b'\n%b' % line
         try:
-            os.write(self._descriptor, line)
+            written = os.write(self._descriptor, line)
         except BlockingIOError:
             self.dropped += 1
-        else:
-            self.dropped = 0
+            return len(text)
+        self._is_line_open = written < len(line)
+        self.dropped = self.dropped + 1 if self._is_line_open else 0
         return len(text)
 
     def flush(self) -> None:
--- a/tests/test_platform_parts.py
+++ b/tests/test_platform_parts.py
@@ -94,6 +94,21 @@
     os.close(write_fd)
 
 
+def test_a_line_that_is_written_in_part_does_not_spoil_the_next() -> None:
+    read_fd, write_fd = os.pipe()
+    stream = NonBlockingLineStream(write_fd)
+    stream.write('x' * 1_000_000 + '\n')
+    assert stream.dropped == 1
+    os.read(read_fd, 1 << 20)
+    stream.write('{"after":1}\n')
+    lines = os.read(read_fd, 1 << 20).splitlines()
+    assert b'{"after":1}' in lines
+    assert orjson.loads(lines[-1])['lines'] == 1
+    assert not stream.dropped
+    os.close(read_fd)
+    os.close(write_fd)
+
+
 def test_logs_are_rate_limited_and_count_omitted_lines() -> None:
     written: list[dict[str, Any]] = []
     eliot.add_destinations(written.append)
