A start that shortens the log leaves room for elections

Processes that started on full disks rewrote their logs and gave back all kept room for it; foreign files took it, and no later term had room for its first entry.

--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -404,7 +404,7 @@
             if entry.index > self._snapshot_index
         ]
         with suppress(DiskFullError), typed_disk_errors(self._log_path):
-            self._use_reserve(
+            self._use_reserve_of_snapshots(
                 partial(self._rewrite_log, entries), _stored_bytes(entries)
             )
 
--- a/tests/test_reserve.py
+++ b/tests/test_reserve.py
@@ -116,6 +116,22 @@
     assert _last_index(disk) == 2
 
 
+def test_a_start_that_shortens_the_log_leaves_room_for_elections(
+    disk: BoundedDisk,
+) -> None:
+    entries = [_entry(1), _entry(2, body=STATE * 6)]
+    disk.write(entries)
+    run(disk.sync)
+    run(disk.save_snapshot, Snapshot(1, 1, MEMBERS, b''), entries)
+    disk.crash()
+    disk.fill()
+    disk.load()
+    for index in range(3, 20):
+        disk.fill()
+        _write(disk, _entry(index, NOOP_KIND))
+    assert _last_index(disk) == 19
+
+
 def test_a_write_that_finds_no_room_even_so_gives_no_kept_room_back(
     disk: BoundedDisk, monkeypatch: pytest.MonkeyPatch
 ) -> None:
