--- a/tests/random_disks.py
+++ b/tests/random_disks.py
@@ -82,7 +82,11 @@
     8 * MEBIBYTE,
     512 * KIBIBYTE,
     160 * KIBIBYTE,
-    replace(QUICK_OPTIONS, compact_bytes=512 * KIBIBYTE),
+    replace(
+        QUICK_OPTIONS,
+        compact_bytes=512 * KIBIBYTE,
+        max_log_bytes=2 * MEBIBYTE,
+    ),
 )
 
 
@@ -328,14 +332,11 @@
                 self.history.violations.append(
                     f'own files fill the disk of {vm}: {disk.overfilled}'
                 )
-        limit = getattr(self.group.options, 'max_log_bytes', None)
+        limit = self.group.options.max_follower_log_bytes
         for vm, replica in self.group.replicas.items():
-            state = replica.state
-            entries = state.entries_from(
-                state.snapshot_index + 1, state.last_index
-            )
+            entries = replica.state._entries
             size = sum(len(entry.body) for entry in entries)
-            if limit is not None and size > limit:
+            if size > limit:
                 self.history.violations.append(
                     f'{vm} has entries of {size} bytes in memory'
                 )
