--- a/mulberryhitch/replication/file_storage.py
+++ b/mulberryhitch/replication/file_storage.py
@@ -6,8 +6,6 @@
 """
 
 import os
-import secrets
-import sys
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager, suppress
 from functools import partial
@@ -22,21 +20,22 @@
     ProtocolError,
     StorageError,
 )
-from mulberryhitch.replication.disk_errors import (
-    is_disk_full,
-    typed_disk_errors,
-)
+from mulberryhitch.replication.disk_errors import typed_disk_errors
 from mulberryhitch.replication.durable_files import (
     CREATE_FLAGS,
     FILE_MODE,
     new_file,
-    read_checked,
     sync_folder,
     write_all,
     write_atomically,
 )
 from mulberryhitch.replication.entry_sizes import stored_bytes
 from mulberryhitch.replication.failpoints import FailPoints
+from mulberryhitch.replication.identity_file import (
+    create_identity,
+    read_identity,
+)
+from mulberryhitch.replication.kept_room import KeptRoom
 from mulberryhitch.replication.left_over_files import remove_unfinished_files
 from mulberryhitch.replication.log_records import (
     FIRST_RECORD_OFFSET,
@@ -46,27 +45,20 @@
     read_log,
     remove_from,
 )
-from mulberryhitch.replication.members import MEMBERS_KIND, Members
+from mulberryhitch.replication.members import MEMBERS_KIND
 from mulberryhitch.replication.reserve import Reserve
+from mulberryhitch.replication.snapshot_file import (
+    encode_snapshot,
+    read_snapshot,
+)
 from mulberryhitch.replication.state import NOOP_KIND
 from mulberryhitch.replication.storage import Snapshot, StoredState
 from mulberryhitch.replication.vote_file import FILE_BYTES as VOTE_FILE_BYTES
 from mulberryhitch.replication.vote_file import VoteFile
-from mulberryhitch.rpc.codec import decode_record, encode_record
-from mulberryhitch.rpc.messages import (
-    IdentityRecord,
-    LogEntry,
-    SnapshotRecord,
-    VoteRecord,
-)
-
+from mulberryhitch.rpc.messages import LogEntry, VoteRecord
 
 # Room for an election's entries, a first snapshot and the rewritten log.
 RESERVE_BYTES = 8_388_608
-# Part of it that only elections and membership changes get.
-_ELECTION_ROOM_BYTES = 1_048_576
-# A block of the file system; other processes may take what is not used of it.
-_RELEASE_STEP_BYTES = 4096
 # An election, a membership change or a truncation must not need free room.
 _KINDS_THAT_MAY_USE_RESERVE = frozenset((NOOP_KIND, MEMBERS_KIND))
 
@@ -103,6 +95,7 @@
         remove_unfinished_files(folder)
         self._vote_file = VoteFile(folder / 'vote')
         self._reserve = Reserve(folder / 'reserve', reserve_bytes)
+        self._kept_room = KeptRoom(self._reserve)
         # Renames that a killed process left unsynced count as durable now.
         sync_folder(folder)
         self._descriptor = self._open_log()
@@ -200,8 +193,8 @@
         """
         kinds = {entry.kind for entry in entries}
         if kinds & _KINDS_THAT_MAY_USE_RESERVE:
-            self._use_reserve(
-                partial(self._write, entries), _stored_bytes(entries)
+            self._kept_room.write_for_group(
+                partial(self._write, entries), _body_bytes(entries)
             )
         elif self._reserve.is_short:
             raise DiskFullError(
@@ -232,9 +225,7 @@
             DiskFullError: Nothing was removed.
             StorageError: The sync failed; what is durable is unknown.
         """
-        self._use_reserve(
-            partial(self._write_truncation, index), _RELEASE_STEP_BYTES
-        )
+        self._kept_room.write_for_group(partial(self._write_truncation, index))
         remove_from(self._entries, index)
         await self.sync()
 
@@ -249,7 +240,7 @@
         self._fail_points.reach('vote')
         vote = VoteRecord(term, voted_for, promised_seconds)
         await self._run_in_thread(
-            self._use_reserve,
+            self._kept_room.write_for_group,
             partial(self._vote_file.save, vote),
             VOTE_FILE_BYTES,
         )
@@ -266,18 +257,10 @@
             StorageError: The disk is full or faulty.
         """
         self._fail_points.reach('snapshot')
-        content = encode_record(
-            SnapshotRecord(
-                snapshot.last_index,
-                snapshot.last_term,
-                list(snapshot.members.voters),
-                list(snapshot.members.learners),
-                snapshot.state,
-            ),
-        )
+        content = encode_snapshot(snapshot)
         path = self._folder / 'snapshot'
         await self._run_in_thread(
-            self._use_reserve_of_snapshots,
+            self._kept_room.write_snapshot,
             partial(write_atomically, path, content),
             len(content),
         )
@@ -286,9 +269,9 @@
         self._fail_points.reach('compact')
         self._snapshot_index = snapshot.last_index
         await self._run_in_thread(
-            self._use_reserve_of_snapshots,
+            self._kept_room.write_snapshot,
             partial(self._rewrite_log, entries),
-            _stored_bytes(entries),
+            _body_bytes(entries),
         )
 
     async def keep_room(self) -> None:
@@ -306,58 +289,6 @@
     def _log_path(self) -> Path:
         return self._folder / 'log'
 
-    def _use_reserve(
-        self, write: Callable[[], object], needed_bytes: int
-    ) -> None:
-        """Writes; on a full disk repeats it with more and more of the reserve.
-
-        It gives back little, as others may take what is not used of it.
-
-        Args:
-            write: The write; leaves nothing behind if it fails.
-            needed_bytes: About how much room it needs.
-        """
-        released_bytes = _RELEASE_STEP_BYTES
-        while not self._try_to_write(write, released_bytes, needed_bytes):
-            released_bytes *= 2
-
-    def _use_reserve_of_snapshots(
-        self, write: Callable[[], object], needed_bytes: int
-    ) -> None:
-        """Writes; on a full disk with the reserve but the part for elections.
-
-        Args:
-            write: The write; leaves nothing behind if it fails.
-            needed_bytes: About how much room it needs.
-        """
-        kept_bytes = min(_ELECTION_ROOM_BYTES, self._reserve.base_bytes // 2)
-        is_written = False
-        while not is_written:
-            is_written = self._try_to_write(
-                write, sys.maxsize, needed_bytes, kept_bytes
-            )
-
-    def _try_to_write(
-        self,
-        write: Callable[[], object],
-        released_bytes: int,
-        needed_bytes: int,
-        kept_bytes: int = 0,
-    ) -> bool:
-        """Writes, or gives room back; returns whether it has written."""
-        try:
-            write()
-        except (OSError, DiskFullError) as error:
-            is_full = is_disk_full(error) or is_disk_full(error.__cause__)
-            if not is_full:
-                raise
-            if not self._reserve.release(
-                released_bytes, needed_bytes, kept_bytes
-            ):
-                raise
-            return False
-        return True
-
     def _write(self, entries: list[LogEntry]) -> None:
         with self._write_errors():
             self._fail_points.reach('write')
@@ -404,8 +335,8 @@
             if entry.index > self._snapshot_index
         ]
         with suppress(DiskFullError), typed_disk_errors(self._log_path):
-            self._use_reserve_of_snapshots(
-                partial(self._rewrite_log, entries), _stored_bytes(entries)
+            self._kept_room.write_snapshot(
+                partial(self._rewrite_log, entries), _body_bytes(entries)
             )
 
     def _present_encoder(self) -> LogEncoder:
@@ -494,25 +425,19 @@
 
     def _load_identity(self) -> str:
         path = self._folder / 'identity'
-        content = read_checked(path)
-        if content is not None:
-            return decode_record(IdentityRecord, content).replica_id
+        stored = read_identity(path)
+        if stored is not None:
+            return stored
         if self._entries or self._snapshot_index:
             raise DamagedFileError('identity file is missing', where=str(path))
-        replica_id = f'{self._vm}#{secrets.token_hex(4)}'
-        write_atomically(path, encode_record(IdentityRecord(replica_id)))
-        return replica_id
+        return create_identity(path, self._vm)
 
     def _read_snapshot(self) -> Snapshot | None:
-        content = read_checked(self._folder / 'snapshot')
-        if content is None:
+        stored = read_snapshot(self._folder / 'snapshot')
+        if stored is None:
             return None
-        self._snapshot_bytes = len(content)
-        record = decode_record(SnapshotRecord, content)
-        members = Members(tuple(record.voters), tuple(record.learners))
-        return Snapshot(
-            record.last_index, record.last_term, members, record.state
-        )
+        self._snapshot_bytes = stored.size
+        return stored.snapshot
 
     def _log_continues(self, snapshot: Snapshot) -> bool:
         """Whether the log matches a snapshot at its end, or starts after it.
@@ -557,6 +482,6 @@
             raise StorageError(str(error), where=str(self._folder)) from error
 
 
-def _stored_bytes(entries: list[LogEntry]) -> int:
-    """Returns about how many bytes entries take in a log file, or less."""
+def _body_bytes(entries: list[LogEntry]) -> int:
+    """Returns the size of the entries' bodies, a lower bound of their records."""
     return sum(len(entry.body) for entry in entries)
--- a/mulberryhitch/replication/follower.py
+++ b/mulberryhitch/replication/follower.py
@@ -16,7 +16,6 @@
     SnapshotRequest,
 )
 
-
 _DEFAULT_OPTIONS = ReplicationOptions()
 
 
--- a/mulberryhitch/replication/inspection.py
+++ b/mulberryhitch/replication/inspection.py
@@ -4,17 +4,12 @@
 from pathlib import Path
 
 from mulberryhitch.errors import DamagedFileError
-from mulberryhitch.replication.durable_files import read_checked
+from mulberryhitch.replication.identity_file import read_identity
 from mulberryhitch.replication.log_records import read_log
-from mulberryhitch.replication.members import Members
+from mulberryhitch.replication.snapshot_file import read_snapshot
 from mulberryhitch.replication.storage import Snapshot
 from mulberryhitch.replication.vote_file import read_vote
-from mulberryhitch.rpc.codec import decode_record
-from mulberryhitch.rpc.messages import (
-    IdentityRecord,
-    LogEntry,
-    SnapshotRecord,
-)
+from mulberryhitch.rpc.messages import LogEntry
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,28 +37,20 @@
         DamagedFileError: A checksum does not match, or there is no identity.
     """
     stored_log = read_log(folder / 'log')
-    snapshot = _read_snapshot(folder)
+    stored = read_snapshot(folder / 'snapshot')
+    snapshot = stored.snapshot if stored else None
     snapshot_index = snapshot.last_index if snapshot else 0
     entries = [
         entry for entry in stored_log.entries if entry.index > snapshot_index
     ]
-    identity = read_checked(folder / 'identity')
-    if identity is None:
+    replica_id = read_identity(folder / 'identity')
+    if replica_id is None:
         raise DamagedFileError('identity file is missing', where=str(folder))
     vote = read_vote(folder / 'vote').record
     return FolderReport(
-        decode_record(IdentityRecord, identity).replica_id,
+        replica_id,
         vote.term,
         vote.voted_for,
         snapshot,
         entries,
     )
-
-
-def _read_snapshot(folder: Path) -> Snapshot | None:
-    content = read_checked(folder / 'snapshot')
-    if content is None:
-        return None
-    record = decode_record(SnapshotRecord, content)
-    members = Members(tuple(record.voters), tuple(record.learners))
-    return Snapshot(record.last_index, record.last_term, members, record.state)
--- a/mulberryhitch/replication/log_sender.py
+++ b/mulberryhitch/replication/log_sender.py
@@ -75,7 +75,7 @@
             return interval
         has_unsent_entries = peer.next_index <= self._state.last_index
         must_wait = (
-            peer.unreachable or peer.lacks_room or peer.receives_snapshot
+            peer.unreachable or peer.is_log_full or peer.receives_snapshot
         )
         if has_unsent_entries and not must_wait and self._may_add(peer):
             return 0
--- a/mulberryhitch/replication/progress.py
+++ b/mulberryhitch/replication/progress.py
@@ -37,7 +37,7 @@
             seconds.
         unreachable: Whether the last call failed; the peer is then
             contacted only once per heartbeat.
-        lacks_room: Whether its log had no room for the last entries sent; it
+        is_log_full: Whether its log had no room for the last entries sent; it
             is then sent entries only once per heartbeat.
         promised_until: Until when it votes for no other, less the drift.
         receives_snapshot: Whether a snapshot is being sent to it.
@@ -65,7 +65,7 @@
         self.last_sent = float()
         self.unreachable = False
         self.is_room_short = False
-        self.lacks_room = False
+        self.is_log_full = False
         self.scope = anyio.CancelScope()
         self._woken = anyio.Event()
 
@@ -136,7 +136,7 @@
     def record_match(self, index: int) -> None:
         """Records that the peer's log matches up to an index."""
         self.unreachable = False
-        self.lacks_room = False
+        self.is_log_full = False
         self.match_index = max(self.match_index, index)
         if self.probing:
             self.probing = False
@@ -157,7 +157,7 @@
         """
         self.record_match(index)
         self.probing = True
-        self.lacks_room = True
+        self.is_log_full = True
         self.next_index = self.match_index + 1
 
     def record_failure(self) -> None:
