--- a/mulberryhitch/replication/compaction.py
+++ b/mulberryhitch/replication/compaction.py
@@ -74,11 +74,11 @@
 
     def _may_shorten_long_log(self) -> bool:
         """Whether much of a log that nears its limit may be dropped."""
-        limit = self._options.max_log_bytes
         log_bytes = self._state.storage.log_bytes
-        if log_bytes < limit // 2:
+        if log_bytes < self._options.max_log_bytes // 2:
             return False
-        return log_bytes - self._state.uncommitted_bytes() > limit // 4
+        dropped_bytes = log_bytes - self._state.uncommitted_bytes()
+        return dropped_bytes > self._options.least_dropped_bytes
 
     def _has_grown(self) -> bool:
         storage = self._state.storage
--- a/mulberryhitch/replication/follower.py
+++ b/mulberryhitch/replication/follower.py
@@ -37,6 +37,7 @@
         """Initialises the follower with an empty snapshot buffer."""
         self._state = state
         self._max_log_bytes = options.max_follower_log_bytes
+        self._least_dropped_bytes = options.least_dropped_bytes
         self._snapshot_buffer = bytearray()
         self._buffered_snapshot = (0, 0, 0)
 
@@ -123,14 +124,25 @@
             return
 
     def _fitting(self, entries: list[LogEntry]) -> list[LogEntry]:
-        """Returns the first entries, as many as the log has room for."""
-        free_bytes = self._max_log_bytes - self._state.storage.log_bytes
+        """Returns the first entries, as many as the log has room for.
+
+        Returns all of them if no snapshot could make room: nothing would be
+        committed if a majority refused the first entry of a term.
+        """
+        log_bytes = self._state.storage.log_bytes
+        free_bytes = self._max_log_bytes - log_bytes
+        if free_bytes <= 0 and not self._may_be_shortened(log_bytes):
+            return entries
         for position, entry in enumerate(entries):
             free_bytes -= stored_bytes(entry)
             if free_bytes < 0:
                 return entries[:position]
         return entries
 
+    def _may_be_shortened(self, log_bytes: int) -> bool:
+        dropped_bytes = log_bytes - self._state.uncommitted_bytes()
+        return dropped_bytes > self._least_dropped_bytes
+
     def _drop_covered_chunks(self) -> None:
         """Frees the chunks of a snapshot that is no longer needed."""
         if self._buffered_snapshot[0] <= self._state.commit_index:
--- a/mulberryhitch/replication/options.py
+++ b/mulberryhitch/replication/options.py
@@ -104,6 +104,11 @@
         """
         return self.max_log_bytes * 3 // 2
 
+    @property
+    def least_dropped_bytes(self) -> int:
+        """Returns what a snapshot of a log near its limit must drop of it."""
+        return self.max_log_bytes // 4
+
     def lease_seconds(self, promised_seconds: float) -> float:
         """Returns how long a leader may rely on a promise, by its own clock."""
         drift_share = self.drift_seconds / self.election_seconds
