Let followers with full disks answer, so that their leader keeps reads

What callers saw: in a simulated group of three whose followers' disks were full while the leader's was not, 27 of 40 reads failed in 40 s and the term rose from 1 to 21, though the runbook says that reads go on.

Cause: a follower answered an append whose entries its disk refused with an error, so with no promise. The leader sent the same entries with each heartbeat, heard nothing from a majority and ended; the next one, with a full disk, handed over to the only one with room, and so on.

Change: the follower confirms what it has, and says that its disk is short of room, as it does for a log at its limit.

A voter whose disk stays full now counts as one that answers, so a spare does not replace it after the repair time.

--- a/mulberryhitch/replication/follower.py
+++ b/mulberryhitch/replication/follower.py
@@ -3,6 +3,7 @@
 The caller must hold ``ReplicaState.lock``.
 """
 
+from mulberryhitch.errors import DiskFullError
 from mulberryhitch.replication.entry_sizes import stored_bytes
 from mulberryhitch.replication.members import Members
 from mulberryhitch.replication.options import ReplicationOptions
@@ -38,6 +39,7 @@
         self._state = state
         self._max_log_bytes = options.max_follower_log_bytes
         self._least_dropped_bytes = options.least_dropped_bytes
+        self._is_disk_full = False
         self._snapshot_buffer = bytearray()
         self._buffered_snapshot = (0, 0, 0)
 
@@ -107,7 +109,7 @@
             success,
             last_index,
             promised_seconds,
-            self._state.storage.is_room_short,
+            self._is_disk_full or self._state.storage.is_room_short,
         )
 
     async def _append_entries(self, entries: list[LogEntry]) -> None:
@@ -119,10 +121,18 @@
                 continue
             if local_term is not None:
                 await self._state.truncate(entry.index)
-            self._state.write(self._fitting(entries[position:]))
+            self._write(self._fitting(entries[position:]))
             await self._state.sync()
             return
 
+    def _write(self, entries: list[LogEntry]) -> None:
+        """Writes entries; none if the disk is full, which the reply tells."""
+        self._is_disk_full = False
+        try:
+            self._state.write(entries)
+        except DiskFullError:
+            self._is_disk_full = True
+
     def _fitting(self, entries: list[LogEntry]) -> list[LogEntry]:
         """Returns the first entries, as many as the log has room for.
 
--- /dev/null
+++ b/tests/test_followers_with_full_disks.py
@@ -0,0 +1,55 @@
+"""A leader whose disk has room, among followers whose disks are full."""
+
+from pathlib import Path
+
+import anyio
+import pytest
+
+from mulberryhitch.errors import MulberryhitchError
+from mulberryhitch.replication.options import ReplicationOptions
+from tests.bounded_disks import MEBIBYTE, BoundedDiskGroup
+from tests.replica_group import run_with_mock_clock
+
+DISK_BYTES = 32 * MEBIBYTE
+
+
+def test_reads_go_on_while_the_disks_of_all_followers_are_full(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    options = ReplicationOptions(repair_seconds=300)
+    group = BoundedDiskGroup(tmp_path, monkeypatch, DISK_BYTES, options)
+
+    async def propose() -> None:
+        try:
+            with anyio.move_on_after(3):
+                leader = await group.wait_leader()
+                await leader.propose('put', b'key=2')
+        except (MulberryhitchError, TimeoutError):
+            pass
+
+    async def main() -> None:
+        async with group.running():
+            leader = await group.wait_leader()
+            await leader.propose('put', b'key=1')
+            await anyio.sleep(5)
+            for vm, disk in group.disks.items():
+                if vm != group.vm_of(leader):
+                    disk.fill()
+            term = leader.term
+            failed = 0
+            rounds = 40
+            async with anyio.create_task_group() as tasks:
+                for _ in range(rounds):
+                    tasks.start_soon(propose)
+                    await anyio.sleep(1)
+                    try:
+                        found = group.leader()
+                        assert found is not None
+                        await found.read_barrier()
+                    except (AssertionError, MulberryhitchError):
+                        failed += 1
+                tasks.cancel_scope.cancel()
+            terms = max(one.term for one in group.replicas.values())
+            assert (failed, terms) == (0, term)
+
+    run_with_mock_clock(main)
