Count the ids of jobs in the size of the state

Cause: a job's id comes from its path and may have thousands of characters, but the size of the state that refuses further jobs left it out. So jobs with long ids could fill disk and memory unseen.

--- a/mulberryhitch/dispatch/service.py
+++ b/mulberryhitch/dispatch/service.py
@@ -247,10 +247,10 @@
             raise NotLeaderError('this VM has not started its term as leader')
         return self._dispatcher
 
-    def _check_room_for(self, spec: JobSpec) -> None:
+    def _check_room_for(self, job_id: str, spec: JobSpec) -> None:
         limit = self._options.max_state_bytes
         stored_bytes = self.job_store.stored_bytes
-        added_bytes = spec_bytes(spec) + occurrence_bytes(spec)
+        added_bytes = spec_bytes(job_id, spec) + occurrence_bytes(spec)
         if stored_bytes + added_bytes > limit:
             raise OverloadedError(
                 f'the jobs and queues take {stored_bytes} of {limit} bytes',
@@ -288,7 +288,7 @@
         request.spec.validate()
         job = self.job_store.jobs.get(job_id)
         if job is None:
-            self._check_room_for(request.spec)
+            self._check_room_for(job_id, request.spec)
             now = self._clock.now()
             accepted = await self._commit(
                 [changes.accept(job_id, queue.name, request.spec, now)]
--- a/mulberryhitch/jobs/sizes.py
+++ b/mulberryhitch/jobs/sizes.py
@@ -11,10 +11,10 @@
 _QUEUE_BYTES = 260
 
 
-def spec_bytes(spec: JobSpec) -> int:
+def spec_bytes(job_id: str, spec: JobSpec) -> int:
     """Returns about how many bytes a job takes, without its occurrences."""
-    steps = sum(map(_step_bytes, spec.steps))
-    return _JOB_BYTES + _text_bytes(spec.argument) + steps
+    texts = _text_bytes(job_id) + _text_bytes(spec.argument)
+    return _JOB_BYTES + texts + sum(map(_step_bytes, spec.steps))
 
 
 def occurrence_bytes(spec: JobSpec) -> int:
@@ -32,7 +32,7 @@
         for unit in execution.units
     )
     occurrences = len(job.occurrences) * occurrence_bytes(job.spec)
-    return spec_bytes(job.spec) + occurrences + checkpoints
+    return spec_bytes(job.job_id, job.spec) + occurrences + checkpoints
 
 
 def checkpoint_growth_bytes(former: str, checkpoint: str) -> int:
--- a/mulberryhitch/jobs/store.py
+++ b/mulberryhitch/jobs/store.py
@@ -198,7 +198,7 @@
         self._record_time(now)
         job = Job(job_id, queue, decode_spec(fields), now)
         self.jobs[job_id] = job
-        self._jobs_bytes += spec_bytes(job.spec)
+        self._jobs_bytes += spec_bytes(job_id, job.spec)
         self._adjust_queued_jobs(job, 1)
         if not job.spec.repeat_count:
             self._create_occurrence(job, 0)
