Answer a leader that finds no room only once it is ready

Cause: the first entry of the term came behind entries that the followers' disks refused, while their answers kept the leader.

Change: a follower whose disk refuses entries answers only a leader whose first entry is known to be committed. Otherwise it fails the append as before, and a voter with a shorter log is elected.

--- a/mulberryhitch/replication/follower.py
+++ b/mulberryhitch/replication/follower.py
@@ -66,7 +66,7 @@
             hint = max(hint, self._state.commit_index)
             return self._reply(hint, promised_seconds, success=False)
         await self._state.sync()
-        await self._append_entries(request.entries)
+        await self._append_entries(request)
         last = request.previous_index + len(request.entries)
         last = min(max(last, self._state.commit_index), self._state.last_index)
         commit = min(request.commit_index, last)
@@ -112,7 +112,8 @@
             self._is_disk_full or self._state.storage.is_room_short,
         )
 
-    async def _append_entries(self, entries: list[LogEntry]) -> None:
+    async def _append_entries(self, request: AppendRequest) -> None:
+        entries = request.entries
         for position, entry in enumerate(entries):
             if entry.index <= self._state.commit_index:
                 continue
@@ -121,18 +122,34 @@
                 continue
             if local_term is not None:
                 await self._state.truncate(entry.index)
-            self._write(self._fitting(entries[position:]))
+            self._write(
+                self._fitting(entries[position:]),
+                is_leader_ready=self._is_ready(request),
+            )
             await self._state.sync()
             return
 
-    def _write(self, entries: list[LogEntry]) -> None:
-        """Writes entries; none if the disk is full, which the reply tells."""
+    def _write(self, entries: list[LogEntry], *, is_leader_ready: bool) -> None:
+        """Writes entries; none if the disk is full, which the reply tells.
+
+        A leader that is not ready gets no reply: a voter whose log is shorter
+        may need less room to begin its term.
+
+        Raises:
+            DiskFullError: The disk is full, and the leader is not ready.
+        """
         self._is_disk_full = False
         try:
             self._state.write(entries)
         except DiskFullError:
+            if not is_leader_ready:
+                raise
             self._is_disk_full = True
 
+    def _is_ready(self, request: AppendRequest) -> bool:
+        """Whether the leader is known to have committed its first entry."""
+        return self._state.term_at(request.commit_index) == request.term
+
     def _fitting(self, entries: list[LogEntry]) -> list[LogEntry]:
         """Returns the first entries, as many as the log has room for.
 
