--- a/mulberryhitch/replication/follower.py
+++ b/mulberryhitch/replication/follower.py
@@ -3,6 +3,7 @@
 The caller must hold ``ReplicaState.lock``.
 """
 
+from mulberryhitch.errors import DiskFullError
 from mulberryhitch.replication.entry_sizes import stored_bytes
 from mulberryhitch.replication.members import Members
 from mulberryhitch.replication.options import ReplicationOptions
@@ -36,6 +37,8 @@
         """Initialises the follower with an empty snapshot buffer."""
         self._state = state
         self._max_log_bytes = options.max_follower_log_bytes
+        self._least_dropped_bytes = options.least_dropped_bytes
+        self._is_disk_full = False
         self._snapshot_buffer = bytearray()
         self._buffered_snapshot = (0, 0, 0)
 
@@ -62,7 +65,7 @@
             hint = max(hint, self._state.commit_index)
             return self._reply(hint, promised_seconds, success=False)
         await self._state.sync()
-        await self._append_entries(request.entries)
+        await self._append_entries(request)
         last = request.previous_index + len(request.entries)
         last = min(max(last, self._state.commit_index), self._state.last_index)
         commit = min(request.commit_index, last)
@@ -105,10 +108,11 @@
             success,
             last_index,
             promised_seconds,
-            self._state.storage.is_room_short,
+            self._is_disk_full or self._state.storage.is_room_short,
         )
 
-    async def _append_entries(self, entries: list[LogEntry]) -> None:
+    async def _append_entries(self, request: AppendRequest) -> None:
+        entries = request.entries
         for position, entry in enumerate(entries):
             if entry.index <= self._state.commit_index:
                 continue
@@ -117,19 +121,54 @@
                 continue
             if local_term is not None:
                 await self._state.truncate(entry.index)
-            self._state.write(self._fitting(entries[position:]))
+            self._write(
+                self._fitting(entries[position:]),
+                is_leader_ready=self._is_ready(request),
+            )
             await self._state.sync()
             return
 
+    def _write(self, entries: list[LogEntry], *, is_leader_ready: bool) -> None:
+        """Writes entries; none if the disk is full, which the reply tells.
+
+        A leader that is not ready gets no reply: a voter whose log is shorter
+        may need less room to begin its term.
+
+        Raises:
+            DiskFullError: The disk is full, and the leader is not ready.
+        """
+        self._is_disk_full = False
+        try:
+            self._state.write(entries)
+        except DiskFullError:
+            if not is_leader_ready:
+                raise
+            self._is_disk_full = True
+
+    def _is_ready(self, request: AppendRequest) -> bool:
+        """Whether the leader is known to have committed its first entry."""
+        return self._state.term_at(request.commit_index) == request.term
+
     def _fitting(self, entries: list[LogEntry]) -> list[LogEntry]:
-        """Returns the first entries, as many as the log has room for."""
-        free_bytes = self._max_log_bytes - self._state.storage.log_bytes
+        """Returns the first entries, as many as the log has room for.
+
+        Returns all of them if no snapshot could make room: nothing would be
+        committed if a majority refused the first entry of a term.
+        """
+        log_bytes = self._state.storage.log_bytes
+        free_bytes = self._max_log_bytes - log_bytes
+        if free_bytes <= 0 and not self._may_be_shortened(log_bytes):
+            return entries
         for position, entry in enumerate(entries):
             free_bytes -= stored_bytes(entry)
             if free_bytes < 0:
                 return entries[:position]
         return entries
 
+    def _may_be_shortened(self, log_bytes: int) -> bool:
+        dropped_bytes = log_bytes - self._state.uncommitted_bytes()
+        return dropped_bytes > self._least_dropped_bytes
+
     def _drop_covered_chunks(self) -> None:
         """Frees the chunks of a snapshot that is no longer needed."""
         if self._buffered_snapshot[0] <= self._state.commit_index:
