A spare with room replaces a voter whose disk stays full

A voter that has said for as long as a silent one is waited for that its disk is short of room is replaced like that one, by a learner that has room.

Test: with two full voters and a spare (failed before: the spare stays a learner).

--- a/mulberryhitch/replication/log_sender.py
+++ b/mulberryhitch/replication/log_sender.py
@@ -165,7 +165,7 @@
         promised = reply.promised_seconds or self._options.election_seconds
         self._lease.record_answer(peer, sent_at, request.lease_epoch, promised)
         peer.record_round_trip(self._options.now() - sent_at)
-        peer.is_room_short = reply.is_room_short
+        peer.record_room(self._options.now(), is_short=reply.is_room_short)
         if reply.success:
             matched = request.previous_index + len(request.entries)
             if reply.last_index < matched:
--- a/mulberryhitch/replication/member_contact.py
+++ b/mulberryhitch/replication/member_contact.py
@@ -85,6 +85,19 @@
         earlier_index = self._log_growth.last_index_at(earlier)
         return earlier_index is not None and peer.match_index >= earlier_index
 
+    def has_room(self, replica_id: str) -> bool:
+        """Whether a member's disk is not known to refuse ordinary entries."""
+        peer = self._leadership.peers.get(replica_id)
+        return peer is None or not peer.is_room_short
+
+    def is_full_for_long(self, replica_id: str) -> bool:
+        """Whether a member's disk has refused entries for too long."""
+        peer = self._leadership.peers.get(replica_id)
+        if peer is None:
+            return False
+        now = self._options.now()
+        return peer.room_short_seconds(now) > self.allowed_seconds
+
     def is_timed_out(self, replica_id: str) -> bool:
         """Whether a member has been silent for too long to wait for it."""
         # A leader that was cut off itself gives the others time to answer.
--- a/mulberryhitch/replication/progress.py
+++ b/mulberryhitch/replication/progress.py
@@ -43,7 +43,6 @@
         receives_snapshot: Whether a snapshot is being sent to it.
         probing: Whether the index up to which the logs match is unknown; the
             peer is then sent one append at a time.
-        is_room_short: Whether its disk refuses ordinary entries.
         scope: Cancels the peer's replication task.
     """
 
@@ -64,7 +63,7 @@
         self.sent_commit_index = 0
         self.last_sent = float()
         self.unreachable = False
-        self.is_room_short = False
+        self._room_short_since: float | None = None
         self.is_log_full = False
         self.scope = anyio.CancelScope()
         self._woken = anyio.Event()
@@ -101,6 +100,24 @@
             self.next_index += len(entries)
         return append
 
+    @property
+    def is_room_short(self) -> bool:
+        """Whether its disk refuses ordinary entries."""
+        return self._room_short_since is not None
+
+    def room_short_seconds(self, now: float) -> float:
+        """Returns for how long its disk has refused ordinary entries."""
+        if self._room_short_since is None:
+            return 0
+        return now - self._room_short_since
+
+    def record_room(self, now: float, *, is_short: bool) -> None:
+        """Records whether its disk refuses ordinary entries."""
+        if not is_short:
+            self._room_short_since = None
+        elif self._room_short_since is None:
+            self._room_short_since = now
+
     def record_end(self, append: AppendInFlight) -> None:
         """Records that an append is no longer in flight."""
         self._in_flight.remove(append)
--- a/mulberryhitch/replication/reconciler.py
+++ b/mulberryhitch/replication/reconciler.py
@@ -148,6 +148,7 @@
             learner
             for learner in members.learners
             if self._contact.is_caught_up(learner)
+            and self._contact.has_room(learner)
             and not self._is_retiring(learner)
         ]
         replaced = self._voter_to_remove(members)
@@ -228,9 +229,11 @@
         )
 
     def _is_leaving(self, replica_id: str) -> bool:
-        """Whether a replica is silent for too long, or about to end."""
-        return self._contact.is_timed_out(replica_id) or self._is_retiring(
-            replica_id
+        """Whether a replica is silent or full for too long, or about to end."""
+        return (
+            self._contact.is_timed_out(replica_id)
+            or self._contact.is_full_for_long(replica_id)
+            or self._is_retiring(replica_id)
         )
 
     def _is_retiring(self, replica_id: str) -> bool:
--- a/tests/bounded_disks.py
+++ b/tests/bounded_disks.py
@@ -109,10 +109,12 @@
         monkeypatch: pytest.MonkeyPatch,
         capacity_bytes: int,
         options: ReplicationOptions = OPTIONS,
+        spares: int = 0,
     ) -> None:
-        super().__init__(3, 1, 0, options)
+        super().__init__(3, 1, spares, options)
         self.disks = {
-            vm: BoundedDisk(folder / vm, vm, capacity_bytes) for vm in self.vms
+            vm: BoundedDisk(folder / vm, vm, capacity_bytes)
+            for vm in self.disks
         }
         bound_writes(monkeypatch, list(self.disks.values()))
         monkeypatch.setattr(file_storage, 'run_sync', _run_inline)
--- a/tests/test_followers_with_full_disks.py
+++ b/tests/test_followers_with_full_disks.py
@@ -7,9 +7,10 @@
 import pytest
 
 from mulberryhitch.errors import MulberryhitchError
+from mulberryhitch.replication.members import vm_of
 from mulberryhitch.replication.options import ReplicationOptions
 from tests.bounded_disks import MEBIBYTE, BoundedDiskGroup
-from tests.replica_group import run_with_mock_clock
+from tests.replica_group import QUICK_OPTIONS, run_with_mock_clock
 
 DISK_BYTES = 64 * MEBIBYTE
 
@@ -87,3 +88,32 @@
             await (await group.wait_leader()).read_barrier()
 
     run_with_mock_clock(main)
+
+
+@pytest.mark.parametrize('full_voters', [1, 2])
+def test_changes_go_on_with_a_spare_that_has_room_for_full_voters(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, full_voters: int
+) -> None:
+    group = BoundedDiskGroup(
+        tmp_path, monkeypatch, DISK_BYTES, QUICK_OPTIONS, spares=1
+    )
+
+    async def main() -> None:
+        async with group.running():
+            leader = await group.wait_leader()
+            await anyio.sleep(5)
+            voters = map(vm_of, leader.members.voters)
+            followers = [vm for vm in voters if vm != group.vm_of(leader)]
+            for vm in followers[:full_voters]:
+                group.disks[vm].fill()
+            for number in range(30):
+                with anyio.move_on_after(0.5), suppress(MulberryhitchError):
+                    await leader.propose('put', b'key=%d' % number)
+                await anyio.sleep(0.5)
+            leader = await group.wait_leader()
+            assert 'spare-1' in set(map(vm_of, leader.members.voters))
+            with anyio.fail_after(1):
+                leader = await group.wait_leader()
+                await leader.propose('put', b'key=last')
+
+    run_with_mock_clock(main)
