Keep the client account of each job, and what it uses

A configuration can name client accounts with key digests, weights and caps; a job keeps the account that submitted it.

--- a/mulberryhitch/jobs/changes.py
+++ b/mulberryhitch/jobs/changes.py
@@ -19,6 +19,7 @@
     QueueTable,
     Step,
     TaskKey,
+    Tenant,
     WorkerRecord,
 )
 from mulberryhitch.jobs.state import RunOutcome
@@ -28,9 +29,15 @@
 Change = list[Any]
 
 
-def accept(job_id: str, queue_name: str, spec: JobSpec, now: float) -> Change:
-    """Builds a change that accepts a job."""
-    return ['accept', job_id, queue_name, asdict(spec), now]
+def accept(
+    job_id: str, queue_name: str, spec: JobSpec, now: float, tenant: str = ''
+) -> Change:
+    """Builds a change that accepts a job.
+
+    Without a tenant it has the form that earlier releases can read.
+    """
+    change = ['accept', job_id, queue_name, asdict(spec), now]
+    return [*change, tenant] if tenant else change
 
 
 def cancel(job_id: str, now: float) -> Change:
@@ -126,9 +133,14 @@
         tuple(fields['unguarded']),
         # Entries of earlier versions do not have it.
         tuple(fields.get('services', ())),
+        tuple(_decode_tenant(tenant) for tenant in fields.get('tenants', ())),
     )
 
 
+def _decode_tenant(fields: dict[str, Any]) -> Tenant:
+    return Tenant(**{**fields, 'key_digests': tuple(fields['key_digests'])})
+
+
 def decode_worker(fields: dict[str, Any]) -> WorkerRecord:
     """Builds a worker record from its fields."""
     return WorkerRecord(**{**fields, 'labels': tuple(fields['labels'])})
--- a/mulberryhitch/jobs/model.py
+++ b/mulberryhitch/jobs/model.py
@@ -180,6 +180,7 @@
     Attributes:
         urgency: Priority; zero is the most urgent.
         maximum_failures: Number of failed runs of a task that fails its job.
+        public: Whether calls need no key of a tenant.
     """
 
     name: str
@@ -191,6 +192,33 @@
     stretch: float = 1
     target_seconds: float = 0
     permits: PermitPolicy | None = None
+    public: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """A client account.
+
+    Attributes:
+        key_digests: SHA-256 digests of its keys, hexadecimal.
+        weight: Its share relative to other tenants when capacity is scarce.
+        processors: Thousandths of a core that its runs may take on all workers
+            together; zero for no limit, as for the next two.
+        memory: Mebibytes.
+        accelerators: Whole devices.
+    """
+
+    name: str
+    key_digests: tuple[str, ...] = ()
+    weight: float = 1
+    processors: int = 0
+    memory: int = 0
+    accelerators: int = 0
+
+    @property
+    def cap(self) -> Resources:
+        """What its runs may take together; a part of zero is not limited."""
+        return Resources(self.processors, self.memory, self.accelerators)
 
 
 @dataclass(frozen=True, slots=True)
@@ -211,6 +239,7 @@
         document: The configuration as sent by the operator.
         unguarded: Services whose workers do not enforce their capacity.
         services: The services that it defines, also those without a queue.
+        tenants: The client accounts; empty if it defines none.
     """
 
     version: int
@@ -219,6 +248,7 @@
     limits: Limits = field(default_factory=Limits)
     unguarded: tuple[str, ...] = ()
     services: tuple[str, ...] = ()
+    tenants: tuple[Tenant, ...] = ()
 
     def named_services(self) -> frozenset[str]:
         """Returns the services that it defines or that a queue runs on."""
--- a/mulberryhitch/jobs/sizes.py
+++ b/mulberryhitch/jobs/sizes.py
@@ -2,13 +2,15 @@
 
 from itertools import chain
 
-from mulberryhitch.jobs.model import JobSpec, QueueTable, Step
+from mulberryhitch.jobs.model import JobSpec, QueueTable, Step, Tenant
 from mulberryhitch.jobs.state import Job
 
 _JOB_BYTES = 420
 _STEP_BYTES = 360
 _UNIT_BYTES = 90
 _QUEUE_BYTES = 260
+_TENANT_BYTES = 120
+_DIGEST_BYTES = 67
 
 
 def spec_bytes(job_id: str, spec: JobSpec) -> int:
@@ -46,9 +48,14 @@
         len(queue.name) + len(queue.host) + len(queue.prefix)
         for queue in table.queues
     )
-    return (
-        _text_bytes(table.document) + len(table.queues) * _QUEUE_BYTES + names
-    )
+    queues = len(table.queues) * _QUEUE_BYTES + names
+    tenants = sum(map(_tenant_bytes, table.tenants))
+    return _text_bytes(table.document) + queues + tenants
+
+
+def _tenant_bytes(tenant: Tenant) -> int:
+    digests = len(tenant.key_digests) * _DIGEST_BYTES
+    return _TENANT_BYTES + len(tenant.name) + digests
 
 
 def _step_bytes(step: Step) -> int:
--- a/mulberryhitch/jobs/snapshots.py
+++ b/mulberryhitch/jobs/snapshots.py
@@ -23,6 +23,8 @@
         row['failed'],
         finished=row['finished'],
         ended_at=row['ended_at'],
+        # Snapshots of earlier versions do not have it.
+        tenant=row.get('tenant', ''),
     )
     for occurrence, steps in row['occurrences'].items():
         executions = create_step_executions(
@@ -63,6 +65,7 @@
         'failed': job.failed,
         'finished': job.finished,
         'ended_at': job.ended_at,
+        'tenant': job.tenant,
         'occurrences': {
             str(occurrence): [
                 _encode_step(execution) for execution in executions
--- a/mulberryhitch/jobs/state.py
+++ b/mulberryhitch/jobs/state.py
@@ -129,6 +129,7 @@
         occurrences: Steps of each occurrence that has become due.
         finished: Number of occurrences that are done.
         ended_at: Seconds since 1970; zero while the job is active.
+        tenant: The client account that submitted it; empty if none did.
     """
 
     job_id: str
@@ -141,6 +142,7 @@
     occurrences: dict[int, list[StepExecution]] = field(default_factory=dict)
     finished: int = 0
     ended_at: float = 0
+    tenant: str = ''
 
     @property
     def state(self) -> JobState:
--- a/mulberryhitch/jobs/store.py
+++ b/mulberryhitch/jobs/store.py
@@ -28,6 +28,7 @@
     Resources,
     StepKey,
     TaskKey,
+    Tenant,
     WorkerRecord,
 )
 from mulberryhitch.jobs.sizes import (
@@ -95,6 +96,8 @@
         self.listener: JobListener | None = None
         self.latest_time: float = 0
         self._used_resources: dict[str, Resources] = {}
+        self._tenant_usage: dict[str, Resources] = {}
+        self._tenants: dict[str, Tenant] = {}
         self._queues: dict[str, Queue] = {}
         self._services: frozenset[str] = frozenset()
         self._queued_jobs: Counter[str] = Counter()
@@ -122,6 +125,14 @@
         """Returns the resources taken by the open runs on a worker."""
         return self._used_resources.get(worker_id, Resources())
 
+    def tenant(self, name: str) -> Tenant | None:
+        """Returns a client account as currently configured."""
+        return self._tenants.get(name)
+
+    def tenant_usage(self, name: str) -> Resources:
+        """Returns the resources taken by the open runs of a client account."""
+        return self._tenant_usage.get(name, Resources())
+
     def unit(self, task: TaskKey) -> Unit | None:
         """Returns the unit that contains a task, if the task exists."""
         execution = self.step_execution(StepKey(*task[:3]))
@@ -187,8 +198,13 @@
         return handler(self, *change[1:])
 
     @change_handler('accept')
-    def _accept_job(
-        self, job_id: str, queue_name: str, fields: dict[str, Any], now: float
+    def _accept_job(  # noqa: WPS211
+        self,
+        job_id: str,
+        queue_name: str,
+        fields: dict[str, Any],
+        now: float,
+        tenant: str = '',
     ) -> bool:
         if job_id in self.jobs:
             return True
@@ -196,7 +212,7 @@
         if queue is None:
             return False
         self._record_time(now)
-        job = Job(job_id, queue, decode_spec(fields), now)
+        job = Job(job_id, queue, decode_spec(fields), now, tenant=tenant)
         self.jobs[job_id] = job
         self._jobs_bytes += spec_bytes(job_id, job.spec)
         self._adjust_queued_jobs(job, 1)
@@ -318,6 +334,9 @@
             self._queues = {
                 queue.name: queue for queue in self.queue_table.queues
             }
+            self._tenants = {
+                tenant.name: tenant for tenant in self.queue_table.tenants
+            }
             self._services = self.queue_table.named_services()
             self._table_bytes = table_bytes(self.queue_table)
         return self.queue_table.version
@@ -376,6 +395,7 @@
         runs[unit.task_key(index)] = unit.run
         used = self._used_resources.get(worker_id, Resources())
         self._used_resources[worker_id] = used.plus(execution.resources)
+        self._adjust_tenant_usage(execution, 1)
 
     def _remove_run(
         self, unit: Unit, index: int, execution: StepExecution
@@ -387,9 +407,24 @@
         self._used_resources[worker_id] = self._used_resources[worker_id].minus(
             execution.resources
         )
+        self._adjust_tenant_usage(execution, -1)
         if self.listener is not None:
             self.listener.run_ended(unit.task_key(index), unit.run, worker_id)
 
+    def _adjust_tenant_usage(
+        self, execution: StepExecution, copies: int
+    ) -> None:
+        tenant = self.jobs[execution.key.job_id].tenant
+        if not tenant:
+            return
+        usage = self.tenant_usage(tenant).plus(
+            execution.resources.times(copies)
+        )
+        if any(usage):
+            self._tenant_usage[tenant] = usage
+        else:
+            self._tenant_usage.pop(tenant, None)
+
     def _record_outcome(
         self,
         execution: StepExecution,
