Send signals only once the entry has read the requests

A fixed wait of 0.3 s was too short there. The test now waits until a later request is answered, which shows that the earlier ones have been read; it checks the same number as before.

--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -45,7 +45,11 @@
 
 
 async def send_requests(process: ProgramProcess) -> list[RawConnection]:
-    """Sends each request in full on a connection of its own."""
+    """Sends each request in full, and waits until all have been read.
+
+    The answer to a later, invalid request shows that they have. A fixed wait
+    was too short on a busy machine: the entry had nothing to cut off yet.
+    """
     connections = []
     with anyio.fail_after(20):
         while len(connections) < REQUESTS:
@@ -59,7 +63,11 @@
             connections.append(connection)
     for connection in connections:
         await connection.send(request_bytes('DELETE', f'/q/{JOB_ID}'))
-    await anyio.sleep(0.3)
+    later = await RawConnection.open(process.vm, process.cell.port + 38)
+    await later.send(request_bytes('PATCH', f'/q/{JOB_ID}'))
+    with anyio.fail_after(20):
+        assert (await later.read_answer())[0] == 400
+    later.close()
     return connections
 
 
