Let only callers with a key of a tenant use routes that need one

Calls without a valid key were served, as no code read the tenants of a configuration. It is now decoded with digests, weights and caps; the entry passes the digest of the caller's key on, and the leader judges each call by the configuration in its log. A job keeps its tenant, and others get 410 and 409. A gang wider than its tenant's cap is refused with 429. Entries are told the valid digests with the reply to their report, and answer 401 without a leader while what they know is at most 2 s old: a key added since is not in force then.

--- a/mulberryhitch/dispatch/operations.py
+++ b/mulberryhitch/dispatch/operations.py
@@ -19,29 +19,42 @@
 
     Attributes:
         path: The queue's path prefix followed by the job's id.
+        key_digest: SHA-256 digest of the caller's key, hexadecimal; empty if
+            the caller sent none.
     """
 
     host: str
     path: str
     spec: JobSpec
+    key_digest: str = ''
 
 
 @record('read_job')
 @dataclass(frozen=True, slots=True)
 class ReadJob:
-    """Reads the state of a job, or the number of pending jobs of a queue."""
+    """Reads the state of a job, or the number of pending jobs of a queue.
+
+    Attributes:
+        key_digest: As that of :class:`SubmitJob`.
+    """
 
     host: str
     path: str
+    key_digest: str = ''
 
 
 @record('cancel_job')
 @dataclass(frozen=True, slots=True)
 class CancelJob:
-    """Cancels a job: no more of its tasks start, and its runs are stopped."""
+    """Cancels a job: no more of its tasks start, and its runs are stopped.
+
+    Attributes:
+        key_digest: As that of :class:`SubmitJob`.
+    """
 
     host: str
     path: str
+    key_digest: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,11 +122,33 @@
 @record('report_helper')
 @dataclass(frozen=True, slots=True)
 class ReportPermitProxy:
-    """Reports that a process is alive and can request permits."""
+    """Reports that a process is alive and can request permits.
+
+    Attributes:
+        keys_version: Version of the configuration whose keys it was told; -1
+            for none, and ``None`` if it needs none.
+    """
 
     name: str
     host: str
     port: int
+    keys_version: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CallerKeys:
+    """Which callers a configuration lets in.
+
+    Attributes:
+        required: Whether there is a queue that is not public.
+        digests: SHA-256 digests of all valid keys, hexadecimal.
+        public_routes: Host and path prefix of each queue that needs no key;
+            empty if none does.
+    """
+
+    required: bool
+    digests: tuple[str, ...] = ()
+    public_routes: tuple[tuple[str, str], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,12 +160,15 @@
         vms: The VMs of the group's members.
         version: Version of the active configuration; -1 if there is none yet.
         limits: Request limits of that configuration.
+        caller_keys: Whom that configuration lets in; ``None`` if the reporter
+            knows it or needs none.
     """
 
     leader_vm: str
     vms: tuple[str, ...]
     version: int
     limits: Limits
+    caller_keys: CallerKeys | None = None
 
 
 @record('ask_permits')
--- a/mulberryhitch/dispatch/permits/proxy.py
+++ b/mulberryhitch/dispatch/permits/proxy.py
@@ -1,9 +1,11 @@
 """Permit requests made by other processes on behalf of the leader."""
 
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 import anyio
 
+from mulberryhitch.dispatch.access import KnownKeys
 from mulberryhitch.dispatch.operations import (
     AskPermits,
     GroupInfo,
@@ -89,6 +91,8 @@
         peers: Updated with the group's members from each reply.
         log: Receives an event when contact with the leader is made or lost.
         on_reply: Called with each reply.
+        known_keys: Updated with the valid keys; ``None`` if this process needs
+            none.
 
     Attributes:
         reached_at: When the leader last replied, seconds on the local clock.
@@ -101,6 +105,7 @@
         peers: PeerConnectionPool,
         log: Log,
         on_reply: Callable[[GroupInfo], None] = lambda reply: None,
+        known_keys: KnownKeys | None = None,
     ) -> None:
         """Initialises the reporter; no leader has replied yet."""
         self._report = report
@@ -108,16 +113,18 @@
         self._peers = peers
         self._log = log
         self._on_reply = on_reply
+        self._known_keys = known_keys
         self._leader_reached = False
         self.reached_at = -_REPORT_TIMEOUT_SECONDS
 
     async def run(self) -> None:
         """Reports until cancelled."""
         while True:
+            asked_at = anyio.current_time()
             try:
                 reply = await self._leader_client.execute(
                     JOBS_GROUP,
-                    self._report,
+                    self._current_report(),
                     GroupInfo,
                     _REPORT_TIMEOUT_SECONDS,
                 )
@@ -131,13 +138,21 @@
                     )
                 self._leader_reached = False
             else:
-                self._handle_reply(reply)
+                self._handle_reply(reply, asked_at)
             await anyio.sleep(_REPORT_SECONDS)
 
-    def _handle_reply(self, reply: GroupInfo) -> None:
+    def _current_report(self) -> ReportPermitProxy:
+        keys = self._known_keys
+        if keys is None:
+            return self._report
+        return replace(self._report, keys_version=keys.version)
+
+    def _handle_reply(self, reply: GroupInfo, asked_at: float) -> None:
         if not self._leader_reached:
             self._log.event('leader.found', leader=reply.leader_vm)
         self._leader_reached = True
         self.reached_at = anyio.current_time()
         self._peers.update_members(reply.vms, reply.leader_vm)
+        if self._known_keys is not None:
+            self._known_keys.update(reply, asked_at)
         self._on_reply(reply)
--- a/mulberryhitch/dispatch/service.py
+++ b/mulberryhitch/dispatch/service.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from mulberryhitch.dispatch.access import JobAccess
 from mulberryhitch.dispatch.dispatcher import Dispatcher
 from mulberryhitch.dispatch.operations import (
     Acknowledged,
@@ -53,7 +54,6 @@
 from mulberryhitch.replication.leader_overview import LeaderOverview
 from mulberryhitch.replication.members import vm_of
 from mulberryhitch.replication.replica import Replica
-from mulberryhitch.replication.roles import Role
 from mulberryhitch.rpc.records import kind_of
 
 _POLL_SECONDS = 0.02
@@ -111,6 +111,7 @@
         self._histograms = histograms
         self._clock = JobClock()
         self._dispatcher: Dispatcher | None = None
+        self._access = JobAccess(job_store)
 
     async def run(self) -> None:
         """Runs the replica until cancelled, and a dispatcher while leading."""
@@ -141,6 +142,9 @@
         Raises:
             NotFoundError: There is no such operation or queue.
             InvalidInputError: The job or its path is invalid.
+            UnauthenticatedError: The caller's key is missing or unknown.
+            ConflictError: The job's id is that of another tenant's job.
+            OverQuotaError: The job can't run within its tenant's cap.
             OverloadedError: No configuration has been received yet.
             NotLeaderError: This VM does not lead; nothing was done.
         """
@@ -211,7 +215,7 @@
         return tuple(map(vm_of, self.replica.members.replica_ids))
 
     def _is_leader_of(self, term: int) -> bool:
-        return self.replica.role is Role.leader and self.replica.term == term
+        return self.replica.overview.leads and self.replica.term == term
 
     def _may_act(self) -> bool:
         return self.replica.has_authority
@@ -281,6 +285,7 @@
     @operation(SubmitJob)
     async def _submit(self, request: SubmitJob) -> JobReply:
         queue, job_id = self._find_queue(request.host, request.path)
+        caller = self._access.caller_of(queue, request.key_digest)
         if not job_id:
             raise InvalidInputError(
                 f'no job id after the path prefix {queue.prefix}', where='path'
@@ -288,39 +293,45 @@
         request.spec.validate()
         job = self.job_store.jobs.get(job_id)
         if job is None:
+            owner = self._access.owner_of(queue, caller, request.spec)
             self._check_room_for(job_id, request.spec)
             now = self._clock.now()
             accepted = await self._commit(
-                [changes.accept(job_id, queue.name, request.spec, now)]
+                [changes.accept(job_id, queue.name, request.spec, now, owner)]
             )
             if not accepted[0]:
                 raise NotFoundError(
                     'queue is no longer configured', where=queue.name
                 )
             job = self.job_store.jobs[job_id]
+            self._access.check_same_owner(job_id, caller)
             self._log.event(
                 'job.accepted',
                 job=job_id,
                 queue=queue.name,
+                tenant=job.tenant,
                 version=self.job_store.queue_table.version,
                 steps=len(request.spec.steps),
                 tasks=sum(step.count for step in request.spec.steps),
                 **self._commit_fields(),
             )
+        self._access.check_same_owner(job_id, caller)
         return JobReply(job.state.value)
 
     @operation(ReadJob)
     async def _read(self, request: ReadJob) -> JobReply:
         queue, job_id = self._find_queue(request.host, request.path)
+        caller = self._access.caller_of(queue, request.key_digest)
         if not job_id:
             return JobReply('', self.job_store.count_queued_jobs(queue.name))
-        job = self.job_store.jobs.get(job_id)
+        job = self._access.find_job(job_id, caller)
         return JobReply(job.state.value if job else '')
 
     @operation(CancelJob)
     async def _cancel(self, request: CancelJob) -> JobReply:
-        _, job_id = self._find_queue(request.host, request.path)
-        job = self.job_store.jobs.get(job_id)
+        queue, job_id = self._find_queue(request.host, request.path)
+        caller = self._access.caller_of(queue, request.key_digest)
+        job = self._access.find_job(job_id, caller)
         if job is None:
             return JobReply('')
         if job.active:
@@ -372,11 +383,14 @@
             dispatcher.permit_manager.add_client(
                 f'{request.name}@{request.host}', RemotePermitClient(connection)
             )
+        table = self.job_store.queue_table
+        is_told = request.keys_version in {None, table.version}
         return GroupInfo(
             own_vm,
             self._member_vms(),
-            self.job_store.queue_table.version,
-            self.job_store.queue_table.limits,
+            table.version,
+            table.limits,
+            None if is_told else self._access.caller_keys(),
         )
 
 
--- a/mulberryhitch/platform/asgi.py
+++ b/mulberryhitch/platform/asgi.py
@@ -51,6 +51,7 @@
 
     Attributes:
         timeout_seconds: Time limit for handling the request.
+        authorization: The header of that name; empty if there is none.
     """
 
     method: str
@@ -58,6 +59,7 @@
     path: str
     body: bytes
     timeout_seconds: float
+    authorization: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,6 +201,7 @@
             scope['path'],
             body,
             _timeout_seconds(headers.get(b'x-deadline-ms', b'')),
+            headers.get(b'authorization', b'').decode('latin-1'),
         )
 
     async def _send(self, response: HttpResponse, send: Send) -> None:
--- a/mulberryhitch/platform/wire.py
+++ b/mulberryhitch/platform/wire.py
@@ -11,6 +11,7 @@
 
 from mulberryhitch.configuration.addresses import check_address
 from mulberryhitch.constants import MILLISECONDS_PER_SECOND
+from mulberryhitch.dispatch.access import digest_of
 from mulberryhitch.errors import InvalidInputError, TooLargeError
 from mulberryhitch.jobs.model import (
     JobSpec,
@@ -21,6 +22,7 @@
     Step,
     StepKey,
     TaskKey,
+    Tenant,
     WorkerRecord,
 )
 
@@ -28,6 +30,8 @@
 _MAX_COUNT = 20_000
 _MAX_HEARTBEAT_BYTES = 16 * 1024
 _MAX_WORKER_ID_CHARACTERS = 255
+# A link of 2 Mbit/s carries the digests of so many keys in about a second.
+_MAX_KEYS = 4000
 _MAX_NUMBER = 2**53
 _HEADER_TEXT = re.compile('[!-~]+')
 _READY = 'ready'
@@ -86,6 +90,7 @@
     max_attempts: int = Field(1, ge=1)
     stretch: float = Field(1, ge=0)
     advice: _AdviceBody | None = None
+    public: bool = False
 
 
 class _ServiceBody(_Body):
@@ -100,11 +105,25 @@
     idle_timeout_ms: float = 15_000
 
 
+class _CapBody(_Body):
+    cpu: int = Field(0, ge=0, le=_MAX_NUMBER)
+    mem_mb: int = Field(0, ge=0, le=_MAX_NUMBER)
+    gpu: int = Field(0, ge=0, le=_MAX_NUMBER)
+
+
+class _TenantBody(_Body):
+    name: str = Field(min_length=1)
+    api_keys: list[Annotated[str, Field(min_length=1)]] = []
+    weight: float = Field(1, ge=0, le=_MAX_NUMBER)
+    cap: _CapBody = Field(default_factory=_CapBody.model_construct)
+
+
 class _ConfigBody(_Body):
     version: int = Field(ge=0, le=_MAX_NUMBER)
     routes: list[_RouteBody]
     services: list[_ServiceBody]
     limits: _LimitsBody = _LimitsBody()
+    tenants: list[_TenantBody] = []
 
 
 class _CapacityBody(_Body):
@@ -193,10 +212,16 @@
                 where=where,
             )
         prefixes.add(prefix)
+    _check_tenants(body.tenants)
+    # Without tenants there are no keys that calls could carry.
+    has_keys = 'tenants' in body.model_fields_set
     return QueueTable(
         body.version,
         content.decode(),
-        tuple(_queue(route) for route in body.routes),
+        tuple(
+            _queue(route, public=route.public or not has_keys)
+            for route in body.routes
+        ),
         Limits(
             body.limits.max_header_bytes,
             body.limits.max_body_bytes,
@@ -209,6 +234,7 @@
             if not service.enforces_capacity
         ),
         tuple(sorted(services)),
+        tuple(_tenant(row) for row in body.tenants),
     )
 
 
@@ -298,7 +324,46 @@
     )
 
 
-def _queue(body: _RouteBody) -> Queue:
+def _check_tenants(rows: list[_TenantBody]) -> None:
+    """Checks that no two tenants have one name or share a key.
+
+    Raises:
+        InvalidInputError: Two do, or there are too many keys.
+    """
+    names: set[str] = set()
+    owners: dict[str, int] = {}
+    for index, row in enumerate(rows):
+        where = f'config.tenants.{index}'
+        if row.name in names:
+            raise InvalidInputError(
+                f'the name {row.name!r} is used twice', where=f'{where}.name'
+            )
+        names.add(row.name)
+        for place, key in enumerate(row.api_keys):
+            if owners.setdefault(key, index) != index:
+                raise InvalidInputError(
+                    f'the key is also that of {rows[owners[key]].name!r}',
+                    where=f'{where}.api_keys.{place}',
+                )
+    if len(owners) > _MAX_KEYS:
+        raise InvalidInputError(
+            f'{len(owners)} keys, over {_MAX_KEYS}', where='config.tenants'
+        )
+
+
+def _tenant(body: _TenantBody) -> Tenant:
+    digests = {digest_of(key.encode()) for key in body.api_keys}
+    return Tenant(
+        body.name,
+        tuple(sorted(digests)),
+        body.weight,
+        body.cap.cpu,
+        body.cap.mem_mb,
+        body.cap.gpu,
+    )
+
+
+def _queue(body: _RouteBody, *, public: bool) -> Queue:
     permits = None
     if body.advice is not None:
         permits = PermitPolicy(
@@ -316,4 +381,5 @@
         body.stretch,
         body.target_duration_ms / MILLISECONDS_PER_SECOND,
         permits,
+        public,
     )
--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -11,6 +11,7 @@
 
 from mulberryhitch.clocks import suspended_seconds
 from mulberryhitch.constants import READINESS_DELAY_SECONDS
+from mulberryhitch.dispatch.access import KnownKeys
 from mulberryhitch.dispatch.operations import GroupInfo, ReportPermitProxy
 from mulberryhitch.dispatch.options import DispatchOptions
 from mulberryhitch.dispatch.permits.proxy import (
@@ -100,12 +101,14 @@
             self.client, settings.permit_address
         )
         self.group_info: GroupInfo | None = None
+        self.known_keys = KnownKeys()
         self.reporter = LeaderReporter(
             ReportPermitProxy(name, settings.vm, own_port),
             self.leader_client,
             self.peers,
             self.log,
             self._set_group_info,
+            self.known_keys,
         )
 
     async def start_tasks(self, tasks: Any) -> None:
@@ -189,7 +192,11 @@
         """Creates the parts and connects them."""
         self._shared = _SharedParts('entry', settings, stop)
         self._settings = settings
-        self._ingress = IngressHandler(self._shared.leader_client)
+        self._ingress = IngressHandler(
+            self._shared.leader_client,
+            self._shared.known_keys,
+            self._shared.log.count,
+        )
         PermitProxy(self._shared.rpc, self._shared.permit_client)
         self._application = self._shared.make_application(
             self._respond, self._limits
