Hold each tenant's runs within its cap

Starts exceeded the tenants' caps, which no code read. A placement round now asks TenantCaps how many tasks of a step may start beside the tenant's open runs, uncommitted placements and those of the round. A step that its cap holds back takes no place among the considered ones, and no permit, worker or run of others is asked, reserved or stopped for it. A gang counts as a whole, and its part of the cap is kept from the tenant's later steps.

--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -15,6 +15,7 @@
 from mulberryhitch.dispatch.placement.preemption_candidates import (
     PreemptionCandidates,
 )
+from mulberryhitch.dispatch.placement.tenant_caps import TenantCaps
 from mulberryhitch.dispatch.reports.status_report import StatusReporter
 from mulberryhitch.dispatch.retention import Retention
 from mulberryhitch.dispatch.runs.run_controller import RunController
@@ -47,6 +48,7 @@
         self._term = term
         self._retention = Retention(term)
         self._uncommitted: dict[str, Resources] = {}
+        self._uncommitted_of_tenants: dict[str, Resources] = {}
         self._committing_steps: set[StepKey] = set()
         self._estimates = EstimateCache()
         self._last_plan = Plan()
@@ -189,6 +191,9 @@
                 self._status_reporter.wants_reasons and not only_urgent,
                 only_urgent,
             ),
+            TenantCaps(
+                self._term.job_store, self._uncommitted_of_tenants, self._rounds
+            ),
         )
         candidates = PreemptionCandidates(
             self._term.tracked_workers, self._term.options, now
@@ -211,14 +216,13 @@
 
     def _adjust_uncommitted(self, placement: Placement, sign: int) -> None:
         execution = self._term.job_store.step_execution(placement.unit.step_key)
-        resources = execution.resources if execution else Resources()
-        uncommitted = self._uncommitted.get(placement.worker_id, Resources())
-        uncommitted = (
-            uncommitted.plus(resources)
-            if sign > 0
-            else uncommitted.minus(resources)
-        )
-        self._uncommitted[placement.worker_id] = uncommitted
+        if execution is None:
+            return
+        resources = execution.resources.times(sign)
+        _add_resources(self._uncommitted, placement.worker_id, resources)
+        tenant = self._term.job_store.jobs[execution.key.job_id].tenant
+        if tenant:
+            _add_resources(self._uncommitted_of_tenants, tenant, resources)
 
     async def _grant(
         self, placements: list[Placement], steps: set[StepKey]
@@ -283,3 +287,9 @@
         ]
         if batch:
             await self._term.commit_or_log(batch)
+
+
+def _add_resources(
+    amounts: dict[str, Resources], name: str, resources: Resources
+) -> None:
+    amounts[name] = amounts.get(name, Resources()).plus(resources)
--- a/mulberryhitch/dispatch/placement/planner.py
+++ b/mulberryhitch/dispatch/placement/planner.py
@@ -22,6 +22,7 @@
     PreemptionCandidates,
 )
 from mulberryhitch.dispatch.placement.step_selection import StepSelector
+from mulberryhitch.dispatch.placement.tenant_caps import TenantCaps
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
 from mulberryhitch.jobs.model import Queue, Resources, StepKey
 from mulberryhitch.jobs.state import Job, StepExecution
@@ -44,6 +45,7 @@
         estimates: Objectives and critical paths.
         permit_margin: Minimum remaining validity of a permit, seconds.
         current: The round.
+        tenant_caps: The room that the tenants' caps leave.
     """
 
     def __init__(  # noqa: WPS211
@@ -55,11 +57,13 @@
         estimates: EstimateCache,
         permit_margin: float,
         current: Round,
+        tenant_caps: TenantCaps,
     ) -> None:
         """Initialises the planner with an empty plan."""
         self._job_store = job_store
         self._estimates = estimates
         self._round = current
+        self._tenant_caps = tenant_caps
         self._earlier_reserved = set(
             chain.from_iterable(current.earlier_reservations.values())
         )
@@ -102,8 +106,12 @@
             self._round.now,
         )
         waiting_steps = self._waiting_steps(committing_steps)
-        selection = self._step_selector.select(waiting_steps)
-        for waiting in selection.considered:
+        selection = self._step_selector.select(waiting_steps, self._tenant_caps)
+        for considered in selection.considered:
+            waiting = self._tenant_caps.limited(considered)
+            if waiting is None:
+                selection.capped.append(considered)
+                continue
             eligible = self._allowed_workers(waiting)
             if waiting.execution.step.gang:
                 self._place_gang(waiting, eligible, preemption)
@@ -113,6 +121,8 @@
             self._permits.renew_for_gang(waiting)
         self._explain_all(selection.skipped, 'round')
         self._explain_all(selection.unsuited, 'no worker')
+        self._explain_all(selection.capped, 'tenant cap')
+        self.plan.capped = self._tenant_caps.held_back
         return self.plan
 
     def _waiting_steps(
@@ -222,6 +232,7 @@
         if unit is None:
             return
         worker_id = worker.record.worker_id
+        self._tenant_caps.record_start(waiting)
         self._free_capacity.allocate(worker_id, waiting.execution.resources)
         self.plan.placements.append(
             Placement(
@@ -245,6 +256,8 @@
             self._explain(waiting, eligible, waiting.tasks_left)
             self._unplaced_gangs.append(waiting)
             self._reserve_for_gang(waiting, eligible, preemption)
+            if waiting.execution.key in self.plan.reservations:
+                self._tenant_caps.keep_for(waiting)
             return
         for index, worker in enumerate(chosen):
             self._place(waiting, index, worker)
@@ -321,7 +334,7 @@
                 ).processors,
             )
         )
-        unplaced = list(waiting.execution.waiting_units)
+        unplaced = list(waiting.execution.waiting_units)[: waiting.tasks_left]
         on_worker = self._tasks_per_worker(waiting)
         for copies, worker in counted:
             if step.spread_limit:
--- a/mulberryhitch/dispatch/placement/plans.py
+++ b/mulberryhitch/dispatch/placement/plans.py
@@ -62,6 +62,7 @@
         blocked: Waiting tasks that were considered but not placed, by queue
             name and reason; only of a round that explains.
         reservations: The workers reserved for each gang that waits.
+        capped: Number of steps that their tenant's cap holds back, by tenant.
     """
 
     placements: list[Placement] = field(default_factory=list)
@@ -69,6 +70,7 @@
     preempted: list[tuple[TaskKey, int, str]] = field(default_factory=list)
     blocked: Counter[tuple[str, str]] = field(default_factory=Counter)
     reservations: dict[StepKey, tuple[str, ...]] = field(default_factory=dict)
+    capped: Counter[str] = field(default_factory=Counter)
 
     @property
     def reserved_workers(self) -> set[str]:
@@ -85,6 +87,8 @@
             whether it can't be in time any more by its estimates, slack in
             seconds and due time; steps with lower keys are placed first.
         permits: None if the queue requires no permits.
+        startable: Number of tasks that its tenant's cap lets start; None for
+            all.
     """
 
     execution: StepExecution
@@ -92,6 +96,7 @@
     queue: Queue
     sort_key: tuple[float, ...]
     permits: StepPermits | None
+    startable: int | None = None
 
     @property
     def is_too_late(self) -> bool:
@@ -110,9 +115,12 @@
 
     @property
     def tasks_left(self) -> int:
-        """Number of tasks still to start; for a gang, all of its tasks."""
+        """Number of tasks that may start; for a gang, all of its tasks."""
         step = self.execution.step
-        return step.count if step.gang else len(self.execution.waiting_units)
+        if step.gang:
+            return step.count
+        waiting = len(self.execution.waiting_units)
+        return waiting if self.startable is None else self.startable
 
     @property
     def maximum_per_worker(self) -> int:
--- a/mulberryhitch/dispatch/placement/step_selection.py
+++ b/mulberryhitch/dispatch/placement/step_selection.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from mulberryhitch.dispatch.placement.plans import WaitingStep
+from mulberryhitch.dispatch.placement.tenant_caps import TenantCaps
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
 from mulberryhitch.jobs.model import Resources
 
@@ -23,11 +24,13 @@
         considered: Steps to place in this round, in this order.
         skipped: Steps whose turn comes in a later round.
         unsuited: Steps that the present workers could not run even if idle.
+        capped: Steps that their tenant's cap holds back.
     """
 
     considered: list[WaitingStep] = field(default_factory=list)
     skipped: list[WaitingStep] = field(default_factory=list)
     unsuited: list[WaitingStep] = field(default_factory=list)
+    capped: list[WaitingStep] = field(default_factory=list)
 
 
 class StepSelector:
@@ -35,8 +38,8 @@
 
     The most urgent ones may all wait for the same busy workers. A step that
     holds permits or workers is selected in each round, as it would lose them
-    before its next turn. Steps that no worker suits are left out, as they would
-    take the places of steps that can start.
+    before its next turn. Steps that no worker suits or that a cap holds back are
+    left out, as they would take the places of steps that can start.
 
     Args:
         workers: The workers that may receive new runs.
@@ -57,13 +60,21 @@
         self._is_prepared = is_prepared
         self._fitting_shapes: dict[tuple[_Shape, int, int], bool] = {}
 
-    def select(self, waiting_steps: list[WaitingStep]) -> StepSelection:
+    def select(
+        self,
+        waiting_steps: list[WaitingStep],
+        tenant_caps: TenantCaps | None = None,
+    ) -> StepSelection:
         """Selects from the waiting steps, which are sorted by urgency."""
         selection = StepSelection()
         suited: list[WaitingStep] = []
         for waiting in waiting_steps:
             fits = self._fits_when_idle(waiting)
             (suited if fits else selection.unsuited).append(waiting)
+        if tenant_caps is not None:
+            split = tenant_caps.select(suited, self._is_prepared)
+            suited = split.selected
+            selection.capped = split.held_back
         selection.considered = suited[:_MOST_URGENT_STEPS]
         others: list[WaitingStep] = []
         for later in suited[_MOST_URGENT_STEPS:]:
--- a/mulberryhitch/dispatch/reports/status_report.py
+++ b/mulberryhitch/dispatch/reports/status_report.py
@@ -16,6 +16,7 @@
     MILLICORES_PER_CORE,
     QueueAccount,
 )
+from mulberryhitch.dispatch.reports.tenant_report import report_tenants
 from mulberryhitch.dispatch.term import Term
 from mulberryhitch.jobs.model import StepKey
 from mulberryhitch.jobs.store import JobStore
@@ -61,6 +62,7 @@
         self._permit_manager = permit_manager
         self._reserved_workers = 0
         self._blocked: Counter[tuple[str, str]] = Counter()
+        self._capped: Counter[str] = Counter()
         self._rounds = 0
         self._round_seconds: float = 0
         self._longest_round: float = 0
@@ -74,6 +76,7 @@
     def record_round(self, plan: Plan, seconds: float) -> None:
         """Records a placement round and how long it took."""
         self._reserved_workers = len(plan.reserved_workers)
+        self._capped = plan.capped
         if self.wants_reasons:
             self._blocked = plan.blocked
             self._explained_at = anyio.current_time()
@@ -88,6 +91,7 @@
             await anyio.sleep_until(due)
             self._report_term(due)
             self._report_queues()
+            report_tenants(self._term.job_store, self._capped, self._term.log)
 
     def _report_term(self, due: float) -> None:
         now = anyio.current_time()
--- a/mulberryhitch/dispatch/service.py
+++ b/mulberryhitch/dispatch/service.py
@@ -315,7 +315,8 @@
                 tasks=sum(step.count for step in request.spec.steps),
                 **self._commit_fields(),
             )
-        self._access.check_same_owner(job_id, caller)
+        else:
+            self._access.check_same_owner(job_id, caller)
         return JobReply(job.state.value)
 
     @operation(ReadJob)
--- a/tests/fake_workers.py
+++ b/tests/fake_workers.py
@@ -33,6 +33,7 @@
     Step,
     StepKey,
     TaskKey,
+    Tenant,
     WorkerRecord,
 )
 from mulberryhitch.jobs.state import JobState, RunOutcome
@@ -430,6 +431,11 @@
         version = self.job_store.queue_table.version + 1
         self.apply([changes.configure(QueueTable(version, '{}', self.queues))])
 
+    def set_tenants(self, *tenants: Tenant) -> None:
+        version = self.job_store.queue_table.version + 1
+        table = QueueTable(version, '{}', self.queues, tenants=tenants)
+        self.apply([changes.configure(table)])
+
     def time_of_day(self) -> float:
         return START_WALL_TIME + self.time_of_day_step + anyio.current_time()
 
@@ -501,13 +507,17 @@
         return dispatcher
 
     async def submit(
-        self, job_id: str, *steps: Step, queue: str = 'q', **fields: Any
+        self,
+        job_id: str,
+        *steps: Step,
+        queue: str = 'q',
+        tenant: str = '',
+        **fields: Any,
     ) -> None:
         spec = JobSpec('argument', steps, **fields)
         spec.validate()
-        await self.commit(
-            [changes.accept(job_id, queue, spec, self.wall_time())]
-        )
+        now = self.wall_time()
+        await self.commit([changes.accept(job_id, queue, spec, now, tenant)])
 
     async def cancel(self, job_id: str) -> None:
         await self.commit([changes.cancel(job_id, self.wall_time())])
