--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -119,6 +119,7 @@
         self.log = Log('platform')
         self.stop_events: dict[str, anyio.Event] = {}
         self.schedulers: dict[str, SchedulerProgram] = {}
+        self.entry: EntryProgram | None = None
         self.advice_requests: list[Any] = []
         self.worker: FakeWorker | None = None
         self.sequence = 0
@@ -144,6 +145,8 @@
         started = program(settings, self.stop_events[vm])
         if vm in SCHEDULERS:
             self.schedulers[vm] = started
+        else:
+            self.entry = started
         tasks.start_soon(started.run)
 
     def leader(self) -> SchedulerProgram:
@@ -181,16 +184,18 @@
         )
 
     async def send_to_queue(
-        self, method: str, path: str, content: Any = None
+        self, method: str, path: str, content: Any = None, key: str = ''
     ) -> JsonResponse:
         """Sends a client's request to the queue's host."""
+        headers = (('Authorization', f'Bearer {key}'),) if key else ()
         return await self.client.send(
             f'{ENTRY}:{self.port + 2}',
             method,
             path,
             content or {},
             10,
-            host=HOST,
+            headers,
+            HOST,
         )
 
     async def retry_until_status(
