--- a/mulberryhitch/dispatch/placement/cap_rules.py
+++ b/mulberryhitch/dispatch/placement/cap_rules.py
@@ -1,11 +1,16 @@
-"""What a tenant's cap allows: how many tasks fit beside what is in use."""
+"""What a tenant's cap allows to start beside what is in use."""
 
+from mulberryhitch.dispatch.placement.free_capacity import copies_that_fit
 from mulberryhitch.errors import OverQuotaError
 from mulberryhitch.jobs.model import JobSpec, Resources, Step, Tenant
 
-_UNLIMITED = 1_000_000
+# More than all workers together have.
 _NO_LIMIT = 2**62
-_NOTHING = Resources()
+
+
+def limits_of(cap: Resources) -> Resources:
+    """Returns a cap with a number that nothing reaches where it has none."""
+    return Resources(*(part or _NO_LIMIT for part in cap))
 
 
 def is_single(step: Step) -> bool:
@@ -13,29 +18,48 @@
     return not step.gang or step.count == 1
 
 
-def limits_of(cap: Resources) -> Resources:
-    """Returns a cap with numbers that nothing reaches for no limit."""
-    return Resources(*(part or _NO_LIMIT for part in cap))
+class Allowance:
+    """What may still start within a cap.
+
+    Args:
+        limits: The cap, as :func:`limits_of` returns it.
+        free: What is left of it; negative once a cap was lowered.
+    """
 
+    def __init__(self, limits: Resources, free: Resources) -> None:
+        """Initialises the allowance."""
+        self._limits = limits
+        self.free = free
+        self._is_below_half: bool | None = None
 
-def copies_within(
-    cap: Resources, resources: Resources, used: Resources = _NOTHING
-) -> int:
-    """Returns how many tasks of a size fit into what a cap leaves."""
-    fitting = _UNLIMITED
-    for limit, needed, taken in zip(cap, resources, used, strict=True):
-        if limit and needed:
-            fitting = min(fitting, max(0, limit - taken) // needed)
-    return fitting
+    def take(self, resources: Resources) -> None:
+        """Takes resources out of it."""
+        self.free = self.free.minus(resources)
+        self._is_below_half = None
 
+    def startable(self, step: Step, resources: Resources) -> int:
+        """Returns how many tasks of a step may start, for a gang all or none.
 
-def is_below_half(cap: Resources, used: Resources) -> bool:
-    """Whether less than half of a cap is used, in each limited dimension."""
-    return all(
-        2 * taken < limit
-        for limit, taken in zip(cap, used, strict=True)
-        if limit
-    )
+        A single task may also start while less than half of the cap is used,
+        so that one larger than the cap runs alone.
+
+        Args:
+            step: The step.
+            resources: Resources of one task.
+        """
+        copies = copies_that_fit(resources, self.free, step.count)
+        if is_single(step):
+            return copies or int(self._leaves_half())
+        return copies if copies == step.count else 0
+
+    def _leaves_half(self) -> bool:
+        """Whether less than half is used; cached, as most steps ask it."""
+        if self._is_below_half is None:
+            halves = zip(self.free, self._limits, strict=True)
+            self._is_below_half = all(
+                2 * left > limit for left, limit in halves
+            )
+        return self._is_below_half
 
 
 def check_gangs(spec: JobSpec, tenant: Tenant | None) -> None:
@@ -50,10 +74,10 @@
     """
     if tenant is None:
         return
+    limits = limits_of(tenant.cap)
+    whole = Allowance(limits, limits)
     for number, step in enumerate(spec.steps):
-        if is_single(step):
-            continue
-        if copies_within(tenant.cap, step.resources) < step.count:
+        if not whole.startable(step, step.resources):
             raise OverQuotaError(
                 f'the gang needs more than the cap of {tenant.name!r}',
                 where=f'steps.{number}',
--- a/mulberryhitch/dispatch/placement/tenant_caps.py
+++ b/mulberryhitch/dispatch/placement/tenant_caps.py
@@ -9,8 +9,7 @@
 from dataclasses import dataclass, field, replace
 
 from mulberryhitch.dispatch.placement.cap_rules import (
-    copies_within,
-    is_below_half,
+    Allowance,
     is_single,
     limits_of,
 )
@@ -32,57 +31,81 @@
     held_back: list[WaitingStep] = field(default_factory=list)
 
 
-@dataclass(slots=True)
-class _Usage:
-    """What a tenant with a cap uses in a round.
+class _Room:
+    """What a tenant's cap leaves in a round.
+
+    Args:
+        limits: The cap, without parts of zero.
+        used: Resources of open runs and uncommitted placements.
 
     Attributes:
-        cap: A part of zero is not limited.
-        used: By its open runs, uncommitted placements and those of this round.
-        wanted: Also by the steps that the round considers.
-        kept: What is kept free for a step, and the step's place in the order;
-            only steps behind it are held back.
-        has_waiting: Whether a step that waits only for the cap is among these.
+        unwanted: What is left by these and the steps that the round considers.
+        has_waiting: Whether something is kept for a step that waits only for
+            the cap.
     """
 
-    cap: Resources
-    used: Resources
-    wanted: Resources = field(init=False)
-    kept: list[tuple[tuple[float, ...], Resources]] = field(
-        default_factory=list
-    )
-    has_waiting: bool = False
-
-    def __post_init__(self) -> None:
-        """Copies what is used; the round considers no step yet."""
-        self.wanted = self.used
-
-    def startable(self, waiting: WaitingStep, used: Resources) -> int:
-        """Returns how many tasks may start beside the resources used.
-
-        A single task may also start while less than half of the cap is used,
-        so that one larger than the cap runs alone.
+    def __init__(self, limits: Resources, used: Resources) -> None:
+        """Initialises the room; nothing is kept free."""
+        free = limits.minus(used)
+        self._limits = limits
+        self._free = free
+        # What is kept free, and the place in the order of the step that it is
+        # kept for; only steps behind it are held back.
+        self._kept: list[tuple[tuple[float, ...], Resources]] = []
+        self._unkept = Allowance(limits, free)
+        self.unwanted = Allowance(limits, free)
+        self.has_waiting = False
+
+    def startable(self, waiting: WaitingStep) -> int:
+        """Returns how many tasks of a step may start now.
+
+        What is kept for a step before it is not free.
         """
-        for position, kept in self.kept:
+        free = self._free
+        for position, kept in self._kept:
             if position < waiting.sort_key:
-                used = used.plus(kept)
-        step = waiting.execution.step
-        copies = copies_within(self.cap, waiting.execution.resources, used)
-        if is_single(step):
-            if not copies and is_below_half(self.cap, used):
-                copies = 1
-            return min(copies, waiting.tasks_left)
-        return step.count if copies >= step.count else 0
-
-    def need(self, waiting: WaitingStep) -> Resources | None:
-        """Returns what must be free for a step to start, or None for never."""
-        step = waiting.execution.step
-        resources = waiting.execution.resources
-        if is_single(step):
-            return Resources(*map(min, resources, limits_of(self.cap)))
-        if copies_within(self.cap, resources) < step.count:
-            return None
-        return resources.times(step.count)
+                free = free.minus(kept)
+        allowance = Allowance(self._limits, free)
+        execution = waiting.execution
+        return allowance.startable(execution.step, execution.resources)
+
+    def want(self, waiting: WaitingStep) -> bool:
+        """Whether a step can start beside those before it; counts its tasks."""
+        execution = waiting.execution
+        tasks = self.unwanted.startable(execution.step, execution.resources)
+        if not tasks:
+            return False
+        wanted = min(tasks, waiting.tasks_left)
+        self.unwanted.take(execution.resources.times(wanted))
+        return True
+
+    def can_start_alone(self, waiting: WaitingStep) -> bool:
+        """Whether a step can start if no other step does before it.
+
+        The steps have to be passed in their order.
+        """
+        execution = waiting.execution
+        step = execution.step
+        return self._unkept.startable(step, execution.resources) > 0
+
+    def keep(self, waiting: WaitingStep) -> bool:
+        """Keeps what a step needs to start; returns whether it ever can."""
+        execution = waiting.execution
+        need = execution.resources
+        if is_single(execution.step):
+            need = Resources(*map(min, need, self._limits))
+        else:
+            need = need.times(execution.step.count)
+        if not need.fits(self._limits):
+            return False
+        self._kept.append((waiting.sort_key, need))
+        self._unkept.take(need)
+        self.unwanted.take(need)
+        return True
+
+    def take(self, resources: Resources) -> None:
+        """Records that a task was placed."""
+        self._free = self._free.minus(resources)
 
 
 class TenantCaps:
@@ -112,7 +135,7 @@
         self._job_store = job_store
         self._uncommitted = uncommitted
         self._round_number = round_number
-        self._usages: dict[str, _Usage | None] = {}
+        self._rooms: dict[str, _Room | None] = {}
         self.held_back: Counter[str] = Counter()
 
     def select(
@@ -130,13 +153,15 @@
         split = CapSelection()
         behind: dict[str, list[WaitingStep]] = {}
         for waiting in waiting_steps:
-            usage = self._usage_of(waiting)
-            if usage is None:
+            room = self._room_of(waiting)
+            if room is None:
                 split.selected.append(waiting)
-            elif not usage.startable(waiting, usage.used):
-                self.hold_back(waiting)
+            elif room.want(waiting):
+                split.selected.append(waiting)
+            elif not room.can_start_alone(waiting):
+                self._hold_back(room, waiting)
                 split.held_back.append(waiting)
-            elif self._want(usage, waiting) or is_prepared(waiting):
+            elif is_prepared(waiting):
                 split.selected.append(waiting)
             else:
                 behind.setdefault(waiting.job.tenant, []).append(waiting)
@@ -156,70 +181,56 @@
         None if the cap leaves no room: then nothing may be requested, reserved
         or preempted for it.
         """
-        usage = self._usage_of(waiting)
-        if usage is None:
+        room = self._room_of(waiting)
+        if room is None:
             return waiting
-        startable = usage.startable(waiting, usage.used)
+        startable = room.startable(waiting)
         if not startable:
-            self.hold_back(waiting)
+            self._hold_back(room, waiting)
             return None
-        if startable == waiting.tasks_left:
+        if startable >= waiting.tasks_left:
             return waiting
         return replace(waiting, startable=startable)
 
-    def hold_back(self, waiting: WaitingStep) -> None:
-        """Counts a step that waits for the cap, and keeps its part free.
-
-        Only the first step of a tenant has its part kept, so that the others
-        behind it can use the rest.
-        """
-        self.held_back[waiting.job.tenant] += 1
-        usage = self._usage_of(waiting)
-        if usage is None or usage.has_waiting:
-            return
-        need = usage.need(waiting)
-        if need is not None:
-            usage.has_waiting = True
-            usage.kept.append((waiting.sort_key, need))
-
     def keep_for(self, waiting: WaitingStep) -> None:
         """Keeps the part of a gang free for which workers are kept free."""
-        usage = self._usage_of(waiting)
-        if usage is not None:
-            step = waiting.execution.step
-            need = waiting.execution.resources.times(step.count)
-            usage.kept.append((waiting.sort_key, need))
+        room = self._room_of(waiting)
+        if room is not None:
+            room.keep(waiting)
 
     def record_start(self, waiting: WaitingStep) -> None:
         """Records that a task of a step was placed."""
-        usage = self._usage_of(waiting)
-        if usage is not None:
-            usage.used = usage.used.plus(waiting.execution.resources)
+        room = self._room_of(waiting)
+        if room is not None:
+            room.take(waiting.execution.resources)
 
-    def _usage_of(self, waiting: WaitingStep) -> _Usage | None:
-        """Returns what a job's tenant uses; None if it has no cap."""
+    def _room_of(self, waiting: WaitingStep) -> _Room | None:
+        """Returns the room of a job's tenant; None if it has no cap."""
         name = waiting.job.tenant
         if not name:
             return None
-        if name not in self._usages:
-            self._usages[name] = self._read_usage(name)
-        return self._usages[name]
+        if name not in self._rooms:
+            self._rooms[name] = self._read_room(name)
+        return self._rooms[name]
 
-    def _read_usage(self, name: str) -> _Usage | None:
+    def _read_room(self, name: str) -> _Room | None:
         tenant = self._job_store.tenant(name)
         if tenant is None or not any(tenant.cap):
             return None
+        limits = limits_of(tenant.cap)
         used = self._job_store.tenant_usage(name)
-        return _Usage(
-            tenant.cap, used.plus(self._uncommitted.get(name, Resources()))
-        )
+        uncommitted = self._uncommitted.get(name, Resources())
+        return _Room(limits, used.plus(uncommitted))
 
-    def _want(self, usage: _Usage, waiting: WaitingStep) -> bool:
-        """Whether a step can start beside those before it; counts its tasks."""
-        tasks = usage.startable(waiting, usage.wanted)
-        resources = waiting.execution.resources.times(tasks)
-        usage.wanted = usage.wanted.plus(resources)
-        return tasks > 0
+    def _hold_back(self, room: _Room, waiting: WaitingStep) -> None:
+        """Counts a step that waits for the cap, and keeps its part free.
+
+        Only the first step of a tenant has its part kept, so that the others
+        behind it can use the rest.
+        """
+        self.held_back[waiting.job.tenant] += 1
+        if not room.has_waiting:
+            room.has_waiting = room.keep(waiting)
 
     def _turn(self, count: int) -> tuple[int, int]:
         """Returns the first and the end of the steps that have a turn."""
