--- a/mulberryhitch/dispatch/access.py
+++ b/mulberryhitch/dispatch/access.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from mulberryhitch.clocks import suspended_seconds
 from mulberryhitch.dispatch.operations import CallerKeys, GroupInfo
 from mulberryhitch.dispatch.placement.cap_rules import check_gangs
 from mulberryhitch.errors import ConflictError, UnauthenticatedError
@@ -27,6 +28,11 @@
 _TOLD_SECONDS = 2.0
 
 
+def lasting_time() -> float:
+    """Returns seconds on a local clock that counts on in a suspended VM."""
+    return anyio.current_time() + suspended_seconds()
+
+
 def digest_of(key: bytes) -> str:
     """Returns the digest by which a key is known."""
     return hashlib.sha256(key).hexdigest()
@@ -133,7 +139,7 @@
 
         Args:
             reply: The reply.
-            asked_at: When the report was sent, seconds on the local clock.
+            asked_at: When the report was sent, as :func:`lasting_time` tells.
         """
         self._told_at = asked_at
         if reply.caller_keys is not None:
@@ -155,7 +161,7 @@
         keys = self._caller_keys
         if keys is None or not keys.required:
             return False
-        if anyio.current_time() - self._told_at > _TOLD_SECONDS:
+        if lasting_time() - self._told_at > _TOLD_SECONDS:
             return False
         if self._index.holder_of(key_digest) is not None:
             return False
--- a/mulberryhitch/dispatch/permits/proxy.py
+++ b/mulberryhitch/dispatch/permits/proxy.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from mulberryhitch.dispatch.access import KnownKeys
+from mulberryhitch.dispatch.access import KnownKeys, lasting_time
 from mulberryhitch.dispatch.operations import (
     AskPermits,
     GroupInfo,
@@ -120,7 +120,7 @@
     async def run(self) -> None:
         """Reports until cancelled."""
         while True:
-            asked_at = anyio.current_time()
+            asked_at = lasting_time()
             try:
                 reply = await self._leader_client.execute(
                     JOBS_GROUP,
--- a/tests/test_tenant_caps.py
+++ b/tests/test_tenant_caps.py
@@ -385,6 +385,27 @@
     play(make, body)
 
 
+def test_a_gang_that_waits_for_workers_finds_its_part_of_the_cap() -> None:
+    """Guards against workers kept free for a gang whose cap others use up."""
+
+    def make() -> DispatcherHarness:
+        harness = make_harness(3, target_seconds=99)
+        harness.fleet.add_worker('x', 4000, labels=('k', 'r1', 'x'))
+        return harness
+
+    async def body(harness: DispatcherHarness) -> None:
+        await harness.submit('busy', step(2, 1000, 2, label='x'))
+        await harness.wait_for_starts('busy', 2)
+        gang = step(3, gang=True, label='x')
+        await harness.submit('gang', gang, tenant='mill')
+        small = step(2, seconds=60)
+        await harness.submit('small', small, tenant='mill', queue='batch')
+        await harness.wait_for_starts('gang', 3, 3)
+        assert harness.start_count('small') == 1
+
+    assert play(make, body)['mill'] == CAP
+
+
 def test_the_status_report_says_whom_a_cap_holds_back() -> None:
     lines: list[dict[str, Any]] = []
 
--- a/tests/test_tenant_entry.py
+++ b/tests/test_tenant_entry.py
@@ -5,7 +5,8 @@
 import anyio
 import pytest
 
-from mulberryhitch.dispatch.access import KnownKeys
+from mulberryhitch.dispatch import access
+from mulberryhitch.dispatch.access import KnownKeys, lasting_time
 from mulberryhitch.dispatch.operations import CallerKeys, GroupInfo, JobReply
 from mulberryhitch.errors import (
     MulberryhitchError,
@@ -88,7 +89,7 @@
         handler = IngressHandler(client, keys, log.count)
         with pytest.raises(NoQuorumError):
             await handler.respond(make_request('Bearer other'))
-        keys.update(told(3, KEYS), anyio.current_time())
+        keys.update(told(3, KEYS), lasting_time())
         for header in ('Bearer other', ''):
             with pytest.raises(UnauthenticatedError):
                 await handler.respond(make_request(header))
@@ -106,12 +107,12 @@
 
     async def main() -> None:
         keys = KnownKeys()
-        keys.update(told(3, KEYS), anyio.current_time())
+        keys.update(told(3, KEYS), lasting_time())
         assert keys.deny('h', '/q/j', digest('other'))
         await anyio.sleep(1.9)
         assert keys.deny('h', '/q/j', digest('other'))
         # The reply names no keys: they are those of version 3.
-        keys.update(told(3, None), anyio.current_time())
+        keys.update(told(3, None), lasting_time())
         await anyio.sleep(1.9)
         assert keys.deny('h', '/q/j', digest('other'))
         await anyio.sleep(0.2)
@@ -123,18 +124,34 @@
 def test_an_entry_follows_the_newest_keys_it_was_told() -> None:
     async def main() -> None:
         keys = KnownKeys()
-        keys.update(told(3, KEYS), anyio.current_time())
+        keys.update(told(3, KEYS), lasting_time())
         later = CallerKeys(True, (digest('other'),))
-        keys.update(told(4, later), anyio.current_time())
+        keys.update(told(4, later), lasting_time())
         assert keys.version == 4
         assert keys.deny('h', '/q/j', digest('known'))
         assert not keys.deny('h', '/q/j', digest('other'))
-        keys.update(told(5, CallerKeys(required=False)), anyio.current_time())
+        keys.update(told(5, CallerKeys(required=False)), lasting_time())
         assert not keys.deny('h', '/q/j', '')
-        keys.update(told(4, later), anyio.current_time())
+        keys.update(told(4, later), lasting_time())
         # A leader of an earlier release tells a version and no keys.
-        keys.update(told(6, None), anyio.current_time())
+        keys.update(told(6, None), lasting_time())
         assert keys.version == -1
         assert not keys.deny('h', '/q/j', digest('known'))
 
     run_with_mock_clock(main)
+
+
+def test_a_suspended_entry_takes_what_it_was_told_for_old(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against 401 for a key added while the VM was suspended."""
+
+    async def main() -> None:
+        keys = KnownKeys()
+        keys.update(told(3, KEYS), lasting_time())
+        assert keys.deny('h', '/q/j', digest('other'))
+        suspended = access.suspended_seconds() + 3
+        monkeypatch.setattr(access, 'suspended_seconds', lambda: suspended)
+        assert not keys.deny('h', '/q/j', digest('other'))
+
+    run_with_mock_clock(main)
