--- a/mulberryhitch/dispatch/placement/cap_rules.py
+++ b/mulberryhitch/dispatch/placement/cap_rules.py
@@ -10,7 +10,11 @@
 
 def limits_of(cap: Resources) -> Resources:
     """Returns a cap with a number that nothing reaches where it has none."""
-    return Resources(*(part or _NO_LIMIT for part in cap))
+    return Resources(
+        cap.processors or _NO_LIMIT,
+        cap.memory or _NO_LIMIT,
+        cap.accelerators or _NO_LIMIT,
+    )
 
 
 def is_single(step: Step) -> bool:
@@ -32,9 +36,15 @@
         self.free = free
         self._is_below_half: bool | None = None
 
-    def take(self, resources: Resources) -> None:
-        """Takes resources out of it."""
-        self.free = self.free.minus(resources)
+    def take(self, resources: Resources, copies: int = 1) -> None:
+        """Takes the resources of a number of tasks out of it."""
+        free = self.free
+        # Faster than `Resources.times`: taken for each step of a round.
+        self.free = Resources(
+            free.processors - resources.processors * copies,
+            free.memory - resources.memory * copies,
+            free.accelerators - resources.accelerators * copies,
+        )
         self._is_below_half = None
 
     def startable(self, step: Step, resources: Resources) -> int:
--- a/mulberryhitch/dispatch/placement/tenant_caps.py
+++ b/mulberryhitch/dispatch/placement/tenant_caps.py
@@ -76,7 +76,7 @@
         if not tasks:
             return False
         wanted = min(tasks, waiting.tasks_left)
-        self.unwanted.take(execution.resources.times(wanted))
+        self.unwanted.take(execution.resources, wanted)
         return True
 
     def can_start_alone(self, waiting: WaitingStep) -> bool:
