--- a/mulberryhitch/platform/ingress.py
+++ b/mulberryhitch/platform/ingress.py
@@ -23,6 +23,8 @@
 from mulberryhitch.platform.wire import read_job
 
 _KEY_SCHEME = 'bearer'
+# Other kinds of space may be bytes of a key.
+_WHITESPACE = ' \t'
 
 
 class IngressHandler:
@@ -106,8 +108,9 @@
 
 def _key_digest(request: HttpRequest) -> str:
     """Returns the digest of the caller's key; empty if there is none."""
-    scheme, _, key = request.authorization.strip().partition(' ')
-    key = key.strip()
+    header = request.authorization.strip(_WHITESPACE)
+    scheme, _, key = header.partition(' ')
+    key = key.strip(_WHITESPACE)
     if scheme.lower() != _KEY_SCHEME or not key:
         return ''
     return digest_of(key.encode('latin-1'))
--- a/tests/test_tenant_entry.py
+++ b/tests/test_tenant_entry.py
@@ -61,6 +61,8 @@
         ('known', ''),
         ('', ''),
         ('Bearer other', 'other'),
+        # The header's bytes, as the interface decodes them.
+        ('Bearer voilà'.encode().decode('latin-1'), 'voilà'),
     ],
 )
 @pytest.mark.parametrize('method', ['GET', 'POST', 'DELETE'])
