Take Retry-After from the error, and from elections without a leader

503 answers said 1 s whatever the error told, and 429 said nothing. The header now has the whole seconds of the error. Where no leader is found, callers are told what is left of the time that an election takes, and half of the time without a leader after that.

--- a/mulberryhitch/membership/attempts.py
+++ b/mulberryhitch/membership/attempts.py
@@ -17,11 +17,11 @@
     UnreachableError,
 )
 from mulberryhitch.membership.known_group import ReplicaView
+from mulberryhitch.membership.recovery import recovery_seconds_left
 from mulberryhitch.outcomes import Outcome
 
 _MAX_LOGGED_ATTEMPTS = 8
 _SECONDS_DIGITS = 3
-_RETRY_AFTER_SECONDS = 2.0
 
 _NOT_EXECUTED_ERRORS = (
     NotLeaderError,
@@ -173,15 +173,18 @@
             self.maybe_executed |= error.outcome is not Outcome.not_run
 
     def final_error(
-        self, replica: ReplicaView | None = None
+        self,
+        replica: ReplicaView | None = None,
+        leaderless_seconds: float = 0,
     ) -> MulberryhitchError:
         """Returns the error of the operation, once all calls have ended.
 
         Args:
             replica: What this process's replica knows now.
+            leaderless_seconds: How long no leader has been found.
         """
         self.search.replica = replica
-        error = self.rejection or self._timeout_error()
+        error = self.rejection or self._timeout_error(leaderless_seconds)
         if self.maybe_executed and error.outcome is Outcome.not_run:
             error = OutcomeUnknownError(
                 f'rejected after a call without a reply: {error.what}',
@@ -190,7 +193,7 @@
         error.details = self.search
         return error
 
-    def _timeout_error(self) -> MulberryhitchError:
+    def _timeout_error(self, leaderless_seconds: float) -> MulberryhitchError:
         cause = (
             self.last_error.what
             if self.last_error
@@ -203,5 +206,5 @@
         return NoQuorumError(
             f'no leader was found: {self.search.cause or cause}',
             where=self.group,
-            retry_after_seconds=_RETRY_AFTER_SECONDS,
+            retry_after_seconds=recovery_seconds_left(leaderless_seconds),
         )
--- a/mulberryhitch/membership/leader_client.py
+++ b/mulberryhitch/membership/leader_client.py
@@ -22,6 +22,7 @@
 )
 from mulberryhitch.membership.call_order import CallOrder, KnownSchedulers
 from mulberryhitch.membership.known_group import KnownGroup
+from mulberryhitch.membership.recovery import LeaderAbsence
 from mulberryhitch.outcomes import Outcome
 from mulberryhitch.rpc.messages import ExecuteReply, ExecuteRequest
 from mulberryhitch.rpc.records import decode_as, encode, kind_of
@@ -171,6 +172,7 @@
         self._count = count
         self._known_group = known_group
         self._order = CallOrder(transport)
+        self._absence = LeaderAbsence()
 
     async def execute(
         self,
@@ -202,12 +204,25 @@
             if calls_of.needs_no_other_answer:
                 tasks.cancel_scope.cancel()
         if calls_of.reply is None:
-            if calls_of.attempts.rejection is None:
-                self._count('leader.search_failed')
-            replica = self._known_group().replica
-            raise calls_of.attempts.final_error(replica)
+            raise self._final_error(group, calls_of.attempts)
+        self._absence.end(group)
         return decode_reply(calls_of.reply, reply_type)
 
+    def _final_error(
+        self, group: str, attempts: Attempts
+    ) -> MulberryhitchError:
+        """Returns the error of an operation that has no reply."""
+        replica = self._known_group().replica
+        if attempts.rejection is not None:
+            self._absence.end(group)
+            return attempts.final_error(replica)
+        self._count('leader.search_failed')
+        missed_at = self._absence.begin(group, attempts.search.began_at)
+        leaderless = anyio.current_time() - missed_at
+        if replica is not None:
+            leaderless = max(leaderless, replica.leaderless_seconds)
+        return attempts.final_error(replica, leaderless)
+
     async def _search(self, operation: _Operation, tasks: TaskGroup) -> None:
         """Calls VMs until the leader has answered, or time is up."""
         while not operation.is_settled:
--- a/mulberryhitch/platform/asgi.py
+++ b/mulberryhitch/platform/asgi.py
@@ -1,5 +1,6 @@
 """ASGI application shared by the adapter's HTTP interfaces."""
 
+import math
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -35,7 +36,11 @@
 
 _MAX_TIMEOUT_SECONDS = 1.5
 _DEADLINE_SHARE = 0.4
-_RETRY_AFTER_SECONDS = b'1'
+_RETRY_AFTER_SECONDS = 1
+# Statuses of requests that did not run and may be sent again later.
+_RETRYABLE_STATUSES = frozenset(
+    (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
+)
 _BODY_IDLE_SECONDS = 15.0
 # Responses that a connection's own buffer holds are not counted.
 _RESPONSE_PART_BYTES = 64 * 1024
@@ -62,11 +67,17 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """An HTTP response; the body is JSON by default."""
+    """An HTTP response; the body is JSON by default.
+
+    Attributes:
+        retry_after_seconds: Delay before the request may be sent again, if the
+            status allows it.
+    """
 
     status: int
     content: bytes = b'{}'
     content_type: bytes = b'application/json'
+    retry_after_seconds: int = _RETRY_AFTER_SECONDS
 
 
 Handler: TypeAlias = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -206,8 +217,9 @@
             (b'content-type', response.content_type),
             (b'content-length', str(len(response.content)).encode()),
         ]
-        if response.status == HTTPStatus.SERVICE_UNAVAILABLE:
-            headers.append((b'retry-after', _RETRY_AFTER_SECONDS))
+        if response.status in _RETRYABLE_STATUSES:
+            seconds = str(response.retry_after_seconds).encode()
+            headers.append((b'retry-after', seconds))
         if self._is_closing():
             headers.append((b'connection', b'close'))
         await send(
@@ -299,6 +311,9 @@
     return HttpResponse(
         http_status_of(error),
         orjson.dumps({'code': error.code, 'what': error.what}),
+        retry_after_seconds=max(
+            _RETRY_AFTER_SECONDS, math.ceil(error.retry_after_seconds)
+        ),
     )
 
 
