Refuse jobs that would end too late while the workers are overloaded

Nothing was refused because of load, so that jobs waited until they were worth nothing. The leader estimates when a submitted job can finish, from a summary of the backlog and from the waits of similar jobs, and refuses it with 503 or 429, a Retry-After and the cause. A flood of ten times the capacity (tests/test_load.py) is refused, and no fewer jobs complete in time than 0.9 of before.

--- a/benchmarks/bench_load.py
+++ b/benchmarks/bench_load.py
@@ -5,12 +5,14 @@
 """
 
 import argparse
+import statistics
+from collections import Counter
 from dataclasses import replace
 
 from tests.load_jobs import Burst, Load, make_load
 from tests.load_player import LoadReport, play
 
-_ROW = '{:12} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>8} {:>8}'
+_ROW = '{:12} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>8} {:>8}'
 
 
 def make_busy_load(workers: int, share: float, seconds: float) -> Load:
@@ -35,6 +37,7 @@
             'toolate',
             'failed',
             'refused',
+            'retried',
             'wait p50',
             'wait p95',
         )
@@ -49,6 +52,7 @@
                 row.too_late,
                 row.failed,
                 row.refused,
+                row.retried,
                 f'{row.wait_at(50):.3f}',
                 f'{row.wait_at(95):.3f}',
             )
@@ -63,6 +67,16 @@
         f'workers reserved {report.reserved_share:.3f}'
     )
     print(dict(report.stops.most_common(8)))
+    if report.refusals:
+        print('refusals', dict(sorted(report.refusals.items())))
+    for name, errors in report.errors.items():
+        if len(errors) > 1:
+            deciles = statistics.quantiles(errors, n=10)
+            print(
+                f'estimate error of {name}: {len(errors)} delayed, '
+                f'10% {deciles[0]:.1f} s, median {deciles[4]:.1f} s, '
+                f'90% {deciles[8]:.1f} s'
+            )
     print(
         f'{report.rounds} rounds of '
         f'{report.round_seconds / max(1, report.rounds) * 1000:.1f} ms, '
@@ -71,6 +85,25 @@
     )
 
 
+def print_wrong_refusals(
+    report: LoadReport, without_admission: LoadReport
+) -> None:
+    """Prints how many refused jobs would have completed if accepted.
+
+    Judged by what became of the same job in a play in which nothing is refused.
+    """
+    for what, refused in (
+        ('at first', report.refused_at_first),
+        (
+            'in the end',
+            {name for name, end in report.results.items() if end == 'refused'},
+        ),
+    ):
+        ends = Counter(without_admission.results[name] for name in refused)
+        wrong = ends['in time'] + ends['late']
+        print(f'refused {what}: {len(refused)}, wrongly {wrong}; {dict(ends)}')
+
+
 def main() -> None:
     parser = argparse.ArgumentParser()
     parser.add_argument(
@@ -85,10 +118,22 @@
         default=0,
         help='charge processor time, of a processor this many times as fast',
     )
+    parser.add_argument(
+        '--compare',
+        action='store_true',
+        help='play it also without refusing jobs, and judge the refusals',
+    )
     arguments = parser.parse_args()
     for workers in arguments.workers:
         load = make_busy_load(workers, arguments.share, arguments.seconds)
-        print_report(load.name, play(load, arguments.seed, arguments.speed))
+        report = play(load, arguments.seed, arguments.speed)
+        print_report(load.name, report)
+        if arguments.compare:
+            former = play(
+                load, arguments.seed, arguments.speed, admission=False
+            )
+            print_report(f'{load.name}, nothing refused', former)
+            print_wrong_refusals(report, former)
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/mulberryhitch/dispatch/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which submitted jobs are refused because they would be too late."""
--- /dev/null
+++ b/mulberryhitch/dispatch/admission/accuracy.py
@@ -0,0 +1,93 @@
+"""Compares estimates of finish times with what happened."""
+
+from collections import defaultdict, deque
+from dataclasses import dataclass
+
+from mulberryhitch.dispatch.admission.estimator import FinishEstimate
+from mulberryhitch.dispatch.admission.work import JobDemand
+from mulberryhitch.jobs.state import Job, JobState
+from mulberryhitch.observability.histograms import Histograms
+
+_KEPT_RATIOS = 64
+_MIN_RATIOS = 16
+_MARGIN_PERCENT = 80
+# Applies until enough delayed jobs have ended, and at least always.
+_LEAST_MARGIN = 1.25
+_MOST_MARGIN = 3.0
+# Estimates of jobs that need not wait this long say nothing about a backlog.
+_MIN_WAIT_SECONDS = 0.5
+
+
+@dataclass(slots=True)
+class Prediction:
+    """The estimate for an accepted job.
+
+    Attributes:
+        made_at: When it was accepted, seconds on the local clock.
+        core_seconds: Its work by its submitter's estimates.
+        has_started: Whether a task of it has been started.
+    """
+
+    made_at: float
+    queue_name: str
+    core_seconds: float
+    estimate: FinishEstimate
+    has_started: bool = False
+
+
+class EstimateAccuracy:
+    """Measures the error of estimates, and derives a margin from it.
+
+    Args:
+        histograms: Receives the errors.
+    """
+
+    def __init__(self, histograms: Histograms) -> None:
+        """Initialises it without any estimate."""
+        self._histograms = histograms
+        self._predictions: dict[str, Prediction] = {}
+        self._ratios: defaultdict[str, deque[float]] = defaultdict(
+            lambda: deque(maxlen=_KEPT_RATIOS)
+        )
+
+    def record_estimate(
+        self, demand: JobDemand, estimate: FinishEstimate, now: float
+    ) -> None:
+        """Records the estimate for a job that is accepted."""
+        self._predictions[demand.job_id] = Prediction(
+            now, demand.queue.name, demand.work.processors, estimate
+        )
+
+    def take_waiting(self, job_id: str) -> Prediction | None:
+        """Returns the estimate for a job at its first start only."""
+        prediction = self._predictions.get(job_id)
+        if prediction is None or prediction.has_started:
+            return None
+        prediction.has_started = True
+        return prediction
+
+    def record_end(self, job: Job, now: float) -> None:
+        """Compares the estimate for a job with its end."""
+        prediction = self._predictions.pop(job.job_id, None)
+        if prediction is None or job.state is not JobState.completed:
+            return
+        actual = now - prediction.made_at
+        estimated = prediction.estimate.finish
+        error = estimated - actual
+        self._histograms.record(
+            'estimate_error',
+            job.queue.name,
+            'over' if error > 0 else 'under',
+            abs(error),
+        )
+        if prediction.estimate.wait >= _MIN_WAIT_SECONDS and actual > 0:
+            self._ratios[job.queue.name].append(estimated / actual)
+
+    def margin(self, queue_name: str) -> float:
+        """Returns by how much an estimate may exceed the limit."""
+        ratios = self._ratios.get(queue_name)
+        if ratios is None or len(ratios) < _MIN_RATIOS:
+            return _LEAST_MARGIN
+        ordered = sorted(ratios)
+        found = ordered[len(ordered) * _MARGIN_PERCENT // 100]
+        return min(max(found, _LEAST_MARGIN), _MOST_MARGIN)
--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from mulberryhitch.dispatch.admission.assembly import make_admission
 from mulberryhitch.dispatch.permits.manager import PermitManager
 from mulberryhitch.dispatch.placement.planner import Planner
 from mulberryhitch.dispatch.placement.plans import (
@@ -38,6 +39,7 @@
         term: The leader's term.
 
     Attributes:
+        admission: Refuses submitted jobs that would be too late.
         permit_manager: Requests permits from the permit service.
         workers: Records workers from their heartbeats and removes them.
     """
@@ -49,6 +51,7 @@
         self._uncommitted: dict[str, Resources] = {}
         self._committing_steps: set[StepKey] = set()
         self._estimates = EstimateCache()
+        self.admission = make_admission(term, self._estimates)
         self._last_plan = Plan()
         self._rounds = 0
         self._planned_requests = 0
@@ -108,6 +111,7 @@
         No run is stopped if the job completed.
         """
         self._term.accounting.record_job(job.queue.name, job.state)
+        self.admission.job_ended(job)
         for executions in job.occurrences.values():
             for execution in executions:
                 self.permit_manager.remove_step(execution.key)
@@ -201,6 +205,7 @@
         if plan.placements:
             steps = {placement.unit.step_key for placement in plan.placements}
             self._committing_steps |= steps
+            self.admission.record_starts({step.job_id for step in steps})
             for placement in plan.placements:
                 self._adjust_uncommitted(placement, 1)
             self._term.start_soon(self._grant, plan.placements, steps)
@@ -208,6 +213,7 @@
     def _record_plan(self, plan: Plan, seconds: float) -> None:
         self._last_plan = plan
         self._status_reporter.record_round(plan, seconds)
+        self.admission.record_round()
 
     def _adjust_uncommitted(self, placement: Placement, sign: int) -> None:
         execution = self._term.job_store.step_execution(placement.unit.step_key)
--- a/mulberryhitch/dispatch/options.py
+++ b/mulberryhitch/dispatch/options.py
@@ -1,6 +1,8 @@
 """The dispatcher's time-outs, intervals and limits."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from mulberryhitch.dispatch.admission.options import AdmissionOptions
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +30,7 @@
             preempted.
         max_state_bytes: Size of the jobs and queues beyond which no further
             job is accepted; a configuration may have half of it.
+        admission: Settings of admission.
     """
 
     lease_seconds: float = 5.0
@@ -44,3 +47,4 @@
     preemption_grace_seconds: float = 1.0
     maximum_preempted_run: int = 1
     max_state_bytes: int = 16_777_216
+    admission: AdmissionOptions = field(default_factory=AdmissionOptions)
--- a/mulberryhitch/dispatch/placement/plans.py
+++ b/mulberryhitch/dispatch/placement/plans.py
@@ -8,7 +8,7 @@
 from mulberryhitch.dispatch.permits.manager import PermitRequest, StepPermits
 from mulberryhitch.dispatch.placement.free_capacity import copies_that_fit
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
-from mulberryhitch.jobs.model import Queue, StepKey, TaskKey
+from mulberryhitch.jobs.model import JobSpec, Queue, StepKey, TaskKey
 from mulberryhitch.jobs.state import Job, StepExecution, Unit
 
 MOST_URGENT = 0
@@ -156,7 +156,7 @@
         """Returns a job's objective and a step's critical path, in seconds."""
         cached = self._cached.get(execution.key)
         if cached is None or cached[0] is not queue:
-            objective = objective_seconds(job, queue)
+            objective = objective_seconds(job.spec, queue)
             cached = (queue, objective, critical_path_seconds(job, execution))
             self._cached[execution.key] = cached
         return cached[1], cached[2]
@@ -180,11 +180,10 @@
     return longest[execution.key.step]
 
 
-def objective_seconds(job: Job, queue: Queue) -> float:
+def objective_seconds(spec: JobSpec, queue: Queue) -> float:
     """Returns the target time from when a job is due until it has ended."""
-    steps = job.spec.steps
     longest: list[float] = []
-    for step in steps:
+    for step in spec.steps:
         before = max(
             (longest[earlier] for earlier in step.depends_on), default=0
         )
--- a/mulberryhitch/dispatch/service.py
+++ b/mulberryhitch/dispatch/service.py
@@ -6,6 +6,11 @@
 import anyio
 
 from mulberryhitch.dispatch.dispatcher import Dispatcher
+from mulberryhitch.dispatch.intake import (
+    RETRY_AFTER_SECONDS,
+    JobIntake,
+    StateRoom,
+)
 from mulberryhitch.dispatch.operations import (
     Acknowledged,
     AskPermits,
@@ -31,16 +36,10 @@
     NotFoundError,
     NotLeaderError,
     OverloadedError,
-    TooLargeError,
 )
 from mulberryhitch.jobs import changes
 from mulberryhitch.jobs.clock import JobClock
-from mulberryhitch.jobs.model import JobSpec, Queue, QueueTable
-from mulberryhitch.jobs.sizes import (
-    occurrence_bytes,
-    spec_bytes,
-    table_bytes,
-)
+from mulberryhitch.jobs.model import Queue
 from mulberryhitch.jobs.store import JobStore
 from mulberryhitch.membership.known_group import (
     ElectionView,
@@ -57,7 +56,6 @@
 from mulberryhitch.rpc.records import kind_of
 
 _POLL_SECONDS = 0.02
-_RETRY_AFTER_SECONDS = 1.0
 
 _OperationHandler = Callable[[Any, Any], Awaitable[Any]]
 _operation_handlers: dict[type, _OperationHandler] = {}
@@ -111,6 +109,8 @@
         self._histograms = histograms
         self._clock = JobClock()
         self._dispatcher: Dispatcher | None = None
+        self._room = StateRoom(job_store, options.max_state_bytes)
+        self._intake = JobIntake(job_store, self._commit, self._clock.now)
 
     async def run(self) -> None:
         """Runs the replica until cancelled, and a dispatcher while leading."""
@@ -247,29 +247,11 @@
             raise NotLeaderError('this VM has not started its term as leader')
         return self._dispatcher
 
-    def _check_room_for(self, job_id: str, spec: JobSpec) -> None:
-        limit = self._options.max_state_bytes
-        stored_bytes = self.job_store.stored_bytes
-        added_bytes = spec_bytes(job_id, spec) + occurrence_bytes(spec)
-        if stored_bytes + added_bytes > limit:
-            raise OverloadedError(
-                f'the jobs and queues take {stored_bytes} of {limit} bytes',
-                retry_after_seconds=_RETRY_AFTER_SECONDS,
-            )
-
-    def _check_size_of(self, table: QueueTable) -> None:
-        limit = self._options.max_state_bytes // 2
-        size = table_bytes(table)
-        if size > limit:
-            raise TooLargeError(
-                f'the configuration takes {size} bytes, more than {limit}'
-            )
-
     def _find_queue(self, host: str, path: str) -> tuple[Queue, str]:
         if self.job_store.queue_table.version < 0:
             raise OverloadedError(
                 'no configuration received yet',
-                retry_after_seconds=_RETRY_AFTER_SECONDS,
+                retry_after_seconds=RETRY_AFTER_SECONDS,
             )
         queue = self.job_store.queue_table.find(host, path)
         if queue is None:
@@ -288,16 +270,15 @@
         request.spec.validate()
         job = self.job_store.jobs.get(job_id)
         if job is None:
-            self._check_room_for(job_id, request.spec)
-            now = self._clock.now()
-            accepted = await self._commit(
-                [changes.accept(job_id, queue.name, request.spec, now)]
+            self._room.check_job(job_id, request.spec)
+            dispatcher = self._dispatcher
+            job = await self._intake.accept(
+                job_id,
+                queue,
+                request.spec,
+                '',
+                dispatcher.admission if dispatcher else None,
             )
-            if not accepted[0]:
-                raise NotFoundError(
-                    'queue is no longer configured', where=queue.name
-                )
-            job = self.job_store.jobs[job_id]
             self._log.event(
                 'job.accepted',
                 job=job_id,
@@ -345,7 +326,7 @@
     @operation(ChangeTable)
     async def _change_table(self, request: ChangeTable) -> Acknowledged:
         if request.table.version > self.job_store.queue_table.version:
-            self._check_size_of(request.table)
+            self._room.check_table(request.table)
             await self._commit([changes.configure(request.table)])
             self._log.event(
                 'configuration.in_force',
--- a/mulberryhitch/dispatch/term.py
+++ b/mulberryhitch/dispatch/term.py
@@ -7,14 +7,18 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from mulberryhitch.dispatch.admission.completed_work import CompletedWork
 from mulberryhitch.dispatch.options import DispatchOptions
 from mulberryhitch.dispatch.ports import WorkerClient
-from mulberryhitch.dispatch.reports.accounting import RunAccounting
+from mulberryhitch.dispatch.reports.accounting import (
+    MILLICORES_PER_CORE,
+    RunAccounting,
+)
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedRun, TrackedWorker
 from mulberryhitch.errors import MulberryhitchError, StorageError
 from mulberryhitch.jobs.changes import Change
 from mulberryhitch.jobs.model import StepKey, TaskKey
-from mulberryhitch.jobs.state import RunOutcome, UnitState
+from mulberryhitch.jobs.state import RunOutcome, StepExecution, UnitState
 from mulberryhitch.jobs.store import JobStore
 from mulberryhitch.observability.histograms import Histograms
 from mulberryhitch.observability.log import Log
@@ -41,6 +45,7 @@
         histograms: Receives waiting times.
         wall_time: Returns seconds since 1970.
         accounting: Collects ends and stops for the status report.
+        completed_work: Learns how far estimates are off.
         tracked_workers: State of the workers, by id.
         ended: Set when a worker has reported a newer leader.
         round_due: Set when another placement round is due.
@@ -61,6 +66,7 @@
     histograms: Histograms
     wall_time: Callable[[], float]
     accounting: RunAccounting = field(default_factory=RunAccounting)
+    completed_work: CompletedWork = field(default_factory=CompletedWork)
     tracked_workers: dict[str, TrackedWorker] = field(default_factory=dict)
     ended: anyio.Event = field(default_factory=anyio.Event)
     round_due: anyio.Event = field(default_factory=anyio.Event)
@@ -157,6 +163,8 @@
             checkpoint,
             anyio.current_time(),
         )
+        if outcome is RunOutcome.done and tracked is not None:
+            self._record_completed(job.queue.name, execution, tracked)
 
     def is_unwanted(self, task: TaskKey, run: int) -> bool:
         """Whether a run is no longer needed."""
@@ -189,3 +197,19 @@
 
     def _delay_changes(self) -> None:
         self.writable_at = anyio.current_time() + _STORAGE_RETRY_SECONDS
+
+    def _record_completed(
+        self, queue_name: str, execution: StepExecution, tracked: TrackedRun
+    ) -> None:
+        """Learns from a run, if the whole of it was observed."""
+        is_partial = tracked.inherited or tracked.resumed
+        if is_partial or not tracked.confirmed or execution.step.long_running:
+            return
+        now = anyio.current_time()
+        self.completed_work.record(
+            queue_name,
+            execution.resources.processors / MILLICORES_PER_CORE,
+            execution.step.estimate_seconds,
+            now - tracked.confirmed_at,
+            now,
+        )
--- a/tests/load_player.py
+++ b/tests/load_player.py
@@ -18,13 +18,15 @@
 import trio
 from trio.testing import MockClock
 
+from mulberryhitch.dispatch.admission.options import AdmissionOptions
 from mulberryhitch.dispatch.dispatcher import Dispatcher
 from mulberryhitch.dispatch.options import DispatchOptions
 from mulberryhitch.dispatch.placement.plans import Plan
 from mulberryhitch.dispatch.term import Term
+from mulberryhitch.errors import OverloadedError, OverQuotaError
 from mulberryhitch.jobs import changes
 from mulberryhitch.jobs.model import QueueTable, WorkerRecord
-from mulberryhitch.jobs.state import JobState
+from mulberryhitch.jobs.state import Job, JobState
 from mulberryhitch.jobs.store import JobStore
 from mulberryhitch.observability.histograms import Histograms
 from mulberryhitch.observability.log import LineRateLimiter, Log
@@ -40,6 +42,7 @@
 LATE_FACTOR = 3
 DRAIN_SECONDS = 3
 SAMPLE_SECONDS = 0.5
+MAX_RETRIES = 4
 # Longer than any play, as the results are read at its end.
 RETAIN_SECONDS = 3600
 START_WALL_TIME = 1_000_000.0
@@ -81,6 +84,8 @@
         in_time: Jobs that completed within their objective.
         late: Jobs that completed within three times their objective.
         too_late: Jobs that completed later, or not by the end of the load.
+        refused: Jobs whose submitters were refused until they gave up.
+        retried: Jobs that were refused at first.
         waits: Seconds from the first submission to the first start.
     """
 
@@ -90,6 +95,7 @@
     too_late: int = 0
     failed: int = 0
     refused: int = 0
+    retried: int = 0
     waits: list[float] = field(default_factory=list)
 
     def wait_at(self, percent: int) -> float:
@@ -113,6 +119,12 @@
         charged: Processor time by which the clock was advanced.
         busy_share: Share of all processors that runs take, in the mean.
         reserved_share: Share of the workers reserved for gangs, in the mean.
+        refusals: Answers that refused a job, by queue name and Retry-After.
+        refused_at_first: Jobs whose first submission was refused.
+        results: What became of each job: `in time`, `late`, `too late`,
+            `failed` or `refused`.
+        errors: Estimated minus actual seconds to completion of each completed
+            job that had to wait by its estimate, by queue name.
     """
 
     by_class: dict[str, ClassReport]
@@ -126,6 +138,10 @@
     charged: float
     busy_share: float
     reserved_share: float
+    refusals: Counter[tuple[str, int]]
+    refused_at_first: frozenset[str]
+    results: dict[str, str]
+    errors: dict[str, list[float]]
 
     @property
     def stopped_share(self) -> float:
@@ -141,17 +157,24 @@
         seed: Draws its jobs.
         speed: Processor speed as a multiple of this machine's; zero if
             processor time is not charged.
+        admission: Whether jobs that would be too late are refused.
     """
 
-    def __init__(self, load: Load, seed: int, speed: float = 0) -> None:
+    def __init__(
+        self, load: Load, seed: int, speed: float = 0, admission: bool = True
+    ) -> None:
         self.load = load
+        self._admission = AdmissionOptions(enabled=admission)
+        self._refusals: Counter[tuple[str, int]] = Counter()
+        self._refused_at_first: set[str] = set()
+        self._results: dict[str, str] = {}
+        self._errors: dict[str, list[float]] = {}
         self._speed = speed
         self._charge: ProcessorCharge | None = None
         self.jobs = {job.job_id: job for job in load.jobs(seed)}
         self.job_store = JobStore()
         self.timeline = Timeline()
         self.fleet = LoadFleet(self.timeline, self.jobs)
-        self.refused: set[str] = set()
         self.stops: Counter[str] = Counter()
         self.rounds = 0
         self.round_seconds: float = 0
@@ -199,7 +222,9 @@
 
     def _make_dispatcher(self) -> Dispatcher:
         options = DispatchOptions(
-            maintenance_seconds=0.5, retain_seconds=RETAIN_SECONDS
+            maintenance_seconds=0.5,
+            retain_seconds=RETAIN_SECONDS,
+            admission=self._admission,
         )
         if not self._speed:
             options = replace(options, round_seconds=ROUND_SECONDS)
@@ -222,6 +247,7 @@
             )
         self._measure_rounds(dispatcher)
         self._count_stops(term)
+        self._note_errors(dispatcher)
         return dispatcher
 
     def _measure_rounds(self, dispatcher: Dispatcher) -> None:
@@ -248,6 +274,20 @@
 
         term.accounting.record_stop = counted  # type: ignore[method-assign]
 
+    def _note_errors(self, dispatcher: Dispatcher) -> None:
+        accuracy = dispatcher.admission._accuracy
+        record_end = accuracy.record_end
+
+        def noted(job: Job, now: float) -> None:
+            made = accuracy._predictions.get(job.job_id)
+            completed = job.state is JobState.completed
+            if made is not None and completed and made.estimate.wait >= 0.5:
+                error = made.estimate.finish - (now - made.made_at)
+                self._errors.setdefault(job.queue.name, []).append(error)
+            record_end(job, now)
+
+        accuracy.record_end = noted  # type: ignore[method-assign]
+
     async def _sample_workers(self) -> None:
         """Samples how busy the workers are while jobs arrive."""
         assert self._dispatcher is not None
@@ -299,9 +339,23 @@
             await self._dispatcher.workers.handle_departure(name, 0)
 
     async def _submit(self, job: GeneratedJob) -> None:
-        name = job.load_class.queue.name
-        accepted = changes.accept(job.job_id, name, job.spec, self._wall_time())
-        await self._commit([accepted])
+        """Submits a job, again after each refusal until it gives up."""
+        assert self._dispatcher is not None
+        queue = job.load_class.queue
+        for _ in range(1 + MAX_RETRIES):
+            try:
+                self._dispatcher.admission.check(job.job_id, queue, job.spec)
+            except (OverloadedError, OverQuotaError) as error:
+                self._refused_at_first.add(job.job_id)
+                seconds = int(error.retry_after_seconds)
+                self._refusals[queue.name, seconds] += 1
+                await anyio.sleep(seconds)
+                continue
+            now = self._wall_time()
+            await self._commit(
+                [changes.accept(job.job_id, queue.name, job.spec, now)]
+            )
+            return
 
     def _wall_time(self) -> float:
         return START_WALL_TIME + anyio.current_time()
@@ -318,8 +372,9 @@
         )
 
     def _report(self, started_at: float, took: float) -> LoadReport:
+        by_class = dict(self._class_reports(started_at))
         return LoadReport(
-            dict(self._class_reports(started_at)),
+            by_class,
             self.stops,
             self.fleet.starts,
             self.fleet.worked_core_seconds,
@@ -330,6 +385,10 @@
             self._charge.charged if self._charge else 0,
             statistics.mean(self._busy_shares),
             statistics.mean(self._reserved_shares),
+            self._refusals,
+            frozenset(self._refused_at_first),
+            self._results,
+            self._errors,
         )
 
     def _class_reports(
@@ -357,35 +416,36 @@
             submitted_at = started_at + job.submitted_at
             if first is not None:
                 report.waits.append(first - submitted_at)
-            self._count_result(job, submitted_at, report)
+            report.retried += job.job_id in self._refused_at_first
+            result = self._result_of(job, submitted_at)
+            self._results[job.job_id] = result
+            name = result.replace(' ', '_')
+            setattr(report, name, getattr(report, name) + 1)
         return report
 
-    def _count_result(
-        self, job: GeneratedJob, submitted_at: float, report: ClassReport
-    ) -> None:
+    def _result_of(self, job: GeneratedJob, submitted_at: float) -> str:
         known = self.job_store.jobs.get(job.job_id)
         if known is None:
-            report.refused += 1
-            return
+            return 'refused'
         if known.state is JobState.failed:
-            report.failed += 1
-            return
+            return 'failed'
         seconds = known.ended_at - START_WALL_TIME - submitted_at
         if known.state is not JobState.completed:
-            report.too_late += 1
-        elif seconds <= job.objective_seconds:
-            report.in_time += 1
-        elif seconds <= LATE_FACTOR * job.objective_seconds:
-            report.late += 1
-        else:
-            report.too_late += 1
+            return 'too late'
+        if seconds <= job.objective_seconds:
+            return 'in time'
+        if seconds <= LATE_FACTOR * job.objective_seconds:
+            return 'late'
+        return 'too late'
 
 
-def play(load: Load, seed: int = 1, speed: float = 0) -> LoadReport:
+def play(
+    load: Load, seed: int = 1, speed: float = 0, *, admission: bool = True
+) -> LoadReport:
     """Plays a load and returns what became of it."""
 
     async def main() -> LoadReport:
-        return await LoadPlayer(load, seed, speed).run()
+        return await LoadPlayer(load, seed, speed, admission).run()
 
     report: LoadReport = run_with_mock_clock(main)
     return report
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -48,3 +48,43 @@
     load = Load('flood', 8, 1, 1000, 1, (load_class,), seconds=10)
     report = play(load).by_class['q']
     assert report.in_time >= 0.4 * report.offered
+
+
+def _flood(per_second: float, objectives: float = 2) -> Load:
+    """Returns jobs of one second for workers that carry eight at a time."""
+    task = Amount(1, 0, 1)
+    queue = Queue(
+        'q', 'h', '/q/', 'svc', maximum_failures=2, stretch=objectives
+    )
+    load_class = LoadClass(
+        queue,
+        per_second,
+        seconds=task,
+        width=task,
+        processors=Amount(1000, 0, 1000),
+        memory=task,
+        failing=0,
+        uneven=0,
+    )
+    return Load('flood', 8, 1, 1000, 1, (load_class,), seconds=20)
+
+
+def test_nothing_is_refused_while_the_workers_can_carry_the_load() -> None:
+    """Guards against refusals for bursts that the workers carry in time."""
+    report = play(make_busy_load(24, 0.8, 20))
+    assert not report.refusals
+
+
+def test_a_flood_is_refused_that_cannot_be_carried() -> None:
+    """Guards against jobs of a lasting flood that wait until it is too late.
+
+    Ten times as many jobs arrive as the workers can carry.
+    """
+    load = _flood(80)
+    report, former = play(load), play(load, admission=False)
+    with_admission, without = report.by_class['q'], former.by_class['q']
+    assert report.refusals
+    assert with_admission.too_late < without.too_late / 2
+    served = with_admission.in_time + with_admission.late
+    assert served >= 0.9 * (without.in_time + without.late)
+    assert len({seconds for _, seconds in report.refusals}) > 3
