--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -15,10 +15,12 @@
 from mulberryhitch.dispatch.admission.estimator import FinishEstimator
 from mulberryhitch.dispatch.admission.job_sizes import JobSizes
 from mulberryhitch.dispatch.admission.observed_waits import ObservedWaits
+from mulberryhitch.dispatch.admission.options import AdmissionOptions
 from mulberryhitch.dispatch.admission.returns import ReturnTimes
 from mulberryhitch.dispatch.admission.work import demand_of
 from mulberryhitch.dispatch.admission.work_rates import WorkRates
 from mulberryhitch.errors import (
+    InvalidSettingsError,
     MulberryhitchError,
     OverloadedError,
     OverQuotaError,
@@ -306,3 +308,14 @@
     assert min(far) >= 5
     assert max(far) <= 30
     assert len(set(far)) > 10
+
+
+@pytest.mark.parametrize(
+    'settings',
+    [{'refresh_seconds': 0}, {'settle_seconds': -1}, {'dense_factor': 0.5}],
+)
+def test_settings_out_of_range_are_named(settings: dict[str, float]) -> None:
+    """Guards against settings that would refuse all jobs, or none."""
+    with pytest.raises(InvalidSettingsError) as caught:
+        AdmissionOptions(**settings)  # type: ignore[arg-type]
+    assert caught.value.where in settings
