Play loads on workers of several speeds

The load player knew workers of one speed only. Its workers have speeds now, in turn, and two loads are added: tasks that take a quarter of a worker of 64 processors, with speeds of 0.55 and 1.2, and tasks that take a quarter of a worker of 16, with speeds of 1.0 and 1.3. A gang runs at the speed of its slowest member.

--- a/benchmarks/bench_load.py
+++ b/benchmarks/bench_load.py
@@ -7,15 +7,26 @@
 import argparse
 from dataclasses import replace
 
-from tests.load_jobs import Burst, Load, make_load
+from tests.load_jobs import (
+    Burst,
+    Load,
+    make_load,
+    make_narrow_load,
+    make_wide_load,
+)
 from tests.load_player import LoadReport, play
 
 _ROW = '{:12} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>8} {:>8}'
 
 
-def make_busy_load(workers: int, share: float, seconds: float) -> Load:
+KINDS = {'mixed': make_load, 'wide': make_wide_load, 'narrow': make_narrow_load}
+
+
+def make_busy_load(
+    workers: int, share: float, seconds: float, kind: str = 'mixed'
+) -> Load:
     """Returns a load with bursts of each class and workers that leave."""
-    load = make_load(f'{workers} workers', workers, share)
+    load = KINDS[kind](f'{kind}, {workers} workers', workers, share)
     bursts = (
         Burst('urgent', 5, 4, 1.9),
         Burst('batch', 4, 5, 2.2),
@@ -85,9 +96,20 @@
         default=0,
         help='charge processor time, of a processor this many times as fast',
     )
+    parser.add_argument('--kind', choices=sorted(KINDS), default='mixed')
+    parser.add_argument(
+        '--worker-speeds',
+        type=float,
+        nargs='*',
+        help='speeds of the workers, in turn; by default those of the kind',
+    )
     arguments = parser.parse_args()
     for workers in arguments.workers:
-        load = make_busy_load(workers, arguments.share, arguments.seconds)
+        load = make_busy_load(
+            workers, arguments.share, arguments.seconds, arguments.kind
+        )
+        if arguments.worker_speeds:
+            load = replace(load, speeds=tuple(arguments.worker_speeds))
         print_report(load.name, play(load, arguments.seed, arguments.speed))
 
 
--- a/tests/load_cell.py
+++ b/tests/load_cell.py
@@ -63,7 +63,8 @@
     Attributes:
         saved: Seconds of work that its checkpoint holds.
         began_at: When it began to work; negative while a gang is incomplete.
-        seconds: How long it works.
+        seconds: How long it works on a worker of speed 1.
+        speed: Work done in a second; that of a gang's slowest member.
     """
 
     task: TaskKey
@@ -74,13 +75,18 @@
     seconds: float
     outcome: RunOutcome
     checkpointing: bool
+    speed: float
     began_at: float = -1
 
     def worked(self) -> float:
         if self.began_at < 0:
             return 0
         passed = anyio.current_time() - self.began_at
-        return max(0, min(passed, self.seconds))
+        return max(0, min(passed * self.speed, self.seconds))
+
+    def took(self) -> float:
+        """Returns for how long it has worked, in seconds."""
+        return self.worked() / self.speed
 
     def percent(self) -> int:
         return int(100 * self.worked() / max(self.seconds, 0.001))
@@ -98,8 +104,9 @@
 class LoadWorker:
     """A worker that lists its runs and their ends."""
 
-    def __init__(self, record: WorkerRecord) -> None:
+    def __init__(self, record: WorkerRecord, speed: float = 1) -> None:
         self.record = record
+        self.speed = speed
         self.gone = False
         self.running: dict[TaskKey, LoadRun] = {}
         self.ended: list[EndedRow] = []
@@ -247,12 +254,14 @@
             seconds / 2 if failing else seconds,
             RunOutcome.failed if failing else RunOutcome.done,
             step.checkpointing,
+            worker.speed,
         )
 
     def _begin(self, run: LoadRun) -> None:
         run.began_at = anyio.current_time()
         self._timeline.call_at(
-            run.began_at + run.seconds, lambda: self._end(run, run.outcome)
+            run.began_at + run.seconds / run.speed,
+            lambda: self._end(run, run.outcome),
         )
 
     def _join_gang(self, run: LoadRun, size: int) -> None:
@@ -260,7 +269,9 @@
         members = self._gangs.setdefault(key, [])
         members.append(run)
         if len(members) == size:
+            slowest = min(member.speed for member in members)
             for member in members:
+                member.speed = slowest
                 self._begin(member)
         self._timeline.call_at(
             anyio.current_time() + GANG_SECONDS,
@@ -277,10 +288,11 @@
         cores = run.resources.processors / 1000
         saved = run.checkpoint(whole=outcome is RunOutcome.stopped)
         if outcome is RunOutcome.done:
-            self.worked_core_seconds += cores * run.worked()
+            self.worked_core_seconds += cores * run.took()
         else:
             kept = float(saved) - run.saved if saved else 0
-            self.lost_core_seconds += cores * max(0, run.worked() - kept)
+            lost = max(0, run.worked() - kept) / run.speed
+            self.lost_core_seconds += cores * lost
         run.worker.add_end(run, outcome, saved)
         key = (StepKey(*run.task[:3]), run.run)
         broken = RunOutcome.broken
--- a/tests/load_jobs.py
+++ b/tests/load_jobs.py
@@ -3,7 +3,7 @@
 import math
 import random
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from mulberryhitch.jobs.model import JobSpec, PermitPolicy, Queue, Step
 
@@ -115,6 +115,7 @@
         permit_clients: Processes that can request permits.
         seconds: How long jobs arrive.
         drained: Share of the workers that leave, and when.
+        speeds: Work that the workers do in a second, in turn.
     """
 
     name: str
@@ -126,6 +127,7 @@
     bursts: tuple[Burst, ...] = ()
     seconds: float = 30
     drained: tuple[tuple[float, float], ...] = field(default=())
+    speeds: tuple[float, ...] = (1.0,)
 
     def jobs(self, seed: int) -> Iterator[GeneratedJob]:
         """Yields the jobs of all classes in the order of their arrival."""
@@ -211,6 +213,88 @@
     )
 
 
+def make_wide_load(
+    name: str,
+    workers: int,
+    share: float = 1,
+    speeds: tuple[float, ...] = (0.55, 1.2, 1.2, 1.2),
+) -> Load:
+    """Returns jobs whose tasks take a quarter of a worker's 64 processors.
+
+    At a share of 1 the jobs demand 64% of the processors at these speeds.
+    Urgent tasks of 0.54 s have 1.5 times their run time and 250 ms.
+    """
+    scale = share * workers / 176
+    gangs = replace(
+        _gangs(1.68 * scale),
+        seconds=Amount(5.3, 0.5, 13),
+        processors=Amount(18_000, 0.4, 30_000),
+    )
+    batches = replace(
+        _batches(5.43 * scale),
+        seconds=Amount(1.9, 0.5, 5),
+        width=Amount(25, 0.6, 100),
+        processors=Amount(6_900, 0.45, 21_000),
+    )
+    urgent = replace(
+        _urgent_jobs(60.5 * scale),
+        seconds=Amount(0.54, 0.5, 1.4),
+        processors=Amount(9_900, 0.45, 30_000),
+    )
+    clients = max(8, workers * 30 // 176)
+    return Load(
+        name,
+        workers,
+        64,
+        262_144,
+        clients,
+        (gangs, batches, urgent),
+        speeds=speeds,
+    )
+
+
+def make_narrow_load(
+    name: str,
+    workers: int,
+    share: float = 1,
+    speeds: tuple[float, ...] = (1.0, 1.0, 1.3),
+) -> Load:
+    """Returns jobs whose gangs take a quarter of a worker's 16 processors.
+
+    At a share of 1 the jobs demand 74% of the processors.
+    """
+    scale = share * workers / 176
+    gangs = replace(
+        _gangs(1.77 * scale),
+        seconds=Amount(5, 0.5, 13),
+        processors=Amount(4_500, 0.4, 8_000),
+        memory=Amount(8_000, 0.5, 16_000),
+    )
+    batches = replace(
+        _batches(6.38 * scale),
+        seconds=Amount(2.7, 0.5, 7),
+        width=Amount(25, 0.6, 100),
+        processors=Amount(1_700, 0.45, 5_000),
+        memory=Amount(4_000, 0.6, 12_000),
+    )
+    urgent = replace(
+        _urgent_jobs(51.6 * scale),
+        seconds=Amount(0.64, 0.5, 1.6),
+        processors=Amount(2_500, 0.45, 8_000),
+        memory=Amount(4_000, 0.6, 12_000),
+    )
+    clients = max(8, workers * 37 // 176)
+    return Load(
+        name,
+        workers,
+        16,
+        65_536,
+        clients,
+        (gangs, batches, urgent),
+        speeds=speeds,
+    )
+
+
 def _gangs(per_second: float) -> LoadClass:
     permits = PermitPolicy(0.494, 0.00715, 2)
     return LoadClass(
--- a/tests/load_player.py
+++ b/tests/load_player.py
@@ -279,7 +279,9 @@
                 0,
                 1,
             )
-            self.fleet.workers[worker_id] = LoadWorker(record)
+            speeds = self.load.speeds
+            speed = speeds[number % len(speeds)]
+            self.fleet.workers[worker_id] = LoadWorker(record, speed)
 
     async def _drain(self, at: float, share: float) -> None:
         """Drains a share of the workers, which leave some seconds later."""
