Learn the relative speeds of workers from their run times

Workers of one deployment differ by a factor of two, which nothing knew. The run times of a step's tasks on several workers are compared with each other, so that wrong estimates do not matter; runs of gangs, resumed, stopped or stalled runs and those of a worker that missed a poll are left out. Workers that can't be told apart are one class, so that equal workers have exactly one speed. Nothing uses the speeds yet.

--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -24,7 +24,7 @@
 from mulberryhitch.errors import MulberryhitchError
 from mulberryhitch.jobs import changes
 from mulberryhitch.jobs.model import Resources, StepKey, TaskKey
-from mulberryhitch.jobs.state import Job, StepExecution
+from mulberryhitch.jobs.state import Job, JobState, StepExecution
 
 _CLIENT_SILENCE_SECONDS = 2.5
 _PAUSE_FACTOR = 2
@@ -112,7 +112,9 @@
             for execution in executions:
                 self.permit_manager.remove_step(execution.key)
                 self._estimates.remove_step(execution.key)
-                self.workers.monitor.remove_step(execution.key)
+                self.workers.monitor.remove_step(
+                    execution.key, job.state is JobState.completed
+                )
                 if job.cancelled or job.failed:
                     for unit in execution.units:
                         self._run_controller.stop_unit(unit, 'job ended')
@@ -265,6 +267,7 @@
             await anyio.sleep(self._term.options.maintenance_seconds)
             self.permit_manager.remove_silent_clients(_CLIENT_SILENCE_SECONDS)
             self.permit_manager.release_overdue_requests()
+            self.workers.monitor.update_speeds()
             if not self._term.may_act():
                 continue
             await self._start_due_occurrences()
--- a/mulberryhitch/dispatch/reports/status_report.py
+++ b/mulberryhitch/dispatch/reports/status_report.py
@@ -21,6 +21,7 @@
 from mulberryhitch.jobs.store import JobStore
 
 _INTERVAL_SECONDS = 1.0
+_SPEEDS_SECONDS = 10.0
 # Rounds may take place fifty times a second, and reasons cost as much as one.
 _REASONS_SECONDS = 0.2
 _MAX_QUEUES = 20
@@ -65,6 +66,7 @@
         self._round_seconds: float = 0
         self._longest_round: float = 0
         self._explained_at = -_REASONS_SECONDS
+        self._speeds_due: float = 0
 
     @property
     def wants_reasons(self) -> bool:
@@ -88,6 +90,25 @@
             await anyio.sleep_until(due)
             self._report_term(due)
             self._report_queues()
+            if due >= self._speeds_due:
+                self._speeds_due = due + _SPEEDS_SECONDS
+                self._report_speeds()
+
+    def _report_speeds(self) -> None:
+        speeds = sorted(
+            worker.speed for worker in self._term.tracked_workers.values()
+        )
+        if speeds:
+            last = len(speeds) - 1
+            self._term.log.summary(
+                'workers.speeds',
+                known=self._term.speeds.known,
+                classes=len(set(speeds)),
+                slowest=round(speeds[0], 2),
+                quarter=round(speeds[last // 4], 2),
+                median=round(speeds[last // 2], 2),
+                fastest=round(speeds[-1], 2),
+            )
 
     def _report_term(self, due: float) -> None:
         now = anyio.current_time()
--- a/mulberryhitch/dispatch/runs/run_controller.py
+++ b/mulberryhitch/dispatch/runs/run_controller.py
@@ -72,6 +72,7 @@
             tracked.run,
             placement.worker_id,
             heard_ago=round(now - worker.last_contact_at, 3),
+            speed=round(worker.speed, 2),
         )
         command = StartCommand(
             task,
--- a/mulberryhitch/dispatch/runs/tracked_worker.py
+++ b/mulberryhitch/dispatch/runs/tracked_worker.py
@@ -9,6 +9,7 @@
 
 from mulberryhitch.constants import MILLISECONDS_PER_SECOND
 from mulberryhitch.dispatch.options import DispatchOptions
+from mulberryhitch.dispatch.runs.worker_speeds import USUAL_SPEED
 from mulberryhitch.jobs.model import Resources, TaskKey, WorkerRecord
 from mulberryhitch.jobs.state import StepExecution
 
@@ -101,6 +102,18 @@
         since = max(self.progressed_at, self.confirmed_at)
         return self.confirmed and now - since > _STALLED_SECONDS
 
+    def measured_seconds(self, now: float) -> float:
+        """Returns how long a run that is done just now took; zero if unknown.
+
+        It is unknown if a list confirmed the run before its start was
+        answered, and if the run did less than its whole work.
+        """
+        partial = self.inherited or self.resumed or self.stopping
+        late = self.confirmed_at == self.first_percent_at
+        if partial or late or not self.confirmed or self.stalled(now):
+            return 0
+        return now - self.confirmed_at
+
     def ended_if_unlisted(self, requested_at: float) -> bool:
         """Whether the run has ended if a list requested then omits it."""
         if 0 < self.stop_acknowledged_at < requested_at:
@@ -160,6 +173,8 @@
         removed: Whether the worker was removed from the cluster.
         quarantined_until: No run is placed on it until then, seconds on the
             local clock; likewise `refused_until` and `slow_until`.
+        speed: Relative speed; see `WorkerSpeeds`.
+        missed_at: When a poll last failed, seconds on the local clock.
         capacity: Total resources of the worker.
     """
 
@@ -181,6 +196,8 @@
     quarantined_until: float = 0
     refused_until: float = 0
     slow_until: float = 0
+    speed: float = USUAL_SPEED
+    missed_at: float = -math.inf
     tracked_runs: dict[TaskKey, TrackedRun] = field(default_factory=dict)
     recent_failures: deque[bool] = field(
         default_factory=lambda: deque(maxlen=_RECENT_ENDS)
@@ -287,6 +304,7 @@
         self.clock = 0
         self.lease_granted_until = 0
         self.numbering_uncertain = True
+        self.speed = USUAL_SPEED
         self.listed = False
         self.began_at = now
         self.wake_watcher()
--- a/mulberryhitch/dispatch/runs/worker_monitor.py
+++ b/mulberryhitch/dispatch/runs/worker_monitor.py
@@ -9,6 +9,7 @@
 from mulberryhitch.dispatch.runs.run_controller import RunController
 from mulberryhitch.dispatch.runs.run_times import RunTimes
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedRun, TrackedWorker
+from mulberryhitch.dispatch.runs.worker_speeds import MeasuredRun
 from mulberryhitch.dispatch.term import Term
 from mulberryhitch.errors import MulberryhitchError
 from mulberryhitch.jobs import changes
@@ -45,9 +46,24 @@
         self.run_controller: RunController | None = None
         self._run_times = RunTimes()
 
-    def remove_step(self, key: StepKey) -> None:
-        """Discards what is known of a step that has ended."""
+    def remove_step(self, key: StepKey, completed: bool) -> None:
+        """Discards what is known of a step that has ended.
+
+        Args:
+            key: The step.
+            completed: Whether all of its tasks are done.
+        """
         self._run_times.remove_step(key)
+        if completed:
+            self._term.speeds.finish_step(key, anyio.current_time())
+        else:
+            self._term.speeds.discard_step(key)
+
+    def update_speeds(self) -> None:
+        """Recomputes the speeds of the workers."""
+        self._term.speeds.update(anyio.current_time())
+        for worker_id, worker in self._term.tracked_workers.items():
+            worker.speed = self._term.speeds.speed_of(worker_id)
 
     def start_watching(self, record: WorkerRecord) -> TrackedWorker:
         """Starts polling a worker and returns its state."""
@@ -172,6 +188,7 @@
 
     def _record_missed_poll(self, worker: TrackedWorker) -> None:
         worker.missed_polls += 1
+        worker.missed_at = anyio.current_time()
         worker.numbering_uncertain = True
 
     async def _handle_refusal(
@@ -226,6 +243,7 @@
         ):
             return False
         worker.record_restart(record, anyio.current_time())
+        self._term.speeds.forget(record.worker_id)
         worker.is_record_current = False
         return True
 
@@ -245,6 +263,8 @@
                 self._term.record_end(
                     row.task, row.outcome, tracked, row.checkpoint
                 )
+                if row.outcome is RunOutcome.done and view.complete:
+                    self._measure(worker, row.task, tracked, now)
             batch.append(
                 changes.end_run(
                     row.task, row.run, row.outcome, row.checkpoint, wall_time
@@ -260,6 +280,34 @@
             )
         return batch
 
+    def _measure(
+        self,
+        worker: TrackedWorker,
+        task: TaskKey,
+        tracked: TrackedRun,
+        now: float,
+    ) -> None:
+        """Records how long a run took that is done, unless that is uncertain.
+
+        Members of a gang end together, whatever the speeds of their workers. A
+        worker that missed a poll may have been frozen.
+        """
+        if tracked.execution is None or worker.missed_at > tracked.confirmed_at:
+            return
+        step = tracked.execution.step
+        seconds = tracked.measured_seconds(now)
+        if step.gang or step.long_running or not seconds:
+            return
+        near_data = step.data_rack in {'', worker.record.rack}
+        self._term.speeds.record(
+            task,
+            worker.record.service,
+            MeasuredRun(
+                worker.record.worker_id, near_data, seconds, step.count
+            ),
+            now,
+        )
+
     def _unlisted_ends(
         self, worker: TrackedWorker, view: WorkerView, sent_at: float
     ) -> list[changes.Change]:
--- a/mulberryhitch/dispatch/runs/worker_registry.py
+++ b/mulberryhitch/dispatch/runs/worker_registry.py
@@ -61,6 +61,7 @@
             worker.update_record(record)
         else:
             worker.record_restart(record, anyio.current_time())
+            self._term.speeds.forget(record.worker_id)
         worker.is_record_current = True
         worker.record_contact(clock, anyio.current_time())
         if known != record:
@@ -164,6 +165,7 @@
             worker.removed = True
             worker.wake_watcher()
             self._term.tracked_workers.pop(worker_id, None)
+            self._term.speeds.forget(worker_id)
         if self._run_controller is not None:
             for task, run in lost:
                 self._run_controller.stop_gang(task, run, 'worker gone')
--- a/mulberryhitch/dispatch/term.py
+++ b/mulberryhitch/dispatch/term.py
@@ -11,6 +11,7 @@
 from mulberryhitch.dispatch.ports import WorkerClient
 from mulberryhitch.dispatch.reports.accounting import RunAccounting
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedRun, TrackedWorker
+from mulberryhitch.dispatch.runs.worker_speeds import WorkerSpeeds
 from mulberryhitch.errors import MulberryhitchError, StorageError
 from mulberryhitch.jobs.changes import Change
 from mulberryhitch.jobs.model import StepKey, TaskKey
@@ -41,6 +42,7 @@
         histograms: Receives waiting times.
         wall_time: Returns seconds since 1970.
         accounting: Collects ends and stops for the status report.
+        speeds: Speeds of the workers.
         tracked_workers: State of the workers, by id.
         ended: Set when a worker has reported a newer leader.
         round_due: Set when another placement round is due.
@@ -61,6 +63,7 @@
     histograms: Histograms
     wall_time: Callable[[], float]
     accounting: RunAccounting = field(default_factory=RunAccounting)
+    speeds: WorkerSpeeds = field(default_factory=WorkerSpeeds)
     tracked_workers: dict[str, TrackedWorker] = field(default_factory=dict)
     ended: anyio.Event = field(default_factory=anyio.Event)
     round_due: anyio.Event = field(default_factory=anyio.Event)
