Tell speeds apart only beyond the noise of a few comparisons

The deviation of three comparisons may be small by chance. In a play of equal workers (60 workers, mixed load, 15 s) some seemed to have another speed for a moment, and placement differed; with a minimum deviation of 0.2 it does not.

--- a/mulberryhitch/dispatch/runs/worker_speeds.py
+++ b/mulberryhitch/dispatch/runs/worker_speeds.py
@@ -14,6 +14,9 @@
 # Run times of the tasks of a step differ by about a fifth, so that the mean of
 # so many comparisons is off by about a tenth. Classes need larger differences.
 _MIN_COMPARISONS = 3
+# Standard deviation of a comparison, at least: that of three comparisons may be
+# small by chance, and equal workers then seemed to have two speeds.
+_MIN_DEVIATION = 0.2
 # More would keep a worker that has recovered from a fault slow for longer.
 _MAX_COMPARISONS = 32
 # With one other worker, it isn't known which of the two is the unusual one: the
@@ -74,6 +77,7 @@
     def standard_error(self) -> float:
         """Returns how far the speed may be off."""
         deviation = statistics.pstdev(self.comparisons)
+        deviation = max(deviation, _MIN_DEVIATION)
         return deviation / math.sqrt(len(self.comparisons))
 
 
