Place by the speeds of workers

Urgent steps, and those that could be late on a slow worker, take fast workers first and ask for permits there first; steps with slack fill the slow ones. Gangs take workers of one speed if they fit, and with little slack no slow ones: a gang is as slow as its slowest member. The choice of workers moves to a module of its own. With equal speeds placement is as before.

--- a/mulberryhitch/dispatch/permits/selection.py
+++ b/mulberryhitch/dispatch/permits/selection.py
@@ -3,7 +3,8 @@
 A request takes longer with each worker that it names, and a permit soon
 expires. So a request names only as many workers as the waiting tasks are
 expected to need, starting with those known to be allowed that have free
-resources. A gang needs many workers at once, so it first requests permits for
+resources, and with those of the speed that the step should get. A gang needs
+many workers at once, so it first requests permits for
 as many as one request may name, or more if it needs them, to learn which are
 allowed; later requests are made for the workers that are reserved for it, or
 for free ones if the allowed ones are busy. While it waits, the permits for all
@@ -154,7 +155,9 @@
             chosen.append(known_id)
             expected += known_copies
         for worker in self._free_capacity.emptiest_first(
-            self._waiting.queue.service, self._resources.processors
+            self._waiting.queue.service,
+            self._resources.processors,
+            self._waiting.speed_order,
         ):
             if expected >= enough and len(chosen) >= at_least:
                 break
@@ -214,7 +217,7 @@
         limit = self._waiting.maximum_per_worker
         chosen: list[str] = []
         for worker in self._free_capacity.emptiest_first(
-            self._waiting.queue.service
+            self._waiting.queue.service, speed_order=self._waiting.speed_order
         ):
             if missing <= 0 and len(chosen) >= at_least:
                 break
--- a/mulberryhitch/dispatch/placement/free_capacity.py
+++ b/mulberryhitch/dispatch/placement/free_capacity.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Container, Iterable, Iterator, Mapping
 
+from mulberryhitch.dispatch.placement.speed_order import SpeedOrder
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
 from mulberryhitch.jobs.model import Resources
 from mulberryhitch.jobs.store import JobStore
@@ -59,23 +60,28 @@
         self._free: dict[str, Resources] = {}
         self._reserved = reserved
         self._promised: dict[str, Resources] = {}
-        self._order: dict[str, tuple[_FreeProcessors, _FreeProcessors]] = {}
+        self._order: dict[tuple[str, SpeedOrder], list[_FreeProcessors]] = {}
         self.workers = {worker.record.worker_id: worker for worker in workers}
 
     def emptiest_first(
-        self, service: str, minimum_processors: int = 0
+        self,
+        service: str,
+        minimum_processors: int = 0,
+        speed_order: SpeedOrder = SpeedOrder.any,
     ) -> Iterator[TrackedWorker]:
         """Yields a service's workers, the most free processors first.
 
-        Reserved workers come after all others. The order is computed by the
-        first call; later allocations do not change it.
+        Reserved workers come after all others, and workers of the preferred
+        speed before others. The order is computed by the first call; later
+        allocations do not change it.
 
         Args:
             service: The service.
             minimum_processors: Workers with fewer free processors are left
                 out.
+            speed_order: The preferred speed.
         """
-        for group in self._ordered(service):
+        for group in self._ordered(service, speed_order):
             for processors, worker in group:
                 if processors < minimum_processors:
                     # The workers behind it had even fewer.
@@ -136,22 +142,27 @@
         """
         return copies_that_fit(resources, self.of_worker(worker_id), maximum)
 
-    def _ordered(self, service: str) -> tuple[_FreeProcessors, _FreeProcessors]:
+    def _ordered(
+        self, service: str, speed_order: SpeedOrder
+    ) -> list[_FreeProcessors]:
         """Returns the workers with their free processors at the first call.
 
-        The most free ones come first, unreserved and reserved ones apart.
+        The most free ones come first; unreserved and reserved ones are apart,
+        and so are the speeds, if they matter.
         """
-        order = self._order.get(service)
+        order = self._order.get((service, speed_order))
         if order is None:
-            order = ([], [])
+            groups: dict[tuple[bool, float], _FreeProcessors] = {}
             for worker_id, worker in self.workers.items():
                 if worker.record.service == service:
                     processors = self.of_worker(worker_id).processors
-                    group = order[worker_id in self._reserved]
-                    group.append((processors, worker))
-            order[0].sort(key=self._free_in_row, reverse=True)
-            order[1].sort(key=self._free_in_row, reverse=True)
-            self._order[service] = order
+                    reserved = worker_id in self._reserved
+                    group = (reserved, speed_order.rank(worker))
+                    groups.setdefault(group, []).append((processors, worker))
+            order = [groups[group] for group in sorted(groups)]
+            for rows in order:
+                rows.sort(key=self._free_in_row, reverse=True)
+            self._order[service, speed_order] = order
         return order
 
     def _free_in_row(self, row: tuple[int, TrackedWorker]) -> Resources:
--- a/mulberryhitch/dispatch/placement/planner.py
+++ b/mulberryhitch/dispatch/placement/planner.py
@@ -21,7 +21,15 @@
 from mulberryhitch.dispatch.placement.preemption_candidates import (
     PreemptionCandidates,
 )
+from mulberryhitch.dispatch.placement.speed_order import (
+    SpeedOrder,
+    SpeedRange,
+)
 from mulberryhitch.dispatch.placement.step_selection import StepSelector
+from mulberryhitch.dispatch.placement.worker_choice import (
+    WorkerChoice,
+    WorkerCopies,
+)
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
 from mulberryhitch.jobs.model import Queue, Resources, StepKey
 from mulberryhitch.jobs.state import Job, StepExecution
@@ -29,8 +37,6 @@
 
 _LATE_FACTOR = 3.0
 
-_WorkerCopies = list[tuple[int, TrackedWorker]]
-
 
 class Planner:
     """Plans one placement round.
@@ -66,6 +72,8 @@
         self._free_capacity = FreeCapacity(
             job_store, workers, uncommitted, self._earlier_reserved
         )
+        self._speeds = SpeedRange(self._free_capacity.workers.values())
+        self._choice = WorkerChoice(self._free_capacity, self._earlier_reserved)
         self._step_selector = StepSelector(
             self._free_capacity.workers.values(),
             current.number,
@@ -153,7 +161,27 @@
         if queue.permits is not None:
             permits = self._permit_manager.of_step(execution.key)
         sort_key = self._sort_key(job, execution, queue)
-        return WaitingStep(execution, job, queue, sort_key, permits)
+        speed_order = self._speed_order(job, execution, queue)
+        return WaitingStep(
+            execution, job, queue, sort_key, permits, speed_order
+        )
+
+    def _speed_order(
+        self, job: Job, execution: StepExecution, queue: Queue
+    ) -> SpeedOrder:
+        """Returns which workers a step should get, if speeds differ."""
+        if not self._speeds.differ:
+            return SpeedOrder.any
+        objective, remaining = self._estimates.objective_and_critical_path(
+            job, execution, queue
+        )
+        age = self._round.wall_time - job.due_at(execution.key.occurrence)
+        return self._speeds.order_for(
+            queue.service,
+            urgent=queue.urgency == MOST_URGENT,
+            slack=objective - age - remaining,
+            remaining=remaining,
+        )
 
     def _sort_key(
         self, job: Job, execution: StepExecution, queue: Queue
@@ -195,12 +223,14 @@
 
     def _eligible_workers(self, waiting: WaitingStep) -> list[TrackedWorker]:
         """Returns the workers whose service, size and labels suit a step."""
-        workers = self._free_capacity.emptiest_first(waiting.queue.service)
+        workers = self._free_capacity.emptiest_first(
+            waiting.queue.service, speed_order=waiting.speed_order
+        )
         return [worker for worker in workers if waiting.is_eligible(worker)]
 
     def _count_startable(
         self, waiting: WaitingStep, eligible: Iterable[TrackedWorker]
-    ) -> _WorkerCopies:
+    ) -> WorkerCopies:
         """Returns the workers that can start tasks now, and how many each can."""
         resources = waiting.execution.resources
         limit = waiting.execution.step.spread_limit
@@ -238,7 +268,8 @@
         eligible: list[TrackedWorker],
         preemption: PreemptionPlanner,
     ) -> None:
-        chosen = self._gang_workers(
+        eligible = self._choice.candidates_for_gang(waiting, eligible)
+        chosen = self._choice.for_gang(
             waiting, self._count_startable(waiting, eligible)
         )
         if chosen is None:
@@ -279,47 +310,15 @@
             return
         preemption.reserve(waiting, reservation)
 
-    def _gang_workers(
-        self, waiting: WaitingStep, counted: _WorkerCopies
-    ) -> list[TrackedWorker] | None:
-        """Returns a worker for each task, or None if they do not fit.
-
-        Tries the rack of the data first, then single racks if the step asks
-        for one, then all workers.
-        """
-        step = waiting.execution.step
-        racks: dict[str, _WorkerCopies] = {}
-        for pair in counted:
-            racks.setdefault(pair[1].record.rack, []).append(pair)
-        groups = list(racks.values()) if step.same_rack else []
-        if step.data_rack in racks:
-            groups.insert(0, racks[step.data_rack])
-        groups.append(counted)
-        for group in groups:
-            if sum(copies for copies, _ in group) >= step.count:
-                return _pack(group, step.count)
-        return None
-
     def _place_tasks(
         self,
         waiting: WaitingStep,
         eligible: list[TrackedWorker],
         preemption: PreemptionPlanner,
     ) -> None:
-        """Places tasks near their data first, then on the fullest workers.
-
-        Workers that were reserved for a gang in the last round come last.
-        """
         step = waiting.execution.step
-        counted = self._count_startable(waiting, eligible)
-        counted.sort(
-            key=lambda pair: (
-                bool(step.data_rack) and pair[1].record.rack != step.data_rack,
-                pair[1].record.worker_id in self._earlier_reserved,
-                self._free_capacity.of_worker(
-                    pair[1].record.worker_id
-                ).processors,
-            )
+        counted = self._choice.order_for_tasks(
+            waiting, self._count_startable(waiting, eligible)
         )
         unplaced = list(waiting.execution.waiting_units)
         on_worker = self._tasks_per_worker(waiting)
@@ -335,7 +334,8 @@
         self._explain(waiting, eligible, len(unplaced))
         self._permits.promise_requested(waiting, len(unplaced))
         if waiting.queue.urgency == MOST_URGENT:
-            preemption.preempt_for_tasks(waiting, eligible, len(unplaced))
+            preferred = self._choice.preferred(waiting, eligible)
+            preemption.preempt_for_tasks(waiting, preferred, len(unplaced))
 
     def _blocking_reason(
         self, waiting: WaitingStep, eligible: list[TrackedWorker]
@@ -383,13 +383,3 @@
                 for worker_id in unit.holders.values():
                     counts[worker_id] = counts.get(worker_id, 0) + 1
         return counts
-
-
-def _pack(counted: _WorkerCopies, count: int) -> list[TrackedWorker]:
-    """Returns a worker for each task, using as few workers as possible."""
-    counted.sort(key=lambda pair: -pair[0])
-    chosen: list[TrackedWorker] = []
-    for copies, worker in counted:
-        taken = min(copies, count - len(chosen))
-        chosen.extend(worker for _ in range(taken))
-    return chosen
--- a/mulberryhitch/dispatch/placement/plans.py
+++ b/mulberryhitch/dispatch/placement/plans.py
@@ -7,6 +7,7 @@
 
 from mulberryhitch.dispatch.permits.manager import PermitRequest, StepPermits
 from mulberryhitch.dispatch.placement.free_capacity import copies_that_fit
+from mulberryhitch.dispatch.placement.speed_order import SpeedOrder
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
 from mulberryhitch.jobs.model import Queue, StepKey, TaskKey
 from mulberryhitch.jobs.state import Job, StepExecution, Unit
@@ -85,6 +86,7 @@
             whether it can't be in time any more by its estimates, slack in
             seconds and due time; steps with lower keys are placed first.
         permits: None if the queue requires no permits.
+        speed_order: Which workers it should get.
     """
 
     execution: StepExecution
@@ -92,6 +94,7 @@
     queue: Queue
     sort_key: tuple[float, ...]
     permits: StepPermits | None
+    speed_order: SpeedOrder = SpeedOrder.any
 
     @property
     def is_too_late(self) -> bool:
