--- a/mulberryhitch/dispatch/placement/worker_choice.py
+++ b/mulberryhitch/dispatch/placement/worker_choice.py
@@ -83,8 +83,12 @@
 
         A gang with little slack takes no slow ones if it can fit on the others:
         with one of them, all of its tasks would be slow. Once it would be late
-        anyway, it takes any.
+        anyway, it takes any. Being on one rack, or near the data, gains more
+        than the speed.
         """
+        step = waiting.execution.step
+        if step.same_rack or step.data_rack:
+            return workers
         if waiting.speed_order is not SpeedOrder.fastest_first:
             return workers
         others = [worker for worker in workers if worker.speed >= USUAL_SPEED]
--- a/tests/test_worker_choice.py
+++ b/tests/test_worker_choice.py
@@ -1,5 +1,7 @@
 """Which workers tasks and gangs get, by speed and by the room they leave."""
 
+from dataclasses import replace
+
 import pytest
 
 from mulberryhitch.dispatch.placement.free_capacity import FreeCapacity
@@ -101,6 +103,18 @@
         assert gang_candidates(GANG, order, workers) == workers
 
 
+@pytest.mark.parametrize(
+    'step', [replace(GANG, same_rack=True), replace(GANG, data_rack='near')]
+)
+def test_a_gang_that_asks_for_a_rack_may_take_its_slow_workers(
+    step: Step,
+) -> None:
+    """Guards against a gang on several racks, which is slower than any."""
+    workers = make_uneven_workers()
+    found = gang_candidates(step, SpeedOrder.fastest_first, workers)
+    assert found == workers
+
+
 def test_a_gang_too_large_for_one_speed_takes_all_workers() -> None:
     """Guards against a gang that could never start."""
     workers = make_uneven_workers()
