--- a/benchmarks/bench_load.py
+++ b/benchmarks/bench_load.py
@@ -73,6 +73,10 @@
         f'processors busy {report.busy_share:.3f}, '
         f'workers reserved {report.reserved_share:.3f}'
     )
+    shares = {
+        name: round(share, 3) for name, share in report.slow_shares.items()
+    }
+    print(f'starts on the slowest workers {shares}')
     print(dict(report.stops.most_common(8)))
     print(
         f'{report.rounds} rounds of '
--- a/tests/load_cell.py
+++ b/tests/load_cell.py
@@ -6,6 +6,7 @@
 
 import hashlib
 import heapq
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from itertools import count
@@ -142,6 +143,7 @@
         lost_core_seconds: Work that ended otherwise than done and was not
             saved, and the room of incomplete gangs.
         first_starts: When the first task of each job began.
+        class_starts: Starts by queue name and speed of the worker.
         on_exchange: Called for each exchange with a worker.
     """
 
@@ -151,6 +153,7 @@
         self.worked_core_seconds: float = 0
         self.starts = 0
         self.first_starts: dict[str, float] = {}
+        self.class_starts: Counter[tuple[str, float]] = Counter()
         self.on_exchange: Callable[[], None] = lambda: None
         self._timeline = timeline
         self._jobs = jobs
@@ -170,6 +173,8 @@
         assert run.resources.fits(worker.free()), 'over the capacity'
         worker.running[command.task] = run
         self.starts += 1
+        load_class = self._jobs[command.task.job_id].load_class
+        self.class_starts[load_class.queue.name, worker.speed] += 1
         self.first_starts.setdefault(command.task.job_id, anyio.current_time())
         step = self._jobs[command.task.job_id].spec.steps[command.task.step]
         if step.gang:
--- a/tests/load_player.py
+++ b/tests/load_player.py
@@ -113,6 +113,8 @@
         charged: Processor time by which the clock was advanced.
         busy_share: Share of all processors that runs take, in the mean.
         reserved_share: Share of the workers reserved for gangs, in the mean.
+        slow_shares: Share of the starts that were on workers of the lowest
+            speed, by queue name.
     """
 
     by_class: dict[str, ClassReport]
@@ -126,6 +128,7 @@
     charged: float
     busy_share: float
     reserved_share: float
+    slow_shares: dict[str, float]
 
     @property
     def stopped_share(self) -> float:
@@ -332,8 +335,17 @@
             self._charge.charged if self._charge else 0,
             statistics.mean(self._busy_shares),
             statistics.mean(self._reserved_shares),
+            dict(self._slow_shares()),
         )
 
+    def _slow_shares(self) -> Iterable[tuple[str, float]]:
+        starts = self.fleet.class_starts
+        slowest = min(self.load.speeds)
+        for load_class in self.load.classes:
+            name = load_class.queue.name
+            total = sum(starts[name, speed] for speed in set(self.load.speeds))
+            yield name, starts[name, slowest] / max(1, total)
+
     def _class_reports(
         self, started_at: float
     ) -> Iterable[tuple[str, ClassReport]]:
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -2,9 +2,18 @@
 
 from dataclasses import replace
 
+import pytest
+
 from benchmarks.bench_load import make_busy_load
+from mulberryhitch.dispatch.runs.worker_speeds import WorkerSpeeds
 from mulberryhitch.jobs.model import Queue
-from tests.load_jobs import Amount, Load, LoadClass, make_load
+from tests.load_jobs import (
+    Amount,
+    Load,
+    LoadClass,
+    make_load,
+    make_wide_load,
+)
 from tests.load_player import play
 
 
@@ -48,3 +57,25 @@
     load = Load('flood', 8, 1, 1000, 1, (load_class,), seconds=10)
     report = play(load).by_class['q']
     assert report.in_time >= 0.4 * report.offered
+
+
+def test_slow_workers_get_the_work_that_can_wait() -> None:
+    """Guards against short jobs that are late as a quarter of workers is slow.
+
+    Without speeds, a sixth of the urgent tasks run on slow workers.
+    """
+    load = replace(make_wide_load('uneven', 24, 0.9), seconds=25)
+    shares = play(load).slow_shares
+    assert shares['urgent'] < 0.12 < shares['batch']
+
+
+def test_equal_workers_are_placed_on_as_without_speeds(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against placement that follows the noise of run times."""
+    load = replace(make_wide_load('equal', 24, 1.3, (1.0,)), seconds=10)
+    learned = play(load)
+    monkeypatch.setattr(WorkerSpeeds, 'update', lambda self, now: None)
+    without = play(load)
+    assert learned.by_class == without.by_class
+    assert learned.stops == without.stops
