--- a/benchmarks/bench_load.py
+++ b/benchmarks/bench_load.py
@@ -9,15 +9,26 @@
 from collections import Counter
 from dataclasses import replace
 
-from tests.load_jobs import Burst, Load, make_load
+from tests.load_jobs import (
+    Burst,
+    Load,
+    make_load,
+    make_narrow_load,
+    make_wide_load,
+)
 from tests.load_player import LoadReport, play
 
 _ROW = '{:12} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>8} {:>8}'
 
 
-def make_busy_load(workers: int, share: float, seconds: float) -> Load:
+KINDS = {'mixed': make_load, 'wide': make_wide_load, 'narrow': make_narrow_load}
+
+
+def make_busy_load(
+    workers: int, share: float, seconds: float, kind: str = 'mixed'
+) -> Load:
     """Returns a load with bursts of each class and workers that leave."""
-    load = make_load(f'{workers} workers', workers, share)
+    load = KINDS[kind](f'{kind}, {workers} workers', workers, share)
     bursts = (
         Burst('urgent', 5, 4, 1.9),
         Burst('batch', 4, 5, 2.2),
@@ -66,6 +77,10 @@
         f'processors busy {report.busy_share:.3f}, '
         f'workers reserved {report.reserved_share:.3f}'
     )
+    shares = {
+        name: round(share, 3) for name, share in report.slow_shares.items()
+    }
+    print(f'starts on the slowest workers {shares}')
     print(dict(report.stops.most_common(8)))
     if report.refusals:
         print('refusals', dict(sorted(report.refusals.items())))
@@ -118,6 +133,13 @@
         default=0,
         help='charge processor time, of a processor this many times as fast',
     )
+    parser.add_argument('--kind', choices=sorted(KINDS), default='mixed')
+    parser.add_argument(
+        '--worker-speeds',
+        type=float,
+        nargs='*',
+        help='speeds of the workers, in turn; by default those of the kind',
+    )
     parser.add_argument(
         '--compare',
         action='store_true',
@@ -125,7 +147,11 @@
     )
     arguments = parser.parse_args()
     for workers in arguments.workers:
-        load = make_busy_load(workers, arguments.share, arguments.seconds)
+        load = make_busy_load(
+            workers, arguments.share, arguments.seconds, arguments.kind
+        )
+        if arguments.worker_speeds:
+            load = replace(load, speeds=tuple(arguments.worker_speeds))
         report = play(load, arguments.seed, arguments.speed)
         print_report(load.name, report)
         if arguments.compare:
--- a/mulberryhitch/dispatch/admission/ports.py
+++ b/mulberryhitch/dispatch/admission/ports.py
@@ -6,7 +6,7 @@
 class WorkerSpeedSource(Protocol):
     """Measured speeds of workers."""
 
-    def speed_of(self, worker_id: str, image: str = '') -> float:
+    def speed_of(self, worker_id: str) -> float:
         """Returns a worker's speed; 1.0 is the median of its service."""
 
 
@@ -20,7 +20,7 @@
 class UniformSpeeds:
     """Speeds of workers of which nothing has been measured."""
 
-    def speed_of(self, worker_id: str, image: str = '') -> float:
+    def speed_of(self, worker_id: str) -> float:
         """Returns the speed of an unknown worker."""
         return 1.0
 
--- a/mulberryhitch/dispatch/placement/plans.py
+++ b/mulberryhitch/dispatch/placement/plans.py
@@ -7,6 +7,7 @@
 
 from mulberryhitch.dispatch.permits.manager import PermitRequest, StepPermits
 from mulberryhitch.dispatch.placement.free_capacity import copies_that_fit
+from mulberryhitch.dispatch.placement.speed_order import SpeedOrder
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
 from mulberryhitch.jobs.model import JobSpec, Queue, StepKey, TaskKey
 from mulberryhitch.jobs.state import Job, StepExecution, Unit
@@ -87,6 +88,7 @@
             whether it can't be in time any more by its estimates, slack in
             seconds and due time; steps with lower keys are placed first.
         permits: None if the queue requires no permits.
+        speed_order: Which workers it should get.
         startable: Number of tasks that its tenant's cap lets start; None for
             all.
     """
@@ -96,6 +98,7 @@
     queue: Queue
     sort_key: tuple[float, ...]
     permits: StepPermits | None
+    speed_order: SpeedOrder = SpeedOrder.any
     startable: int | None = None
 
     @property
--- a/tests/load_player.py
+++ b/tests/load_player.py
@@ -125,6 +125,8 @@
             `failed` or `refused`.
         errors: Estimated minus actual seconds to completion of each completed
             job that had to wait by its estimate, by queue name.
+        slow_shares: Share of the starts that were on workers of the lowest
+            speed, by queue name.
     """
 
     by_class: dict[str, ClassReport]
@@ -142,6 +144,7 @@
     refused_at_first: frozenset[str]
     results: dict[str, str]
     errors: dict[str, list[float]]
+    slow_shares: dict[str, float]
 
     @property
     def stopped_share(self) -> float:
@@ -319,7 +322,9 @@
                 0,
                 1,
             )
-            self.fleet.workers[worker_id] = LoadWorker(record)
+            speeds = self.load.speeds
+            speed = speeds[number % len(speeds)]
+            self.fleet.workers[worker_id] = LoadWorker(record, speed)
 
     async def _drain(self, at: float, share: float) -> None:
         """Drains a share of the workers, which leave some seconds later."""
@@ -389,8 +394,17 @@
             frozenset(self._refused_at_first),
             self._results,
             self._errors,
+            dict(self._slow_shares()),
         )
 
+    def _slow_shares(self) -> Iterable[tuple[str, float]]:
+        starts = self.fleet.class_starts
+        slowest = min(self.load.speeds)
+        for load_class in self.load.classes:
+            name = load_class.queue.name
+            total = sum(starts[name, speed] for speed in set(self.load.speeds))
+            yield name, starts[name, slowest] / max(1, total)
+
     def _class_reports(
         self, started_at: float
     ) -> Iterable[tuple[str, ClassReport]]:
