Bound what connections of clients hold, and for how long

asyncio read up to 256 KiB at once, all of which a connection held while its requests waited, and each answered request let uvicorn read as much again. A head with thousands of short headers became thousands of objects. Nothing bounded the number of connections, so clients could use all descriptors. The connections' buffers were then held by reference cycles (protocol and application, errors and frames) until a collection, which is rare.

A process keeps a number of connections that follows from its descriptors and memory, and beyond it closes the one that waits longest for its client. Heads, bodies, idle connections and unread answers have time limits. Errors that are kept forget their frames.

--- a/mulberryhitch/composition.py
+++ b/mulberryhitch/composition.py
@@ -23,8 +23,13 @@
 from mulberryhitch.http.app import make_app
 from mulberryhitch.http.entry import Entry
 from mulberryhitch.http.operators import CELL_GROUP
-from mulberryhitch.http.protocol import FirstRequestTimeoutProtocol
-from mulberryhitch.http.server import HttpServer, listen
+from mulberryhitch.http.connection_limits import (
+    accept_backlog,
+    connection_limit,
+    machine_memory_bytes,
+)
+from mulberryhitch.http.open_connections import OpenConnections
+from mulberryhitch.http.server import HttpServer, bounded_protocol, listen
 from mulberryhitch.http.workloads import data_centre_group
 from mulberryhitch.membership.leader_client import LeaderClient
 from mulberryhitch.membership.members import MemberRole, MemberState
@@ -312,11 +317,14 @@
     def _make_server(self) -> HttpServer:
         tls = self._environment.settings.tls
         use_tls = tls is not None and tls.callers
+        limit = connection_limit(machine_memory_bytes(), tls=use_tls)
+        connections = OpenConnections(limit, self.node.log)
         return HttpServer(
             uvicorn.Config(
                 make_app(self.entry),
                 loop='asyncio',
-                http=FirstRequestTimeoutProtocol,
+                http=bounded_protocol(connections=connections),
+                backlog=accept_backlog(limit),
                 ws='none',
                 lifespan='off',
                 log_config=None,
@@ -330,6 +338,7 @@
                 ssl_certfile=tls.certificate if tls and use_tls else None,
                 ssl_keyfile=tls.key if tls and use_tls else None,
             ),
+            connections,
         )
 
     async def _serve_http(
--- a/mulberryhitch/errors.py
+++ b/mulberryhitch/errors.py
@@ -91,6 +91,16 @@
         """The details as fields of a log line; empty if there are none."""
         return self.details.log_fields() if self.details else {}
 
+    def forget_frames(self) -> None:
+        """Drops the frames that it was raised in, and the errors before it.
+
+        An error that is kept refers to them. If one of them refers to the
+        error, all that it holds waits for a garbage collection.
+        """
+        self.__traceback__ = None
+        self.__cause__ = None
+        self.__context__ = None
+
 
 ErrorType = TypeVar('ErrorType', bound=type[MulberryhitchError])
 
--- /dev/null
+++ b/mulberryhitch/http/connection_limits.py
@@ -0,0 +1,80 @@
+"""Limits on the connections of a process, and on the time each may take."""
+
+import os
+import resource
+from dataclasses import dataclass
+from typing import Final
+
+from mulberryhitch.constants import FIRST_REQUEST_TIMEOUT_SECONDS
+
+# Queue of connections that were not accepted yet. The event loop accepts as
+# many at once, before the first of them can be closed.
+ACCEPT_BACKLOG: Final = 256
+# Memory of the smallest VM with a known limit is 160 MB.
+_UNKNOWN_MEMORY_BYTES: Final = 160_000_000
+# A request head and a read beyond it, 64 KiB of a body or of an answer, and
+# the objects of the connection and its request.
+_CONNECTION_BYTES: Final = 128 * 1024
+# The TLS layer has a read buffer of 256 KiB for each connection.
+_TLS_BYTES: Final = 256 * 1024
+# The rest is for the program, and for large bodies and answers.
+_MEMORY_SHARE: Final = 0.25
+# The rest is for files, calls to other processes and accepted connections
+# that are about to be closed.
+_DESCRIPTOR_SHARE: Final = 0.5
+_LEAST_CONNECTIONS: Final = 16
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionTimeouts:
+    """How long a connection may wait for its client, in seconds.
+
+    Attributes:
+        head_seconds: From the first byte of a request to the end of its
+            headers.
+        body_seconds: From there to the end of the body.
+        idle_seconds: Between an answer and the next request.
+        unread_seconds: Until the client reads answers that are not sent.
+        discard_seconds: For the rest of a body that was refused. The answer
+            might be lost if the connection was closed before.
+    """
+
+    head_seconds: float = FIRST_REQUEST_TIMEOUT_SECONDS
+    body_seconds: float = 300
+    idle_seconds: float = 75
+    unread_seconds: float = 15
+    discard_seconds: float = 2
+
+
+def connection_limit(memory_bytes: int, *, tls: bool = False) -> int:
+    """Returns how many connections from clients a process keeps open.
+
+    It follows from the limit of open descriptors and from the memory.
+
+    Args:
+        memory_bytes: Memory of the process; zero if unknown.
+        tls: Whether the connections are encrypted.
+    """
+    descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    connection_bytes = _CONNECTION_BYTES
+    if tls:
+        connection_bytes += _TLS_BYTES
+    usable_bytes = (memory_bytes or _UNKNOWN_MEMORY_BYTES) * _MEMORY_SHARE
+    limit = int(usable_bytes / connection_bytes)
+    if descriptors != resource.RLIM_INFINITY:
+        limit = min(limit, int(descriptors * _DESCRIPTOR_SHARE))
+    return max(limit, _LEAST_CONNECTIONS)
+
+
+def accept_backlog(limit: int) -> int:
+    """Returns how many connections a server accepts at once.
+
+    Args:
+        limit: Number of connections that the process keeps open.
+    """
+    return min(ACCEPT_BACKLOG, max(limit // 4, _LEAST_CONNECTIONS))
+
+
+def machine_memory_bytes() -> int:
+    """Returns the memory of the machine."""
+    return os.sysconf('SC_PHYS_PAGES') * os.sysconf('SC_PAGE_SIZE')
--- a/mulberryhitch/http/server.py
+++ b/mulberryhitch/http/server.py
@@ -1,24 +1,90 @@
 """HTTP server of all programs: uvicorn and its listening sockets."""
 
+import asyncio
 import socket
 from contextlib import contextmanager
-from typing import Any
+from functools import partial
+from typing import Any, Final, cast
 
 import uvicorn
 
 from mulberryhitch.errors import UnreachableError
+from mulberryhitch.http.connection_limits import ACCEPT_BACKLOG
+from mulberryhitch.http.open_connections import OpenConnections
+from mulberryhitch.http.protocol import FirstRequestTimeoutProtocol
 
-_BACKLOG = 2048
+# A tick of the server is a tenth of a second.
+_TICKS_BETWEEN_CHECKS: Final = 5
 
 
 class HttpServer(uvicorn.Server):
-    """A uvicorn server that leaves signal handling to the program."""
+    """A uvicorn server that leaves signal handling to the program.
+
+    It closes connections whose clients let it wait for too long.
+
+    Args:
+        config: Options of the server.
+        connections: The open connections of the process.
+    """
+
+    def __init__(
+        self,
+        config: uvicorn.Config,
+        connections: OpenConnections | None = None,
+    ) -> None:
+        """Initialises the server."""
+        super().__init__(config)
+        self._connections = connections
 
     @contextmanager
     def capture_signals(self) -> Any:
         """Installs no signal handlers."""
         yield
 
+    async def on_tick(self, counter: int) -> bool:
+        """Closes overdue connections; returns whether to stop."""
+        if counter % _TICKS_BETWEEN_CHECKS == 0:
+            self._close_overdue_connections()
+        return await super().on_tick(counter)
+
+    async def shutdown(
+        self, sockets: list[socket.socket] | None = None
+    ) -> None:
+        """Answers what was read, as far as clients read the answers.
+
+        A request whose answer waits for its client would otherwise keep the
+        process from ending.
+        """
+        await super().shutdown(sockets)
+        for connection in self._protocols():
+            if connection.has_unsent_answers:
+                connection.give_up()
+
+    def _close_overdue_connections(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for connection in self._protocols():
+            connection.close_if_overdue(now)
+        if self._connections is not None:
+            self._connections.report(now)
+
+    def _protocols(self) -> list[FirstRequestTimeoutProtocol]:
+        return [
+            connection
+            for connection in self.server_state.connections
+            if isinstance(connection, FirstRequestTimeoutProtocol)
+        ]
+
+
+def bounded_protocol(**options: Any) -> type[asyncio.Protocol]:
+    """Returns the protocol class for uvicorn's option ``http``.
+
+    Args:
+        options: The keyword arguments ``connections`` and ``timeouts`` of
+            :class:`FirstRequestTimeoutProtocol`.
+    """
+    factory = partial(FirstRequestTimeoutProtocol, **options)
+    return cast('type[asyncio.Protocol]', factory)
+
 
 def listen(host: str, port: int) -> socket.socket:
     """Returns a listening TCP socket.
@@ -34,7 +100,7 @@
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((host, port))
-        listener.listen(_BACKLOG)
+        listener.listen(ACCEPT_BACKLOG)
     except OSError as error:
         listener.close()
         raise UnreachableError(str(error), where=f'{host}:{port}') from error
--- a/mulberryhitch/membership/attempts.py
+++ b/mulberryhitch/membership/attempts.py
@@ -165,6 +165,7 @@
     ) -> None:
         """Records a failed call."""
         self.search.record(vm, started_at, error)
+        error.forget_frames()
         self.last_error = error
         if isinstance(error, _UNKNOWN_OUTCOME_ERRORS):
             self.maybe_executed = True
--- a/mulberryhitch/platform/asgi.py
+++ b/mulberryhitch/platform/asgi.py
@@ -166,6 +166,7 @@
             return HttpResponse(http_status_of(unknown))
 
     def _refuse(self, error: MulberryhitchError, scope: Scope) -> HttpResponse:
+        error.forget_frames()
         self._log.problem(
             'request.refused',
             error.problem,
--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -21,8 +21,13 @@
 )
 from mulberryhitch.dispatch.service import JobsService
 from mulberryhitch.errors import InvalidSettingsError
-from mulberryhitch.http.protocol import FirstRequestTimeoutProtocol
-from mulberryhitch.http.server import HttpServer, listen
+from mulberryhitch.http.connection_limits import (
+    ConnectionTimeouts,
+    accept_backlog,
+    connection_limit,
+)
+from mulberryhitch.http.open_connections import OpenConnections
+from mulberryhitch.http.server import HttpServer, bounded_protocol, listen
 from mulberryhitch.jobs.model import Limits
 from mulberryhitch.jobs.store import JobStore
 from mulberryhitch.membership.leader_client import LeaderClient
@@ -69,6 +74,13 @@
 _RECONCILE_SECONDS = 0.3
 _REPAIR_SECONDS = 1.0
 _LEASE_SECONDS = 5.0
+# A head may arrive in several reads, and has a request line and separators
+# beside the bytes that the limit counts.
+_MAX_HEAD_BYTES = 32 * 1024
+# A client that uses its limits fully is not closed by an event loop that is
+# held up.
+_TIMEOUT_MARGIN_SECONDS = 2.0
+_BODY_SECONDS = 60.0
 
 
 class _SharedParts:
@@ -95,6 +107,8 @@
             self.log.count,
             self.peers.known_group,
         )
+        limit = connection_limit(settings.memory_bytes)
+        self.connections = OpenConnections(limit, self.log)
         self.rpc = RpcServer(self.log)
         self.client = PlatformClient()
         self.permit_client = PlatformPermitClient(
@@ -141,7 +155,12 @@
             uvicorn.Config(
                 application,
                 loop='asyncio',
-                http=FirstRequestTimeoutProtocol,
+                http=bounded_protocol(
+                    connections=self.connections,
+                    timeouts=self._connection_timeouts,
+                ),
+                h11_max_incomplete_event_size=_MAX_HEAD_BYTES,
+                backlog=accept_backlog(self.connections.limit),
                 ws='none',
                 lifespan='off',
                 log_config=None,
@@ -151,12 +170,25 @@
                 timeout_keep_alive=60,
                 timeout_graceful_shutdown=_LAST_ANSWER_SECONDS,
             ),
+            self.connections,
         )
 
+    def limits(self) -> Limits:
+        """Returns the limits of the configuration last told of."""
+        return self.group_info.limits if self.group_info else Limits()
+
     def is_stopping(self) -> bool:
         """Whether the program is shutting down."""
         return self.stop.is_set()
 
+    def _connection_timeouts(self) -> ConnectionTimeouts:
+        limits = self.limits()
+        return ConnectionTimeouts(
+            head_seconds=limits.header_seconds + _TIMEOUT_MARGIN_SECONDS,
+            body_seconds=max(_BODY_SECONDS, limits.idle_seconds),
+            idle_seconds=limits.idle_seconds + _TIMEOUT_MARGIN_SECONDS,
+        )
+
     async def _respond_metrics(self, request: HttpRequest) -> HttpResponse:
         text = render_exposition(self.log.counts, self.histograms)
         return HttpResponse(HTTPStatus.OK, text.encode(), b'text/plain')
@@ -199,7 +231,7 @@
         )
         PermitProxy(self._shared.rpc, self._shared.permit_client)
         self._application = self._shared.make_application(
-            self._respond, self._limits
+            self._respond, self._shared.limits
         )
         self._readiness_application = self._shared.make_application(
             self._respond_readiness
@@ -241,13 +273,6 @@
             HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
         )
 
-    def _limits(self) -> Limits:
-        return (
-            self._shared.group_info.limits
-            if self._shared.group_info
-            else Limits()
-        )
-
     async def _shut_down(
         self, server: HttpServer, readiness_server: HttpServer
     ) -> None:
