Accept fewer connections at once, and stop beside unread answers

At a stop a request that was cut off sent its refusal to a client that read nothing, and the process never ended. Such connections are closed now. An unread answer is given up only if none of it was read for the whole limit.

--- a/mulberryhitch/composition.py
+++ b/mulberryhitch/composition.py
@@ -24,7 +24,7 @@
 from mulberryhitch.http.entry import Entry
 from mulberryhitch.http.operators import CELL_GROUP
 from mulberryhitch.http.connection_limits import (
-    accept_backlog,
+    accepted_at_once,
     connection_limit,
     machine_memory_bytes,
 )
@@ -324,7 +324,7 @@
                 make_app(self.entry),
                 loop='asyncio',
                 http=bounded_protocol(connections=connections),
-                backlog=accept_backlog(limit),
+                backlog=accepted_at_once(limit),
                 ws='none',
                 lifespan='off',
                 log_config=None,
--- a/mulberryhitch/http/connection_limits.py
+++ b/mulberryhitch/http/connection_limits.py
@@ -7,9 +7,11 @@
 
 from mulberryhitch.constants import FIRST_REQUEST_TIMEOUT_SECONDS
 
-# Queue of connections that were not accepted yet. The event loop accepts as
-# many at once, before the first of them can be closed.
-ACCEPT_BACKLOG: Final = 256
+# A connection is closed four rounds of the event loop after it was accepted,
+# so that four times as many are open beside the limit. With a quarter of the
+# limit at once, 237 of 256 descriptors were open.
+_ACCEPTED_SHARE: Final = 0.1
+_LEAST_ACCEPTED: Final = 4
 # Memory of the smallest VM with a known limit is 160 MB.
 _UNKNOWN_MEMORY_BYTES: Final = 160_000_000
 # A request head and a read beyond it, 64 KiB of a body or of an answer, and
@@ -34,7 +36,10 @@
             headers.
         body_seconds: From there to the end of the body.
         idle_seconds: Between an answer and the next request.
-        unread_seconds: Until the client reads answers that are not sent.
+        first_request_seconds: Until the first request, if this is longer
+            than the limit that all servers have.
+        unread_seconds: Until the client reads some of the answers that are
+            not sent.
         discard_seconds: For the rest of a body that was refused. The answer
             might be lost if the connection was closed before.
     """
@@ -42,6 +47,7 @@
     head_seconds: float = FIRST_REQUEST_TIMEOUT_SECONDS
     body_seconds: float = 300
     idle_seconds: float = 75
+    first_request_seconds: float = 0
     unread_seconds: float = 15
     discard_seconds: float = 2
 
@@ -66,13 +72,13 @@
     return max(limit, _LEAST_CONNECTIONS)
 
 
-def accept_backlog(limit: int) -> int:
+def accepted_at_once(limit: int) -> int:
     """Returns how many connections a server accepts at once.
 
     Args:
         limit: Number of connections that the process keeps open.
     """
-    return min(ACCEPT_BACKLOG, max(limit // 4, _LEAST_CONNECTIONS))
+    return max(int(limit * _ACCEPTED_SHARE), _LEAST_ACCEPTED)
 
 
 def machine_memory_bytes() -> int:
--- a/mulberryhitch/http/protocol.py
+++ b/mulberryhitch/http/protocol.py
@@ -91,6 +91,7 @@
         self._stopping = False
         self._sending_side_closed = False
         self._discarding = False
+        self._unsent_bytes = 0
 
     @property
     def has_unsent_answers(self) -> bool:
@@ -103,7 +104,11 @@
         self.flow = _PatientFlowControl(transport, self.conn)
         transport.set_write_buffer_limits(high=_UNSENT_BYTES)
         self._first_request_timer = self.loop.call_later(
-            self.first_request_timeout_seconds, self._close_if_no_request
+            max(
+                self.first_request_timeout_seconds,
+                self._timeouts().first_request_seconds,
+            ),
+            self._close_if_no_request,
         )
         if self._open_connections is not None:
             self._open_connections.add(self, self.loop.time())
@@ -201,6 +206,10 @@
         """
         self._update_stage()
         stage = self._stage
+        unsent_bytes = self.transport.get_write_buffer_size()
+        if unsent_bytes < self._unsent_bytes:
+            self._stage_since = now
+        self._unsent_bytes = unsent_bytes
         limit_seconds = _limit_seconds(stage, self._timeouts())
         if now < self._stage_since + limit_seconds:
             return
--- a/mulberryhitch/http/server.py
+++ b/mulberryhitch/http/server.py
@@ -9,10 +9,11 @@
 import uvicorn
 
 from mulberryhitch.errors import UnreachableError
-from mulberryhitch.http.connection_limits import ACCEPT_BACKLOG
 from mulberryhitch.http.open_connections import OpenConnections
 from mulberryhitch.http.protocol import FirstRequestTimeoutProtocol
 
+# The event loop accepts fewer at once; the others wait here.
+_BACKLOG: Final = 2048
 # A tick of the server is a tenth of a second.
 _TICKS_BETWEEN_CHECKS: Final = 5
 
@@ -41,6 +42,12 @@
         """Installs no signal handlers."""
         yield
 
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Begins to accept connections."""
+        await super().startup(sockets)
+        for listener in sockets or []:
+            listener.listen(_BACKLOG)
+
     async def on_tick(self, counter: int) -> bool:
         """Closes overdue connections; returns whether to stop."""
         if counter % _TICKS_BETWEEN_CHECKS == 0:
@@ -100,7 +107,7 @@
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((host, port))
-        listener.listen(ACCEPT_BACKLOG)
+        listener.listen(_BACKLOG)
     except OSError as error:
         listener.close()
         raise UnreachableError(str(error), where=f'{host}:{port}') from error
--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -23,7 +23,7 @@
 from mulberryhitch.errors import InvalidSettingsError
 from mulberryhitch.http.connection_limits import (
     ConnectionTimeouts,
-    accept_backlog,
+    accepted_at_once,
     connection_limit,
 )
 from mulberryhitch.http.open_connections import OpenConnections
@@ -160,7 +160,7 @@
                     timeouts=self._connection_timeouts,
                 ),
                 h11_max_incomplete_event_size=_MAX_HEAD_BYTES,
-                backlog=accept_backlog(self.connections.limit),
+                backlog=accepted_at_once(self.connections.limit),
                 ws='none',
                 lifespan='off',
                 log_config=None,
@@ -183,10 +183,12 @@
 
     def _connection_timeouts(self) -> ConnectionTimeouts:
         limits = self.limits()
+        idle_seconds = limits.idle_seconds + _TIMEOUT_MARGIN_SECONDS
         return ConnectionTimeouts(
             head_seconds=limits.header_seconds + _TIMEOUT_MARGIN_SECONDS,
-            body_seconds=max(_BODY_SECONDS, limits.idle_seconds),
-            idle_seconds=limits.idle_seconds + _TIMEOUT_MARGIN_SECONDS,
+            body_seconds=max(_BODY_SECONDS, idle_seconds),
+            idle_seconds=idle_seconds,
+            first_request_seconds=idle_seconds,
         )
 
     async def _respond_metrics(self, request: HttpRequest) -> HttpResponse:
--- a/tests/test_unread_answers.py
+++ b/tests/test_unread_answers.py
@@ -5,6 +5,7 @@
 """
 
 import resource
+import signal
 from collections.abc import Iterator
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass
@@ -17,7 +18,7 @@
 from mulberryhitch.errors import MulberryhitchError
 from mulberryhitch.platform.client import PlatformClient
 from tests.platform_harness import make_configuration
-from tests.process_cell import ProcessCell, ProgramProcess
+from tests.process_cell import DRAIN_SECONDS, ProcessCell, ProgramProcess
 from tests.process_usage import ProcessUsage
 from tests.raw_client import NoCompleteAnswer, RawConnection, request_bytes
 from tests.unread_clients import (
@@ -34,6 +35,8 @@
 HOLD_SECONDS = 2
 START_SECONDS = 30
 ANSWER_SECONDS = 5
+# Beside the time that the settings allow for a stop.
+EXIT_SECONDS = 4
 DESCRIPTORS = 256
 # Less than the descriptors, so that files and other connections still open.
 MOST_DESCRIPTORS = 230
@@ -247,3 +250,26 @@
         if not play.is_bounded(rest_bytes)
     ]
     assert not failures, '\n'.join(failures)
+
+
+@pytest.mark.parametrize('target', ['client', 'control'])
+def test_a_process_ends_in_time_beside_clients_that_do_not_read(
+    tmp_path: Path, target: str
+) -> None:
+    """An answer that waits for its client must not keep a process running."""
+
+    async def main() -> int | None:
+        place = TARGETS[target]
+        async with _running_cell(tmp_path) as cell:
+            process = _process(cell, place)
+            assert process.popen is not None
+            address = (process.vm, cell.port + place.port_offset)
+            assert await _wait_answered(address, place)
+            ahead = pipelined('ordinary path', request('GET', place.path))
+            async with Clients(ahead, address, CLIENTS):
+                await anyio.sleep(1)
+                process.signal(signal.SIGTERM)
+                assert await process.wait_exit(DRAIN_SECONDS + EXIT_SECONDS)
+            return process.popen.poll()
+
+    assert anyio.run(main) == 0
