--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -108,7 +108,7 @@
             self.peers.known_group,
         )
         limit = connection_limit(settings.memory_bytes)
-        self.connections = OpenConnections(limit, self.log)
+        self._connections = OpenConnections(limit, self.log)
         self.rpc = RpcServer(self.log)
         self.client = PlatformClient()
         self.permit_client = PlatformPermitClient(
@@ -156,11 +156,11 @@
                 application,
                 loop='asyncio',
                 http=bounded_protocol(
-                    connections=self.connections,
+                    connections=self._connections,
                     timeouts=self._connection_timeouts,
                 ),
                 h11_max_incomplete_event_size=_MAX_HEAD_BYTES,
-                backlog=accepted_at_once(self.connections.limit),
+                backlog=accepted_at_once(self._connections.limit),
                 ws='none',
                 lifespan='off',
                 log_config=None,
@@ -170,7 +170,7 @@
                 timeout_keep_alive=60,
                 timeout_graceful_shutdown=_LAST_ANSWER_SECONDS,
             ),
-            self.connections,
+            self._connections,
         )
 
     def limits(self) -> Limits:
