Describe the limits on connections, and make the servers in a module

The composition root had too many parts. docs/design/10-connections.md has the cause, what was measured and weighed, and what is not covered.

--- a/mulberryhitch/http/open_connections.py
+++ b/mulberryhitch/http/open_connections.py
@@ -83,7 +83,7 @@
         self._put(connection, Stage.idle, now)
         if len(self._stages) > self.limit:
             victim = self._longest_waiting(connection)
-            self.closed(f'limit, {self._stages[victim].value}')
+            self.closed(f'limit {self._stages[victim].value}')
             self.remove(victim)
             victim.give_up()
 
--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 import anyio
-import uvicorn
 
 from mulberryhitch.clocks import suspended_seconds
 from mulberryhitch.constants import READINESS_DELAY_SECONDS
@@ -21,13 +20,7 @@
 )
 from mulberryhitch.dispatch.service import JobsService
 from mulberryhitch.errors import InvalidSettingsError
-from mulberryhitch.http.connection_limits import (
-    ConnectionTimeouts,
-    accepted_at_once,
-    connection_limit,
-)
-from mulberryhitch.http.open_connections import OpenConnections
-from mulberryhitch.http.server import HttpServer, bounded_protocol, listen
+from mulberryhitch.http.server import HttpServer, listen
 from mulberryhitch.jobs.model import Limits
 from mulberryhitch.jobs.store import JobStore
 from mulberryhitch.membership.leader_client import LeaderClient
@@ -45,6 +38,10 @@
 )
 from mulberryhitch.platform.client import PlatformClient
 from mulberryhitch.platform.control import ControlHandler
+from mulberryhitch.platform.http_servers import (
+    LAST_ANSWER_SECONDS,
+    HttpServers,
+)
 from mulberryhitch.platform.ingress import IngressHandler
 from mulberryhitch.platform.settings import (
     PlatformSettings,
@@ -66,21 +63,13 @@
 _HEARTBEAT_SECONDS = 0.1
 _CONTROL_LIMITS = Limits(body_bytes=8 * 1024 * 1024)
 _SETTINGS_POLL_SECONDS = 1.0
-# Longer than any request takes, and than the exit after the last answer.
-_LAST_ANSWER_SECONDS = 2
+# Longer than the exit after the last answer takes.
 _EXIT_SECONDS = 0.5
 _READINESS_NOTICE_SECONDS = 2.2
 _COMMIT_NOTIFY_SECONDS = 0.15
 _RECONCILE_SECONDS = 0.3
 _REPAIR_SECONDS = 1.0
 _LEASE_SECONDS = 5.0
-# A head may arrive in several reads, and has a request line and separators
-# beside the bytes that the limit counts.
-_MAX_HEAD_BYTES = 32 * 1024
-# A client that uses its limits fully is not closed by an event loop that is
-# held up.
-_TIMEOUT_MARGIN_SECONDS = 2.0
-_BODY_SECONDS = 60.0
 
 
 class _SharedParts:
@@ -107,8 +96,9 @@
             self.log.count,
             self.peers.known_group,
         )
-        limit = connection_limit(settings.memory_bytes)
-        self._connections = OpenConnections(limit, self.log)
+        self._http_servers = HttpServers(
+            settings.memory_bytes, self.log, self.limits
+        )
         self.rpc = RpcServer(self.log)
         self.client = PlatformClient()
         self.permit_client = PlatformPermitClient(
@@ -151,27 +141,7 @@
 
     def make_server(self, application: AsgiApplication) -> HttpServer:
         """Returns an HTTP server for an application."""
-        return HttpServer(
-            uvicorn.Config(
-                application,
-                loop='asyncio',
-                http=bounded_protocol(
-                    connections=self._connections,
-                    timeouts=self._connection_timeouts,
-                ),
-                h11_max_incomplete_event_size=_MAX_HEAD_BYTES,
-                backlog=accepted_at_once(self._connections.limit),
-                ws='none',
-                lifespan='off',
-                log_config=None,
-                access_log=False,
-                server_header=False,
-                date_header=False,
-                timeout_keep_alive=60,
-                timeout_graceful_shutdown=_LAST_ANSWER_SECONDS,
-            ),
-            self._connections,
-        )
+        return self._http_servers.make(application)
 
     def limits(self) -> Limits:
         """Returns the limits of the configuration last told of."""
@@ -181,16 +151,6 @@
         """Whether the program is shutting down."""
         return self.stop.is_set()
 
-    def _connection_timeouts(self) -> ConnectionTimeouts:
-        limits = self.limits()
-        idle_seconds = limits.idle_seconds + _TIMEOUT_MARGIN_SECONDS
-        return ConnectionTimeouts(
-            head_seconds=limits.header_seconds + _TIMEOUT_MARGIN_SECONDS,
-            body_seconds=max(_BODY_SECONDS, idle_seconds),
-            idle_seconds=idle_seconds,
-            first_request_seconds=idle_seconds,
-        )
-
     async def _respond_metrics(self, request: HttpRequest) -> HttpResponse:
         text = render_exposition(self.log.counts, self.histograms)
         return HttpResponse(HTTPStatus.OK, text.encode(), b'text/plain')
@@ -279,7 +239,7 @@
         self, server: HttpServer, readiness_server: HttpServer
     ) -> None:
         await self._shared.stop.wait()
-        exit_seconds = _LAST_ANSWER_SECONDS + _EXIT_SECONDS
+        exit_seconds = LAST_ANSWER_SECONDS + _EXIT_SECONDS
         drain_timeout = max(self._settings.drain_seconds - exit_seconds, 0)
         with anyio.move_on_after(drain_timeout):
             await anyio.sleep(min(_READINESS_NOTICE_SECONDS, drain_timeout))
--- a/tests/test_open_connections.py
+++ b/tests/test_open_connections.py
@@ -100,7 +100,7 @@
     assert process.given_up() == [LIMIT]
     assert process.log.counts['connection.opened'] == 2 * LIMIT + 1
     assert process.log.counts['connection.ended'] == LIMIT + 1
-    assert process.log.counts['connection.closed.limit,_idle'] == 1
+    assert process.log.counts['connection.closed.limit_idle'] == 1
 
 
 def test_a_flood_of_closed_connections_is_one_log_line_a_second() -> None:
