Read on after an answer if the next request was read in part

Reading stops while a pipelined request waits. If only a part of its head had been read, nothing started reading again, and the connection was closed by the time limit of the head. Found by a test of 20 requests of 3 KB sent at once, which got no further answer within 30 s.

--- a/mulberryhitch/http/protocol.py
+++ b/mulberryhitch/http/protocol.py
@@ -171,6 +171,8 @@
         else:
             self._ahead.count = 0
         super().on_response_complete()
+        # The next request may have been read in part only.
+        self.flow.resume_reading()
         if self._stopping or self._sending_side_closed:
             self._close_after_last_answer()
         self._update_stage()
--- a/tests/test_slow_connections.py
+++ b/tests/test_slow_connections.py
@@ -259,6 +259,21 @@
     run_with_server(script)
 
 
+def test_requests_sent_ahead_that_end_between_two_reads_are_answered() -> None:
+    """The rest of a head must be read after the answer before it."""
+
+    async def script(server: Server) -> None:
+        padding = b'X-A: %b\r\n\r\n' % (b'x' * 3000)
+        connection = await server.connect()
+        await connection.send(
+            (b'GET /x HTTP/1.1\r\nHost: x\r\n' + padding) * 20
+        )
+        for _ in range(20):
+            assert (await connection.read_answer())[0] == 200
+
+    run_with_server(script)
+
+
 def test_a_client_that_reads_each_answer_sends_any_number_of_requests() -> None:
     async def script(server: Server) -> None:
         connection = await server.connect()
