Accept a repeated submission also when the state has become full

The room was checked before the look-up of submissions in flight, so that a repeated one could get 503 while the first was being committed. The check is now part of the intake.

--- a/mulberryhitch/dispatch/intake.py
+++ b/mulberryhitch/dispatch/intake.py
@@ -83,15 +83,21 @@
 
     Args:
         job_store: The committed state.
+        room: The room that the jobs may take.
         commit: Commits changes and returns their results.
         now: Returns seconds since 1970.
     """
 
     def __init__(
-        self, job_store: JobStore, commit: _Commit, now: Callable[[], float]
+        self,
+        job_store: JobStore,
+        room: StateRoom,
+        commit: _Commit,
+        now: Callable[[], float],
     ) -> None:
         """Initialises the intake; no job is being accepted."""
         self._job_store = job_store
+        self._room = room
         self._commit = commit
         self._now = now
         self._undecided = UndecidedJobs()
@@ -122,8 +128,10 @@
             NotFoundError: Its queue is no longer configured.
             MulberryhitchError: It could not be committed.
         """
-        if admission is not None and job_id not in self._undecided:
-            admission.check(job_id, queue, spec, tenant)
+        if job_id not in self._undecided:
+            self._room.check_job(job_id, spec)
+            if admission is not None:
+                admission.check(job_id, queue, spec, tenant)
         change = changes.accept(job_id, queue.name, spec, self._now(), tenant)
         accepted = await self._commit_undecided(job_id, change)
         if not accepted:
--- a/mulberryhitch/dispatch/service.py
+++ b/mulberryhitch/dispatch/service.py
@@ -111,7 +111,9 @@
         self._dispatcher: Dispatcher | None = None
         self._access = JobAccess(job_store)
         self._room = StateRoom(job_store, options.max_state_bytes)
-        self._intake = JobIntake(job_store, self._commit, self._clock.now)
+        self._intake = JobIntake(
+            job_store, self._room, self._commit, self._clock.now
+        )
 
     async def run(self) -> None:
         """Runs the replica until cancelled, and a dispatcher while leading."""
@@ -276,7 +278,6 @@
         job = self.job_store.jobs.get(job_id)
         if job is None:
             owner = self._access.owner_of(queue, caller, request.spec)
-            self._room.check_job(job_id, request.spec)
             dispatcher = self._dispatcher
             job = await self._intake.accept(
                 job_id,
