--- a/mulberryhitch/dispatch/admission/backlog.py
+++ b/mulberryhitch/dispatch/admission/backlog.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from mulberryhitch.dispatch.admission.work import Work
+from mulberryhitch.jobs.model import Resources, Step
 
 # Below this share of its processors in use, a service has room.
 _BUSY_SHARE = 0.7
@@ -16,16 +17,25 @@
     Attributes:
         rate: Work that they can do in a second.
         used: Work that their open runs do in a second.
+        largest: The most of each resource that one of them has.
+        labels: Labels that at least one of them has.
     """
 
     rate: Work = Work()
     used: Work = Work()
+    largest: Resources = Resources()
+    labels: set[str] = field(default_factory=set)
 
     @property
     def is_busy(self) -> bool:
         """Whether most of some resource is in use."""
         return self.used.seconds_at(self.rate) >= _BUSY_SHARE
 
+    def can_run(self, step: Step) -> bool:
+        """Whether tasks of a step may fit on a worker, if it is idle."""
+        has_label = not step.label or step.label in self.labels
+        return has_label and step.resources.fits(self.largest)
+
 
 @dataclass(slots=True)
 class WaitingWork:
--- a/mulberryhitch/dispatch/admission/backlog_reader.py
+++ b/mulberryhitch/dispatch/admission/backlog_reader.py
@@ -21,7 +21,7 @@
 )
 from mulberryhitch.dispatch.placement.plans import EstimateCache
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
-from mulberryhitch.jobs.model import Queue
+from mulberryhitch.jobs.model import Queue, Resources
 from mulberryhitch.jobs.state import Job, StepExecution
 from mulberryhitch.jobs.store import JobStore
 
@@ -146,9 +146,14 @@
         speed = self._speeds.speed_of(record.worker_id)
         load.rate = load.rate.plus(work_of(worker.capacity, speed))
         load.used = load.used.plus(work_of(used, speed))
+        load.labels.update(record.labels)
+        load.largest = Resources(*map(max, load.largest, worker.capacity))
 
     def _add_step(self, backlog: Backlog, waiting: _WaitingStep) -> None:
         queue, job = waiting.queue, waiting.job
+        if not backlog.load_of(queue.service).can_run(waiting.execution.step):
+            # It takes no place in a round, and so delays nobody.
+            return
         objective, chain = self._estimates.objective_and_critical_path(
             job, waiting.execution, queue
         )
