Date accepted jobs by the service's clock at the time of the call

The intake kept the clock that the service was built with. Where that was replaced later, as in the tests with several schedulers, accepted jobs lay in the future and never started: tests/test_full_disks_of_schedulers.py failed whole since the intake was introduced.

--- a/mulberryhitch/dispatch/service.py
+++ b/mulberryhitch/dispatch/service.py
@@ -111,9 +111,7 @@
         self._dispatcher: Dispatcher | None = None
         self._access = JobAccess(job_store)
         self._room = StateRoom(job_store, options.max_state_bytes)
-        self._intake = JobIntake(
-            job_store, self._room, self._commit, self._clock.now
-        )
+        self._intake = JobIntake(job_store, self._room, self._commit, self._now)
 
     async def run(self) -> None:
         """Runs the replica until cancelled, and a dispatcher while leading."""
@@ -219,6 +217,10 @@
     def _is_leader_of(self, term: int) -> bool:
         return self.replica.overview.leads and self.replica.term == term
 
+    def _now(self) -> float:
+        """Returns seconds since 1970, by the clock in use at the call."""
+        return self._clock.now()
+
     def _may_act(self) -> bool:
         return self.replica.has_authority
 
