Leave room for the larger tasks that wait

A task of 9.9 processors on a worker with room for two of 18 left room for one. Smaller tasks now take workers on which as many tasks fit as before of the step that waits for the most processors, if there are any.

--- a/mulberryhitch/dispatch/placement/worker_choice.py
+++ b/mulberryhitch/dispatch/placement/worker_choice.py
@@ -2,11 +2,15 @@
 
 from collections.abc import Container, Iterable, Sequence
 
-from mulberryhitch.dispatch.placement.free_capacity import FreeCapacity
+from mulberryhitch.dispatch.placement.free_capacity import (
+    FreeCapacity,
+    copies_that_fit,
+)
 from mulberryhitch.dispatch.placement.plans import WaitingStep
 from mulberryhitch.dispatch.placement.speed_order import SpeedOrder
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
 from mulberryhitch.dispatch.runs.worker_speeds import USUAL_SPEED
+from mulberryhitch.jobs.model import Resources
 
 WorkerCopies = list[tuple[int, TrackedWorker]]
 
@@ -25,6 +29,24 @@
         """Initialises the choice."""
         self._free_capacity = free_capacity
         self._reserved = reserved
+        self._shape = Resources()
+
+    def keep_room_for(self, steps: Iterable[WaitingStep]) -> None:
+        """Keeps room for the step that waits for the most processors.
+
+        Smaller tasks take workers on which they leave room for as many of its
+        tasks as before, if they can.
+
+        Args:
+            steps: The steps of the round.
+        """
+        most = 0
+        for waiting in steps:
+            resources = waiting.execution.resources
+            processors = resources.processors * waiting.tasks_left
+            if processors > most:
+                most = processors
+                self._shape = resources
 
     def order_for_tasks(
         self, waiting: WaitingStep, counted: WorkerCopies
@@ -32,16 +54,14 @@
         """Returns workers in the order in which they get a step's tasks.
 
         Workers near the data come first, and those that were reserved for a
-        gang in the last round last; then those of the preferred speed, and
-        then the fullest.
+        gang in the last round last; then those of the preferred speed, then
+        those that keep room for larger tasks, and then the fullest.
 
         Args:
             waiting: The step.
             counted: How many of its tasks fit on each worker, and the worker.
         """
-        return sorted(
-            counted, key=lambda pair: self._task_key(waiting, pair[1])
-        )
+        return sorted(counted, key=lambda pair: self._task_key(waiting, *pair))
 
     def for_gang(
         self, waiting: WaitingStep, counted: WorkerCopies
@@ -97,7 +117,7 @@
         return others
 
     def _task_key(
-        self, waiting: WaitingStep, worker: TrackedWorker
+        self, waiting: WaitingStep, copies: int, worker: TrackedWorker
     ) -> tuple[float, ...]:
         step = waiting.execution.step
         worker_id = worker.record.worker_id
@@ -106,9 +126,23 @@
             bool(step.data_rack) and worker.record.rack != step.data_rack,
             worker_id in self._reserved,
             waiting.speed_order.rank(worker),
+            self._lost_room(waiting, copies, free),
             free.processors,
         )
 
+    def _lost_room(
+        self, waiting: WaitingStep, copies: int, free: Resources
+    ) -> float:
+        """Returns for how many larger tasks each of a step's takes the room."""
+        resources = waiting.execution.resources
+        if resources.processors >= self._shape.processors:
+            return 0
+        taken = min(copies, waiting.tasks_left)
+        left = free.minus(resources.times(taken))
+        lost = copies_that_fit(self._shape, free)
+        lost -= copies_that_fit(self._shape, left)
+        return lost / taken
+
 
 def _by_speed(
     counted: WorkerCopies, order: SpeedOrder
--- a/tests/test_worker_choice.py
+++ b/tests/test_worker_choice.py
@@ -201,3 +201,48 @@
     speeds = SpeedRange(make_uneven_workers())
     order = speeds.order_for('svc', urgent=urgent, slack=slack, remaining=10)
     assert order is expected
+
+
+def first_beside(larger: Step, *free: int) -> str:
+    """Returns the worker, named by its free processors, that a task gets."""
+    free_capacity = make_free_capacity(
+        *(make_worker(str(processors), processors) for processors in free)
+    )
+    task = make_waiting_step(Step(1, 9900, 100))
+    choice = WorkerChoice(free_capacity, ())
+    choice.keep_room_for([task, make_waiting_step(larger, job_id='larger')])
+    counted = [
+        (free_capacity.copies(name, task.execution.resources), worker)
+        for name, worker in free_capacity.workers.items()
+    ]
+    return choice.order_for_tasks(task, counted)[0][1].record.worker_id
+
+
+@pytest.mark.parametrize(
+    ('free', 'expected'),
+    [
+        # Room for two of 18 stays where there was room for two.
+        ((36_000, 46_000), '46000'),
+        ((10_000, 64_000), '10000'),
+        # Both lose room for one, so the fuller one is taken.
+        ((18_000, 36_000), '18000'),
+        # Neither loses any.
+        ((30_000, 64_000), '30000'),
+    ],
+)
+def test_a_task_leaves_room_for_the_larger_ones_that_wait(
+    free: tuple[int, ...], expected: str
+) -> None:
+    """Guards against gangs that wait while each worker lacks a little room."""
+    gang = Step(20, 18_000, 100, gang=True)
+    assert first_beside(gang, *free) == expected
+
+
+def test_a_task_takes_the_fullest_worker_if_nothing_larger_waits() -> None:
+    assert first_beside(Step(20, 5000, 100), 36_000, 46_000) == '36000'
+
+
+def test_memory_counts_as_room_for_larger_tasks() -> None:
+    """Guards against room that is kept where a larger task lacks memory."""
+    step = Step(20, 18_000, 300_000, gang=True)
+    assert first_beside(step, 36_000, 46_000) == '36000'
--- a/tests/waiting_steps.py
+++ b/tests/waiting_steps.py
@@ -41,6 +41,9 @@
     spec = JobSpec('argument', (step,))
     job = Job(job_id, QUEUE, spec, accepted_at=0)
     execution = create_step_executions(job_id, 0, spec)[0]
+    execution.waiting_units = {
+        unit.first_index: unit for unit in execution.units
+    }
     return WaitingStep(execution, job, QUEUE, (0, 0), None, speed_order)
 
 
