--- a/mulberryhitch/dispatch/placement/worker_choice.py
+++ b/mulberryhitch/dispatch/placement/worker_choice.py
@@ -29,7 +29,8 @@
         """Initialises the choice."""
         self._free_capacity = free_capacity
         self._reserved = reserved
-        self._shape = Resources()
+        self._steps: Iterable[WaitingStep] = ()
+        self._found_shape: Resources | None = None
 
     def keep_room_for(self, steps: Iterable[WaitingStep]) -> None:
         """Keeps room for the step that waits for the most processors.
@@ -40,13 +41,8 @@
         Args:
             steps: The steps of the round.
         """
-        most = 0
-        for waiting in steps:
-            resources = waiting.execution.resources
-            processors = resources.processors * waiting.tasks_left
-            if processors > most:
-                most = processors
-                self._shape = resources
+        self._steps = steps
+        self._found_shape = None
 
     def order_for_tasks(
         self, waiting: WaitingStep, counted: WorkerCopies
@@ -61,6 +57,8 @@
             waiting: The step.
             counted: How many of its tasks fit on each worker, and the worker.
         """
+        if len(counted) < 2:
+            return counted
         return sorted(counted, key=lambda pair: self._task_key(waiting, *pair))
 
     def for_gang(
@@ -116,6 +114,15 @@
             return workers
         return others
 
+    def _larger_shape(self) -> Resources:
+        """Returns the resources to keep room for; found when first needed."""
+        if self._found_shape is None:
+            largest = max(self._steps, key=_waiting_processors, default=None)
+            self._found_shape = (
+                largest.execution.resources if largest else Resources()
+            )
+        return self._found_shape
+
     def _task_key(
         self, waiting: WaitingStep, copies: int, worker: TrackedWorker
     ) -> tuple[float, ...]:
@@ -135,13 +142,19 @@
     ) -> float:
         """Returns for how many larger tasks each of a step's takes the room."""
         resources = waiting.execution.resources
-        if resources.processors >= self._shape.processors:
+        shape = self._larger_shape()
+        if resources.processors >= shape.processors:
+            return 0
+        before = copies_that_fit(shape, free)
+        if not before:
             return 0
         taken = min(copies, waiting.tasks_left)
         left = free.minus(resources.times(taken))
-        lost = copies_that_fit(self._shape, free)
-        lost -= copies_that_fit(self._shape, left)
-        return lost / taken
+        return (before - copies_that_fit(shape, left)) / taken
+
+
+def _waiting_processors(waiting: WaitingStep) -> int:
+    return waiting.execution.resources.processors * waiting.tasks_left
 
 
 def _by_speed(
--- a/mulberryhitch/dispatch/runs/worker_monitor.py
+++ b/mulberryhitch/dispatch/runs/worker_monitor.py
@@ -17,6 +17,8 @@
 from mulberryhitch.jobs.state import RunOutcome
 
 _NO_LEASE_PAUSE_SECONDS = 0.1
+# Speeds change slowly, and an update looks at all workers.
+_SPEEDS_SECONDS = 1.0
 _MISSED_POLL_PAUSE_SECONDS = 0.25
 # A list with this many ends may be truncated, so omissions prove nothing.
 _MAX_LISTED_ENDS = 500
@@ -45,6 +47,7 @@
         self._remove_worker = remove_worker
         self.run_controller: RunController | None = None
         self._run_times = RunTimes()
+        self._speeds_due: float = 0
 
     def remove_step(self, key: StepKey, completed: bool) -> None:
         """Discards what is known of a step that has ended.
@@ -60,8 +63,12 @@
             self._term.speeds.discard_step(key)
 
     def update_speeds(self) -> None:
-        """Recomputes the speeds of the workers."""
-        self._term.speeds.update(anyio.current_time())
+        """Recomputes the speeds of the workers, once a second."""
+        now = anyio.current_time()
+        if now < self._speeds_due:
+            return
+        self._speeds_due = now + _SPEEDS_SECONDS
+        self._term.speeds.update(now)
         for worker_id, worker in self._term.tracked_workers.items():
             worker.speed = self._term.speeds.speed_of(worker_id)
 
--- a/mulberryhitch/dispatch/runs/worker_speeds.py
+++ b/mulberryhitch/dispatch/runs/worker_speeds.py
@@ -54,31 +54,44 @@
     Attributes:
         comparisons: Logarithms of its speed, one for each comparison.
         newest_at: When the last one was made, seconds on the local clock.
-        logarithm: Logarithm of its speed as of the last update.
+        logarithm: Logarithm of its speed as of the last update, relative to the
+            median worker.
+        mean: Mean of the comparisons.
+        standard_error: How far that may be off.
         known: Whether there are enough comparisons.
+        changed: Whether there are comparisons since the last update.
     """
 
     service: str
     newest_at: float = 0
     logarithm: float = 0
+    mean: float = 0
+    standard_error: float = 0
     known: bool = False
+    changed: bool = False
     comparisons: deque[float] = field(
         default_factory=lambda: deque(maxlen=_MAX_COMPARISONS)
     )
 
+    def add(self, comparison: float, now: float) -> None:
+        """Adds a comparison."""
+        self.comparisons.append(comparison)
+        self.newest_at = now
+        self.changed = True
+
     def update(self) -> None:
-        """Recomputes the speed, without the highest and lowest quarter."""
+        """Recomputes the mean, without the highest and lowest quarter."""
         self.known = len(self.comparisons) >= _MIN_COMPARISONS
-        if self.known:
-            ordered = sorted(self.comparisons)
-            cut = len(ordered) // 4
-            self.logarithm = statistics.fmean(ordered[cut : len(ordered) - cut])
-
-    def standard_error(self) -> float:
-        """Returns how far the speed may be off."""
-        deviation = statistics.pstdev(self.comparisons)
-        deviation = max(deviation, _MIN_DEVIATION)
-        return deviation / math.sqrt(len(self.comparisons))
+        if not self.known or not self.changed:
+            return
+        self.changed = False
+        ordered = sorted(self.comparisons)
+        count = len(ordered)
+        cut = count // 4
+        self.mean = statistics.fmean(ordered[cut : count - cut])
+        squares = sum((number - self.mean) ** 2 for number in ordered)
+        deviation = max(math.sqrt(squares / count), _MIN_DEVIATION)
+        self.standard_error = deviation / math.sqrt(count)
 
 
 class WorkerSpeeds:
@@ -174,7 +187,7 @@
                 continue
             worker.update()
             if worker.known:
-                row = (worker.logarithm, worker_id)
+                row = (worker.mean, worker_id)
                 by_service.setdefault(worker.service, []).append(row)
         self._speeds = {}
         for rows in by_service.values():
@@ -187,8 +200,8 @@
         workers = [self._workers[worker_id] for _, worker_id in rows]
         for worker in workers:
             # Speeds have no unit: without this, all would drift.
-            worker.logarithm -= middle
-        noise = statistics.median(map(_Measured.standard_error, workers))
+            worker.logarithm = worker.mean - middle
+        noise = statistics.median(worker.standard_error for worker in workers)
         classes = split_into_classes(logarithms, noise)
         usual = statistics.fmean(_class_at(classes, len(rows) // 2))
         speeds = chain.from_iterable(
@@ -214,8 +227,7 @@
             if worker is not None:
                 others = _work_of_others(worker_id, work)
                 difference = statistics.median(others) - own
-                worker.comparisons.append(worker.logarithm + difference * share)
-                worker.newest_at = now
+                worker.add(worker.logarithm + difference * share, now)
 
     def _logarithm(self, run: MeasuredRun) -> float:
         worker = self._workers.get(run.worker_id)
