Leave open what becomes of an undecided job without room

A submission was checked against the room of the state and the gangs against the tenant's cap before the look-up of undecided ids. A job that was sent again while its first submission was being written, or whose outcome was unknown, got 503 or 429 if the state had become full or the cap was lowered meanwhile, and ran afterwards. Both checks now belong to the intake, which answers 502 for an undecided id and refuses others as before.

--- a/mulberryhitch/dispatch/access.py
+++ b/mulberryhitch/dispatch/access.py
@@ -74,17 +74,20 @@
             raise UnauthenticatedError(what, where='Authorization')
         return name or ''
 
-    def owner_of(self, queue: Queue, caller: str, spec: JobSpec) -> str:
+    def owner_of(self, queue: Queue, caller: str) -> str:
         """Returns the tenant to which a new job will belong.
 
         A job of a public queue belongs to nobody.
+        """
+        return '' if queue.public else caller
+
+    def check_gangs(self, owner: str, spec: JobSpec) -> None:
+        """Checks that a new job can run within its tenant's cap.
 
         Raises:
-            OverQuotaError: The job can't run within its tenant's cap.
+            OverQuotaError: It can't.
         """
-        owner = '' if queue.public else caller
         check_gangs(spec, self._job_store.tenant(owner))
-        return owner
 
     def find_job(self, job_id: str, caller: str) -> Job | None:
         """Returns a job if it exists and the caller may see it."""
--- a/mulberryhitch/dispatch/intake.py
+++ b/mulberryhitch/dispatch/intake.py
@@ -7,6 +7,7 @@
 from mulberryhitch.errors import (
     MulberryhitchError,
     NotFoundError,
+    OutcomeUnknownError,
     OverloadedError,
     TooLargeError,
 )
@@ -102,27 +103,43 @@
         queue: Queue,
         spec: JobSpec,
         tenant: str,
+        check_limits: Callable[[], None],
         admission: JobCheck | None,
     ) -> Job:
         """Commits a job unless it is refused, and returns it.
 
         A job that an earlier submission may have accepted is not refused, as
-        a refusal says that the job never runs.
+        a refusal says that the job never runs. Where such a job can't be
+        accepted now, the answer leaves open what becomes of it.
 
         Args:
             job_id: Its id, which is not in the job store.
             queue: Its queue.
             spec: Its specification.
             tenant: The client account that submits it; empty if none.
+            check_limits: Raises the error with which the job is refused if the
+                state or its tenant's cap has no room for it.
             admission: Refuses jobs because of load; None if it is not running.
 
         Raises:
             OverloadedError: It is refused.
             OverQuotaError: It is refused because of its tenant.
             NotFoundError: Its queue is no longer configured.
+            OutcomeUnknownError: It can't be accepted now, but an earlier
+                submission may have been.
             MulberryhitchError: It could not be committed.
         """
-        if admission is not None and job_id not in self._undecided:
+        is_undecided = job_id in self._undecided
+        try:
+            check_limits()
+        except MulberryhitchError as error:
+            if not is_undecided:
+                raise
+            raise OutcomeUnknownError(
+                f'an earlier submission may be accepted: {error.what}',
+                where=error.where,
+            ) from error
+        if admission is not None and not is_undecided:
             admission.check(job_id, queue, spec, tenant)
         change = changes.accept(job_id, queue.name, spec, self._now(), tenant)
         accepted = await self._commit_undecided(job_id, change)
--- a/mulberryhitch/dispatch/service.py
+++ b/mulberryhitch/dispatch/service.py
@@ -40,7 +40,7 @@
 )
 from mulberryhitch.jobs import changes
 from mulberryhitch.jobs.clock import JobClock
-from mulberryhitch.jobs.model import Queue
+from mulberryhitch.jobs.model import JobSpec, Queue
 from mulberryhitch.jobs.store import JobStore
 from mulberryhitch.membership.known_group import (
     ElectionView,
@@ -275,14 +275,14 @@
         request.spec.validate()
         job = self.job_store.jobs.get(job_id)
         if job is None:
-            owner = self._access.owner_of(queue, caller, request.spec)
-            self._room.check_job(job_id, request.spec)
+            owner = self._access.owner_of(queue, caller)
             dispatcher = self._dispatcher
             job = await self._intake.accept(
                 job_id,
                 queue,
                 request.spec,
                 owner,
+                lambda: self._check_limits(job_id, request.spec, owner),
                 dispatcher.admission if dispatcher else None,
             )
             self._access.check_same_owner(job_id, caller)
@@ -300,6 +300,11 @@
             self._access.check_same_owner(job_id, caller)
         return JobReply(job.state.value)
 
+    def _check_limits(self, job_id: str, spec: JobSpec, owner: str) -> None:
+        """Checks that a job's tenant and the state have room for it."""
+        self._access.check_gangs(owner, spec)
+        self._room.check_job(job_id, spec)
+
     @operation(ReadJob)
     async def _read(self, request: ReadJob) -> JobReply:
         queue, job_id = self._find_queue(request.host, request.path)
--- a/tests/test_job_intake.py
+++ b/tests/test_job_intake.py
@@ -11,7 +11,9 @@
     ConnectionLostError,
     MulberryhitchError,
     NotFoundError,
+    OutcomeUnknownError,
     OverloadedError,
+    OverQuotaError,
 )
 from mulberryhitch.jobs import changes
 from mulberryhitch.jobs.model import JobSpec, Queue, QueueTable
@@ -43,9 +45,20 @@
         self._apply([changes.configure(QueueTable(1, '{}', (QUEUE,)))])
         self._intake = JobIntake(self.store, self._commit, lambda: 5.0)
 
-    async def accept(self, *, refusing: bool, queue: Queue = QUEUE) -> Job:
+    async def accept(
+        self,
+        *,
+        refusing: bool,
+        queue: Queue = QUEUE,
+        check_limits: Callable[[], None] = lambda: None,
+    ) -> Job:
         return await self._intake.accept(
-            'job', queue, make_spec(), '', RefuseAll() if refusing else None
+            'job',
+            queue,
+            make_spec(),
+            '',
+            check_limits,
+            RefuseAll() if refusing else None,
         )
 
     async def _commit(self, batch: list[changes.Change]) -> list[Any]:
@@ -104,6 +117,47 @@
     run(main)
 
 
+@pytest.mark.parametrize(
+    'error', [OverQuotaError('a gang is too wide'), OverloadedError('full')]
+)
+def test_what_becomes_of_an_undecided_job_is_left_open(
+    error: MulberryhitchError,
+) -> None:
+    """Guards against 503 and 429 to a resend while the first one commits.
+
+    The job fills the state itself, or its tenant's cap was just lowered.
+    """
+
+    def check_limits() -> None:
+        raise error
+
+    async def main() -> None:
+        intake = Intake()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(lambda: intake.accept(refusing=False))
+            await anyio.sleep(COMMIT_SECONDS / 2)
+            with pytest.raises(OutcomeUnknownError, match=error.what):
+                await intake.accept(refusing=False, check_limits=check_limits)
+        assert 'job' in intake.store.jobs
+
+    run(main)
+
+
+def test_a_new_job_without_room_is_refused() -> None:
+    """Guards against a full state that leaves the outcome of new jobs open."""
+
+    def check_limits() -> None:
+        raise OverloadedError('full')
+
+    async def main() -> None:
+        intake = Intake()
+        with pytest.raises(OverloadedError, match='full'):
+            await intake.accept(refusing=False, check_limits=check_limits)
+        assert not intake.commits
+
+    run(main)
+
+
 def test_a_cancelled_submission_may_have_been_written() -> None:
     """Guards against 503 after a submission that was cut off."""
 
