Count only a tenant's work that is placed before a job against its cap

All waiting work of a tenant counted against the cap for each of its jobs. So a tenant with a backlog of batches had its urgent jobs refused with 429, whose limits are a few seconds, though urgent steps start first in whatever the cap leaves. The work is now kept by urgency, and that of jobs that can no longer be in time counts only for jobs that can't be either, as for the workers.

--- a/mulberryhitch/dispatch/admission/backlog_reader.py
+++ b/mulberryhitch/dispatch/admission/backlog_reader.py
@@ -189,9 +189,9 @@
             is_late=late_for > 0,
             is_over_share=self._shares.is_over_share(job.tenant),
         )
-        if job.tenant in backlog.caps:
-            before = backlog.tenants.get(job.tenant, Work())
-            backlog.tenants[job.tenant] = before.plus(work)
+        backlog.add_tenant_work(
+            job.tenant, queue.urgency, work, is_late=late_for > 0
+        )
         self._add_value(
             backlog, queue.name, job_sizes.of(job), estimated.processors
         )
--- a/mulberryhitch/dispatch/admission/controller.py
+++ b/mulberryhitch/dispatch/admission/controller.py
@@ -250,14 +250,13 @@
         queue = demand.queue
         estimate = judged.finish
         core_seconds = demand.work.processors
+        is_late = estimate.finish > demand.objective
         backlog.waiting_of(queue.service, queue.urgency).add(
-            work,
-            is_late=estimate.finish > demand.objective,
-            is_over_share=judged.is_over_share,
+            work, is_late=is_late, is_over_share=judged.is_over_share
+        )
+        backlog.add_tenant_work(
+            demand.tenant, queue.urgency, work, is_late=is_late
         )
-        if demand.tenant in backlog.caps:
-            before = backlog.tenants.get(demand.tenant, Work())
-            backlog.tenants[demand.tenant] = before.plus(work)
         backlog.add_value(
             queue.name, sizes.value_of(core_seconds), core_seconds
         )
--- a/mulberryhitch/dispatch/admission/estimator.py
+++ b/mulberryhitch/dispatch/admission/estimator.py
@@ -1,8 +1,13 @@
 """Estimates when a submitted job can finish."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
-from mulberryhitch.dispatch.admission.backlog import Backlog, ServiceLoad
+from mulberryhitch.dispatch.admission.backlog import (
+    Backlog,
+    ServiceLoad,
+    WaitingWork,
+)
 from mulberryhitch.dispatch.admission.observed_waits import ObservedWaits
 from mulberryhitch.dispatch.admission.work import JobDemand, Work
 from mulberryhitch.dispatch.admission.work_rates import WorkRates
@@ -86,7 +91,7 @@
         load = backlog.load_of(service)
         chain = demand.chain_seconds * ratio
         own = backlog.waiting_of(service, urgency)
-        before = _work_of_more_urgent(backlog, service, urgency)
+        before = _total(backlog.more_urgent(service, urgency))
         before = before.plus(own.in_time)
         if is_over_share:
             before = before.plus(own.over_share)
@@ -105,13 +110,23 @@
     def estimate_under_cap(
         self, demand: JobDemand, backlog: Backlog, ratio: float
     ) -> FinishEstimate:
-        """Returns when a job can finish by the cap of its tenant alone."""
-        cap = backlog.caps.get(demand.tenant)
+        """Returns when a job can finish by the cap of its tenant alone.
+
+        The tenant's own jobs start in the order of all jobs, so only those
+        that are placed before the job count.
+        """
+        tenant, urgency = demand.tenant, demand.queue.urgency
+        cap = backlog.caps.get(tenant)
         if cap is None:
             return _UNLIMITED
-        waiting = backlog.tenants.get(demand.tenant, Work())
-        wait = waiting.seconds_at(cap)
-        return FinishEstimate(wait, demand.chain_seconds * ratio, wait, cap)
+        chain = demand.chain_seconds * ratio
+        own = backlog.tenant_waiting(tenant, urgency)
+        before = _total(backlog.more_urgent_of_tenant(tenant, urgency))
+        before = before.plus(own.in_time)
+        if before.seconds_at(cap) + chain > demand.objective:
+            before = before.plus(own.late)
+        wait = before.seconds_at(cap)
+        return FinishEstimate(wait, chain, wait, cap)
 
     def _observed_wait(
         self, demand: JobDemand, backlog: Backlog, now: float
@@ -124,12 +139,12 @@
         )
 
 
-def _work_of_more_urgent(backlog: Backlog, service: str, urgency: int) -> Work:
-    before = Work()
-    for waiting in backlog.more_urgent(service, urgency):
-        before = before.plus(waiting.in_time).plus(waiting.late)
-        before = before.plus(waiting.over_share)
-    return before
+def _total(waiting_work: Iterable[WaitingWork]) -> Work:
+    total = Work()
+    for waiting in waiting_work:
+        total = total.plus(waiting.in_time).plus(waiting.late)
+        total = total.plus(waiting.over_share)
+    return total
 
 
 def _remaining_rate(load: ServiceLoad, taken: float) -> Work:
--- a/tests/admission_builders.py
+++ b/tests/admission_builders.py
@@ -7,6 +7,7 @@
 from mulberryhitch.dispatch.admission.backlog import (
     Backlog,
     ServiceLoad,
+    WaitingKey,
     WaitingWork,
 )
 from mulberryhitch.dispatch.admission.completed_work import CompletedWork
@@ -60,6 +61,12 @@
     )
 
 
+def _copied(
+    waiting_work: Mapping[WaitingKey, WaitingWork],
+) -> dict[WaitingKey, WaitingWork]:
+    return {key: replace(work) for key, work in waiting_work.items()}
+
+
 @dataclass
 class FixedBacklog:
     """Provides the same backlog each time, and counts how often."""
@@ -69,14 +76,11 @@
 
     def read(self, now: float) -> Backlog:
         self.reads += 1
-        waiting = {
-            key: replace(work) for key, work in self.backlog.waiting.items()
-        }
         return replace(
             self.backlog,
             taken_at=now,
-            waiting=waiting,
-            tenants=dict(self.backlog.tenants),
+            waiting=_copied(self.backlog.waiting),
+            tenants=_copied(self.backlog.tenants),
             values={},
         )
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -212,8 +212,11 @@
     """Guards against 503 for what only the tenant itself can end."""
 
     async def main() -> None:
+        waiting = WaitingWork(cores(60))
         backlog = make_backlog(
-            {}, caps={'small': cores(1)}, tenants={'small': cores(60)}
+            {},
+            caps={'small': cores(1)},
+            tenants={('small', QUEUE.urgency): waiting},
         )
         controller = await settled(FixedBacklog(backlog))
         assert refusal_of(controller, tenant='other') is None
@@ -224,6 +227,31 @@
     run_with_mock_clock(main)
 
 
+@pytest.mark.parametrize(
+    ('urgency', 'waiting'),
+    [
+        (QUEUE.urgency + 1, WaitingWork(cores(60))),
+        (QUEUE.urgency, WaitingWork(late=cores(60))),
+    ],
+)
+def test_a_tenants_later_work_does_not_count_before_a_job(
+    urgency: int, waiting: WaitingWork
+) -> None:
+    """Guards against urgent jobs refused for batches of their tenant.
+
+    They start first in whatever its cap leaves, as they do on the workers.
+    """
+
+    async def main() -> None:
+        backlog = make_backlog(
+            {}, caps={'small': cores(1)}, tenants={('small', urgency): waiting}
+        )
+        controller = await settled(FixedBacklog(backlog))
+        assert refusal_of(controller, tenant='small') is None
+
+    run_with_mock_clock(main)
+
+
 def test_a_flood_of_one_tenant_refuses_only_its_own_jobs() -> None:
     """Guards against others that pay for a tenant over its share."""
 
