Refuse no job whose objective is unknown

A job whose steps have no estimates, or whose queue has no objective, had a limit of zero seconds, which any estimate exceeds. Such jobs were all refused as soon as the workers were busy and a second of work waited. A job with a step without an estimate, or with an objective of zero, is now accepted.

--- a/mulberryhitch/dispatch/admission/controller.py
+++ b/mulberryhitch/dispatch/admission/controller.py
@@ -139,8 +139,9 @@
     ) -> None:
         """Counts a job that is being accepted, unless it is refused.
 
-        Scheduled and long-running jobs are never refused; nor is any job if an
-        unexpected error occurs here, which is logged.
+        Scheduled and long-running jobs are never refused, nor are jobs whose
+        objective is unknown; nor is any job if an unexpected error occurs here,
+        which is logged.
 
         Args:
             job_id: Id of a job that is not known yet.
@@ -212,6 +213,8 @@
 
     def _refusal(self, judged: _Judged) -> Refusal | None:
         demand, limit = judged.demand, judged.limit
+        if not demand.is_estimated or demand.objective <= 0:
+            return None
         capped = judged.estimate_under_cap
         if _is_too_late(capped, limit):
             return Refusal(demand, RefusalReason.tenant_cap, capped, limit)
--- a/mulberryhitch/dispatch/admission/work.py
+++ b/mulberryhitch/dispatch/admission/work.py
@@ -81,6 +81,8 @@
     Attributes:
         tenant: The client account; empty if none.
         objective: Target time until it has ended, seconds.
+        is_estimated: Whether each of its steps has an estimate, so that its
+            objective is known.
     """
 
     job_id: str
@@ -88,6 +90,7 @@
     tenant: str
     work: Work
     objective: float
+    is_estimated: bool = True
 
     @property
     def chain_seconds(self) -> float:
@@ -114,5 +117,10 @@
 ) -> JobDemand:
     """Returns what a job needs."""
     return JobDemand(
-        job_id, queue, tenant, job_work(spec), objective_seconds(spec, queue)
+        job_id,
+        queue,
+        tenant,
+        job_work(spec),
+        objective_seconds(spec, queue),
+        all(step.estimate_seconds > 0 for step in spec.steps),
     )
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -143,6 +143,33 @@
     run_with_mock_clock(main)
 
 
+@pytest.mark.parametrize(
+    ('spec', 'queue'),
+    [
+        (make_spec(seconds=0), QUEUE),
+        (
+            JobSpec('', make_spec().steps + make_spec(seconds=0).steps),
+            QUEUE,
+        ),
+        (make_spec(), replace(QUEUE, stretch=0)),
+    ],
+)
+def test_jobs_without_a_known_objective_are_not_refused(
+    spec: JobSpec, queue: Queue
+) -> None:
+    """Guards against limits of zero, which any wait exceeds.
+
+    The objective of a job follows from run times, which it does not estimate.
+    """
+
+    async def main() -> None:
+        controller = await settled(FixedBacklog(make_backlog(OVERLOAD)))
+        assert refusal_of(controller) is not None
+        assert refusal_of(controller, spec, queue) is None
+
+    run_with_mock_clock(main)
+
+
 def test_a_defect_of_the_estimator_accepts_the_job() -> None:
     """Guards against answers of 502 because of a wrong estimate."""
 
