Bound the estimates of jobs that never end

The estimate for an accepted job was kept until the job ended. If its commit failed, as on a full disk or without a majority, there was no job to end, and each submission left about 500 bytes until the term's end. At most 20,000 estimates are kept now, and the earliest is given up first.

--- a/mulberryhitch/dispatch/admission/accuracy.py
+++ b/mulberryhitch/dispatch/admission/accuracy.py
@@ -8,6 +8,9 @@
 from mulberryhitch.jobs.state import Job, JobState
 from mulberryhitch.observability.histograms import Histograms
 
+# Jobs that can't be committed never end. Far more jobs than are in flight are
+# kept, in about 10 MB.
+_MAX_PREDICTIONS = 20_000
 _KEPT_RATIOS = 64
 _MIN_RATIOS = 16
 _MARGIN_PERCENT = 80
@@ -54,7 +57,13 @@
     def record_estimate(
         self, demand: JobDemand, estimate: FinishEstimate, now: float
     ) -> None:
-        """Records the estimate for a job that is accepted."""
+        """Records the estimate for a job that is accepted.
+
+        Beyond a number of jobs, the earliest estimate is given up.
+        """
+        self._predictions.pop(demand.job_id, None)
+        if len(self._predictions) >= _MAX_PREDICTIONS:
+            self._predictions.pop(next(iter(self._predictions)))
         self._predictions[demand.job_id] = Prediction(
             now, demand.queue.name, demand.work.processors, estimate
         )
