Count only work that can start before submitted jobs

The backlog that decides about refusals held steps that no worker suits and gangs wider than a lowered cap, until they were too late by their own estimates: one job with a label that no worker has and an estimate of hours stood before all others of its urgency. It also held all that a tenant has waiting beyond its cap, so that a flood of one tenant had other tenants' jobs refused with 503, though the cap leaves them their room; and the flood's late jobs counted as missed, which overruled the waits of jobs that do start.

Steps that could not start on idle workers in contact are now left out, and a tenant's work counts before others' jobs only as far as its cap carries it within three times the objective. A job counts as missed once, not once for each of its ready steps.

--- a/mulberryhitch/dispatch/admission/backlog_reader.py
+++ b/mulberryhitch/dispatch/admission/backlog_reader.py
@@ -1,7 +1,7 @@
 """Summarises the backlog from the job store and the workers."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from mulberryhitch.dispatch.admission.backlog import Backlog, ServiceLoad
@@ -12,6 +12,11 @@
     TenantShareSource,
     WorkerSpeedSource,
 )
+from mulberryhitch.dispatch.admission.startable_work import (
+    CappedWork,
+    StartableShapes,
+    fits_cap,
+)
 from mulberryhitch.dispatch.admission.work import (
     LATE_FACTOR,
     Work,
@@ -86,6 +91,16 @@
         return core_seconds
 
 
+@dataclass(frozen=True, slots=True)
+class _Summary:
+    """A summary that is being made, and what it rests on."""
+
+    backlog: Backlog
+    shapes: StartableShapes
+    capped: CappedWork
+    job_work: _JobWork = field(default_factory=_JobWork)
+
+
 class BacklogReader:
     """Reads the backlog from the state of a leader's term.
 
@@ -129,19 +144,25 @@
                 backlog.caps[tenant.name] = work_of(tenant.cap, 1)
         for worker in self._workers.values():
             self._add_worker(backlog, worker, now)
+        summary = _Summary(
+            backlog,
+            StartableShapes(
+                worker
+                for worker in self._workers.values()
+                if _is_in_use(worker, now)
+            ),
+            CappedWork(backlog.caps),
+        )
         steps = self._job_store.ready_steps
         backlog.size = len(steps) + len(self._workers)
         wall_time = self._wall_time()
-        job_sizes = _JobWork()
         for execution in steps.values():
             job = self._job_store.jobs[execution.key.job_id]
             age = wall_time - job.due_at(execution.key.occurrence)
             if age >= 0 and not execution.step.long_running:
                 queue = self._job_store.current_queue(job)
                 self._add_step(
-                    backlog,
-                    _WaitingStep(execution, job, queue, age),
-                    job_sizes,
+                    summary, _WaitingStep(execution, job, queue, age)
                 )
         return backlog
 
@@ -161,16 +182,13 @@
         record = worker.record
         used = self._job_store.used_resources(record.worker_id)
         load = backlog.services.setdefault(record.service, ServiceLoad())
-        is_silent = now - worker.last_contact_at > _CONTACT_SECONDS
-        if worker.removed or record.draining or is_silent:
+        if not _is_in_use(worker, now):
             return
         speed = self._speeds.speed_of(record.worker_id)
         load.rate = load.rate.plus(work_of(worker.capacity, speed))
         load.used = load.used.plus(work_of(used, speed))
 
-    def _add_step(
-        self, backlog: Backlog, waiting: _WaitingStep, job_sizes: _JobWork
-    ) -> None:
+    def _add_step(self, summary: _Summary, waiting: _WaitingStep) -> None:
         queue, job = waiting.queue, waiting.job
         objective, chain = self._estimates.objective_and_critical_path(
             job, waiting.execution, queue
@@ -178,22 +196,35 @@
         if waiting.age > objective * LATE_FACTOR:
             # Placed after all others.
             return
-        late_for = waiting.age + chain - objective
-        if 0 < late_for <= RECENT_SECONDS and not job.begun:
-            missed = backlog.missed.setdefault(queue.name, [])
-            missed.append(job_sizes.of(job))
+        if not self._can_start(summary, waiting):
+            return
+        backlog = summary.backlog
         estimated = waiting.work
         work = estimated.times(self._completed.ratio(queue.name))
+        late_for = waiting.age + chain - objective
+        backlog.add_tenant_work(
+            job.tenant, queue.urgency, work, is_late=late_for > 0
+        )
+        if not summary.capped.takes_room(job.tenant, work, objective):
+            return
+        core_seconds = summary.job_work.of(job)
+        is_missed = 0 < late_for <= RECENT_SECONDS and not job.begun
+        if is_missed and not waiting.execution.key.step:
+            missed = backlog.missed.setdefault(queue.name, [])
+            missed.append(core_seconds)
         backlog.waiting_of(queue.service, queue.urgency).add(
             work,
             is_late=late_for > 0,
             is_over_share=self._shares.is_over_share(job.tenant),
         )
-        backlog.add_tenant_work(
-            job.tenant, queue.urgency, work, is_late=late_for > 0
-        )
-        self._add_value(
-            backlog, queue.name, job_sizes.of(job), estimated.processors
+        self._add_value(backlog, queue.name, core_seconds, estimated.processors)
+
+    def _can_start(self, summary: _Summary, waiting: _WaitingStep) -> bool:
+        """Whether a step could start if nothing else ran."""
+        step = waiting.execution.step
+        tenant = self._job_store.tenant(waiting.job.tenant)
+        return fits_cap(step, tenant) and summary.shapes.suits(
+            waiting.queue.service, step
         )
 
     def _add_value(
@@ -216,3 +247,9 @@
             return
         value = sizes.value_of(total) * core_seconds / total
         backlog.add_value(queue_name, value, core_seconds)
+
+
+def _is_in_use(worker: TrackedWorker, now: float) -> bool:
+    """Whether a worker counts as capacity."""
+    is_silent = now - worker.last_contact_at > _CONTACT_SECONDS
+    return not (worker.removed or worker.record.draining or is_silent)
--- a/tests/test_jobs_of_many_steps.py
+++ b/tests/test_jobs_of_many_steps.py
@@ -4,20 +4,12 @@
 
 import pytest
 
-from mulberryhitch.dispatch.admission.backlog import Backlog
-from mulberryhitch.dispatch.admission.backlog_reader import BacklogReader
-from mulberryhitch.dispatch.admission.completed_work import CompletedWork
-from mulberryhitch.dispatch.admission.job_sizes import JobSizes
-from mulberryhitch.dispatch.admission.ports import NoTenantShares, UniformSpeeds
 from mulberryhitch.dispatch.placement import plans
 from mulberryhitch.dispatch.placement.plans import EstimateCache
-from mulberryhitch.jobs import changes
-from mulberryhitch.jobs.model import JobSpec, QueueTable, Step
-from mulberryhitch.jobs.store import JobStore
-from mulberryhitch.rpc.messages import LogEntry
+from mulberryhitch.jobs.model import JobSpec, Step
 from tests.admission_builders import QUEUE, SERVICE
+from tests.backlog_builders import store_with, summary_of
 
-ACCEPTED_AT = 5.0
 STEPS = 200
 
 
@@ -36,35 +28,6 @@
             yield step
 
 
-def store_with(spec: JobSpec) -> JobStore:
-    """Returns a store with one job, of which nothing has started."""
-    store = JobStore()
-    batch = [
-        changes.configure(QueueTable(1, '{}', (QUEUE,))),
-        changes.accept('job', QUEUE.name, spec, ACCEPTED_AT),
-    ]
-    body = changes.encode_changes(batch)
-    store.apply(LogEntry(1, 1, changes.CHANGES_KIND, body))
-    return store
-
-
-def summary_of(store: JobStore) -> Backlog:
-    """Returns a summary of what waits."""
-    sizes = JobSizes()
-    sizes.record(1, is_accepted=True)
-    reader = BacklogReader(
-        store,
-        {},
-        EstimateCache(),
-        CompletedWork(),
-        {QUEUE.name: sizes},
-        UniformSpeeds(),
-        NoTenantShares(),
-        lambda: ACCEPTED_AT,
-    )
-    return reader.read(1)
-
-
 def step(seconds: float = 1, *depends_on: int) -> Step:
     return Step(1, 1000, estimate_seconds=seconds, depends_on=depends_on)
 
@@ -75,7 +38,7 @@
     With 2,000 independent steps, each one kept the leader busy for 2.6 s.
     """
     store = store_with(JobSpec('', tuple(step() for _ in range(STEPS))))
-    job = store.jobs['job']
+    job = store.jobs['job-0']
     counted = CountedSteps(job.spec.steps)
     job.spec = JobSpec('', counted)
     summary_of(store)
@@ -88,7 +51,7 @@
     With 2,000 independent steps, this kept the leader busy for 21 s.
     """
     store = store_with(JobSpec('', tuple(step() for _ in range(STEPS))))
-    job = store.jobs['job']
+    job = store.jobs['job-0']
     counted = CountedSteps(job.spec.steps)
     job.spec = JobSpec('', counted)
     estimates = EstimateCache()
