Keep estimates that fail from failing log entries

The end of a job is compared with its estimate while the log entry that ends it is applied. A queue with a stretch of 1e308, which a configuration may have, gives an infinite estimate, which the histogram can't record: the leader's state machine failed at the end of each such job. Infinite estimates are not compared any more, and other defects of the comparison are logged as those of the check are.

--- a/mulberryhitch/dispatch/admission/accuracy.py
+++ b/mulberryhitch/dispatch/admission/accuracy.py
@@ -1,5 +1,6 @@
 """Compares estimates of finish times with what happened."""
 
+import math
 from collections import defaultdict, deque
 from dataclasses import dataclass
 
@@ -83,6 +84,9 @@
             return
         actual = now - prediction.made_at
         estimated = prediction.estimate.finish
+        if not math.isfinite(estimated):
+            # The queue's stretch is too large for an objective.
+            return
         error = estimated - actual
         self._histograms.record(
             'estimate_error',
--- a/mulberryhitch/dispatch/admission/controller.py
+++ b/mulberryhitch/dispatch/admission/controller.py
@@ -131,8 +131,17 @@
                 )
 
     def job_ended(self, job: Job) -> None:
-        """Compares the estimate for a job with its end."""
-        self._accuracy.record_end(job, anyio.current_time())
+        """Compares the estimate for a job with its end.
+
+        An unexpected error is logged: this is called while a log entry is
+        applied, which must not fail.
+        """
+        try:
+            self._accuracy.record_end(job, anyio.current_time())
+        except Exception as defect:  # noqa: BLE001
+            self._log.unexpected_error(
+                'admission.defect', defect, job=job.job_id
+            )
 
     def check(
         self, job_id: str, queue: Queue, spec: JobSpec, tenant: str = ''
--- a/tests/admission_builders.py
+++ b/tests/admission_builders.py
@@ -107,6 +107,7 @@
     shares: TenantShareSource | None = None,
     completed: CompletedWork | None = None,
     rounds: int = 10,
+    histograms: Histograms | None = None,
 ) -> tuple[AdmissionController, Log]:
     """Returns a controller after some rounds, and its log."""
     log = Log('test', LineRateLimiter(0))
@@ -118,7 +119,7 @@
         shares or NoTenantShares(),
         AdmissionOptions(),
         log,
-        Histograms(),
+        histograms or Histograms(),
     )
     for _ in range(rounds):
         controller.record_round()
