Refuse no resend whose first submission may be committed

A resend of a job whose acceptance was being written, or had no known outcome, passed the check for load, but got 503 if its own commit found the log or the disk full. The first submission could be committed afterwards, and the job ran. Such errors now leave the outcome open (502), as those of the room and the cap do; a leader that was deposed still says so, so that the entry looks for the next one.

--- a/mulberryhitch/dispatch/intake.py
+++ b/mulberryhitch/dispatch/intake.py
@@ -1,12 +1,14 @@
 """Accepts submitted jobs and bounds the size of the state."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from typing import Any, Protocol
 
 from mulberryhitch.dispatch.admission.undecided_jobs import UndecidedJobs
 from mulberryhitch.errors import (
     MulberryhitchError,
     NotFoundError,
+    NotLeaderError,
     OutcomeUnknownError,
     OverloadedError,
     TooLargeError,
@@ -129,20 +131,16 @@
                 submission may have been.
             MulberryhitchError: It could not be committed.
         """
-        is_undecided = job_id in self._undecided
-        try:
-            check_limits()
-        except MulberryhitchError as error:
-            if not is_undecided:
-                raise
-            raise OutcomeUnknownError(
-                f'an earlier submission may be accepted: {error.what}',
-                where=error.where,
-            ) from error
-        if admission is not None and not is_undecided:
-            admission.check(job_id, queue, spec, tenant)
         change = changes.accept(job_id, queue.name, spec, self._now(), tenant)
-        accepted = await self._commit_undecided(job_id, change)
+        if job_id in self._undecided:
+            with _earlier_submission_open():
+                check_limits()
+                accepted = await self._commit_undecided(job_id, change)
+        else:
+            check_limits()
+            if admission is not None:
+                admission.check(job_id, queue, spec, tenant)
+            accepted = await self._commit_undecided(job_id, change)
         if not accepted:
             raise NotFoundError(
                 'queue is no longer configured', where=queue.name
@@ -165,3 +163,23 @@
             # Also if cancelled, when the change may still be written.
             self._undecided.end(job_id, is_certain=is_certain)
         return bool(outcomes[0])
+
+
+@contextmanager
+def _earlier_submission_open() -> Iterator[None]:
+    """Raises an error that leaves the outcome open instead of a refusal.
+
+    What refuses a submission says nothing about an earlier one of the same job.
+    A caller that finds another leader learns more there.
+    """
+    try:
+        yield
+    except NotLeaderError:
+        raise
+    except MulberryhitchError as error:
+        if error.outcome is not Outcome.not_run:
+            raise
+        raise OutcomeUnknownError(
+            f'an earlier submission may be accepted: {error.what}',
+            where=error.where,
+        ) from error
--- a/tests/test_job_intake.py
+++ b/tests/test_job_intake.py
@@ -9,8 +9,10 @@
 from mulberryhitch.dispatch.intake import JobIntake
 from mulberryhitch.errors import (
     ConnectionLostError,
+    DiskFullError,
     MulberryhitchError,
     NotFoundError,
+    NotLeaderError,
     OutcomeUnknownError,
     OverloadedError,
     OverQuotaError,
@@ -143,6 +145,42 @@
     run(main)
 
 
+@pytest.mark.parametrize(
+    'error', [OverloadedError('the log is full'), DiskFullError('no space')]
+)
+def test_a_resend_that_is_not_written_leaves_the_first_one_open(
+    error: MulberryhitchError,
+) -> None:
+    """Guards against 503 to a resend after a lost answer, of a job that runs.
+
+    The first submission may still be committed.
+    """
+
+    async def main() -> None:
+        intake = Intake(ConnectionLostError('no answer'), error)
+        with pytest.raises(ConnectionLostError):
+            await intake.accept(refusing=False)
+        with pytest.raises(OutcomeUnknownError, match=error.what):
+            await intake.accept(refusing=False)
+
+    run(main)
+
+
+def test_a_resend_to_a_deposed_leader_looks_for_the_new_one() -> None:
+    """Guards against callers that give up where another leader can answer."""
+
+    async def main() -> None:
+        intake = Intake(
+            ConnectionLostError('no answer'), NotLeaderError('deposed')
+        )
+        with pytest.raises(ConnectionLostError):
+            await intake.accept(refusing=False)
+        with pytest.raises(NotLeaderError):
+            await intake.accept(refusing=False)
+
+    run(main)
+
+
 def test_a_new_job_without_room_is_refused() -> None:
     """Guards against a full state that leaves the outcome of new jobs open."""
 
