--- a/mulberryhitch/dispatch/admission/backlog.py
+++ b/mulberryhitch/dispatch/admission/backlog.py
@@ -1,6 +1,6 @@
 """A summary of the work that waits and of what can carry it."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from mulberryhitch.dispatch.admission.work import Work
@@ -82,8 +82,8 @@
         values: Value of what waits by queue name.
         missed: Core-seconds of each job that has not started, and in the last
             few seconds has become unable to be in time, by queue name.
-        tenants: Waiting work of tenants with a cap, by name and urgency; what
-            is over a share counts with the rest.
+        tenants: Waiting work of tenants with a cap, by name, then by urgency;
+            what is over a share counts with the rest.
         caps: What these tenants' runs may do in a second, by name.
     """
 
@@ -94,7 +94,7 @@
     waiting: dict[WaitingKey, WaitingWork] = field(default_factory=dict)
     values: dict[str, WaitingValue] = field(default_factory=dict)
     missed: dict[str, list[float]] = field(default_factory=dict)
-    tenants: dict[WaitingKey, WaitingWork] = field(default_factory=dict)
+    tenants: dict[str, dict[int, WaitingWork]] = field(default_factory=dict)
     caps: dict[str, Work] = field(default_factory=dict)
 
     def load_of(self, service: str) -> ServiceLoad:
@@ -107,25 +107,34 @@
 
     def more_urgent(self, service: str, urgency: int) -> Iterable[WaitingWork]:
         """Returns the waiting work that is placed before that of an urgency."""
-        return _more_urgent(self.waiting, service, urgency)
+        return [
+            waiting
+            for key, waiting in self.waiting.items()
+            if key[0] == service and key[1] < urgency
+        ]
 
     def add_tenant_work(
         self, tenant: str, urgency: int, work: Work, *, is_late: bool
     ) -> None:
         """Adds waiting work of a tenant; without effect if it has no cap."""
         if tenant in self.caps:
-            waiting = self.tenants.setdefault((tenant, urgency), WaitingWork())
+            own = self.tenants.setdefault(tenant, {})
+            waiting = own.setdefault(urgency, WaitingWork())
             waiting.add(work, is_late=is_late, is_over_share=False)
 
     def tenant_waiting(self, tenant: str, urgency: int) -> WaitingWork:
         """Returns what waits of one urgency of a tenant with a cap."""
-        return self.tenants.get((tenant, urgency), WaitingWork())
+        return self.tenants.get(tenant, {}).get(urgency, WaitingWork())
 
     def more_urgent_of_tenant(
         self, tenant: str, urgency: int
     ) -> Iterable[WaitingWork]:
         """Returns what waits of a tenant, and is placed before an urgency."""
-        return _more_urgent(self.tenants, tenant, urgency)
+        return [
+            waiting
+            for other, waiting in self.tenants.get(tenant, {}).items()
+            if other < urgency
+        ]
 
     def add_value(
         self, queue_name: str, job_value: float, core_seconds: float
@@ -138,13 +147,3 @@
     def density_of(self, queue_name: str) -> float:
         """Returns what waits in a queue is worth per core-second."""
         return self.values.get(queue_name, WaitingValue()).density
-
-
-def _more_urgent(
-    waiting_work: Mapping[WaitingKey, WaitingWork], name: str, urgency: int
-) -> list[WaitingWork]:
-    return [
-        waiting
-        for key, waiting in waiting_work.items()
-        if key[0] == name and key[1] < urgency
-    ]
--- a/tests/admission_builders.py
+++ b/tests/admission_builders.py
@@ -2,12 +2,11 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
-from typing import Any
+from typing import Any, TypeVar
 
 from mulberryhitch.dispatch.admission.backlog import (
     Backlog,
     ServiceLoad,
-    WaitingKey,
     WaitingWork,
 )
 from mulberryhitch.dispatch.admission.completed_work import CompletedWork
@@ -23,6 +22,8 @@
 from mulberryhitch.observability.histograms import Histograms
 from mulberryhitch.observability.log import LineRateLimiter, Log
 
+_Key = TypeVar('_Key')
+
 SERVICE = 'svc'
 # Objective of a job of 1 s: 2 s; it is too late after 6 s.
 QUEUE = Queue('q', 'h', '/q/', SERVICE, urgency=1, stretch=2)
@@ -62,8 +63,8 @@
 
 
 def _copied(
-    waiting_work: Mapping[WaitingKey, WaitingWork],
-) -> dict[WaitingKey, WaitingWork]:
+    waiting_work: Mapping[_Key, WaitingWork],
+) -> dict[_Key, WaitingWork]:
     return {key: replace(work) for key, work in waiting_work.items()}
 
 
@@ -80,7 +81,10 @@
             self.backlog,
             taken_at=now,
             waiting=_copied(self.backlog.waiting),
-            tenants=_copied(self.backlog.tenants),
+            tenants={
+                tenant: _copied(waiting)
+                for tenant, waiting in self.backlog.tenants.items()
+            },
             values={},
         )
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -243,7 +243,7 @@
         backlog = make_backlog(
             {},
             caps={'small': cores(1)},
-            tenants={('small', QUEUE.urgency): waiting},
+            tenants={'small': {QUEUE.urgency: waiting}},
         )
         controller = await settled(FixedBacklog(backlog))
         assert refusal_of(controller, tenant='other') is None
@@ -271,7 +271,7 @@
 
     async def main() -> None:
         backlog = make_backlog(
-            {}, caps={'small': cores(1)}, tenants={('small', urgency): waiting}
+            {}, caps={'small': cores(1)}, tenants={'small': {urgency: waiting}}
         )
         controller = await settled(FixedBacklog(backlog))
         assert refusal_of(controller, tenant='small') is None
