Keep nothing for gangs that long-running steps leave no room

The part of a tenant's cap that the first held-back step needs was kept from the steps behind it if it fits into the whole cap. Beside long-running runs, which don't end, a gang may never find it: a gang of three cores under a cap of four, of which two serve, held back all later steps of its tenant until it was three times its objective late, and the next gang did the same.

The job store now tells the usage of long-running steps apart. Nothing is kept for a step that does not fit beside it.

--- a/mulberryhitch/dispatch/placement/tenant_caps.py
+++ b/mulberryhitch/dispatch/placement/tenant_caps.py
@@ -37,6 +37,7 @@
     Args:
         limits: The cap, without parts of zero.
         used: Resources of open runs and uncommitted placements.
+        lasting: The part of them that does not end.
 
     Attributes:
         unwanted: What is left by these and the steps that the round considers.
@@ -44,11 +45,15 @@
             the cap.
     """
 
-    def __init__(self, limits: Resources, used: Resources) -> None:
+    def __init__(
+        self, limits: Resources, used: Resources, lasting: Resources
+    ) -> None:
         """Initialises the room; nothing is kept free."""
         free = limits.minus(used)
         self._limits = limits
         self._free = free
+        # What is left once all runs have ended that do end.
+        self._most_free = limits.minus(lasting)
         # What is kept free, and the place in the order of the step that it is
         # kept for; only steps behind it are held back.
         self._kept: list[tuple[tuple[float, ...], Resources]] = []
@@ -89,15 +94,19 @@
         return self._unkept.startable(step, execution.resources) > 0
 
     def keep(self, waiting: WaitingStep) -> bool:
-        """Keeps what a step needs to start; returns whether it ever can."""
+        """Keeps what a step needs to start; returns whether it ever can.
+
+        It can't if long-running steps leave too little: nothing is kept then,
+        as no step behind it would start as long as these run.
+        """
         execution = waiting.execution
-        need = execution.resources
-        if is_single(execution.step):
-            need = Resources(*map(min, need, self._limits))
-        else:
-            need = need.times(execution.step.count)
-        if not need.fits(self._limits):
+        step, need = execution.step, execution.resources
+        if not Allowance(self._limits, self._most_free).startable(step, need):
             return False
+        if is_single(step):
+            need = Resources(*map(min, need, self._most_free))
+        else:
+            need = need.times(step.count)
         self._kept.append((waiting.sort_key, need))
         self._unkept.take(need)
         self.unwanted.take(need)
@@ -220,7 +229,8 @@
         limits = limits_of(tenant.cap)
         used = self._job_store.tenant_usage(name)
         uncommitted = self._uncommitted.get(name, Resources())
-        return _Room(limits, used.plus(uncommitted))
+        lasting = self._job_store.lasting_usage(name)
+        return _Room(limits, used.plus(uncommitted), lasting)
 
     def _hold_back(self, room: _Room, waiting: WaitingStep) -> None:
         """Counts a step that waits for the cap, and keeps its part free.
--- a/mulberryhitch/jobs/store.py
+++ b/mulberryhitch/jobs/store.py
@@ -97,6 +97,7 @@
         self.latest_time: float = 0
         self._used_resources: dict[str, Resources] = {}
         self._tenant_usage: dict[str, Resources] = {}
+        self._lasting_usage: dict[str, Resources] = {}
         self._tenants: dict[str, Tenant] = {}
         self._queues: dict[str, Queue] = {}
         self._services: frozenset[str] = frozenset()
@@ -133,6 +134,13 @@
         """Returns the resources taken by the open runs of a client account."""
         return self._tenant_usage.get(name, Resources())
 
+    def lasting_usage(self, name: str) -> Resources:
+        """Returns the part of a client account's usage that does not end.
+
+        It is that of long-running steps.
+        """
+        return self._lasting_usage.get(name, Resources())
+
     def unit(self, task: TaskKey) -> Unit | None:
         """Returns the unit that contains a task, if the task exists."""
         execution = self.step_execution(StepKey(*task[:3]))
@@ -417,13 +425,10 @@
         tenant = self.jobs[execution.key.job_id].tenant
         if not tenant:
             return
-        usage = self.tenant_usage(tenant).plus(
-            execution.resources.times(copies)
-        )
-        if any(usage):
-            self._tenant_usage[tenant] = usage
-        else:
-            self._tenant_usage.pop(tenant, None)
+        change = execution.resources.times(copies)
+        _add_resources(self._tenant_usage, tenant, change)
+        if execution.step.long_running:
+            _add_resources(self._lasting_usage, tenant, change)
 
     def _record_outcome(
         self,
@@ -495,3 +500,14 @@
                     self._add_run(unit, index, worker_id, execution)
             if execution.waiting_units:
                 self.ready_steps[execution.key] = execution
+
+
+def _add_resources(
+    amounts: dict[str, Resources], name: str, change: Resources
+) -> None:
+    """Adds to an amount, and removes it if nothing is left."""
+    amount = amounts.get(name, Resources()).plus(change)
+    if any(amount):
+        amounts[name] = amount
+    else:
+        amounts.pop(name, None)
--- a/tests/test_job_tenants.py
+++ b/tests/test_job_tenants.py
@@ -49,6 +49,25 @@
     assert restored.tenant_usage('mill') == Resources()
 
 
+def test_usage_of_long_running_steps_is_told_apart() -> None:
+    """Guards against a new leader that counts on such runs to end."""
+    store = make_store()
+    spec = JobSpec('', (Step(1, 500, 10, long_running=True),))
+    lasting = TaskKey('lasting', 0, 0, 0)
+    _apply(
+        store,
+        changes.accept('lasting', 'q', spec, 1, 'mill'),
+        changes.grant(TASK, 1, 'w'),
+        changes.grant(lasting, 1, 'w'),
+    )
+    restored = JobStore()
+    restored.restore(store.snapshot())
+    assert restored.tenant_usage('mill') == Resources(2000, 20, 0)
+    assert restored.lasting_usage('mill') == Resources(500, 10, 0)
+    _apply(restored, changes.end_run(lasting, 1, RunOutcome.void, '', 2))
+    assert restored.lasting_usage('mill') == Resources()
+
+
 def test_state_of_an_earlier_release_has_no_tenants() -> None:
     """Guards against a release that can't load what the last one wrote."""
     spec = JobSpec('', (Step(1, 1500, 10),))
--- a/tests/test_tenant_caps.py
+++ b/tests/test_tenant_caps.py
@@ -296,6 +296,24 @@
     play(lambda: make_harness(target_seconds=99), body)
 
 
+def test_a_gang_that_long_running_steps_leave_no_room_keeps_nothing() -> None:
+    """Guards against a tenant whose steps all wait for a gang that can't start.
+
+    The long-running tasks leave two of the cap's four cores, and never end.
+    """
+
+    async def body(harness: DispatcherHarness) -> None:
+        lasting = step(2, seconds=9999, long_running=True)
+        await harness.submit('lasting', lasting, tenant='mill')
+        await harness.wait_for_starts('lasting', 2)
+        gang = step(3, seconds=9999, gang=True)
+        await harness.submit('gang', gang, tenant='mill')
+        await harness.submit('small', step(2), tenant='mill', queue='batch')
+        await harness.wait('small', JobState.completed)
+
+    play(make_harness, body)
+
+
 @pytest.mark.parametrize('gang', [False, True])
 def test_nothing_is_stopped_or_asked_for_a_step_that_its_cap_holds_back(
     gang: bool,
--- a/tests/test_tenant_caps_at_random.py
+++ b/tests/test_tenant_caps_at_random.py
@@ -41,6 +41,9 @@
     def tenant_usage(self, name: str) -> Resources:
         return self.usage.get(name, Resources())
 
+    def lasting_usage(self, name: str) -> Resources:
+        return Resources()
+
 
 def make_steps(rows: list[Row]) -> list[WaitingStep]:
     steps = []
