--- a/mulberryhitch/dispatch/admission/backlog.py
+++ b/mulberryhitch/dispatch/admission/backlog.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass, field
 
 from mulberryhitch.dispatch.admission.work import Work
-from mulberryhitch.jobs.model import Resources, Step
 
 # Below this share of its processors in use, a service has room.
 _BUSY_SHARE = 0.7
@@ -17,25 +16,16 @@
     Attributes:
         rate: Work that they can do in a second.
         used: Work that their open runs do in a second.
-        largest: The most of each resource that one of them has.
-        labels: Labels that at least one of them has.
     """
 
     rate: Work = Work()
     used: Work = Work()
-    largest: Resources = Resources()
-    labels: set[str] = field(default_factory=set)
 
     @property
     def is_busy(self) -> bool:
         """Whether most of some resource is in use."""
         return self.used.seconds_at(self.rate) >= _BUSY_SHARE
 
-    def can_run(self, step: Step) -> bool:
-        """Whether tasks of a step may fit on a worker, if it is idle."""
-        has_label = not step.label or step.label in self.labels
-        return has_label and step.resources.fits(self.largest)
-
 
 @dataclass(slots=True)
 class WaitingWork:
@@ -92,7 +82,8 @@
         values: Value of what waits by queue name.
         missed: Core-seconds of each job that has not started, and in the last
             few seconds has become unable to be in time, by queue name.
-        tenants: Waiting work of tenants with a cap, by name.
+        tenants: Waiting work of tenants with a cap, by name, then by urgency;
+            what is over a share counts with the rest.
         caps: What these tenants' runs may do in a second, by name.
     """
 
@@ -103,7 +94,7 @@
     waiting: dict[WaitingKey, WaitingWork] = field(default_factory=dict)
     values: dict[str, WaitingValue] = field(default_factory=dict)
     missed: dict[str, list[float]] = field(default_factory=dict)
-    tenants: dict[str, Work] = field(default_factory=dict)
+    tenants: dict[str, dict[int, WaitingWork]] = field(default_factory=dict)
     caps: dict[str, Work] = field(default_factory=dict)
 
     def load_of(self, service: str) -> ServiceLoad:
@@ -122,6 +113,29 @@
             if key[0] == service and key[1] < urgency
         ]
 
+    def add_tenant_work(
+        self, tenant: str, urgency: int, work: Work, *, is_late: bool
+    ) -> None:
+        """Adds waiting work of a tenant; without effect if it has no cap."""
+        if tenant in self.caps:
+            own = self.tenants.setdefault(tenant, {})
+            waiting = own.setdefault(urgency, WaitingWork())
+            waiting.add(work, is_late=is_late, is_over_share=False)
+
+    def tenant_waiting(self, tenant: str, urgency: int) -> WaitingWork:
+        """Returns what waits of one urgency of a tenant with a cap."""
+        return self.tenants.get(tenant, {}).get(urgency, WaitingWork())
+
+    def more_urgent_of_tenant(
+        self, tenant: str, urgency: int
+    ) -> Iterable[WaitingWork]:
+        """Returns what waits of a tenant, and is placed before an urgency."""
+        return [
+            waiting
+            for other, waiting in self.tenants.get(tenant, {}).items()
+            if other < urgency
+        ]
+
     def add_value(
         self, queue_name: str, job_value: float, core_seconds: float
     ) -> None:
--- a/mulberryhitch/dispatch/admission/backlog_reader.py
+++ b/mulberryhitch/dispatch/admission/backlog_reader.py
@@ -1,7 +1,7 @@
 """Summarises the backlog from the job store and the workers."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from mulberryhitch.dispatch.admission.backlog import Backlog, ServiceLoad
@@ -12,6 +12,11 @@
     TenantShareSource,
     WorkerSpeedSource,
 )
+from mulberryhitch.dispatch.admission.startable_work import (
+    CappedWork,
+    StartableShapes,
+    fits_cap,
+)
 from mulberryhitch.dispatch.admission.work import (
     LATE_FACTOR,
     Work,
@@ -21,7 +26,7 @@
 )
 from mulberryhitch.dispatch.placement.plans import EstimateCache
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
-from mulberryhitch.jobs.model import Queue, Resources
+from mulberryhitch.jobs.model import Queue
 from mulberryhitch.jobs.state import Job, StepExecution
 from mulberryhitch.jobs.store import JobStore
 
@@ -52,10 +57,10 @@
 
     @property
     def work(self) -> Work:
-        """The work left of it, and of the later steps if it is the first.
+        """The work left of it, and of steps not yet ready if it is the first.
 
-        Later steps become ready only when it is done; a job's first step is
-        ready from the start, so each job's later steps count once.
+        Each ready step counts its own work, and a job's first step is ready
+        from the start, so all work of a job that has not begun counts once.
         """
         execution = self.execution
         units = len(execution.units)
@@ -63,11 +68,39 @@
         work = step_work(execution.step).times(share)
         if execution.key.step:
             return work
-        for later in self.job.spec.steps[1:]:
-            work = work.plus(step_work(later))
+        for other in self.job.occurrences[execution.key.occurrence]:
+            if not other.ready:
+                work = work.plus(step_work(other.step))
         return work
 
 
+class _JobWork:
+    """Core-seconds of whole jobs, each summed up once in a summary.
+
+    A job may have thousands of ready steps.
+    """
+
+    def __init__(self) -> None:
+        self._core_seconds: dict[str, float] = {}
+
+    def of(self, job: Job) -> float:
+        core_seconds = self._core_seconds.get(job.job_id)
+        if core_seconds is None:
+            core_seconds = job_work(job.spec).processors
+            self._core_seconds[job.job_id] = core_seconds
+        return core_seconds
+
+
+@dataclass(frozen=True, slots=True)
+class _Summary:
+    """A summary that is being made, and what it rests on."""
+
+    backlog: Backlog
+    shapes: StartableShapes
+    capped: CappedWork
+    job_work: _JobWork = field(default_factory=_JobWork)
+
+
 class BacklogReader:
     """Reads the backlog from the state of a leader's term.
 
@@ -111,6 +144,15 @@
                 backlog.caps[tenant.name] = work_of(tenant.cap, 1)
         for worker in self._workers.values():
             self._add_worker(backlog, worker, now)
+        summary = _Summary(
+            backlog,
+            StartableShapes(
+                worker
+                for worker in self._workers.values()
+                if _is_in_use(worker, now)
+            ),
+            CappedWork(backlog.caps),
+        )
         steps = self._job_store.ready_steps
         backlog.size = len(steps) + len(self._workers)
         wall_time = self._wall_time()
@@ -120,7 +162,7 @@
             if age >= 0 and not execution.step.long_running:
                 queue = self._job_store.current_queue(job)
                 self._add_step(
-                    backlog, _WaitingStep(execution, job, queue, age)
+                    summary, _WaitingStep(execution, job, queue, age)
                 )
         return backlog
 
@@ -140,49 +182,74 @@
         record = worker.record
         used = self._job_store.used_resources(record.worker_id)
         load = backlog.services.setdefault(record.service, ServiceLoad())
-        is_silent = now - worker.last_contact_at > _CONTACT_SECONDS
-        if worker.removed or record.draining or is_silent:
+        if not _is_in_use(worker, now):
             return
         speed = self._speeds.speed_of(record.worker_id)
         load.rate = load.rate.plus(work_of(worker.capacity, speed))
         load.used = load.used.plus(work_of(used, speed))
-        load.labels.update(record.labels)
-        load.largest = Resources(*map(max, load.largest, worker.capacity))
 
-    def _add_step(self, backlog: Backlog, waiting: _WaitingStep) -> None:
+    def _add_step(self, summary: _Summary, waiting: _WaitingStep) -> None:
         queue, job = waiting.queue, waiting.job
-        if not backlog.load_of(queue.service).can_run(waiting.execution.step):
-            # It takes no place in a round, and so delays nobody.
-            return
         objective, chain = self._estimates.objective_and_critical_path(
             job, waiting.execution, queue
         )
         if waiting.age > objective * LATE_FACTOR:
             # Placed after all others.
             return
-        late_for = waiting.age + chain - objective
-        if 0 < late_for <= RECENT_SECONDS and not job.begun:
-            missed = backlog.missed.setdefault(queue.name, [])
-            missed.append(job_work(job.spec).processors)
+        if not self._can_start(summary, waiting):
+            return
+        backlog = summary.backlog
         estimated = waiting.work
         work = estimated.times(self._completed.ratio(queue.name))
+        late_for = waiting.age + chain - objective
+        backlog.add_tenant_work(
+            job.tenant, queue.urgency, work, is_late=late_for > 0
+        )
+        if not summary.capped.takes_room(job.tenant, work, objective):
+            return
+        core_seconds = summary.job_work.of(job)
+        is_missed = 0 < late_for <= RECENT_SECONDS and not job.begun
+        if is_missed and not waiting.execution.key.step:
+            missed = backlog.missed.setdefault(queue.name, [])
+            missed.append(core_seconds)
         backlog.waiting_of(queue.service, queue.urgency).add(
             work,
             is_late=late_for > 0,
             is_over_share=self._shares.is_over_share(job.tenant),
         )
-        if job.tenant in backlog.caps:
-            before = backlog.tenants.get(job.tenant, Work())
-            backlog.tenants[job.tenant] = before.plus(work)
-        self._add_value(backlog, waiting, estimated.processors)
+        self._add_value(backlog, queue.name, core_seconds, estimated.processors)
+
+    def _can_start(self, summary: _Summary, waiting: _WaitingStep) -> bool:
+        """Whether a step could start if nothing else ran."""
+        step = waiting.execution.step
+        tenant = self._job_store.tenant(waiting.job.tenant)
+        return fits_cap(step, tenant) and summary.shapes.suits(
+            waiting.queue.service, step
+        )
 
     def _add_value(
-        self, backlog: Backlog, waiting: _WaitingStep, core_seconds: float
+        self,
+        backlog: Backlog,
+        queue_name: str,
+        total: float,
+        core_seconds: float,
     ) -> None:
-        """Adds the part of a job's value that falls on its waiting work."""
-        sizes = self._sizes.get(waiting.queue.name)
-        total = job_work(waiting.job.spec).processors
+        """Adds the part of a job's value that falls on its waiting work.
+
+        Args:
+            backlog: The summary.
+            queue_name: The job's queue.
+            total: Work of the whole job, core-seconds.
+            core_seconds: The part of it that waits.
+        """
+        sizes = self._sizes.get(queue_name)
         if sizes is None or not total:
             return
         value = sizes.value_of(total) * core_seconds / total
-        backlog.add_value(waiting.queue.name, value, core_seconds)
+        backlog.add_value(queue_name, value, core_seconds)
+
+
+def _is_in_use(worker: TrackedWorker, now: float) -> bool:
+    """Whether a worker counts as capacity."""
+    is_silent = now - worker.last_contact_at > _CONTACT_SECONDS
+    return not (worker.removed or worker.record.draining or is_silent)
--- a/mulberryhitch/dispatch/admission/controller.py
+++ b/mulberryhitch/dispatch/admission/controller.py
@@ -138,16 +138,26 @@
                 )
 
     def job_ended(self, job: Job) -> None:
-        """Compares the estimate for a job with its end."""
-        self._accuracy.record_end(job, anyio.current_time())
+        """Compares the estimate for a job with its end.
+
+        An unexpected error is logged: this is called while a log entry is
+        applied, which must not fail.
+        """
+        try:
+            self._accuracy.record_end(job, anyio.current_time())
+        except Exception as defect:  # noqa: BLE001
+            self._log.unexpected_error(
+                'admission.defect', defect, job=job.job_id
+            )
 
     def check(
         self, job_id: str, queue: Queue, spec: JobSpec, tenant: str = ''
     ) -> None:
         """Counts a job that is being accepted, unless it is refused.
 
-        Scheduled and long-running jobs are never refused; nor is any job if an
-        unexpected error occurs here, which is logged.
+        Scheduled and long-running jobs are never refused, nor are jobs whose
+        objective is unknown; nor is any job if an unexpected error occurs here,
+        which is logged.
 
         Args:
             job_id: Id of a job that is not known yet.
@@ -219,6 +229,8 @@
 
     def _refusal(self, judged: _Judged) -> Refusal | None:
         demand, limit = judged.demand, judged.limit
+        if not demand.is_estimated or demand.objective <= 0:
+            return None
         capped = judged.estimate_under_cap
         if _is_too_late(capped, limit):
             return Refusal(demand, RefusalReason.tenant_cap, capped, limit)
@@ -257,14 +269,13 @@
         queue = demand.queue
         estimate = judged.finish
         core_seconds = demand.work.processors
+        is_late = estimate.finish > demand.objective
         backlog.waiting_of(queue.service, queue.urgency).add(
-            work,
-            is_late=estimate.finish > demand.objective,
-            is_over_share=judged.is_over_share,
+            work, is_late=is_late, is_over_share=judged.is_over_share
+        )
+        backlog.add_tenant_work(
+            demand.tenant, queue.urgency, work, is_late=is_late
         )
-        if demand.tenant in backlog.caps:
-            before = backlog.tenants.get(demand.tenant, Work())
-            backlog.tenants[demand.tenant] = before.plus(work)
         backlog.add_value(
             queue.name, sizes.value_of(core_seconds), core_seconds
         )
--- a/mulberryhitch/dispatch/intake.py
+++ b/mulberryhitch/dispatch/intake.py
@@ -1,12 +1,15 @@
 """Accepts submitted jobs and bounds the size of the state."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from typing import Any, Protocol
 
 from mulberryhitch.dispatch.admission.undecided_jobs import UndecidedJobs
 from mulberryhitch.errors import (
     MulberryhitchError,
     NotFoundError,
+    NotLeaderError,
+    OutcomeUnknownError,
     OverloadedError,
     TooLargeError,
 )
@@ -83,21 +86,15 @@
 
     Args:
         job_store: The committed state.
-        room: The room that the jobs may take.
         commit: Commits changes and returns their results.
         now: Returns seconds since 1970.
     """
 
     def __init__(
-        self,
-        job_store: JobStore,
-        room: StateRoom,
-        commit: _Commit,
-        now: Callable[[], float],
+        self, job_store: JobStore, commit: _Commit, now: Callable[[], float]
     ) -> None:
         """Initialises the intake; no job is being accepted."""
         self._job_store = job_store
-        self._room = room
         self._commit = commit
         self._now = now
         self._undecided = UndecidedJobs()
@@ -108,32 +105,42 @@
         queue: Queue,
         spec: JobSpec,
         tenant: str,
+        check_limits: Callable[[], None],
         admission: JobCheck | None,
     ) -> Job:
         """Commits a job unless it is refused, and returns it.
 
         A job that an earlier submission may have accepted is not refused, as
-        a refusal says that the job never runs.
+        a refusal says that the job never runs. Where such a job can't be
+        accepted now, the answer leaves open what becomes of it.
 
         Args:
             job_id: Its id, which is not in the job store.
             queue: Its queue.
             spec: Its specification.
             tenant: The client account that submits it; empty if none.
+            check_limits: Raises the error with which the job is refused if the
+                state or its tenant's cap has no room for it.
             admission: Refuses jobs because of load; None if it is not running.
 
         Raises:
             OverloadedError: It is refused.
             OverQuotaError: It is refused because of its tenant.
             NotFoundError: Its queue is no longer configured.
+            OutcomeUnknownError: It can't be accepted now, but an earlier
+                submission may have been.
             MulberryhitchError: It could not be committed.
         """
-        if job_id not in self._undecided:
-            self._room.check_job(job_id, spec)
+        change = changes.accept(job_id, queue.name, spec, self._now(), tenant)
+        if job_id in self._undecided:
+            # It takes no further room if the earlier one was committed.
+            with _earlier_submission_open():
+                accepted = await self._commit_undecided(job_id, change)
+        else:
+            check_limits()
             if admission is not None:
                 admission.check(job_id, queue, spec, tenant)
-        change = changes.accept(job_id, queue.name, spec, self._now(), tenant)
-        accepted = await self._commit_undecided(job_id, change)
+            accepted = await self._commit_undecided(job_id, change)
         if not accepted:
             raise NotFoundError(
                 'queue is no longer configured', where=queue.name
@@ -156,3 +163,23 @@
             # Also if cancelled, when the change may still be written.
             self._undecided.end(job_id, is_certain=is_certain)
         return bool(outcomes[0])
+
+
+@contextmanager
+def _earlier_submission_open() -> Iterator[None]:
+    """Raises an error that leaves the outcome open instead of a refusal.
+
+    What refuses a submission says nothing about an earlier one of the same job.
+    A caller that finds another leader learns more there.
+    """
+    try:
+        yield
+    except NotLeaderError:
+        raise
+    except MulberryhitchError as error:
+        if error.outcome is not Outcome.not_run:
+            raise
+        raise OutcomeUnknownError(
+            f'an earlier submission may be accepted: {error.what}',
+            where=error.where,
+        ) from error
--- a/tests/admission_builders.py
+++ b/tests/admission_builders.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
-from typing import Any
+from typing import Any, TypeVar
 
 from mulberryhitch.dispatch.admission.backlog import (
     Backlog,
@@ -22,6 +22,8 @@
 from mulberryhitch.observability.histograms import Histograms
 from mulberryhitch.observability.log import LineRateLimiter, Log
 
+_Key = TypeVar('_Key')
+
 SERVICE = 'svc'
 # Objective of a job of 1 s: 2 s; it is too late after 6 s.
 QUEUE = Queue('q', 'h', '/q/', SERVICE, urgency=1, stretch=2)
@@ -65,6 +67,12 @@
     )
 
 
+def _copied(
+    waiting_work: Mapping[_Key, WaitingWork],
+) -> dict[_Key, WaitingWork]:
+    return {key: replace(work) for key, work in waiting_work.items()}
+
+
 @dataclass
 class FixedBacklog:
     """Provides the same backlog each time, and counts how often."""
@@ -74,14 +82,14 @@
 
     def read(self, now: float) -> Backlog:
         self.reads += 1
-        waiting = {
-            key: replace(work) for key, work in self.backlog.waiting.items()
-        }
         return replace(
             self.backlog,
             taken_at=now,
-            waiting=waiting,
-            tenants=dict(self.backlog.tenants),
+            waiting=_copied(self.backlog.waiting),
+            tenants={
+                tenant: _copied(waiting)
+                for tenant, waiting in self.backlog.tenants.items()
+            },
             values={},
         )
 
@@ -108,6 +116,7 @@
     shares: TenantShareSource | None = None,
     completed: CompletedWork | None = None,
     rounds: int = 10,
+    histograms: Histograms | None = None,
 ) -> tuple[AdmissionController, Log]:
     """Returns a controller after some rounds, and its log."""
     log = Log('test', LineRateLimiter(0))
@@ -119,7 +128,7 @@
         shares or NoTenantShares(),
         AdmissionOptions(),
         log,
-        Histograms(),
+        histograms or Histograms(),
     )
     for _ in range(rounds):
         controller.record_round()
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -152,6 +152,33 @@
     run_with_mock_clock(main)
 
 
+@pytest.mark.parametrize(
+    ('spec', 'queue'),
+    [
+        (make_spec(seconds=0), QUEUE),
+        (
+            JobSpec('', make_spec().steps + make_spec(seconds=0).steps),
+            QUEUE,
+        ),
+        (make_spec(), replace(QUEUE, stretch=0)),
+    ],
+)
+def test_jobs_without_a_known_objective_are_not_refused(
+    spec: JobSpec, queue: Queue
+) -> None:
+    """Guards against limits of zero, which any wait exceeds.
+
+    The objective of a job follows from run times, which it does not estimate.
+    """
+
+    async def main() -> None:
+        controller = await settled(FixedBacklog(make_backlog(OVERLOAD)))
+        assert refusal_of(controller) is not None
+        assert refusal_of(controller, spec, queue) is None
+
+    run_with_mock_clock(main)
+
+
 def test_a_defect_of_the_estimator_accepts_the_job() -> None:
     """Guards against answers of 502 because of a wrong estimate."""
 
@@ -221,8 +248,11 @@
     """Guards against 503 for what only the tenant itself can end."""
 
     async def main() -> None:
+        waiting = WaitingWork(cores(60))
         backlog = make_backlog(
-            {}, caps={'small': cores(1)}, tenants={'small': cores(60)}
+            {},
+            caps={'small': cores(1)},
+            tenants={'small': {QUEUE.urgency: waiting}},
         )
         controller = await settled(FixedBacklog(backlog))
         assert refusal_of(controller, tenant='other') is None
@@ -233,6 +263,31 @@
     run_with_mock_clock(main)
 
 
+@pytest.mark.parametrize(
+    ('urgency', 'waiting'),
+    [
+        (QUEUE.urgency + 1, WaitingWork(cores(60))),
+        (QUEUE.urgency, WaitingWork(late=cores(60))),
+    ],
+)
+def test_a_tenants_later_work_does_not_count_before_a_job(
+    urgency: int, waiting: WaitingWork
+) -> None:
+    """Guards against urgent jobs refused for batches of their tenant.
+
+    They start first in whatever its cap leaves, as they do on the workers.
+    """
+
+    async def main() -> None:
+        backlog = make_backlog(
+            {}, caps={'small': cores(1)}, tenants={'small': {urgency: waiting}}
+        )
+        controller = await settled(FixedBacklog(backlog))
+        assert refusal_of(controller, tenant='small') is None
+
+    run_with_mock_clock(main)
+
+
 def test_a_flood_of_one_tenant_refuses_only_its_own_jobs() -> None:
     """Guards against others that pay for a tenant over its share."""
 
--- a/tests/test_admission_backlog.py
+++ b/tests/test_admission_backlog.py
@@ -162,7 +162,8 @@
     cell.add_job('b', make_spec(count=7), tenant='flood')
     backlog = cell.read('flood')
     assert waiting_of(backlog) == (2, 0, 7)
-    assert backlog.tenants['capped'].processors == 2
+    capped = backlog.tenants['capped'].values()
+    assert [waiting.in_time.processors for waiting in capped] == [2]
     assert backlog.caps['capped'].processors == 2
     assert 'flood' not in backlog.caps
 
--- a/tests/test_job_intake.py
+++ b/tests/test_job_intake.py
@@ -9,9 +9,13 @@
 from mulberryhitch.dispatch.intake import JobIntake, StateRoom
 from mulberryhitch.errors import (
     ConnectionLostError,
+    DiskFullError,
     MulberryhitchError,
     NotFoundError,
+    NotLeaderError,
+    OutcomeUnknownError,
     OverloadedError,
+    OverQuotaError,
 )
 from mulberryhitch.jobs import changes
 from mulberryhitch.jobs.model import JobSpec, Queue, QueueTable
@@ -43,13 +47,23 @@
         self._failures = list(failures)
         self._apply([changes.configure(QueueTable(1, '{}', (QUEUE,)))])
         self.room = StateRoom(self.store, MAX_BYTES)
-        self._intake = JobIntake(
-            self.store, self.room, self._commit, lambda: 5.0
-        )
-
-    async def accept(self, *, refusing: bool, queue: Queue = QUEUE) -> Job:
+        self._intake = JobIntake(self.store, self._commit, lambda: 5.0)
+
+    async def accept(
+        self,
+        *,
+        refusing: bool,
+        queue: Queue = QUEUE,
+        check_limits: Callable[[], None] | None = None,
+    ) -> Job:
+        spec = make_spec()
         return await self._intake.accept(
-            'job', queue, make_spec(), '', RefuseAll() if refusing else None
+            'job',
+            queue,
+            spec,
+            '',
+            check_limits or (lambda: self.room.check_job('job', spec)),
+            RefuseAll() if refusing else None,
         )
 
     async def _commit(self, batch: list[changes.Change]) -> list[Any]:
@@ -134,6 +148,82 @@
     run(main)
 
 
+@pytest.mark.parametrize(
+    'error', [OverQuotaError('a gang is too wide'), OverloadedError('full')]
+)
+def test_a_job_being_written_is_accepted_beside_lowered_limits(
+    error: MulberryhitchError,
+) -> None:
+    """Guards against 503 and 429 to a resend while the first one commits.
+
+    The job fills the state itself, or its tenant's cap was just lowered.
+    """
+
+    def check_limits() -> None:
+        raise error
+
+    async def main() -> None:
+        intake = Intake()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(lambda: intake.accept(refusing=False))
+            await anyio.sleep(COMMIT_SECONDS / 2)
+            job = await intake.accept(refusing=False, check_limits=check_limits)
+        assert job is intake.store.jobs['job']
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    'error', [OverloadedError('the log is full'), DiskFullError('no space')]
+)
+def test_a_resend_that_is_not_written_leaves_the_first_one_open(
+    error: MulberryhitchError,
+) -> None:
+    """Guards against 503 to a resend after a lost answer, of a job that runs.
+
+    The first submission may still be committed.
+    """
+
+    async def main() -> None:
+        intake = Intake(ConnectionLostError('no answer'), error)
+        with pytest.raises(ConnectionLostError):
+            await intake.accept(refusing=False)
+        with pytest.raises(OutcomeUnknownError, match=error.what):
+            await intake.accept(refusing=False)
+
+    run(main)
+
+
+def test_a_resend_to_a_deposed_leader_looks_for_the_new_one() -> None:
+    """Guards against callers that give up where another leader can answer."""
+
+    async def main() -> None:
+        intake = Intake(
+            ConnectionLostError('no answer'), NotLeaderError('deposed')
+        )
+        with pytest.raises(ConnectionLostError):
+            await intake.accept(refusing=False)
+        with pytest.raises(NotLeaderError):
+            await intake.accept(refusing=False)
+
+    run(main)
+
+
+def test_a_new_job_without_room_is_refused() -> None:
+    """Guards against a full state that leaves the outcome of new jobs open."""
+
+    def check_limits() -> None:
+        raise OverloadedError('full')
+
+    async def main() -> None:
+        intake = Intake()
+        with pytest.raises(OverloadedError, match='full'):
+            await intake.accept(refusing=False, check_limits=check_limits)
+        assert not intake.commits
+
+    run(main)
+
+
 def test_a_cancelled_submission_may_have_been_written() -> None:
     """Guards against 503 after a submission that was cut off."""
 
