Stop runs only for steps that would otherwise be late

A step now stops runs only once its spare time is used up, by estimates that may be off by 90%; a stop that loses more core-seconds than the start gains is left out; of the runs chosen those that are not needed are left, the costliest first. The order of steps has a module of its own and is unchanged. task.stopping and queue.status show what is lost.

The player knows loads like those of the two deployments: tenants, workers of several speeds, checkpoint intervals, the cost to resume, regular swings, and what the jobs of a class and a tenant were worth.

--- a/benchmarks/bench_load.py
+++ b/benchmarks/bench_load.py
@@ -5,12 +5,15 @@
 """
 
 import argparse
+import statistics
 from dataclasses import replace
 
+from tests.deployment_loads import FLOOD_TENANT, LOADS
 from tests.load_jobs import Burst, Load, make_load
 from tests.load_player import LoadReport, play
 
-_ROW = '{:12} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>8} {:>8}'
+_ROW = '{:14} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>8} {:>8}'
+_SHOWN_LOSSES = 8
 
 
 def make_busy_load(workers: int, share: float, seconds: float) -> Load:
@@ -31,6 +34,7 @@
             'class',
             'offered',
             'in time',
+            'served',
             'late',
             'toolate',
             'failed',
@@ -39,12 +43,13 @@
             'wait p95',
         )
     )
-    for name, row in report.by_class.items():
+    for name, row in (report.by_class | report.by_tenant).items():
         print(
             _ROW.format(
                 name,
                 row.offered,
                 f'{row.in_time / max(1, row.offered):.3f}',
+                f'{row.served:.3f}',
                 row.late,
                 row.too_late,
                 row.failed,
@@ -56,8 +61,13 @@
     print(
         f'starts {report.starts}, stopped {report.stopped_share:.3f}, '
         f'core-seconds worked {report.worked_core_seconds:.0f}, '
-        f'lost {report.lost_core_seconds:.0f}'
+        f'lost {sum(report.lost.values()):.0f}'
     )
+    lost = {
+        reason: round(core_seconds)
+        for reason, core_seconds in report.lost.most_common(_SHOWN_LOSSES)
+    }
+    print(f'lost {lost}, ended {dict(report.ended)}')
     print(
         f'processors busy {report.busy_share:.3f}, '
         f'workers reserved {report.reserved_share:.3f}'
@@ -71,14 +81,50 @@
     )
 
 
+def print_brief(title: str, report: LoadReport) -> None:
+    """Prints what callers got in one line for each class."""
+    lost = sum(report.lost.values())
+    worked = report.worked_core_seconds
+    print(
+        f'{title}: stopped {report.stopped_share:.3f}, '
+        f'lost {lost / max(1, worked):.4f} of {worked:.0f} core-seconds '
+        f'({dict(report.stops.most_common(4))}, for {dict(report.preemptors)})'
+    )
+    for name, row in report.by_class.items():
+        if ' ' in name:
+            continue
+        wide = report.by_class[f'{name} wide']
+        top = report.by_class[f'{name} top']
+        print(
+            f'  {name:10} in time {row.in_time / max(1, row.offered):.3f}, '
+            f'served {row.served:.3f}, wide {wide.served:.3f}, '
+            f'top {top.served:.3f}, late {row.late}, '
+            f'too late {row.too_late}, failed {row.failed}'
+        )
+    tenants = {
+        name: row.served
+        for name, row in report.by_tenant.items()
+        if name != FLOOD_TENANT
+    }
+    if tenants:
+        flooding = report.by_tenant[FLOOD_TENANT].served
+        print(
+            f'  tenants: worst {min(tenants.values()):.3f}, mean '
+            f'{statistics.mean(tenants.values()):.3f}, that of the flood '
+            f'{flooding:.3f}'
+        )
+
+
 def main() -> None:
     parser = argparse.ArgumentParser()
     parser.add_argument(
         '--workers', type=int, nargs='*', default=[24, 176, 270]
     )
+    parser.add_argument('--like', choices=sorted(LOADS))
     parser.add_argument('--share', type=float, default=1.0)
     parser.add_argument('--seconds', type=float, default=30)
-    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--seed', type=int, nargs='*', default=[1])
+    parser.add_argument('--brief', action='store_true')
     parser.add_argument(
         '--speed',
         type=float,
@@ -87,8 +133,15 @@
     )
     arguments = parser.parse_args()
     for workers in arguments.workers:
-        load = make_busy_load(workers, arguments.share, arguments.seconds)
-        print_report(load.name, play(load, arguments.seed, arguments.speed))
+        if arguments.like:
+            make = LOADS[arguments.like]
+            load = make(workers, arguments.seconds, arguments.share)
+        else:
+            load = make_busy_load(workers, arguments.share, arguments.seconds)
+        show = print_brief if arguments.brief else print_report
+        for seed in arguments.seed:
+            title = f'{load.name}, seed {seed}'
+            show(title, play(load, seed, arguments.speed))
 
 
 if __name__ == '__main__':
--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -196,8 +196,10 @@
         return planner.run(self._committing_steps, candidates)
 
     def _carry_out(self, plan: Plan) -> None:
-        for task, run, worker_id in plan.preempted:
-            self._run_controller.stop(task, run, worker_id, 'preempted')
+        for stop in plan.preempted:
+            self._run_controller.stop(
+                stop.task, stop.run, stop.worker_id, 'preempted', stop.lost
+            )
         if plan.placements:
             steps = {placement.unit.step_key for placement in plan.placements}
             self._committing_steps |= steps
--- a/mulberryhitch/dispatch/placement/planner.py
+++ b/mulberryhitch/dispatch/placement/planner.py
@@ -21,14 +21,13 @@
 from mulberryhitch.dispatch.placement.preemption_candidates import (
     PreemptionCandidates,
 )
+from mulberryhitch.dispatch.placement.step_order import StepOrder
 from mulberryhitch.dispatch.placement.step_selection import StepSelector
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
-from mulberryhitch.jobs.model import Queue, Resources, StepKey
-from mulberryhitch.jobs.state import Job, StepExecution
+from mulberryhitch.jobs.model import Resources, StepKey
+from mulberryhitch.jobs.state import StepExecution
 from mulberryhitch.jobs.store import JobStore
 
-_LATE_FACTOR = 3.0
-
 _WorkerCopies = list[tuple[int, TrackedWorker]]
 
 
@@ -58,7 +57,7 @@
     ) -> None:
         """Initialises the planner with an empty plan."""
         self._job_store = job_store
-        self._estimates = estimates
+        self._order = StepOrder(estimates, current.wall_time)
         self._round = current
         self._earlier_reserved = set(
             chain.from_iterable(current.earlier_reservations.values())
@@ -152,20 +151,10 @@
         permits = None
         if queue.permits is not None:
             permits = self._permit_manager.of_step(execution.key)
-        sort_key = self._sort_key(job, execution, queue)
-        return WaitingStep(execution, job, queue, sort_key, permits)
-
-    def _sort_key(
-        self, job: Job, execution: StepExecution, queue: Queue
-    ) -> tuple[float, ...]:
-        due = job.due_at(execution.key.occurrence)
-        age = self._round.wall_time - due
-        objective, remaining = self._estimates.objective_and_critical_path(
-            job, execution, queue
+        rank = self._order.rank(job, execution, queue)
+        return WaitingStep(
+            execution, job, queue, rank.key, permits, rank.spare_seconds
         )
-        slack = objective - age - remaining
-        too_late = age > objective * _LATE_FACTOR
-        return (too_late, queue.urgency, slack < 0, slack, due)
 
     def _position_of(self, execution: StepExecution) -> tuple[float, ...]:
         """Returns the lateness and urgency of a step, waiting or not.
@@ -179,7 +168,7 @@
             job = self._job_store.jobs.get(execution.key.job_id)
             if job is not None:
                 queue = self._job_store.current_queue(job)
-                position = self._sort_key(job, execution, queue)[:2]
+                position = self._order.rank(job, execution, queue).position
             self._positions[execution.key] = position
         return position
 
--- a/mulberryhitch/dispatch/placement/plans.py
+++ b/mulberryhitch/dispatch/placement/plans.py
@@ -29,6 +29,22 @@
     ticket: str
 
 
+@dataclass(frozen=True, slots=True)
+class Preemption:
+    """A run to stop so that a more urgent step can start.
+
+    Attributes:
+        lost: Core-seconds that the stop loses.
+        queue_name: Queue of the step that it makes room for.
+    """
+
+    task: TaskKey
+    run: int
+    worker_id: str
+    lost: float
+    queue_name: str
+
+
 @dataclass(frozen=True, slots=True)
 class Round:
     """When a placement round takes place, and what the last one reserved.
@@ -58,7 +74,7 @@
     """The result of a placement round.
 
     Attributes:
-        preempted: Task, run and worker id of the runs to stop.
+        preempted: The runs to stop.
         blocked: Waiting tasks that were considered but not placed, by queue
             name and reason; only of a round that explains.
         reservations: The workers reserved for each gang that waits.
@@ -66,7 +82,7 @@
 
     placements: list[Placement] = field(default_factory=list)
     permit_requests: list[PermitRequest] = field(default_factory=list)
-    preempted: list[tuple[TaskKey, int, str]] = field(default_factory=list)
+    preempted: list[Preemption] = field(default_factory=list)
     blocked: Counter[tuple[str, str]] = field(default_factory=Counter)
     reservations: dict[StepKey, tuple[str, ...]] = field(default_factory=dict)
 
@@ -84,6 +100,9 @@
         sort_key: Whether the job is past three times its objective, urgency,
             whether it can't be in time any more by its estimates, slack in
             seconds and due time; steps with lower keys are placed first.
+        spare_seconds: How long it may still wait, by its estimates, so that
+            its job is in time, or else completes within three times its
+            objective; negative if it can do neither.
         permits: None if the queue requires no permits.
     """
 
@@ -92,6 +111,7 @@
     queue: Queue
     sort_key: tuple[float, ...]
     permits: StepPermits | None
+    spare_seconds: float = 0
 
     @property
     def is_too_late(self) -> bool:
--- a/mulberryhitch/dispatch/placement/preemption.py
+++ b/mulberryhitch/dispatch/placement/preemption.py
@@ -8,11 +8,20 @@
     FreeCapacity,
     copies_that_fit,
 )
-from mulberryhitch.dispatch.placement.plans import Plan, WaitingStep
+from mulberryhitch.dispatch.placement.plans import (
+    Plan,
+    Preemption,
+    WaitingStep,
+)
 from mulberryhitch.dispatch.placement.preemption_candidates import (
     PreemptionCandidates,
     Victim,
 )
+from mulberryhitch.dispatch.placement.preemption_cost import (
+    cheapest_victims,
+    gain_of_start,
+    needs_stops,
+)
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
 from mulberryhitch.jobs.model import Resources, StepKey
 from mulberryhitch.jobs.state import StepExecution
@@ -29,7 +38,7 @@
 _RESERVED_FOR_OTHERS, _UNCOVERED, _COVERED, _KEPT = range(4)
 
 _WorkerCopies = list[tuple[int, TrackedWorker]]
-_GainKey = tuple[tuple[float, ...], str]
+_GainKey = tuple[tuple[float, ...], str, bool]
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,7 +156,9 @@
                 kept,
                 is_covered,
             )
-            selected = _first_that_fit(ranked, needed)
+            selected = self._unless_too_costly(
+                waiting, _first_that_fit(ranked, needed)
+            )
         if selected:
             held = min(len(selected), self._reservable_workers)
             return GangReservation(selected, held, fits_soon=True)
@@ -188,12 +199,12 @@
             if unplaced <= 0:
                 return
             worker_id = worker.record.worker_id
-            if (
-                copies_that_fit(
-                    resources, self._free_after_preemption(waiting, worker_id)
-                )
-                > 0
-            ):
+            free = self._free_after_preemption(waiting, worker_id)
+            if not resources.fits(free):
+                continue
+            victims = self._victims_for(waiting, worker_id, 1)
+            lost = sum(victim.lost for victim in victims)
+            if lost <= gain_of_start(waiting, 1):
                 self._allocate_with_preemption(waiting, worker_id, 1)
                 unplaced -= 1
 
@@ -212,7 +223,38 @@
             own,
             lambda worker_id: self._free_after_preemption(waiting, worker_id),
         )
-        return _first_that_fit(ranked, waiting.execution.step.count)
+        return self._unless_too_costly(
+            waiting, _first_that_fit(ranked, waiting.execution.step.count)
+        )
+
+    def _unless_too_costly(
+        self, waiting: WaitingStep, selected: _WorkerCopies
+    ) -> _WorkerCopies:
+        """Returns the workers, or none if stops there lose more than is gained.
+
+        A gang counts as a whole, as do the runs stopped for it.
+        """
+        needed = waiting.execution.step.count
+        lost: float = 0
+        for copies, worker in selected:
+            victims = self._victims_for(
+                waiting, worker.record.worker_id, min(copies, needed)
+            )
+            lost += sum(victim.lost for victim in victims)
+            needed -= copies
+        if lost > gain_of_start(waiting, waiting.execution.step.count):
+            return []
+        return selected
+
+    def _victims_for(
+        self, waiting: WaitingStep, worker_id: str, copies: int
+    ) -> list[Victim]:
+        """Returns the runs to stop so that some tasks of a step fit."""
+        return cheapest_victims(
+            self._gain(waiting, worker_id).victims,
+            waiting.execution.resources.times(copies),
+            self._free_soon(waiting, worker_id),
+        )
 
     def _select_free(
         self,
@@ -339,20 +381,23 @@
     def _gain(self, waiting: WaitingStep, worker_id: str) -> _Gain:
         """Returns what a worker can release to a step; cached."""
         cached = self._cached_gains.setdefault(worker_id, {})
-        key = (waiting.position, waiting.queue.name)
+        may_stop = needs_stops(waiting)
+        key = (waiting.position, waiting.queue.name, may_stop)
         gain = cached.get(key)
         if gain is None:
-            gain = self._compute_gain(waiting, worker_id)
+            gain = self._compute_gain(waiting, worker_id, may_stop=may_stop)
             cached[key] = gain
         return gain
 
-    def _compute_gain(self, waiting: WaitingStep, worker_id: str) -> _Gain:
+    def _compute_gain(
+        self, waiting: WaitingStep, worker_id: str, *, may_stop: bool
+    ) -> _Gain:
         candidates = self._candidates.of_worker(worker_id)
         ending = candidates.releasing
         for ends_at, resources in candidates.ending:
             if self._ends_soon(waiting, ends_at):
                 ending = ending.plus(resources)
-        victims = self._victims(waiting, worker_id)
+        victims = self._victims(waiting, worker_id) if may_stop else []
         most = ending
         for victim in victims:
             most = most.plus(victim.execution.resources)
@@ -361,6 +406,8 @@
     def _victims(self, waiting: WaitingStep, worker_id: str) -> list[Victim]:
         """Returns the runs that a step may preempt, the least urgent first.
 
+        Of equally urgent ones the largest come first, as fewer are stopped.
+
         They are less urgent and behind the step in the order of placement;
         otherwise they would be placed again before it. Runs that end soon are
         left to end.
@@ -376,21 +423,24 @@
             if position > waiting.position
             and position[1] > waiting.queue.urgency
         ]
-        behind.sort(key=lambda row: row[0], reverse=True)
+        behind.sort(key=lambda row: (row[0], row[1].lost), reverse=True)
         return [victim for _, victim in behind]
 
     def _allocate_with_preemption(
         self, waiting: WaitingStep, worker_id: str, copies: int
     ) -> None:
         """Allocates resources to the tasks, preempting runs as needed."""
-        needed = waiting.execution.resources.times(copies)
-        free = self._free_soon(waiting, worker_id)
-        for victim in self._gain(waiting, worker_id).victims:
-            if needed.fits(free):
-                break
+        for victim in self._victims_for(waiting, worker_id, copies):
             self._candidates.of_worker(worker_id).victims.remove(victim)
-            free = free.plus(victim.execution.resources)
-            self._plan.preempted.append((victim.task, victim.run, worker_id))
+            self._plan.preempted.append(
+                Preemption(
+                    victim.task,
+                    victim.run,
+                    worker_id,
+                    victim.lost,
+                    waiting.queue.name,
+                )
+            )
         self._cached_gains.pop(worker_id, None)
         self._free_capacity.allocate(
             worker_id, waiting.execution.resources, copies
--- a/mulberryhitch/dispatch/placement/preemption_candidates.py
+++ b/mulberryhitch/dispatch/placement/preemption_candidates.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from mulberryhitch.dispatch.options import DispatchOptions
+from mulberryhitch.dispatch.placement.stop_loss import stop_loss
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedRun, TrackedWorker
 from mulberryhitch.jobs.model import Resources, TaskKey
 from mulberryhitch.jobs.state import StepExecution
@@ -16,12 +17,14 @@
     Attributes:
         execution: The step that it belongs to.
         ends_at: When it is projected to end, in seconds on the local clock.
+        lost: Core-seconds that its stop loses.
     """
 
     task: TaskKey
     run: int
     execution: StepExecution
     ends_at: float
+    lost: float
 
 
 @dataclass(slots=True)
@@ -83,7 +86,13 @@
             candidates.ending.append((ends_at, resources))
             if self._is_preemptible(execution, tracked):
                 candidates.victims.append(
-                    Victim(task, tracked.run, execution, ends_at)
+                    Victim(
+                        task,
+                        tracked.run,
+                        execution,
+                        ends_at,
+                        stop_loss(resources),
+                    )
                 )
         return candidates
 
--- /dev/null
+++ b/mulberryhitch/dispatch/placement/step_order.py
@@ -0,0 +1,70 @@
+"""The order in which waiting steps are placed."""
+
+from dataclasses import dataclass
+
+from mulberryhitch.dispatch.placement.plans import EstimateCache
+from mulberryhitch.jobs.model import Queue
+from mulberryhitch.jobs.state import Job, StepExecution
+
+LATE_FACTOR = 3.0
+"""A job that takes longer than this multiple of its objective earns nothing."""
+
+_POSITION_PARTS = 2
+# Estimates are off by up to 90%: a job that is behind its objective by less than
+# this share of the run time may still be in time.
+_DOUBTFUL_SHARE = 0.9
+
+
+@dataclass(frozen=True, slots=True)
+class StepRank:
+    """Where a step stands.
+
+    Attributes:
+        key: Steps with lower keys are placed first.
+        spare_seconds: How long it may still wait, by its estimates, so that
+            its job is in time, or else completes within three times its
+            objective; negative if it can do neither.
+    """
+
+    key: tuple[float, ...]
+    spare_seconds: float
+
+    @property
+    def position(self) -> tuple[float, ...]:
+        """The first parts of the key; runs of steps behind may be preempted."""
+        return self.key[:_POSITION_PARTS]
+
+
+class StepOrder:
+    """Ranks the steps of a placement round.
+
+    Steps of jobs that are past three times their objective come last. The
+    others come by urgency; within a class those that can be in time come
+    first, and of these the ones with the least slack.
+
+    Args:
+        estimates: Objectives and critical paths.
+        wall_time: Seconds since 1970.
+    """
+
+    def __init__(self, estimates: EstimateCache, wall_time: float) -> None:
+        """Initialises the order of a round."""
+        self._estimates = estimates
+        self._wall_time = wall_time
+
+    def rank(
+        self, job: Job, execution: StepExecution, queue: Queue
+    ) -> StepRank:
+        """Returns where a step stands, waiting or not."""
+        due = job.due_at(execution.key.occurrence)
+        age = self._wall_time - due
+        objective, remaining = self._estimates.objective_and_critical_path(
+            job, execution, queue
+        )
+        slack = objective - age - remaining
+        too_late = age > objective * LATE_FACTOR
+        key = (too_late, queue.urgency, slack < 0, slack, due)
+        latest = objective * LATE_FACTOR - age - remaining
+        in_doubt = slack >= -_DOUBTFUL_SHARE * remaining
+        spare = min(max(slack, 0), latest) if in_doubt else latest
+        return StepRank(key, spare)
--- a/mulberryhitch/dispatch/reports/accounting.py
+++ b/mulberryhitch/dispatch/reports/accounting.py
@@ -21,6 +21,7 @@
         useful: Core-seconds of runs that were done.
         lost: Core-seconds of runs that ended otherwise without a checkpoint.
         stopping: Core-seconds between the order to stop and the end.
+        preempted: Core-seconds that preemptions lose, by their estimate.
     """
 
     ended: Counter[str] = field(default_factory=Counter)
@@ -29,6 +30,7 @@
     useful: float = 0
     lost: float = 0
     stopping: float = 0
+    preempted: float = 0
 
 
 class RunAccounting:
@@ -44,9 +46,19 @@
         self._accounts = {}
         return accounts
 
-    def record_stop(self, queue_name: str, reason: str) -> None:
-        """Records that a run was told to stop."""
-        self._account(queue_name).stopped[reason] += 1
+    def record_stop(
+        self, queue_name: str, reason: str, lost: float = 0
+    ) -> None:
+        """Records that a run was told to stop.
+
+        Args:
+            queue_name: Queue of the run's job.
+            reason: Why it was stopped.
+            lost: Core-seconds that a preemption loses.
+        """
+        account = self._account(queue_name)
+        account.stopped[reason] += 1
+        account.preempted += lost
 
     def record_job(self, queue_name: str, state: JobState) -> None:
         """Records that a job has ended."""
--- a/mulberryhitch/dispatch/reports/status_report.py
+++ b/mulberryhitch/dispatch/reports/status_report.py
@@ -143,6 +143,7 @@
                 useful=round(account.useful),
                 lost=round(account.lost),
                 stopping=round(account.stopping),
+                preempted=round(account.preempted, 1),
                 permit_client_seconds=round(client_seconds.get(name, 0), 2),
             )
 
--- a/mulberryhitch/dispatch/runs/run_controller.py
+++ b/mulberryhitch/dispatch/runs/run_controller.py
@@ -112,9 +112,22 @@
         await self._term.commit_or_log(batch)
 
     def stop(
-        self, task: TaskKey, run: int, worker_id: str, reason: str
+        self,
+        task: TaskKey,
+        run: int,
+        worker_id: str,
+        reason: str,
+        lost: float = 0,
     ) -> None:
-        """Stops a run, unless it has ended or is already being stopped."""
+        """Stops a run, unless it has ended or is already being stopped.
+
+        Args:
+            task: The task.
+            run: Number of the run.
+            worker_id: The worker that runs it.
+            reason: Why it is stopped.
+            lost: Core-seconds that a preemption loses.
+        """
         worker = self._term.tracked_workers.get(worker_id)
         tracked = worker.tracked_runs.get(task) if worker else None
         if worker is None or tracked is None or tracked.run != run:
@@ -122,7 +135,7 @@
         if tracked.stopping:
             return
         tracked.stopping_at = anyio.current_time()
-        self._term.record_stop(task, run, worker_id, reason)
+        self._term.record_stop(task, run, worker_id, reason, lost)
         self._term.start_soon(
             self._stop_until_acknowledged, worker, tracked, task
         )
--- a/mulberryhitch/dispatch/term.py
+++ b/mulberryhitch/dispatch/term.py
@@ -127,14 +127,34 @@
         )
 
     def record_stop(
-        self, task: TaskKey, run: int, worker_id: str, reason: str
+        self,
+        task: TaskKey,
+        run: int,
+        worker_id: str,
+        reason: str,
+        lost: float = 0,
     ) -> None:
-        """Logs and counts that a run is told to stop."""
-        self.log_task('task.stopping', task, run, worker_id, reason=reason)
+        """Logs and counts that a run is told to stop.
+
+        Args:
+            task: The task.
+            run: Number of the run.
+            worker_id: The worker that runs it.
+            reason: Why it is stopped.
+            lost: Core-seconds that a preemption loses.
+        """
+        self.log_task(
+            'task.stopping',
+            task,
+            run,
+            worker_id,
+            reason=reason,
+            lost=round(lost, 2),
+        )
         self.log.count(f'task.stopping.{reason}')
         job = self.job_store.jobs.get(task.job_id)
         if job is not None:
-            self.accounting.record_stop(job.queue.name, reason)
+            self.accounting.record_stop(job.queue.name, reason, lost)
 
     def record_end(
         self,
--- a/tests/load_cell.py
+++ b/tests/load_cell.py
@@ -6,6 +6,7 @@
 
 import hashlib
 import heapq
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from itertools import count
@@ -22,11 +23,9 @@
 from mulberryhitch.errors import UnreachableError
 from mulberryhitch.jobs.model import Resources, StepKey, TaskKey, WorkerRecord
 from mulberryhitch.jobs.state import RunOutcome
-from tests.load_jobs import GeneratedJob
+from tests.load_jobs import GeneratedJob, Load
 
 STOP_SECONDS = 0.2
-CHECKPOINT_SECONDS = 1.0
-RESTORE_SECONDS = 0.25
 GANG_SECONDS = 5.0
 COMMAND_SECONDS = 0.005
 
@@ -63,7 +62,8 @@
     Attributes:
         saved: Seconds of work that its checkpoint holds.
         began_at: When it began to work; negative while a gang is incomplete.
-        seconds: How long it works.
+        seconds: How long it works on its worker, with the time to resume.
+        restoring: Seconds of these that it takes to resume.
     """
 
     task: TaskKey
@@ -73,33 +73,40 @@
     saved: float
     seconds: float
     outcome: RunOutcome
-    checkpointing: bool
+    checkpoint_seconds: float
+    restoring: float
     began_at: float = -1
 
-    def worked(self) -> float:
+    def passed(self) -> float:
+        """Returns for how many seconds it has taken its processors."""
         if self.began_at < 0:
             return 0
         passed = anyio.current_time() - self.began_at
         return max(0, min(passed, self.seconds))
 
+    def worked(self) -> float:
+        """Returns how many seconds of its work it has done since it began."""
+        return max(0, self.passed() - self.restoring) * self.worker.speed
+
     def percent(self) -> int:
-        return int(100 * self.worked() / max(self.seconds, 0.001))
+        return int(100 * self.passed() / max(self.seconds, 0.001))
 
     def checkpoint(self, whole: bool) -> str:
         """Returns the newest checkpoint; at a stop, one of all its work."""
-        if not self.checkpointing:
+        if not self.checkpoint_seconds:
             return ''
         worked = self.worked()
         if not whole:
-            worked -= worked % CHECKPOINT_SECONDS
+            worked -= worked % self.checkpoint_seconds
         return f'{self.saved + worked:.3f}' if self.saved + worked else ''
 
 
 class LoadWorker:
     """A worker that lists its runs and their ends."""
 
-    def __init__(self, record: WorkerRecord) -> None:
+    def __init__(self, record: WorkerRecord, speed: float = 1) -> None:
         self.record = record
+        self.speed = speed
         self.gone = False
         self.running: dict[TaskKey, LoadRun] = {}
         self.ended: list[EndedRow] = []
@@ -132,15 +139,19 @@
     """Client of all simulated workers; counts what they did.
 
     Attributes:
-        lost_core_seconds: Work that ended otherwise than done and was not
-            saved, and the room of incomplete gangs.
+        lost: Core-seconds of runs that ended otherwise than done and were not
+            saved, by how they ended, and those taken to resume.
         first_starts: When the first task of each job began.
         on_exchange: Called for each exchange with a worker.
     """
 
-    def __init__(self, timeline: Timeline, jobs: dict[str, GeneratedJob]):
+    def __init__(
+        self, timeline: Timeline, jobs: dict[str, GeneratedJob], load: Load
+    ) -> None:
+        self._load = load
         self.workers: dict[str, LoadWorker] = {}
-        self.lost_core_seconds: float = 0
+        self.lost: Counter[str] = Counter()
+        self.ended: Counter[str] = Counter()
         self.worked_core_seconds: float = 0
         self.starts = 0
         self.first_starts: dict[str, float] = {}
@@ -233,9 +244,8 @@
         step = job.spec.steps[command.task.step]
         saved = float(command.checkpoint or 0)
         seconds = job.run_seconds[command.task.step][command.task.number]
-        seconds = max(0, seconds - saved)
-        if saved:
-            seconds += RESTORE_SECONDS
+        restoring = self._load.restore_seconds if saved else 0
+        seconds = max(0, seconds - saved) / worker.speed
         draw = _share_of(f'{command.task}-{command.run}')
         failing = draw < job.load_class.failing
         return LoadRun(
@@ -244,9 +254,10 @@
             worker,
             step.resources,
             saved,
-            seconds / 2 if failing else seconds,
+            restoring + (seconds / 2 if failing else seconds),
             RunOutcome.failed if failing else RunOutcome.done,
-            step.checkpointing,
+            self._load.checkpoint_seconds if step.checkpointing else 0,
+            restoring,
         )
 
     def _begin(self, run: LoadRun) -> None:
@@ -277,10 +288,13 @@
         cores = run.resources.processors / 1000
         saved = run.checkpoint(whole=outcome is RunOutcome.stopped)
         if outcome is RunOutcome.done:
-            self.worked_core_seconds += cores * run.worked()
+            self.worked_core_seconds += cores * run.passed()
         else:
-            kept = float(saved) - run.saved if saved else 0
-            self.lost_core_seconds += cores * max(0, run.worked() - kept)
+            kept = (float(saved) - run.saved) / run.worker.speed if saved else 0
+            working = run.passed() - min(run.passed(), run.restoring)
+            self.lost[outcome.value] += cores * max(0, working - kept)
+        self.lost['resume'] += cores * min(run.passed(), run.restoring)
+        self.ended[outcome.value] += 1
         run.worker.add_end(run, outcome, saved)
         key = (StepKey(*run.task[:3]), run.run)
         broken = RunOutcome.broken
--- a/tests/load_jobs.py
+++ b/tests/load_jobs.py
@@ -3,9 +3,17 @@
 import math
 import random
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
-from mulberryhitch.jobs.model import JobSpec, PermitPolicy, Queue, Step
+from mulberryhitch.jobs.model import (
+    JobSpec,
+    PermitPolicy,
+    Queue,
+    Step,
+    Tenant,
+)
+
+MAXIMUM_VALUE = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +49,7 @@
         estimate_error: Spread of the estimate around the true run time.
         uneven: Spread of the run times of the tasks of a step.
         permitted: Share of the workers that may run a step.
+        worth: What a mean job in time is worth.
     """
 
     queue: Queue
@@ -56,16 +65,51 @@
     estimate_error: float = 0
     uneven: float = 0.2
     permitted: float = 1
+    worth: float = 1
 
 
 @dataclass(frozen=True, slots=True)
 class Burst:
-    """A multiple of a class's arrivals for some seconds."""
+    """A multiple of a class's arrivals for some seconds.
+
+    Attributes:
+        queue_name: The class; empty for all.
+        tenant: The only tenant that sends more; empty if all do.
+    """
 
     queue_name: str
     at: float
     seconds: float
     factor: float
+    tenant: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class LoadTenant:
+    """A client account.
+
+    Attributes:
+        demand: Its usual demand, relative to that of the others.
+    """
+
+    account: Tenant
+    demand: float
+
+
+@dataclass(frozen=True, slots=True)
+class Swing:
+    """A regular rise and fall of all arrivals.
+
+    Attributes:
+        share: Largest deviation from the mean rate.
+        seconds: Time from one peak to the next.
+    """
+
+    share: float = 0
+    seconds: float = 1
+
+    def factor(self, now: float) -> float:
+        return 1 + self.share * math.sin(2 * math.pi * now / self.seconds)
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +118,7 @@
 
     Attributes:
         run_seconds: True run time of each task, by step.
+        tenant: The client account that submits it; empty if none does.
     """
 
     job_id: str
@@ -81,6 +126,7 @@
     spec: JobSpec
     submitted_at: float
     run_seconds: tuple[tuple[float, ...], ...]
+    tenant: str = ''
 
     @property
     def objective_seconds(self) -> float:
@@ -115,6 +161,10 @@
         permit_clients: Processes that can request permits.
         seconds: How long jobs arrive.
         drained: Share of the workers that leave, and when.
+        rack_size: Number of workers of a rack.
+        speeds: Speeds of the workers, in turn.
+        checkpoint_seconds: Work between two checkpoints.
+        restore_seconds: Run time that it costs to resume from one.
     """
 
     name: str
@@ -126,6 +176,12 @@
     bursts: tuple[Burst, ...] = ()
     seconds: float = 30
     drained: tuple[tuple[float, float], ...] = field(default=())
+    tenants: tuple[LoadTenant, ...] = ()
+    swing: Swing = Swing()
+    rack_size: int = 12
+    speeds: tuple[float, ...] = (1.0,)
+    checkpoint_seconds: float = 1.0
+    restore_seconds: float = 0.25
 
     def jobs(self, seed: int) -> Iterator[GeneratedJob]:
         """Yields the jobs of all classes in the order of their arrival."""
@@ -139,22 +195,56 @@
         self, load_class: LoadClass, rng: random.Random
     ) -> Iterator[GeneratedJob]:
         now = rng.expovariate(load_class.per_second)
+        senders = random.Random(rng.random()) if self.tenants else rng
         count = 0
         while now < self.seconds:
             count += 1
             job_id = f'{load_class.queue.name}-{count}'
-            yield _make_job(job_id, load_class, now, rng)
+            job = _make_job(job_id, load_class, now, rng)
+            demands = self._demands(load_class, now)
+            if self.tenants:
+                sender = senders.choices(self.tenants, demands)[0]
+                job = replace(job, tenant=sender.account.name)
+            yield job
             rate = load_class.per_second * self._factor(load_class, now)
-            now += rng.expovariate(rate)
+            now += rng.expovariate(rate * sum(demands))
 
     def _factor(self, load_class: LoadClass, now: float) -> float:
         factors = [
             burst.factor
             for burst in self.bursts
-            if burst.queue_name in {'', load_class.queue.name}
-            and burst.at <= now < burst.at + burst.seconds
+            if _hits(burst, load_class, now) and not burst.tenant
+        ]
+        return math.prod(factors) * self.swing.factor(now)
+
+    def _demands(self, load_class: LoadClass, now: float) -> list[float]:
+        """Returns the demand of each tenant; they sum to 1 without a flood."""
+        usual = sum(tenant.demand for tenant in self.tenants)
+        floods = {
+            burst.tenant: burst.factor
+            for burst in self.bursts
+            if _hits(burst, load_class, now) and burst.tenant
+        }
+        demands = [
+            tenant.demand / usual * floods.get(tenant.account.name, 1)
+            for tenant in self.tenants
         ]
-        return math.prod(factors)
+        return demands or [1.0]
+
+
+def job_value(core_seconds: float, mean: float) -> float:
+    """Returns what a job is worth in time, relative to its class.
+
+    Args:
+        core_seconds: Its work.
+        mean: Mean work of a job of its class.
+    """
+    return min(MAXIMUM_VALUE, 0.3 + 0.7 * core_seconds / mean)
+
+
+def _hits(burst: Burst, load_class: LoadClass, now: float) -> bool:
+    named = burst.queue_name in {'', load_class.queue.name}
+    return named and burst.at <= now < burst.at + burst.seconds
 
 
 def _make_job(
--- a/tests/load_player.py
+++ b/tests/load_player.py
@@ -30,7 +30,7 @@
 from mulberryhitch.observability.log import LineRateLimiter, Log
 from mulberryhitch.rpc.messages import LogEntry
 from tests.load_cell import LoadFleet, LoadPermitClient, LoadWorker, Timeline
-from tests.load_jobs import GeneratedJob, Load
+from tests.load_jobs import GeneratedJob, Load, LoadClass, job_value
 from tests.replica_group import run_with_mock_clock
 
 ROUND_SECONDS = 0.03
@@ -38,6 +38,7 @@
 # With all that a leader does for it: commits, lists, log lines, calls.
 EXCHANGE_SECONDS = 0.0003
 LATE_FACTOR = 3
+LATE_VALUE = 0.2
 DRAIN_SECONDS = 3
 SAMPLE_SECONDS = 0.5
 # Longer than any play, as the results are read at its end.
@@ -82,9 +83,13 @@
         late: Jobs that completed within three times their objective.
         too_late: Jobs that completed later, or not by the end of the load.
         waits: Seconds from the first submission to the first start.
+        value: What they are worth if in time, relative to their class.
+        earned: What they were worth: a fifth of it if late.
     """
 
     offered: int = 0
+    value: float = 0
+    earned: float = 0
     in_time: int = 0
     late: int = 0
     too_late: int = 0
@@ -92,6 +97,11 @@
     refused: int = 0
     waits: list[float] = field(default_factory=list)
 
+    @property
+    def served(self) -> float:
+        """Share of the value that was earned."""
+        return self.earned / self.value if self.value else 0
+
     def wait_at(self, percent: int) -> float:
         """Returns a percentile of the waits."""
         if len(self.waits) < 2:
@@ -104,9 +114,14 @@
     """What became of a load.
 
     Attributes:
-        by_class: Reports by queue name; the widest fifth of a class has one of
-            its own, named `CLASS wide`.
+        by_class: Reports by queue name; the widest fifth, and the largest
+            tenth, of a class have some of their own, named `CLASS wide` and
+            `CLASS top`.
+        by_tenant: Reports by tenant.
         stops: Runs that were told to stop, by reason.
+        preemptors: Runs that were preempted, by the queue that got the room.
+        ended: Runs that ended, by how they did.
+        lost: Core-seconds that were lost, by how their runs ended.
         rounds: Number of placement rounds.
         round_seconds: Processor time of all of them, on this machine.
         took: How long the play took, on this machine.
@@ -116,10 +131,13 @@
     """
 
     by_class: dict[str, ClassReport]
+    by_tenant: dict[str, ClassReport]
     stops: Counter[str]
+    preemptors: Counter[str]
     starts: int
+    ended: Counter[str]
     worked_core_seconds: float
-    lost_core_seconds: float
+    lost: Counter[str]
     rounds: int
     round_seconds: float
     took: float
@@ -150,9 +168,13 @@
         self.jobs = {job.job_id: job for job in load.jobs(seed)}
         self.job_store = JobStore()
         self.timeline = Timeline()
-        self.fleet = LoadFleet(self.timeline, self.jobs)
-        self.refused: set[str] = set()
+        self.fleet = LoadFleet(self.timeline, self.jobs, load)
+        self._mean_work = {
+            one.queue.name: _mean_work(self.jobs.values(), one)
+            for one in load.classes
+        }
         self.stops: Counter[str] = Counter()
+        self.preemptors: Counter[str] = Counter()
         self.rounds = 0
         self.round_seconds: float = 0
         self._busy_shares: list[float] = []
@@ -166,7 +188,9 @@
             self._charge = ProcessorCharge(self._speed)
             self.fleet.on_exchange = self._charge.charge_exchange
         queues = tuple(one.queue for one in self.load.classes)
-        self._apply([changes.configure(QueueTable(1, '{}', queues))])
+        accounts = tuple(one.account for one in self.load.tenants)
+        table = QueueTable(1, '{}', queues, tenants=accounts)
+        self._apply([changes.configure(table)])
         self._add_workers()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.timeline.run)
@@ -233,6 +257,7 @@
             seconds = time.process_time() - began
             self.round_seconds += seconds
             self.rounds += 1
+            self.preemptors.update(stop.queue_name for stop in plan.preempted)
             if self._charge is not None:
                 self._charge.charge_round(seconds)
             return plan
@@ -242,9 +267,9 @@
     def _count_stops(self, term: Term) -> None:
         record_stop = term.accounting.record_stop
 
-        def counted(queue_name: str, reason: str) -> None:
+        def counted(queue_name: str, reason: str, lost: float = 0) -> None:
             self.stops[f'{queue_name}: {reason}'] += 1
-            record_stop(queue_name, reason)
+            record_stop(queue_name, reason, lost)
 
         term.accounting.record_stop = counted  # type: ignore[method-assign]
 
@@ -272,14 +297,15 @@
                 f'{worker_id}:1',
                 'svc',
                 'a',
-                f'r{number // 12}',
-                ('k', f'r{number // 12}'),
+                f'r{number // self.load.rack_size}',
+                ('k', f'r{number // self.load.rack_size}'),
                 self.load.cores * 1000,
                 self.load.memory,
                 0,
                 1,
             )
-            self.fleet.workers[worker_id] = LoadWorker(record)
+            speed = self.load.speeds[number % len(self.load.speeds)]
+            self.fleet.workers[worker_id] = LoadWorker(record, speed)
 
     async def _drain(self, at: float, share: float) -> None:
         """Drains a share of the workers, which leave some seconds later."""
@@ -300,7 +326,9 @@
 
     async def _submit(self, job: GeneratedJob) -> None:
         name = job.load_class.queue.name
-        accepted = changes.accept(job.job_id, name, job.spec, self._wall_time())
+        accepted = changes.accept(
+            job.job_id, name, job.spec, self._wall_time(), job.tenant
+        )
         await self._commit([accepted])
 
     def _wall_time(self) -> float:
@@ -320,10 +348,13 @@
     def _report(self, started_at: float, took: float) -> LoadReport:
         return LoadReport(
             dict(self._class_reports(started_at)),
+            dict(self._tenant_reports(started_at)),
             self.stops,
+            self.preemptors,
             self.fleet.starts,
+            self.fleet.ended,
             self.fleet.worked_core_seconds,
-            self.fleet.lost_core_seconds,
+            self.fleet.lost,
             self.rounds,
             self.round_seconds,
             took,
@@ -346,6 +377,16 @@
             yield name, self._report_jobs(jobs, started_at)
             widest = jobs[len(jobs) * 4 // 5 :]
             yield f'{name} wide', self._report_jobs(widest, started_at)
+            largest = jobs[len(jobs) * 9 // 10 :]
+            yield f'{name} top', self._report_jobs(largest, started_at)
+
+    def _tenant_reports(
+        self, started_at: float
+    ) -> Iterable[tuple[str, ClassReport]]:
+        for tenant in self.load.tenants:
+            name = tenant.account.name
+            jobs = [job for job in self.jobs.values() if job.tenant == name]
+            yield name, self._report_jobs(jobs, started_at)
 
     def _report_jobs(
         self, jobs: list[GeneratedJob], started_at: float
@@ -353,6 +394,7 @@
         report = ClassReport()
         for job in jobs:
             report.offered += 1
+            report.value += self._value_of(job)
             first = self.fleet.first_starts.get(job.job_id)
             submitted_at = started_at + job.submitted_at
             if first is not None:
@@ -360,6 +402,11 @@
             self._count_result(job, submitted_at, report)
         return report
 
+    def _value_of(self, job: GeneratedJob) -> float:
+        mean = self._mean_work[job.load_class.queue.name]
+        worth = job.load_class.worth
+        return worth * job_value(job.core_seconds, mean)
+
     def _count_result(
         self, job: GeneratedJob, submitted_at: float, report: ClassReport
     ) -> None:
@@ -375,12 +422,19 @@
             report.too_late += 1
         elif seconds <= job.objective_seconds:
             report.in_time += 1
+            report.earned += self._value_of(job)
         elif seconds <= LATE_FACTOR * job.objective_seconds:
             report.late += 1
+            report.earned += LATE_VALUE * self._value_of(job)
         else:
             report.too_late += 1
 
 
+def _mean_work(jobs: Iterable[GeneratedJob], load_class: LoadClass) -> float:
+    works = [job.core_seconds for job in jobs if job.load_class is load_class]
+    return sum(works) / max(1, len(works))
+
+
 def play(load: Load, seed: int = 1, speed: float = 0) -> LoadReport:
     """Plays a load and returns what became of it."""
 
