Tenants over their share wait, and no gang stops runs that would then be late

With tenants in the configuration, one that uses more than 1.5 times its weighted share comes after the others in its class, and stops no runs. Shares, active tenants and usage follow from the job store; without tenants the order is as before.

--- a/mulberryhitch/dispatch/placement/planner.py
+++ b/mulberryhitch/dispatch/placement/planner.py
@@ -21,8 +21,13 @@
 from mulberryhitch.dispatch.placement.preemption_candidates import (
     PreemptionCandidates,
 )
-from mulberryhitch.dispatch.placement.step_order import StepOrder
+from mulberryhitch.dispatch.placement.step_order import (
+    FOREMOST,
+    StepOrder,
+    StepRank,
+)
 from mulberryhitch.dispatch.placement.step_selection import StepSelector
+from mulberryhitch.dispatch.placement.tenant_shares import TenantShares
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
 from mulberryhitch.jobs.model import Resources, StepKey
 from mulberryhitch.jobs.state import StepExecution
@@ -57,7 +62,6 @@
     ) -> None:
         """Initialises the planner with an empty plan."""
         self._job_store = job_store
-        self._order = StepOrder(estimates, current.wall_time)
         self._round = current
         self._earlier_reserved = set(
             chain.from_iterable(current.earlier_reservations.values())
@@ -65,14 +69,16 @@
         self._free_capacity = FreeCapacity(
             job_store, workers, uncommitted, self._earlier_reserved
         )
+        shares = TenantShares(job_store, self._free_capacity.workers.values())
+        self._order = StepOrder(estimates, current.wall_time, shares.over)
         self._step_selector = StepSelector(
             self._free_capacity.workers.values(),
             current.number,
             self._is_prepared,
         )
-        self._positions: dict[StepKey, tuple[float, ...]] = {}
+        self._ranks: dict[StepKey, StepRank] = {}
         self._unplaced_gangs: list[WaitingStep] = []
-        self.plan = Plan()
+        self.plan = Plan(tenants_over=shares.over)
         self._permit_manager = permit_manager
         self._permits = PermitPlanner(
             permit_manager,
@@ -96,7 +102,7 @@
             self.plan,
             self._free_capacity,
             candidates,
-            self._position_of,
+            self._rank_of,
             self._round.earlier_reservations,
             self._round.now,
         )
@@ -153,24 +159,30 @@
             permits = self._permit_manager.of_step(execution.key)
         rank = self._order.rank(job, execution, queue)
         return WaitingStep(
-            execution, job, queue, rank.key, permits, rank.spare_seconds
+            execution,
+            job,
+            queue,
+            rank.key,
+            permits,
+            rank.spare_seconds,
+            rank.over_share,
         )
 
-    def _position_of(self, execution: StepExecution) -> tuple[float, ...]:
-        """Returns the lateness and urgency of a step, waiting or not.
+    def _rank_of(self, execution: StepExecution) -> StepRank:
+        """Returns where a step stands, waiting or not.
 
         A step of a job that is gone counts as most urgent, so that none of its
         runs is preempted.
         """
-        position = self._positions.get(execution.key)
-        if position is None:
-            position = (0, MOST_URGENT)
+        rank = self._ranks.get(execution.key)
+        if rank is None:
+            rank = FOREMOST
             job = self._job_store.jobs.get(execution.key.job_id)
             if job is not None:
                 queue = self._job_store.current_queue(job)
-                position = self._order.rank(job, execution, queue).position
-            self._positions[execution.key] = position
-        return position
+                rank = self._order.rank(job, execution, queue)
+            self._ranks[execution.key] = rank
+        return rank
 
     def _allowed_workers(self, waiting: WaitingStep) -> list[TrackedWorker]:
         """Returns the workers that may run a step, even without a valid permit."""
--- a/mulberryhitch/dispatch/placement/plans.py
+++ b/mulberryhitch/dispatch/placement/plans.py
@@ -78,6 +78,7 @@
         blocked: Waiting tasks that were considered but not placed, by queue
             name and reason; only of a round that explains.
         reservations: The workers reserved for each gang that waits.
+        tenants_over: Names of the tenants over their share.
     """
 
     placements: list[Placement] = field(default_factory=list)
@@ -85,6 +86,7 @@
     preempted: list[Preemption] = field(default_factory=list)
     blocked: Counter[tuple[str, str]] = field(default_factory=Counter)
     reservations: dict[StepKey, tuple[str, ...]] = field(default_factory=dict)
+    tenants_over: frozenset[str] = frozenset()
 
     @property
     def reserved_workers(self) -> set[str]:
@@ -98,11 +100,13 @@
 
     Attributes:
         sort_key: Whether the job is past three times its objective, urgency,
-            whether it can't be in time any more by its estimates, slack in
-            seconds and due time; steps with lower keys are placed first.
+            whether its tenant is over its share, whether it can't be in time
+            any more by its estimates, slack in seconds and due time; steps
+            with lower keys are placed first.
         spare_seconds: How long it may still wait, by its estimates, so that
             its job is in time, or else completes within three times its
             objective; negative if it can do neither.
+        over_share: Whether its tenant uses clearly more than its share.
         permits: None if the queue requires no permits.
     """
 
@@ -112,6 +116,7 @@
     sort_key: tuple[float, ...]
     permits: StepPermits | None
     spare_seconds: float = 0
+    over_share: bool = False
 
     @property
     def is_too_late(self) -> bool:
--- a/mulberryhitch/dispatch/placement/preemption.py
+++ b/mulberryhitch/dispatch/placement/preemption.py
@@ -20,8 +20,10 @@
 from mulberryhitch.dispatch.placement.preemption_cost import (
     cheapest_victims,
     gain_of_start,
+    may_be_stopped_for,
     needs_stops,
 )
+from mulberryhitch.dispatch.placement.step_order import StepRank
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
 from mulberryhitch.jobs.model import Resources, StepKey
 from mulberryhitch.jobs.state import StepExecution
@@ -79,7 +81,7 @@
         plan: Receives the runs to preempt.
         free_capacity: Free resources of each worker.
         candidates: The runs that may be preempted.
-        position_of: Returns the lateness and urgency of a step.
+        rank_of: Returns where a step stands, waiting or not.
         earlier_reservations: The reservations of the last round.
         now: Seconds on the local clock.
     """
@@ -89,13 +91,13 @@
         plan: Plan,
         free_capacity: FreeCapacity,
         candidates: PreemptionCandidates,
-        position_of: Callable[[StepExecution], tuple[float, ...]],
+        rank_of: Callable[[StepExecution], StepRank],
         earlier_reservations: Mapping[StepKey, tuple[str, ...]],
         now: float,
     ) -> None:
         """Initialises the planner with no worker reserved."""
         self._now = now
-        self._position_of = position_of
+        self._rank_of = rank_of
         self._earlier_reservations = earlier_reservations
         self._earlier_reserved = set(
             chain.from_iterable(earlier_reservations.values())
@@ -412,19 +414,20 @@
         otherwise they would be placed again before it. Runs that end soon are
         left to end.
         """
-        positions = [
-            (self._position_of(victim.execution), victim)
+        ranks = [
+            (self._rank_of(victim.execution), victim)
             for victim in self._candidates.of_worker(worker_id).victims
             if not self._ends_soon(waiting, victim.ends_at)
         ]
         behind = [
-            (position, victim)
-            for position, victim in positions
-            if position > waiting.position
-            and position[1] > waiting.queue.urgency
+            (rank.position, victim.lost, victim)
+            for rank, victim in ranks
+            if rank.position > waiting.position
+            and rank.position[1] > waiting.queue.urgency
+            and may_be_stopped_for(waiting, rank, victim)
         ]
-        behind.sort(key=lambda row: (row[0], row[1].lost), reverse=True)
-        return [victim for _, victim in behind]
+        behind.sort(key=lambda row: row[:2], reverse=True)
+        return [victim for _, _, victim in behind]
 
     def _allocate_with_preemption(
         self, waiting: WaitingStep, worker_id: str, copies: int
--- a/mulberryhitch/dispatch/placement/preemption_cost.py
+++ b/mulberryhitch/dispatch/placement/preemption_cost.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Sequence
 
-from mulberryhitch.dispatch.placement.plans import WaitingStep
+from mulberryhitch.dispatch.placement.plans import MOST_URGENT, WaitingStep
 from mulberryhitch.dispatch.placement.preemption_candidates import Victim
+from mulberryhitch.dispatch.placement.step_order import StepRank
 from mulberryhitch.jobs.model import Resources
 
 # From the decision to stop a run until another one can start in its place.
@@ -11,6 +12,10 @@
 # Estimates are off by up to 90%: with less spare time than this share of the
 # run time, a job with an objective of twice its run time may be late already.
 _NEEDED_SPARE_SHARE = 0.6
+# A stopped run waits for room and for a permit again. With a demand of 1.3 times
+# the capacity, stops of runs whose jobs had less spare time cost more batches than
+# they brought gangs in time.
+_VICTIM_SPARE_SHARE = 2.0
 # Callers pay about this many times as much for a core-second of a class that is
 # more urgent.
 _URGENCY_FACTOR = 4
@@ -23,11 +28,31 @@
     """Whether a step would be late if it waited for other runs to end.
 
     A step that can be neither in time nor within three times its objective
-    gains nothing. One with spare time waits.
+    gains nothing. One with spare time waits, as do those of a tenant over its
+    share.
     """
     estimate = waiting.execution.step.estimate_seconds
     needed = _STOP_SECONDS + _NEEDED_SPARE_SHARE * estimate
-    return 0 <= waiting.spare_seconds < needed
+    return not waiting.over_share and 0 <= waiting.spare_seconds < needed
+
+
+def may_be_stopped_for(
+    waiting: WaitingStep, rank: StepRank, victim: Victim
+) -> bool:
+    """Whether a run may be stopped for a step, as its own job has spare time.
+
+    Any run may be stopped for the most urgent steps, which take little.
+
+    Args:
+        waiting: The step.
+        rank: Where the step of the run stands.
+        victim: The run.
+    """
+    if waiting.queue.urgency == MOST_URGENT:
+        return True
+    estimate = victim.execution.step.estimate_seconds
+    needed = _STOP_SECONDS + _VICTIM_SPARE_SHARE * estimate
+    return rank.spare_seconds >= needed
 
 
 def gain_of_start(waiting: WaitingStep, tasks: int) -> float:
--- a/mulberryhitch/dispatch/reports/status_report.py
+++ b/mulberryhitch/dispatch/reports/status_report.py
@@ -24,6 +24,7 @@
 # Rounds may take place fifty times a second, and reasons cost as much as one.
 _REASONS_SECONDS = 0.2
 _MAX_QUEUES = 20
+_MAX_TENANTS = 20
 
 
 @dataclass(slots=True)
@@ -60,6 +61,7 @@
         self._term = term
         self._permit_manager = permit_manager
         self._reserved_workers = 0
+        self._tenants_over: frozenset[str] = frozenset()
         self._blocked: Counter[tuple[str, str]] = Counter()
         self._rounds = 0
         self._round_seconds: float = 0
@@ -74,6 +76,7 @@
     def record_round(self, plan: Plan, seconds: float) -> None:
         """Records a placement round and how long it took."""
         self._reserved_workers = len(plan.reserved_workers)
+        self._tenants_over = plan.tenants_over
         if self.wants_reasons:
             self._blocked = plan.blocked
             self._explained_at = anyio.current_time()
@@ -110,6 +113,7 @@
             usable=len(usable),
             free_cores=free // MILLICORES_PER_CORE,
             reserved_workers=self._reserved_workers,
+            tenants_over=sorted(self._tenants_over)[:_MAX_TENANTS],
             idle_permit_clients=self._permit_manager.idle_clients(),
             permit_clients=self._permit_manager.client_count,
         )
