--- a/mulberryhitch/dispatch/reports/accounting.py
+++ b/mulberryhitch/dispatch/reports/accounting.py
@@ -15,6 +15,7 @@
     """What happened to the runs of a queue since the last report.
 
     Attributes:
+        started: Runs that were granted.
         ended: Runs that ended, by outcome.
         stopped: Runs that were told to stop, by reason.
         jobs: Jobs that ended, by state.
@@ -24,6 +25,7 @@
         preempted: Core-seconds that preemptions lose, by their estimate.
     """
 
+    started: int = 0
     ended: Counter[str] = field(default_factory=Counter)
     stopped: Counter[str] = field(default_factory=Counter)
     jobs: Counter[str] = field(default_factory=Counter)
@@ -46,6 +48,10 @@
         self._accounts = {}
         return accounts
 
+    def record_start(self, queue_name: str) -> None:
+        """Records that a run was granted."""
+        self._account(queue_name).started += 1
+
     def record_stop(
         self, queue_name: str, reason: str, lost: float = 0
     ) -> None:
--- a/mulberryhitch/dispatch/reports/status_report.py
+++ b/mulberryhitch/dispatch/reports/status_report.py
@@ -141,6 +141,7 @@
                 blocked=dict(backlog.blocked),
                 running=backlog.running,
                 cores=round(backlog.cores),
+                started=account.started,
                 ended=dict(account.ended),
                 stopped=dict(account.stopped),
                 ended_jobs=dict(account.jobs),
--- a/mulberryhitch/dispatch/runs/run_controller.py
+++ b/mulberryhitch/dispatch/runs/run_controller.py
@@ -60,6 +60,7 @@
         )
         worker.tracked_runs[task] = tracked
         worker.wake_watcher()
+        self._term.accounting.record_start(job.queue.name)
         self._term.histograms.record(
             'wait',
             job.queue.name,
