Merge order, shares and preemption

The load player has tenants, speeds of workers and the cost of resuming in one; admission learns from the last round which tenants are over their share.

--- a/mulberryhitch/dispatch/admission/backlog_reader.py
+++ b/mulberryhitch/dispatch/admission/backlog_reader.py
@@ -18,13 +18,15 @@
     fits_cap,
 )
 from mulberryhitch.dispatch.admission.work import (
-    LATE_FACTOR,
     Work,
     job_work,
     step_work,
     work_of,
 )
-from mulberryhitch.dispatch.placement.plans import EstimateCache
+from mulberryhitch.dispatch.placement.plans import (
+    LATE_FACTOR,
+    EstimateCache,
+)
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
 from mulberryhitch.jobs.model import Queue
 from mulberryhitch.jobs.state import Job, StepExecution
--- a/mulberryhitch/dispatch/admission/ports.py
+++ b/mulberryhitch/dispatch/admission/ports.py
@@ -1,7 +1,10 @@
 """What admission uses of other parts, with defaults that work without them."""
 
+from collections.abc import Callable
 from typing import Protocol
 
+from mulberryhitch.dispatch.placement.plans import Plan
+
 
 class WorkerSpeedSource(Protocol):
     """Measured speeds of workers."""
@@ -25,6 +28,22 @@
         return 1.0
 
 
+class SharesOfLastRound:
+    """Shares as the last placement round found them.
+
+    Args:
+        last_plan: Returns the plan of that round.
+    """
+
+    def __init__(self, last_plan: Callable[[], Plan]) -> None:
+        """Initialises the shares."""
+        self._last_plan = last_plan
+
+    def is_over_share(self, tenant: str) -> bool:
+        """Whether a tenant used more than its share while others waited."""
+        return tenant in self._last_plan().tenants_over
+
+
 class NoTenantShares:
     """Shares where no client account has a weight."""
 
--- a/mulberryhitch/dispatch/admission/startable_work.py
+++ b/mulberryhitch/dispatch/admission/startable_work.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from mulberryhitch.dispatch.admission.work import LATE_FACTOR, Work
+from mulberryhitch.dispatch.admission.work import Work
+from mulberryhitch.dispatch.placement.plans import LATE_FACTOR
 from mulberryhitch.dispatch.placement.cap_rules import is_single, limits_of
 from mulberryhitch.dispatch.placement.free_capacity import copies_that_fit
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
--- a/mulberryhitch/dispatch/admission/work.py
+++ b/mulberryhitch/dispatch/admission/work.py
@@ -3,13 +3,13 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from mulberryhitch.dispatch.placement.plans import objective_seconds
+from mulberryhitch.dispatch.placement.plans import (
+    LATE_FACTOR,
+    objective_seconds,
+)
 from mulberryhitch.dispatch.reports.accounting import MILLICORES_PER_CORE
 from mulberryhitch.jobs.model import JobSpec, Queue, Resources, Step
 
-# A job is worth something if it completes within this many objectives.
-LATE_FACTOR = 3.0
-
 
 class Work(NamedTuple):
     """Resources multiplied by seconds, or a rate of work without the seconds.
--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -5,6 +5,7 @@
 import anyio
 
 from mulberryhitch.dispatch.admission.assembly import make_admission
+from mulberryhitch.dispatch.admission.ports import SharesOfLastRound
 from mulberryhitch.dispatch.permits.manager import PermitManager
 from mulberryhitch.dispatch.placement.planner import Planner
 from mulberryhitch.dispatch.placement.plans import (
@@ -53,8 +54,13 @@
         self._uncommitted_of_tenants: dict[str, Resources] = {}
         self._committing_steps: set[StepKey] = set()
         self._estimates = EstimateCache()
-        self.admission = make_admission(term, self._estimates, term.speeds)
         self._last_plan = Plan()
+        self.admission = make_admission(
+            term,
+            self._estimates,
+            term.speeds,
+            SharesOfLastRound(lambda: self._last_plan),
+        )
         self._rounds = 0
         self._planned_requests = 0
         self.permit_manager = PermitManager(
@@ -207,8 +213,10 @@
         return planner.run(self._committing_steps, candidates)
 
     def _carry_out(self, plan: Plan) -> None:
-        for task, run, worker_id in plan.preempted:
-            self._run_controller.stop(task, run, worker_id, 'preempted')
+        for stop in plan.preempted:
+            self._run_controller.stop(
+                stop.task, stop.run, stop.worker_id, 'preempted', stop.lost
+            )
         if plan.placements:
             steps = {placement.unit.step_key for placement in plan.placements}
             self._committing_steps |= steps
--- a/mulberryhitch/dispatch/placement/planner.py
+++ b/mulberryhitch/dispatch/placement/planner.py
@@ -25,8 +25,14 @@
     SpeedOrder,
     SpeedRange,
 )
+from mulberryhitch.dispatch.placement.step_order import (
+    FOREMOST,
+    StepOrder,
+    StepRank,
+)
 from mulberryhitch.dispatch.placement.step_selection import StepSelector
 from mulberryhitch.dispatch.placement.tenant_caps import TenantCaps
+from mulberryhitch.dispatch.placement.tenant_shares import TenantShares
 from mulberryhitch.dispatch.placement.worker_choice import (
     WorkerChoice,
     WorkerCopies,
@@ -36,8 +42,6 @@
 from mulberryhitch.jobs.state import Job, StepExecution
 from mulberryhitch.jobs.store import JobStore
 
-_LATE_FACTOR = 3.0
-
 
 class Planner:
     """Plans one placement round.
@@ -67,7 +71,6 @@
     ) -> None:
         """Initialises the planner with an empty plan."""
         self._job_store = job_store
-        self._estimates = estimates
         self._round = current
         self._tenant_caps = tenant_caps
         self._earlier_reserved = set(
@@ -78,14 +81,17 @@
         )
         self._speeds = SpeedRange(self._free_capacity.workers.values())
         self._choice = WorkerChoice(self._free_capacity, self._earlier_reserved)
+        shares = TenantShares(job_store, self._free_capacity.workers.values())
+        self._estimates = estimates
+        self._order = StepOrder(estimates, current.wall_time, shares.over)
         self._step_selector = StepSelector(
             self._free_capacity.workers.values(),
             current.number,
             self._is_prepared,
         )
-        self._positions: dict[StepKey, tuple[float, ...]] = {}
+        self._ranks: dict[StepKey, StepRank] = {}
         self._unplaced_gangs: list[WaitingStep] = []
-        self.plan = Plan()
+        self.plan = Plan(tenants_over=shares.over)
         self._permit_manager = permit_manager
         self._permits = PermitPlanner(
             permit_manager,
@@ -109,7 +115,7 @@
             self.plan,
             self._free_capacity,
             candidates,
-            self._position_of,
+            self._rank_of,
             self._round.earlier_reservations,
             self._round.now,
         )
@@ -171,10 +177,16 @@
         permits = None
         if queue.permits is not None:
             permits = self._permit_manager.of_step(execution.key)
-        sort_key = self._sort_key(job, execution, queue)
-        speed_order = self._speed_order(job, execution, queue)
+        rank = self._order.rank(job, execution, queue)
         return WaitingStep(
-            execution, job, queue, sort_key, permits, speed_order
+            execution,
+            job,
+            queue,
+            rank.key,
+            permits,
+            rank.spare_seconds,
+            rank.over_share,
+            self._speed_order(job, execution, queue),
         )
 
     def _speed_order(
@@ -194,33 +206,21 @@
             remaining=remaining,
         )
 
-    def _sort_key(
-        self, job: Job, execution: StepExecution, queue: Queue
-    ) -> tuple[float, ...]:
-        due = job.due_at(execution.key.occurrence)
-        age = self._round.wall_time - due
-        objective, remaining = self._estimates.objective_and_critical_path(
-            job, execution, queue
-        )
-        slack = objective - age - remaining
-        too_late = age > objective * _LATE_FACTOR
-        return (too_late, queue.urgency, slack < 0, slack, due)
-
-    def _position_of(self, execution: StepExecution) -> tuple[float, ...]:
-        """Returns the lateness and urgency of a step, waiting or not.
+    def _rank_of(self, execution: StepExecution) -> StepRank:
+        """Returns where a step stands, waiting or not.
 
         A step of a job that is gone counts as most urgent, so that none of its
         runs is preempted.
         """
-        position = self._positions.get(execution.key)
-        if position is None:
-            position = (0, MOST_URGENT)
+        rank = self._ranks.get(execution.key)
+        if rank is None:
+            rank = FOREMOST
             job = self._job_store.jobs.get(execution.key.job_id)
             if job is not None:
                 queue = self._job_store.current_queue(job)
-                position = self._sort_key(job, execution, queue)[:2]
-            self._positions[execution.key] = position
-        return position
+                rank = self._order.rank(job, execution, queue)
+            self._ranks[execution.key] = rank
+        return rank
 
     def _allowed_workers(self, waiting: WaitingStep) -> list[TrackedWorker]:
         """Returns the workers that may run a step, even without a valid permit."""
--- a/mulberryhitch/dispatch/placement/plans.py
+++ b/mulberryhitch/dispatch/placement/plans.py
@@ -13,6 +13,8 @@
 from mulberryhitch.jobs.state import Job, StepExecution, Unit
 
 MOST_URGENT = 0
+# A job that takes longer than this multiple of its objective is worth nothing.
+LATE_FACTOR = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +32,22 @@
     ticket: str
 
 
+@dataclass(frozen=True, slots=True)
+class Preemption:
+    """A run to stop so that a more urgent step can start.
+
+    Attributes:
+        lost: Core-seconds that the stop loses.
+        queue_name: Queue of the step that it makes room for.
+    """
+
+    task: TaskKey
+    run: int
+    worker_id: str
+    lost: float
+    queue_name: str
+
+
 @dataclass(frozen=True, slots=True)
 class Round:
     """When a placement round takes place, and what the last one reserved.
@@ -59,19 +77,21 @@
     """The result of a placement round.
 
     Attributes:
-        preempted: Task, run and worker id of the runs to stop.
+        preempted: The runs to stop.
         blocked: Waiting tasks that were considered but not placed, by queue
             name and reason; only of a round that explains.
         reservations: The workers reserved for each gang that waits.
         capped: Number of steps that their tenant's cap holds back, by tenant.
+        tenants_over: Names of the tenants over their share.
     """
 
     placements: list[Placement] = field(default_factory=list)
     permit_requests: list[PermitRequest] = field(default_factory=list)
-    preempted: list[tuple[TaskKey, int, str]] = field(default_factory=list)
+    preempted: list[Preemption] = field(default_factory=list)
     blocked: Counter[tuple[str, str]] = field(default_factory=Counter)
     reservations: dict[StepKey, tuple[str, ...]] = field(default_factory=dict)
     capped: Counter[str] = field(default_factory=Counter)
+    tenants_over: frozenset[str] = frozenset()
 
     @property
     def reserved_workers(self) -> set[str]:
@@ -85,9 +105,14 @@
 
     Attributes:
         sort_key: Whether the job is past three times its objective, urgency,
-            whether it can't be in time any more by its estimates, slack in
-            seconds and due time; steps with lower keys are placed first.
+            whether its tenant is over its share, whether it can't be in time
+            any more by its estimates, slack in seconds and due time; steps
+            with lower keys are placed first.
         permits: None if the queue requires no permits.
+        spare_seconds: How long it may still wait, by its estimates, so that
+            its job is in time, or else completes within three times its
+            objective; negative if it can do neither.
+        over_share: Whether its tenant uses clearly more than its share.
         speed_order: Which workers it should get.
         startable: Number of tasks that its tenant's cap lets start; None for
             all.
@@ -98,6 +123,8 @@
     queue: Queue
     sort_key: tuple[float, ...]
     permits: StepPermits | None
+    spare_seconds: float = 0
+    over_share: bool = False
     speed_order: SpeedOrder = SpeedOrder.any
     startable: int | None = None
 
--- a/mulberryhitch/dispatch/reports/status_report.py
+++ b/mulberryhitch/dispatch/reports/status_report.py
@@ -26,6 +26,7 @@
 # Rounds may take place fifty times a second, and reasons cost as much as one.
 _REASONS_SECONDS = 0.2
 _MAX_QUEUES = 20
+_MAX_TENANTS = 20
 
 
 @dataclass(slots=True)
@@ -62,6 +63,7 @@
         self._term = term
         self._permit_manager = permit_manager
         self._reserved_workers = 0
+        self._tenants_over: frozenset[str] = frozenset()
         self._blocked: Counter[tuple[str, str]] = Counter()
         self._capped: Counter[str] = Counter()
         self._rounds = 0
@@ -79,6 +81,7 @@
         """Records a placement round and how long it took."""
         self._reserved_workers = len(plan.reserved_workers)
         self._capped = plan.capped
+        self._tenants_over = plan.tenants_over
         if self.wants_reasons:
             self._blocked = plan.blocked
             self._explained_at = anyio.current_time()
@@ -135,6 +138,7 @@
             usable=len(usable),
             free_cores=free // MILLICORES_PER_CORE,
             reserved_workers=self._reserved_workers,
+            tenants_over=sorted(self._tenants_over)[:_MAX_TENANTS],
             idle_permit_clients=self._permit_manager.idle_clients(),
             permit_clients=self._permit_manager.client_count,
         )
@@ -162,12 +166,14 @@
                 blocked=dict(backlog.blocked),
                 running=backlog.running,
                 cores=round(backlog.cores),
+                started=account.started,
                 ended=dict(account.ended),
                 stopped=dict(account.stopped),
                 ended_jobs=dict(account.jobs),
                 useful=round(account.useful),
                 lost=round(account.lost),
                 stopping=round(account.stopping),
+                preempted=round(account.preempted, 1),
                 permit_client_seconds=round(client_seconds.get(name, 0), 2),
             )
 
--- a/tests/load_player.py
+++ b/tests/load_player.py
@@ -32,7 +32,7 @@
 from mulberryhitch.observability.log import LineRateLimiter, Log
 from mulberryhitch.rpc.messages import LogEntry
 from tests.load_cell import LoadFleet, LoadPermitClient, LoadWorker, Timeline
-from tests.load_jobs import GeneratedJob, Load
+from tests.load_jobs import GeneratedJob, Load, LoadClass, job_value
 from tests.replica_group import run_with_mock_clock
 
 ROUND_SECONDS = 0.03
@@ -40,6 +40,8 @@
 # With all that a leader does for it: commits, lists, log lines, calls.
 EXCHANGE_SECONDS = 0.0003
 LATE_FACTOR = 3
+# Part of its value that a job earns, by what became of it.
+EARNED_SHARES = {'in time': 1.0, 'late': 0.2}
 DRAIN_SECONDS = 3
 SAMPLE_SECONDS = 0.5
 MAX_RETRIES = 4
@@ -87,9 +89,13 @@
         refused: Jobs whose submitters were refused until they gave up.
         retried: Jobs that were refused at first.
         waits: Seconds from the first submission to the first start.
+        value: What they are worth if in time, relative to their class.
+        earned: What they were worth: a fifth of it if late.
     """
 
     offered: int = 0
+    value: float = 0
+    earned: float = 0
     in_time: int = 0
     late: int = 0
     too_late: int = 0
@@ -98,6 +104,11 @@
     retried: int = 0
     waits: list[float] = field(default_factory=list)
 
+    @property
+    def served(self) -> float:
+        """Share of the value that was earned."""
+        return self.earned / self.value if self.value else 0
+
     def wait_at(self, percent: int) -> float:
         """Returns a percentile of the waits."""
         if len(self.waits) < 2:
@@ -110,9 +121,14 @@
     """What became of a load.
 
     Attributes:
-        by_class: Reports by queue name; the widest fifth of a class has one of
-            its own, named `CLASS wide`.
+        by_class: Reports by queue name; the widest fifth, and the largest
+            tenth, of a class have some of their own, named `CLASS wide` and
+            `CLASS top`.
+        by_tenant: Reports by tenant.
         stops: Runs that were told to stop, by reason.
+        preemptors: Runs that were preempted, by the queue that got the room.
+        ended: Runs that ended, by how they did.
+        lost: Core-seconds that were lost, by how their runs ended.
         rounds: Number of placement rounds.
         round_seconds: Processor time of all of them, on this machine.
         took: How long the play took, on this machine.
@@ -130,10 +146,13 @@
     """
 
     by_class: dict[str, ClassReport]
+    by_tenant: dict[str, ClassReport]
     stops: Counter[str]
+    preemptors: Counter[str]
     starts: int
+    ended: Counter[str]
     worked_core_seconds: float
-    lost_core_seconds: float
+    lost: Counter[str]
     rounds: int
     round_seconds: float
     took: float
@@ -177,8 +196,13 @@
         self.jobs = {job.job_id: job for job in load.jobs(seed)}
         self.job_store = JobStore()
         self.timeline = Timeline()
-        self.fleet = LoadFleet(self.timeline, self.jobs)
+        self.fleet = LoadFleet(self.timeline, self.jobs, load)
+        self._mean_work = {
+            one.queue.name: _mean_work(self.jobs.values(), one)
+            for one in load.classes
+        }
         self.stops: Counter[str] = Counter()
+        self.preemptors: Counter[str] = Counter()
         self.rounds = 0
         self.round_seconds: float = 0
         self._busy_shares: list[float] = []
@@ -192,7 +216,9 @@
             self._charge = ProcessorCharge(self._speed)
             self.fleet.on_exchange = self._charge.charge_exchange
         queues = tuple(one.queue for one in self.load.classes)
-        self._apply([changes.configure(QueueTable(1, '{}', queues))])
+        accounts = tuple(one.account for one in self.load.tenants)
+        table = QueueTable(1, '{}', queues, tenants=accounts)
+        self._apply([changes.configure(table)])
         self._add_workers()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.timeline.run)
@@ -262,6 +288,7 @@
             seconds = time.process_time() - began
             self.round_seconds += seconds
             self.rounds += 1
+            self.preemptors.update(stop.queue_name for stop in plan.preempted)
             if self._charge is not None:
                 self._charge.charge_round(seconds)
             return plan
@@ -271,9 +298,9 @@
     def _count_stops(self, term: Term) -> None:
         record_stop = term.accounting.record_stop
 
-        def counted(queue_name: str, reason: str) -> None:
+        def counted(queue_name: str, reason: str, lost: float = 0) -> None:
             self.stops[f'{queue_name}: {reason}'] += 1
-            record_stop(queue_name, reason)
+            record_stop(queue_name, reason, lost)
 
         term.accounting.record_stop = counted  # type: ignore[method-assign]
 
@@ -315,15 +342,14 @@
                 f'{worker_id}:1',
                 'svc',
                 'a',
-                f'r{number // 12}',
-                ('k', f'r{number // 12}'),
+                f'r{number // self.load.rack_size}',
+                ('k', f'r{number // self.load.rack_size}'),
                 self.load.cores * 1000,
                 self.load.memory,
                 0,
                 1,
             )
-            speeds = self.load.speeds
-            speed = speeds[number % len(speeds)]
+            speed = self.load.speeds[number % len(self.load.speeds)]
             self.fleet.workers[worker_id] = LoadWorker(record, speed)
 
     async def _drain(self, at: float, share: float) -> None:
@@ -349,17 +375,23 @@
         queue = job.load_class.queue
         for _ in range(1 + MAX_RETRIES):
             try:
-                self._dispatcher.admission.check(job.job_id, queue, job.spec)
+                self._dispatcher.admission.check(
+                    job.job_id, queue, job.spec, job.tenant
+                )
             except (OverloadedError, OverQuotaError) as error:
                 self._refused_at_first.add(job.job_id)
                 seconds = int(error.retry_after_seconds)
                 self._refusals[queue.name, seconds] += 1
                 await anyio.sleep(seconds)
                 continue
-            now = self._wall_time()
-            await self._commit(
-                [changes.accept(job.job_id, queue.name, job.spec, now)]
+            accepted = changes.accept(
+                job.job_id,
+                queue.name,
+                job.spec,
+                self._wall_time(),
+                job.tenant,
             )
+            await self._commit([accepted])
             return
 
     def _wall_time(self) -> float:
@@ -380,10 +412,13 @@
         by_class = dict(self._class_reports(started_at))
         return LoadReport(
             by_class,
+            dict(self._tenant_reports(started_at)),
             self.stops,
+            self.preemptors,
             self.fleet.starts,
+            self.fleet.ended,
             self.fleet.worked_core_seconds,
-            self.fleet.lost_core_seconds,
+            self.fleet.lost,
             self.rounds,
             self.round_seconds,
             took,
@@ -419,6 +454,16 @@
             yield name, self._report_jobs(jobs, started_at)
             widest = jobs[len(jobs) * 4 // 5 :]
             yield f'{name} wide', self._report_jobs(widest, started_at)
+            largest = jobs[len(jobs) * 9 // 10 :]
+            yield f'{name} top', self._report_jobs(largest, started_at)
+
+    def _tenant_reports(
+        self, started_at: float
+    ) -> Iterable[tuple[str, ClassReport]]:
+        for tenant in self.load.tenants:
+            name = tenant.account.name
+            jobs = [job for job in self.jobs.values() if job.tenant == name]
+            yield name, self._report_jobs(jobs, started_at)
 
     def _report_jobs(
         self, jobs: list[GeneratedJob], started_at: float
@@ -426,6 +471,7 @@
         report = ClassReport()
         for job in jobs:
             report.offered += 1
+            report.value += self._value_of(job)
             first = self.fleet.first_starts.get(job.job_id)
             submitted_at = started_at + job.submitted_at
             if first is not None:
@@ -433,10 +479,16 @@
             report.retried += job.job_id in self._refused_at_first
             result = self._result_of(job, submitted_at)
             self._results[job.job_id] = result
+            report.earned += EARNED_SHARES.get(result, 0) * self._value_of(job)
             name = result.replace(' ', '_')
             setattr(report, name, getattr(report, name) + 1)
         return report
 
+    def _value_of(self, job: GeneratedJob) -> float:
+        mean = self._mean_work[job.load_class.queue.name]
+        worth = job.load_class.worth
+        return worth * job_value(job.core_seconds, mean)
+
     def _result_of(self, job: GeneratedJob, submitted_at: float) -> str:
         known = self.job_store.jobs.get(job.job_id)
         if known is None:
@@ -453,6 +505,11 @@
         return 'too late'
 
 
+def _mean_work(jobs: Iterable[GeneratedJob], load_class: LoadClass) -> float:
+    works = [job.core_seconds for job in jobs if job.load_class is load_class]
+    return sum(works) / max(1, len(works))
+
+
 def play(
     load: Load, seed: int = 1, speed: float = 0, *, admission: bool = True
 ) -> LoadReport:
--- a/tests/waiting_steps.py
+++ b/tests/waiting_steps.py
@@ -44,7 +44,9 @@
     execution.waiting_units = {
         unit.first_index: unit for unit in execution.units
     }
-    return WaitingStep(execution, job, QUEUE, (0, 0), None, speed_order)
+    return WaitingStep(
+        execution, job, QUEUE, (0, 0), None, speed_order=speed_order
+    )
 
 
 def make_free_capacity(
