--- a/mulberryhitch/dispatch/placement/preemption_cost.py
+++ b/mulberryhitch/dispatch/placement/preemption_cost.py
@@ -12,10 +12,10 @@
 # Estimates are off by up to 90%: with less spare time than this share of the
 # run time, a job with an objective of twice its run time may be late already.
 _NEEDED_SPARE_SHARE = 0.6
-# A stopped run waits for room and for a permit again. With a demand of 1.3 times
-# the capacity, stops of runs whose jobs had less spare time cost more batches than
-# they brought gangs in time.
-_VICTIM_SPARE_SHARE = 2.0
+# A stopped run waits for room and for a permit again. With no such limit 11% of
+# the runs are stopped while the demand is above the capacity, with twice this one
+# gangs lose.
+_VICTIM_SPARE_SHARE = 1.0
 # Callers pay about this many times as much for a core-second of a class that is
 # more urgent.
 _URGENCY_FACTOR = 4
--- a/tests/test_preemption_cost.py
+++ b/tests/test_preemption_cost.py
@@ -74,6 +74,24 @@
     run_with_mock_clock(main)
 
 
+def test_a_gang_does_not_stop_runs_that_would_then_be_late() -> None:
+    """Guards against overload, where stopped batches were late in turn."""
+
+    async def main() -> None:
+        harness = make_harness()
+        harness.add_queue('tight', urgency=2, stretch=1, target_seconds=3)
+        harness.add_queue('hasty', urgency=1, stretch=1, target_seconds=2)
+        gang = Step(2, 2000, 100, estimate_seconds=4, gang=True)
+        async with harness.running():
+            await harness.submit('batch', LONG_BATCH, queue='tight')
+            await anyio.sleep(2)
+            await harness.submit('gang', gang, queue='hasty')
+            await harness.wait('batch', JobState.completed)
+            assert harness.start_count('batch') == WORKERS
+
+    run_with_mock_clock(main)
+
+
 def test_a_tiny_task_does_not_stop_a_large_run() -> None:
     """Guards against stops that lose more than they gain.
 
