--- a/mulberryhitch/dispatch/placement/planner.py
+++ b/mulberryhitch/dispatch/placement/planner.py
@@ -121,7 +121,6 @@
         )
         waiting_steps = self._waiting_steps(committing_steps)
         selection = self._step_selector.select(waiting_steps, self._tenant_caps)
-        self._choice.keep_room_for(selection.considered)
         for considered in selection.considered:
             waiting = self._tenant_caps.limited(considered)
             if waiting is None:
--- a/mulberryhitch/dispatch/placement/worker_choice.py
+++ b/mulberryhitch/dispatch/placement/worker_choice.py
@@ -2,15 +2,11 @@
 
 from collections.abc import Container, Iterable, Sequence
 
-from mulberryhitch.dispatch.placement.free_capacity import (
-    FreeCapacity,
-    copies_that_fit,
-)
+from mulberryhitch.dispatch.placement.free_capacity import FreeCapacity
 from mulberryhitch.dispatch.placement.plans import WaitingStep
 from mulberryhitch.dispatch.placement.speed_order import SpeedOrder
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
 from mulberryhitch.dispatch.runs.worker_speeds import USUAL_SPEED
-from mulberryhitch.jobs.model import Resources
 
 WorkerCopies = list[tuple[int, TrackedWorker]]
 
@@ -29,20 +25,6 @@
         """Initialises the choice."""
         self._free_capacity = free_capacity
         self._reserved = reserved
-        self._steps: Iterable[WaitingStep] = ()
-        self._found_shape: Resources | None = None
-
-    def keep_room_for(self, steps: Iterable[WaitingStep]) -> None:
-        """Keeps room for the step that waits for the most processors.
-
-        Smaller tasks take workers on which they leave room for as many of its
-        tasks as before, if they can.
-
-        Args:
-            steps: The steps of the round.
-        """
-        self._steps = steps
-        self._found_shape = None
 
     def order_for_tasks(
         self, waiting: WaitingStep, counted: WorkerCopies
@@ -50,16 +32,16 @@
         """Returns workers in the order in which they get a step's tasks.
 
         Workers near the data come first, and those that were reserved for a
-        gang in the last round last; then those of the preferred speed, then
-        those that keep room for larger tasks, and then the fullest.
+        gang in the last round last; then those of the preferred speed, and
+        then the fullest.
 
         Args:
             waiting: The step.
             counted: How many of its tasks fit on each worker, and the worker.
         """
-        if len(counted) < 2:
-            return counted
-        return sorted(counted, key=lambda pair: self._task_key(waiting, *pair))
+        return sorted(
+            counted, key=lambda pair: self._task_key(waiting, pair[1])
+        )
 
     def for_gang(
         self, waiting: WaitingStep, counted: WorkerCopies
@@ -114,17 +96,8 @@
             return workers
         return others
 
-    def _larger_shape(self) -> Resources:
-        """Returns the resources to keep room for; found when first needed."""
-        if self._found_shape is None:
-            largest = max(self._steps, key=_waiting_processors, default=None)
-            self._found_shape = (
-                largest.execution.resources if largest else Resources()
-            )
-        return self._found_shape
-
     def _task_key(
-        self, waiting: WaitingStep, copies: int, worker: TrackedWorker
+        self, waiting: WaitingStep, worker: TrackedWorker
     ) -> tuple[float, ...]:
         step = waiting.execution.step
         worker_id = worker.record.worker_id
@@ -133,29 +106,9 @@
             bool(step.data_rack) and worker.record.rack != step.data_rack,
             worker_id in self._reserved,
             waiting.speed_order.rank(worker),
-            self._lost_room(waiting, copies, free),
             free.processors,
         )
 
-    def _lost_room(
-        self, waiting: WaitingStep, copies: int, free: Resources
-    ) -> float:
-        """Returns for how many larger tasks each of a step's takes the room."""
-        resources = waiting.execution.resources
-        shape = self._larger_shape()
-        if resources.processors >= shape.processors:
-            return 0
-        before = copies_that_fit(shape, free)
-        if not before:
-            return 0
-        taken = min(copies, waiting.tasks_left)
-        left = free.minus(resources.times(taken))
-        return (before - copies_that_fit(shape, left)) / taken
-
-
-def _waiting_processors(waiting: WaitingStep) -> int:
-    return waiting.execution.resources.processors * waiting.tasks_left
-
 
 def _by_speed(
     counted: WorkerCopies, order: SpeedOrder
