--- a/mulberryhitch/dispatch/runs/speed_classes.py
+++ b/mulberryhitch/dispatch/runs/speed_classes.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import statistics
 from collections.abc import Sequence
 from itertools import accumulate
 
@@ -16,13 +17,16 @@
 
 
 def split_into_classes(
-    logarithms: Sequence[float], noise: float
+    logarithms: Sequence[float], errors: Sequence[float]
 ) -> list[list[float]]:
     """Splits speeds into as many classes as can be told apart.
 
+    The errors of both sides of a split count: a worker of which little is known
+    would otherwise seem to differ from many that are known well.
+
     Args:
         logarithms: Logarithms of the speeds, in ascending order.
-        noise: Standard error of a typical one.
+        errors: The standard error of each.
 
     Returns:
         The classes in ascending order.
@@ -37,9 +41,14 @@
     slower, faster = logarithms[:at], logarithms[at:]
     gap = _mean(faster) - _mean(slower)
     within = math.sqrt((_squares(slower) + _squares(faster)) / len(logarithms))
+    sides = (errors[:at], errors[at:])
+    noise = max(map(statistics.median, sides))
     if gap < max(_MIN_GAP, _MIN_GAP_DEVIATIONS * max(within, noise)):
         return [list(logarithms)]
-    return split_into_classes(slower, noise) + split_into_classes(faster, noise)
+    return [
+        *split_into_classes(slower, sides[0]),
+        *split_into_classes(faster, sides[1]),
+    ]
 
 
 def _squares_between(sums: Sequence[float], index: int) -> float:
--- a/mulberryhitch/dispatch/runs/worker_speeds.py
+++ b/mulberryhitch/dispatch/runs/worker_speeds.py
@@ -201,8 +201,8 @@
         for worker in workers:
             # Speeds have no unit: without this, all would drift.
             worker.logarithm = worker.mean - middle
-        noise = statistics.median(worker.standard_error for worker in workers)
-        classes = split_into_classes(logarithms, noise)
+        errors = [worker.standard_error for worker in workers]
+        classes = split_into_classes(logarithms, errors)
         usual = statistics.fmean(_class_at(classes, len(rows) // 2))
         speeds = chain.from_iterable(
             repeat(math.exp(statistics.fmean(members) - usual), len(members))
--- a/tests/test_unread_answers.py
+++ b/tests/test_unread_answers.py
@@ -6,8 +6,7 @@
 
 import resource
 import signal
-from collections.abc import Iterator
-from contextlib import asynccontextmanager, contextmanager
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -121,15 +120,14 @@
     )
 
 
-@contextmanager
-def _lowered_descriptors() -> Iterator[None]:
-    """Processes that are started meanwhile may open few descriptors."""
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, hard))
-    try:
-        yield
-    finally:
-        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+def _lower_descriptors(process: ProgramProcess) -> None:
+    """Lets a process that was just started open few descriptors.
+
+    Only that process: this one may have many open, after other tests.
+    """
+    assert process.popen is not None
+    limits = (DESCRIPTORS, DESCRIPTORS)
+    resource.prlimit(process.popen.pid, resource.RLIMIT_NOFILE, limits)
 
 
 def _lower_memory(process: ProgramProcess) -> None:
@@ -147,11 +145,11 @@
         async with anyio.create_task_group() as tasks:
             for link in (*cell.frontend_links.values(), *cell.links.values()):
                 await link.run(tasks)
-            with _lowered_descriptors():
-                for process in cell.processes:
-                    process.write_settings(cell.seeds(), bootstrap=True)
-                    _lower_memory(process)
-                    process.start()
+            for process in cell.processes:
+                process.write_settings(cell.seeds(), bootstrap=True)
+                _lower_memory(process)
+                process.start()
+                _lower_descriptors(process)
             await _configure(cell.schedulers[0])
             yield cell
             tasks.cancel_scope.cancel()
--- a/tests/test_worker_speeds.py
+++ b/tests/test_worker_speeds.py
@@ -189,10 +189,13 @@
 
 def test_classes_need_a_gap() -> None:
     even = [number / 100 for number in range(-30, 30)]
-    assert len(split_into_classes(even, 0)) == 1
-    assert split_into_classes([-0.3, -0.3, 0, 0, 0.4], 0.01) == [
+    assert len(split_into_classes(even, [0] * len(even))) == 1
+    assert split_into_classes([-0.3, -0.3, 0, 0, 0.4], [0.01] * 5) == [
         [-0.3, -0.3],
         [0, 0],
         [0.4],
     ]
-    assert len(split_into_classes([-0.3, -0.3, 0, 0], 0.1)) == 1
+    assert len(split_into_classes([-0.3, -0.3, 0, 0], [0.1] * 4)) == 1
+    # Of the first worker little is known.
+    errors = [0.12, 0.01, 0.01, 0.01]
+    assert len(split_into_classes([-0.3, 0, 0, 0], errors)) == 1
