Let urgent gangs that are late start on slow workers

Urgent steps prefer fast workers whatever their slack, so an urgent gang waited for fast ones also once it was late anyway: with runs without an end on the fast workers it never started, though it fitted on slow ones.

--- a/mulberryhitch/dispatch/placement/plans.py
+++ b/mulberryhitch/dispatch/placement/plans.py
@@ -133,6 +133,11 @@
         """Whether the job is past three times its objective."""
         return bool(self.sort_key[0])
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether its job can't be in time any more, by its estimates."""
+        return bool(self.sort_key[3])
+
     @property
     def comes_first(self) -> bool:
         """Whether it is as urgent as can be and not too late."""
--- a/mulberryhitch/dispatch/placement/worker_choice.py
+++ b/mulberryhitch/dispatch/placement/worker_choice.py
@@ -107,6 +107,8 @@
         step = waiting.execution.step
         if step.same_rack or step.data_rack:
             return workers
+        if waiting.is_behind:
+            return workers
         if waiting.speed_order is not SpeedOrder.fastest_first:
             return workers
         others = [worker for worker in workers if worker.speed >= USUAL_SPEED]
--- a/tests/test_worker_choice.py
+++ b/tests/test_worker_choice.py
@@ -103,6 +103,18 @@
         assert gang_candidates(GANG, order, workers) == workers
 
 
+def test_a_gang_that_is_late_anyway_takes_slow_workers() -> None:
+    """Guards against an urgent gang that waits for fast workers without end.
+
+    Urgent steps prefer fast workers also once they are late, and runs without
+    an end may hold the fast ones.
+    """
+    workers = make_uneven_workers()
+    choice = WorkerChoice(make_free_capacity(*workers), ())
+    late = make_waiting_step(GANG, SpeedOrder.fastest_first, behind=True)
+    assert choice.candidates_for_gang(late, workers) == workers
+
+
 @pytest.mark.parametrize(
     'step', [replace(GANG, same_rack=True), replace(GANG, data_rack='near')]
 )
--- a/tests/waiting_steps.py
+++ b/tests/waiting_steps.py
@@ -36,7 +36,11 @@
 
 
 def make_waiting_step(
-    step: Step, speed_order: SpeedOrder = SpeedOrder.any, job_id: str = 'j'
+    step: Step,
+    speed_order: SpeedOrder = SpeedOrder.any,
+    job_id: str = 'j',
+    *,
+    behind: bool = False,
 ) -> WaitingStep:
     spec = JobSpec('argument', (step,))
     job = Job(job_id, QUEUE, spec, accepted_at=0)
@@ -45,7 +49,12 @@
         unit.first_index: unit for unit in execution.units
     }
     return WaitingStep(
-        execution, job, QUEUE, (0, 0), None, speed_order=speed_order
+        execution,
+        job,
+        QUEUE,
+        (False, 0, False, behind, 0, 0),
+        None,
+        speed_order=speed_order,
     )
 
 
