Stop runs for no more tasks than the tenant's cap lets start

Tasks for which runs were stopped counted against their tenant's cap only once they were placed. Further steps of the tenant that had a turn in the same round, or in those before the stop had ended, stopped other runs, and then waited for the cap: four runs were stopped for two tasks in the test. Tasks that wait for the end of runs now take their part of the cap in the round. Those that only wait for a permit do not, as before.

--- a/mulberryhitch/dispatch/placement/planner.py
+++ b/mulberryhitch/dispatch/placement/planner.py
@@ -349,7 +349,10 @@
         self._permits.promise_requested(waiting, len(unplaced))
         if waiting.queue.urgency == MOST_URGENT:
             preferred = self._choice.preferred(waiting, eligible)
-            preemption.preempt_for_tasks(waiting, preferred, len(unplaced))
+            awaiting_ends = preemption.preempt_for_tasks(
+                waiting, preferred, len(unplaced)
+            )
+            self._tenant_caps.record_start(waiting, awaiting_ends)
 
     def _blocking_reason(
         self, waiting: WaitingStep, eligible: list[TrackedWorker]
--- a/mulberryhitch/dispatch/placement/preemption.py
+++ b/mulberryhitch/dispatch/placement/preemption.py
@@ -194,12 +194,18 @@
         waiting: WaitingStep,
         eligible: Iterable[TrackedWorker],
         unplaced: int,
-    ) -> None:
-        """Preempts less urgent runs for tasks that could not be placed."""
+    ) -> int:
+        """Preempts less urgent runs for tasks that could not be placed.
+
+        Returns:
+            How many of the tasks wait for runs to be stopped or to end soon,
+            and not just for a permit.
+        """
         resources = waiting.execution.resources
+        awaiting_ends = 0
         for worker in eligible:
             if unplaced <= 0:
-                return
+                break
             worker_id = worker.record.worker_id
             free = self._free_after_preemption(waiting, worker_id)
             if not resources.fits(free):
@@ -207,8 +213,11 @@
             victims = self._victims_for(waiting, worker_id, 1)
             lost = sum(victim.lost for victim in victims)
             if lost <= gain_of_start(waiting, 1):
+                fits_now = self._free_capacity.copies(worker_id, resources)
+                awaiting_ends += not fits_now
                 self._allocate_with_preemption(waiting, worker_id, 1)
                 unplaced -= 1
+        return awaiting_ends
 
     def _select_kept(
         self,
--- a/mulberryhitch/dispatch/placement/tenant_caps.py
+++ b/mulberryhitch/dispatch/placement/tenant_caps.py
@@ -113,7 +113,7 @@
         return True
 
     def take(self, resources: Resources) -> None:
-        """Records that a task was placed."""
+        """Records that tasks were placed, or soon will be."""
         self._free = self._free.minus(resources)
 
 
@@ -207,11 +207,14 @@
         if room is not None:
             room.keep(waiting)
 
-    def record_start(self, waiting: WaitingStep) -> None:
-        """Records that a task of a step was placed."""
+    def record_start(self, waiting: WaitingStep, tasks: int = 1) -> None:
+        """Records that tasks of a step were placed, or soon will be.
+
+        The latter are those for which runs are stopped or end soon.
+        """
         room = self._room_of(waiting)
         if room is not None:
-            room.take(waiting.execution.resources)
+            room.take(waiting.execution.resources.times(tasks))
 
     def _room_of(self, waiting: WaitingStep) -> _Room | None:
         """Returns the room of a job's tenant; None if it has no cap."""
--- a/tests/test_tenant_caps.py
+++ b/tests/test_tenant_caps.py
@@ -7,7 +7,8 @@
 import eliot
 import pytest
 
-from mulberryhitch.jobs.model import PermitPolicy, Step
+from mulberryhitch.jobs import changes
+from mulberryhitch.jobs.model import JobSpec, PermitPolicy, Step
 from mulberryhitch.jobs.state import JobState
 from tests.fake_workers import DispatcherHarness, FakePermitClient
 from tests.replica_group import run_with_mock_clock
@@ -348,6 +349,37 @@
     play(make, body)
 
 
+def test_runs_are_stopped_for_no_more_tasks_than_the_cap_lets_start() -> None:
+    """Guards against stops for steps that the cap holds back in the next round.
+
+    Tasks for which runs are stopped use nothing of the cap before they start.
+    """
+
+    def make() -> DispatcherHarness:
+        return make_harness(4, urgency=0, stretch=1, target_seconds=1)
+
+    async def body(harness: DispatcherHarness) -> None:
+        own = step(2, seconds=90)
+        await harness.submit('own', own, tenant='mill', queue='batch')
+        await harness.wait_for_starts('own', 2)
+        others = step(14, seconds=30, checkpointing=True)
+        await harness.submit('others', others, queue='batch')
+        await harness.wait_for_starts('others', 14)
+        await anyio.sleep(3)
+        # Steps behind those that the cap lets start have a turn in round 0.
+        harness.dispatcher._rounds = 0
+        for number in range(6):
+            spec = JobSpec('argument', (step(seconds=5),))
+            wall_time = harness.wall_time()
+            job_id = f'urgent{number}'
+            accepted = changes.accept(job_id, 'q', spec, wall_time, 'mill')
+            harness.apply([accepted])
+        plan = harness.dispatcher._make_plan(only_urgent=False)
+        assert len(plan.preempted) == 2
+
+    play(make, body)
+
+
 def test_permits_are_asked_for_no_more_tasks_than_the_cap_lets_start() -> None:
     """Guards against requests that name workers for tasks that can't start."""
 
