Let a tenant over its share stop its own runs

Urgent steps of a tenant over its share stopped no runs at all, so that they waited for its own batches to end, also when nobody else waited. It may now stop its own runs, which leaves what it uses as it is, but none of others.

--- a/mulberryhitch/dispatch/placement/preemption.py
+++ b/mulberryhitch/dispatch/placement/preemption.py
@@ -40,7 +40,7 @@
 _RESERVED_FOR_OTHERS, _UNCOVERED, _COVERED, _KEPT = range(4)
 
 _WorkerCopies = list[tuple[int, TrackedWorker]]
-_GainKey = tuple[tuple[float, ...], str, bool]
+_GainKey = tuple[tuple[float, ...], str, bool, str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -393,7 +393,8 @@
         """Returns what a worker can release to a step; cached."""
         cached = self._cached_gains.setdefault(worker_id, {})
         may_stop = needs_stops(waiting)
-        key = (waiting.position, waiting.queue.name, may_stop)
+        only_of = waiting.job.tenant if waiting.over_share else ''
+        key = (waiting.position, waiting.queue.name, may_stop, only_of)
         gain = cached.get(key)
         if gain is None:
             gain = self._compute_gain(waiting, worker_id, may_stop=may_stop)
--- a/mulberryhitch/dispatch/placement/preemption_cost.py
+++ b/mulberryhitch/dispatch/placement/preemption_cost.py
@@ -28,12 +28,11 @@
     """Whether a step would be late if it waited for other runs to end.
 
     A step that can be neither in time nor within three times its objective
-    gains nothing. One with spare time waits, as do those of a tenant over its
-    share.
+    gains nothing. One with spare time waits.
     """
     estimate = waiting.execution.step.estimate_seconds
     needed = _STOP_SECONDS + _NEEDED_SPARE_SHARE * estimate
-    return not waiting.over_share and 0 <= waiting.spare_seconds < needed
+    return 0 <= waiting.spare_seconds < needed
 
 
 def may_be_stopped_for(
@@ -41,13 +40,17 @@
 ) -> bool:
     """Whether a run may be stopped for a step, as its own job has spare time.
 
-    Any run may be stopped for the most urgent steps, which take little.
+    Any run may be stopped for the most urgent steps, which take little. A
+    tenant over its share may have its own runs stopped, which take as much of
+    the workers, but none of others.
 
     Args:
         waiting: The step.
         rank: Where the step of the run stands.
         victim: The run.
     """
+    if waiting.over_share and rank.tenant != waiting.job.tenant:
+        return False
     if waiting.queue.urgency == MOST_URGENT:
         return True
     estimate = victim.execution.step.estimate_seconds
--- a/mulberryhitch/dispatch/placement/step_order.py
+++ b/mulberryhitch/dispatch/placement/step_order.py
@@ -27,11 +27,13 @@
             its job is in time, or else completes within three times its
             objective; negative if it can do neither.
         over_share: Whether its tenant uses clearly more than its share.
+        tenant: Name of its tenant; empty if it has none.
     """
 
     key: tuple[float, ...]
     spare_seconds: float
     over_share: bool
+    tenant: str = ''
 
     @property
     def position(self) -> tuple[float, ...]:
@@ -84,4 +86,4 @@
         latest = objective * LATE_FACTOR - age - remaining
         in_doubt = slack >= -_DOUBTFUL_SHARE * remaining
         spare = min(max(slack, 0), latest) if in_doubt else latest
-        return StepRank(key, spare, over_share)
+        return StepRank(key, spare, over_share, job.tenant)
--- a/tests/test_tenant_shares.py
+++ b/tests/test_tenant_shares.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 import anyio
+import pytest
 
 from mulberryhitch.dispatch.placement.tenant_shares import TenantShares
 from mulberryhitch.jobs import changes
@@ -112,6 +113,42 @@
     run_with_mock_clock(main)
 
 
+@pytest.mark.parametrize(('own_stops', 'starts'), [(True, 5), (False, 4)])
+def test_a_tenant_over_its_share_stops_its_own_runs_only(
+    own_stops: bool, starts: int
+) -> None:
+    """Guards against urgent steps that wait for batches of their own tenant.
+
+    It would use no more of the workers, but would if it stopped runs of
+    others.
+    """
+
+    async def main() -> None:
+        harness = DispatcherHarness(stretch=9, target_seconds=99, urgency=2)
+        harness.add_queue('urgent', urgency=0, stretch=1, target_seconds=1)
+        tenants = (Tenant('north'), Tenant('south', weight=9))
+        table = QueueTable(9, '{}', harness.queues, tenants=tenants)
+        harness.apply([changes.configure(table)])
+        harness.fleet.add_worker('w', 5000)
+        batch = Step(4, 1000, 100, estimate_seconds=20, checkpointing=own_stops)
+        other = Step(1, 1000, 100, estimate_seconds=20, checkpointing=True)
+        async with harness.running():
+            await harness.submit('own', batch, tenant='north')
+            await harness.submit('other', other, tenant='south')
+            await harness.wait_for_starts('own', 4)
+            await harness.wait_for_starts('other', 1)
+            await anyio.sleep(3)
+            workers = harness.dispatcher.tracked_workers.values()
+            assert TenantShares(harness.job_store, workers).over == {'north'}
+            await harness.submit('u', TASK, tenant='north', queue='urgent')
+            await anyio.sleep(4)
+            assert harness.start_count('u') == own_stops
+            assert harness.start_count('other') == 1
+            assert harness.start_count('own') == starts
+
+    run_with_mock_clock(main)
+
+
 def test_without_tenants_nobody_is_over_its_share() -> None:
     """Guards against another order for configurations without tenants."""
     assert not TenantShares(JobStore(), ()).over
