Cut off no client that keeps to the limits of the configuration

uvicorn closed kept connections after 60 s, also if idle_timeout_ms is longer. A new connection was closed idle_timeout_ms and 2 s after it was opened if its first head was not complete by then, though that head may begin when idle_timeout_ms is nearly over and then take header_timeout_ms.

--- a/mulberryhitch/platform/http_servers.py
+++ b/mulberryhitch/platform/http_servers.py
@@ -25,9 +25,9 @@
 # held up.
 _TIMEOUT_MARGIN_SECONDS: Final = 2.0
 _BODY_SECONDS: Final = 60.0
-# Idle connections are closed by the configuration's limit before, unless that
-# is longer.
-_KEEP_ALIVE_SECONDS: Final = 60
+# Idle connections are closed by the limit of the configuration: uvicorn's own
+# must not come before a longer one.
+_KEEP_ALIVE_SECONDS: Final = 24 * 60 * 60
 
 
 class HttpServers:
@@ -76,5 +76,7 @@
             head_seconds=limits.header_seconds + _TIMEOUT_MARGIN_SECONDS,
             body_seconds=max(_BODY_SECONDS, idle_seconds),
             idle_seconds=idle_seconds,
-            first_request_seconds=idle_seconds,
+            # A head may begin when the connection has been idle for as long
+            # as it may be.
+            first_request_seconds=idle_seconds + limits.header_seconds,
         )
