--- a/review/tools-2/cell.py
+++ b/review/tools-2/cell.py
@@ -277,9 +277,7 @@
         running = [
             [
                 task, run, '',
-                min(99, int(
-                    100 * (now - row['began_at']) / max(row['seconds'], 0.001)
-                )), 0,
+                self.cell.percent_of(task, row, now - row['began_at']), 0,
             ]
             for (task, run), row in self.running.items()
         ]
@@ -304,7 +302,10 @@
                     }
                     _write_response(writer, status, content)
                     await writer.drain()
-        except (OSError, asyncio.IncompleteReadError, ValueError):
+        except (
+            OSError, ValueError, asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+        ):
             return
         finally:
             self.connections.discard(writer)
@@ -461,6 +462,9 @@
         words = body['spec'].split()
         return float(words[0]), words[1] if len(words) > 1 else 'done'
 
+    def percent_of(self, task, row, seconds):
+        return min(99, int(100 * seconds / max(row['seconds'], 0.001)))
+
     async def before_order(self, runner, path, body):
         return None
 
