--- a/review/tools-2/cell.py
+++ b/review/tools-2/cell.py
@@ -41,6 +41,10 @@
 ]
 
 
+# All processes that were started.
+_started = []
+
+
 class CannotRun(Exception):
     """The case could not be set up."""
 
@@ -423,6 +427,7 @@
                 ['python3', '-m', 'mulberryhitch.platform', self.role],
                 cwd=ROOT, stdout=log, stderr=log, env=environment,
             )
+        _started.append(self.popen)
 
     def signal(self, number):
         if self.popen is not None and self.popen.poll() is None:
@@ -660,15 +665,31 @@
     record = Record(folder)
 
     async def guarded():
-        return await asyncio.wait_for(case(record, trouble), seconds)
+        task = asyncio.create_task(case(record, trouble))
+        await asyncio.wait({task}, timeout=seconds)
+        try:
+            if not task.done():
+                raise CannotRun('out of time')
+            broken = task.result()
+        except CannotRun as error:
+            record.say(f'could not run: {error}')
+            _end(2)
+        record.say('rule broken' if broken else 'rule held')
+        _end(1 if broken else 0)
 
-    try:
-        broken = asyncio.run(guarded())
-    except CannotRun as error:
-        record.say(f'could not run: {error}')
-        sys.exit(2)
-    except asyncio.TimeoutError:
-        record.say('could not run: out of time')
-        sys.exit(2)
-    record.say('rule broken' if broken else 'rule held')
-    sys.exit(1 if broken else 0)
+    asyncio.run(guarded())
+
+
+def _end(status):
+    """Ends the processes that are left and this one, whatever still waits.
+
+    In Python 3.11 a cancelled `asyncio.wait_for` may swallow the cancellation,
+    so that tasks of the stand-ins would keep the process from ending.
+    """
+    for popen in _started:
+        if popen.poll() is None:
+            popen.send_signal(signal.SIGCONT)
+            popen.kill()
+            popen.wait()
+    sys.stdout.flush()
+    os._exit(status)
