--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,14 +1,11 @@
 """A gang that waits for services to end keeps the idle runners from others."""
 
 import asyncio
-import sys
 from pathlib import Path
 
-FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / 'tools-2'))
-
-from cell import BOUNDS, Cell, new_id, run_case  # noqa: E402
+from cell import BOUNDS, Cell, new_id, run_case
 
+FOLDER = Path(__file__).resolve().parent
 RUNNERS = 6
 RUNNER_CPU = 8000
 SERVICE_TASKS = 3
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,15 +2,12 @@
 
 import asyncio
 import signal
-import sys
 import time
 from pathlib import Path
 
-FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / 'tools-2'))
-
-from cell import BOUNDS, Cell, new_id, run_case  # noqa: E402
+from cell import BOUNDS, Cell, new_id, run_case
 
+FOLDER = Path(__file__).resolve().parent
 MEMORY_MB = 296
 RESTART_SECONDS = 1.0
 OCCURRENCES = 20_000
