Report the first invalid item of a body only

What callers saw: one POST of a job, within the limit of 262,144 bytes, whose steps are numbers took an entry from 57 to 288 MB (four such clients, one answer at a time); the smallest VM has 160 MB, so the process ends. A PUT /config of 8 MiB with numbers as routes took a scheduler to 6,974 MB.

Cause: the validation collected an error for each invalid item, and all of them were made into dictionaries to read the first. A list of 87,000 empty steps was turned into steps before their number was checked.

Change: lists end at their first invalid item, and have their maximum length in the model. Error details that are not used are not made.

Evidence: tests/test_costly_bodies.py, limits of the smallest VM, bound 160 MB, set before the change.

The cell of tests/test_unread_answers.py moves to tests/limited_cell.py; its checks and bounds are as they were.

--- a/mulberryhitch/platform/wire.py
+++ b/mulberryhitch/platform/wire.py
@@ -7,7 +7,13 @@
 from typing import Annotated, TypeVar
 
 import orjson
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    FailFast,
+    Field,
+    ValidationError,
+)
 
 from mulberryhitch.configuration.addresses import check_address
 from mulberryhitch.constants import MILLISECONDS_PER_SECOND
@@ -38,6 +44,9 @@
 _DRAINING = 'draining'
 
 BodyType = TypeVar('BodyType', bound=BaseModel)
+_ItemType = TypeVar('_ItemType')
+# Each invalid item that is reported takes a kilobyte or more.
+_List = Annotated[list[_ItemType], FailFast()]
 
 
 class _Body(BaseModel):
@@ -50,7 +59,7 @@
     mem_mb: int = Field(0, ge=0, le=_MAX_NUMBER)
     gpu: int = Field(0, ge=0, le=_MAX_NUMBER)
     estimate_ms: float = Field(0, ge=0, le=_MAX_NUMBER)
-    depends_on: list[int] = []
+    depends_on: _List[int] = Field([], max_length=_MAX_COUNT)
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
@@ -67,7 +76,7 @@
 
 class _JobBody(_Body):
     spec: str = ''
-    steps: list[_StepBody] = Field(min_length=1)
+    steps: _List[_StepBody] = Field(min_length=1, max_length=_MAX_COUNT)
     repeat_count: int = Field(0, ge=0, le=_MAX_COUNT)
     first_ms: float = Field(0, ge=0, le=_MAX_NUMBER)
     interval_ms: float = Field(0, ge=0, le=_MAX_NUMBER)
@@ -113,17 +122,17 @@
 
 class _TenantBody(_Body):
     name: str = Field(min_length=1)
-    api_keys: list[Annotated[str, Field(min_length=1)]] = []
+    api_keys: _List[Annotated[str, Field(min_length=1)]] = []
     weight: float = Field(1, ge=0, le=_MAX_NUMBER)
     cap: _CapBody = Field(default_factory=_CapBody.model_construct)
 
 
 class _ConfigBody(_Body):
     version: int = Field(ge=0, le=_MAX_NUMBER)
-    routes: list[_RouteBody]
-    services: list[_ServiceBody]
+    routes: _List[_RouteBody]
+    services: _List[_ServiceBody]
     limits: _LimitsBody = _LimitsBody()
-    tenants: list[_TenantBody] = []
+    tenants: _List[_TenantBody] = []
 
 
 class _CapacityBody(_Body):
@@ -141,7 +150,7 @@
     zone: str
     state: str
     capacity: _CapacityBody
-    labels: list[str]
+    labels: _List[str]
     clock_ms: _Integer
     sequence: _Integer
     born: _Integer = 0
@@ -161,7 +170,9 @@
     except orjson.JSONDecodeError as error:
         raise InvalidInputError(str(error), where=body_name) from error
     except ValidationError as error:
-        first_error = error.errors()[0]
+        first_error = error.errors(
+            include_url=False, include_context=False, include_input=False
+        )[0]
         path = '.'.join(map(str, first_error['loc']))
         raise InvalidInputError(
             str(first_error['msg']), where=f'{body_name}.{path}'
--- a/tests/process_usage.py
+++ b/tests/process_usage.py
@@ -7,6 +7,7 @@
 
 _SAMPLE_SECONDS = 0.05
 _BYTES_PER_KIBIBYTE = 1024
+_CLEAR_PEAK = '5'
 
 
 class ProcessUsage:
@@ -28,10 +29,16 @@
     @property
     def resident_bytes(self) -> int:
         """Resident memory, bytes."""
-        status = (self._folder / 'status').read_text()
-        size = re.search(r'VmRSS:\s+(\d+) kB', status)
-        assert size is not None, 'the process has ended'
-        return int(size[1]) * _BYTES_PER_KIBIBYTE
+        return self._status_bytes('VmRSS')
+
+    @property
+    def peak_bytes(self) -> int:
+        """Largest resident memory since the peak was cleared, bytes."""
+        return self._status_bytes('VmHWM')
+
+    def clear_peak(self) -> None:
+        """Sets the peak to the present resident memory."""
+        (self._folder / 'clear_refs').write_text(_CLEAR_PEAK)
 
     def sample(self) -> None:
         """Updates the largest values."""
@@ -45,3 +52,9 @@
         while True:
             self.sample()
             await anyio.sleep(_SAMPLE_SECONDS)
+
+    def _status_bytes(self, name: str) -> int:
+        status = (self._folder / 'status').read_text()
+        size = re.search(rf'{name}:\s+(\d+) kB', status)
+        assert size is not None, 'the process has ended'
+        return int(size[1]) * _BYTES_PER_KIBIBYTE
--- a/tests/raw_client.py
+++ b/tests/raw_client.py
@@ -14,12 +14,17 @@
     """A connection ended before the answer to a request was complete."""
 
 
-def request_bytes(method: str, path: str, content: object = None) -> bytes:
-    body = b'' if content is None else orjson.dumps(content)
+def request_head(method: str, path: str, body_bytes: int) -> bytes:
+    """Returns the bytes of a request before its body."""
     return (
         f'{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n'
-        f'Content-Length: {len(body)}\r\n\r\n'
-    ).encode() + body
+        f'Content-Length: {body_bytes}\r\n\r\n'
+    ).encode()
+
+
+def request_bytes(method: str, path: str, content: object = None) -> bytes:
+    body = b'' if content is None else orjson.dumps(content)
+    return request_head(method, path, len(body)) + body
 
 
 class RawConnection:
--- /dev/null
+++ b/tests/test_costly_bodies.py
@@ -0,0 +1,95 @@
+"""Processes of the platform beside few clients with costly bodies.
+
+Guards against a body within the limits that takes so much memory to handle
+that the process ends.
+"""
+
+from pathlib import Path
+
+import anyio
+import pytest
+
+from tests.costly_bodies import (
+    CLIENT_BODY_BYTES,
+    CostlyBody,
+    job_bodies,
+)
+from tests.limited_cell import (
+    TARGETS,
+    ProcessLimits,
+    Target,
+    address_of,
+    process_of,
+    running_cell,
+    wait_answered,
+)
+from tests.process_cell import ProcessCell
+from tests.process_usage import ProcessUsage
+from tests.raw_client import NoCompleteAnswer, RawConnection, request_head
+
+# Those of the smallest VM.
+LIMITS = ProcessLimits(memory_megabytes=160, descriptors=1024)
+MOST_BYTES = 160_000_000
+SENDERS = 4
+ANSWER_SECONDS = 30
+COSTLY_JOB_PATH = '/q/5c0e7a21d94b36f9'
+
+BODIES = {
+    'client': ('client', job_bodies(COSTLY_JOB_PATH), CLIENT_BODY_BYTES),
+}
+
+
+async def _send(
+    cell: ProcessCell, target: Target, body: CostlyBody, content: bytes
+) -> int:
+    """Returns the status of the answer, zero if there is none."""
+    connection = await RawConnection.open(*address_of(cell, target))
+    try:
+        await connection.send(
+            request_head(body.method, body.path, len(content)) + content
+        )
+        status, _ = await connection.read_answer()
+    except (OSError, NoCompleteAnswer):
+        return 0
+    finally:
+        connection.close()
+    return status
+
+
+async def _play(
+    cell: ProcessCell, target: Target, body: CostlyBody, content: bytes
+) -> str:
+    """Returns what was seen if the process did not stay within bounds."""
+    process = process_of(cell, target)
+    assert process.popen is not None
+    usage = ProcessUsage(process.popen.pid)
+    usage.clear_peak()
+    with anyio.move_on_after(ANSWER_SECONDS):
+        async with anyio.create_task_group() as senders:
+            for _ in range(SENDERS):
+                senders.start_soon(_send, cell, target, body, content)
+    answered = await wait_answered(
+        address_of(cell, target), target, ANSWER_SECONDS
+    )
+    peak_bytes = usage.peak_bytes
+    print(f'{body.name}: peak {peak_bytes / 1e6:.1f} MB, answered {answered}')
+    if answered and peak_bytes <= MOST_BYTES:
+        return ''
+    return f'{body.name}: {peak_bytes / 1e6:.1f} MB, answered {answered}'
+
+
+@pytest.mark.parametrize('kind', sorted(BODIES))
+def test_costly_bodies_stay_within_the_memory_of_the_smallest_vm(
+    tmp_path: Path, kind: str
+) -> None:
+    name, bodies, size = BODIES[kind]
+    target = TARGETS[name]
+
+    async def main() -> None:
+        async with running_cell(tmp_path, LIMITS) as cell:
+            assert await wait_answered(address_of(cell, target), target)
+            for body in bodies:
+                failure = await _play(cell, target, body, body.make(size))
+                assert not failure, failure
+
+    anyio.run(main)
--- a/tests/test_unread_answers.py
+++ b/tests/test_unread_answers.py
@@ -4,9 +4,7 @@
 until a process ends or ordinary callers get no answer.
 """
 
-import resource
 import signal
-from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -14,14 +12,17 @@
 import orjson
 import pytest
 
-from mulberryhitch.errors import MulberryhitchError
-from mulberryhitch.platform.client import PlatformClient
-from tests.platform_harness import make_configuration
-from tests.process_cell import DRAIN_SECONDS, ProcessCell, ProgramProcess
+from tests.limited_cell import (
+    TARGETS,
+    ProcessLimits,
+    Target,
+    process_of,
+    running_cell,
+    wait_answered,
+)
+from tests.process_cell import DRAIN_SECONDS, ProcessCell
 from tests.process_usage import ProcessUsage
-from tests.raw_client import NoCompleteAnswer, RawConnection, request_bytes
 from tests.unread_clients import (
-    Address,
     Behaviour,
     Clients,
     leaving,
@@ -32,37 +33,16 @@
 
 CLIENTS = 250
 HOLD_SECONDS = 2
-START_SECONDS = 30
-ANSWER_SECONDS = 5
 # Beside the time that the settings allow for a stop.
 EXIT_SECONDS = 4
-DESCRIPTORS = 256
+LIMITS = ProcessLimits(memory_megabytes=120, descriptors=256)
 # Less than the descriptors, so that files and other connections still open.
 MOST_DESCRIPTORS = 230
-MEMORY_MEGABYTES = 120
 MEGABYTE = 1_000_000
 # Beside what a process has at rest. Large bodies and answers that are handled
 # at the same time have limits of their own, 12 and 16 MiB.
 MOST_HELD_BYTES = 40 * MEGABYTE
 MOST_KEPT_BYTES = 24 * MEGABYTE
-JOB_PATH = '/q/5c0e7a21d94b36f8'
-
-
-@dataclass(frozen=True, slots=True)
-class Target:
-    """An address that clients can reach, and an ordinary request to it."""
-
-    role: str
-    port_offset: int
-    path: str
-    status: int
-
-
-TARGETS = {
-    'client': Target('entry', 38, JOB_PATH, 410),
-    'readiness': Target('entry', 39, '/ready', 200),
-    'control': Target('scheduler', 38, '/config', 200),
-}
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,91 +94,11 @@
     ]
 
 
-def _process(cell: ProcessCell, target: Target) -> ProgramProcess:
-    return next(
-        process for process in cell.processes if process.role == target.role
-    )
-
-
-def _lower_descriptors(process: ProgramProcess) -> None:
-    """Lets a process that was just started open few descriptors.
-
-    Only that process: this one may have many open, after other tests.
-    """
-    assert process.popen is not None
-    limits = (DESCRIPTORS, DESCRIPTORS)
-    resource.prlimit(process.popen.pid, resource.RLIMIT_NOFILE, limits)
-
-
-def _lower_memory(process: ProgramProcess) -> None:
-    path = process.folder / 'settings.json'
-    settings = orjson.loads(path.read_bytes())
-    settings['limits'] = {'memory_mb': MEMORY_MEGABYTES}
-    path.write_bytes(orjson.dumps(settings))
-
-
-@asynccontextmanager
-async def _running_cell(folder: Path):
-    """Runs an entry and a scheduler with lowered limits."""
-    cell = ProcessCell(folder, entries=1, schedulers=1)
-    try:
-        async with anyio.create_task_group() as tasks:
-            for link in (*cell.frontend_links.values(), *cell.links.values()):
-                await link.run(tasks)
-            for process in cell.processes:
-                process.write_settings(cell.seeds(), bootstrap=True)
-                _lower_memory(process)
-                process.start()
-                _lower_descriptors(process)
-            await _configure(cell.schedulers[0])
-            yield cell
-            tasks.cancel_scope.cancel()
-    finally:
-        with anyio.CancelScope(shield=True):
-            await cell.stop()
-
-
-async def _configure(scheduler: ProgramProcess) -> None:
-    client = PlatformClient()
-    address = f'{scheduler.vm}:{scheduler.cell.port + 38}'
-    status = 0
-    with anyio.fail_after(START_SECONDS):
-        while status != 200:
-            await anyio.sleep(0.2)
-            try:
-                response = await client.send(
-                    address, 'PUT', '/config', make_configuration(1), 1
-                )
-            except MulberryhitchError:
-                continue
-            status = response.status
-
-
-async def _answered_status(address: Address, path: str) -> int:
-    """Returns the status of one ordinary request, zero if there is none."""
-    try:
-        connection = await RawConnection.open(*address)
-        await connection.send(request_bytes('GET', path))
-        status, _ = await connection.read_answer()
-    except (OSError, NoCompleteAnswer):
-        return 0
-    connection.close()
-    return status
-
-
-async def _wait_answered(address: Address, target: Target) -> bool:
-    with anyio.move_on_after(ANSWER_SECONDS):
-        while await _answered_status(address, target.path) != target.status:
-            await anyio.sleep(0.2)
-        return True
-    return False
-
-
 async def _play(
     cell: ProcessCell, target: Target, behaviour: Behaviour
 ) -> Played:
     """Plays one behaviour and returns what the process held."""
-    process = _process(cell, target)
+    process = process_of(cell, target)
     address = (process.vm, cell.port + target.port_offset)
     usage = ProcessUsage(process.popen.pid) if process.popen else None
     assert usage is not None
@@ -206,8 +106,8 @@
         sampling.start_soon(usage.run)
         async with Clients(behaviour, address, CLIENTS):
             await anyio.sleep(HOLD_SECONDS)
-            answered_beside = await _wait_answered(address, target)
-        answered_after = await _wait_answered(address, target)
+            answered_beside = await wait_answered(address, target)
+        answered_after = await wait_answered(address, target)
         sampling.cancel_scope.cancel()
     return Played(
         behaviour.name,
@@ -221,11 +121,11 @@
 
 async def _play_all(folder: Path, target: Target) -> tuple[int, list[Played]]:
     """Returns the memory at rest, and what each behaviour led to."""
-    async with _running_cell(folder) as cell:
-        process = _process(cell, target)
+    async with running_cell(folder, LIMITS) as cell:
+        process = process_of(cell, target)
         assert process.popen is not None
         address = (process.vm, cell.port + target.port_offset)
-        assert await _wait_answered(address, target)
+        assert await wait_answered(address, target)
         rest_bytes = ProcessUsage(process.popen.pid).resident_bytes
         played = [
             await _play(cell, target, behaviour)
@@ -235,7 +135,7 @@
     return rest_bytes, played
 
 
-@pytest.mark.parametrize('target', sorted(TARGETS))
+@pytest.mark.parametrize('target', ['client', 'control', 'readiness'])
 def test_clients_that_do_not_read_leave_the_process_serving(
     tmp_path: Path, target: str
 ) -> None:
@@ -258,11 +158,11 @@
 
     async def main() -> int | None:
         place = TARGETS[target]
-        async with _running_cell(tmp_path) as cell:
-            process = _process(cell, place)
+        async with running_cell(tmp_path, LIMITS) as cell:
+            process = process_of(cell, place)
             assert process.popen is not None
             address = (process.vm, cell.port + place.port_offset)
-            assert await _wait_answered(address, place)
+            assert await wait_answered(address, place)
             ahead = pipelined('ordinary path', request('GET', place.path))
             async with Clients(ahead, address, CLIENTS):
                 await anyio.sleep(1)
