Refuse JSON that takes too much memory once parsed

What callers saw: a PUT /config or a heartbeat of 8 MiB with a field that we don't know, full of short lists, took a scheduler from 57 to 325 MB; with numbers as routes it still took 178 MB after the errors of items were bounded. VMs of the deployments have from 160 MB on.

Cause: three bytes of JSON become an object of 64 bytes and more, whatever the model makes of it afterwards.

--- a/mulberryhitch/platform/wire.py
+++ b/mulberryhitch/platform/wire.py
@@ -19,6 +19,7 @@
 from mulberryhitch.constants import MILLISECONDS_PER_SECOND
 from mulberryhitch.dispatch.access import digest_of
 from mulberryhitch.errors import InvalidInputError, TooLargeError
+from mulberryhitch.json_size import check_parsed_size
 from mulberryhitch.jobs.model import (
     JobSpec,
     Limits,
@@ -164,7 +165,9 @@
     Raises:
         InvalidInputError: The body is not JSON, or a field is invalid; names
             the first one.
+        TooLargeError: It has too many values.
     """
+    check_parsed_size(content, body_name)
     try:
         return model.model_validate(orjson.loads(content))
     except orjson.JSONDecodeError as error:
--- a/tests/costly_bodies.py
+++ b/tests/costly_bodies.py
@@ -6,8 +6,11 @@
 
 MakeBody: TypeAlias = Callable[[int], bytes]
 
-# The largest body that a client may send.
+# The largest body that a client or a caller of control may send.
 CLIENT_BODY_BYTES = 262_144
+CONTROL_BODY_BYTES = 8 * 1024 * 1024
+# The largest heartbeat of the protocol.
+HEARTBEAT_BODY_BYTES = 4 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,3 +64,53 @@
     return [
         CostlyBody(name, 'POST', path, make) for name, make in kinds.items()
     ]
+
+
+_ROUTES = b'{"version":2,"services":[],"routes":['
+
+
+def invalid_control_bodies() -> list[CostlyBody]:
+    """Returns bodies with invalid fields for workers' and operators' address."""
+    kinds = {
+        'routes that are numbers': _repeated(_ROUTES, b'1', b']}'),
+        'empty routes': _repeated(_ROUTES, b'{}', b']}'),
+        'services that are numbers': _repeated(
+            b'{"version":2,"routes":[],"services":[', b'1', b']}'
+        ),
+        'keys that are numbers': _repeated(
+            b'{"version":2,"routes":[],"services":[],'
+            b'"tenants":[{"name":"a","api_keys":[',
+            b'1',
+            b']}]}',
+        ),
+    }
+    return [
+        *_configurations(kinds),
+        _heartbeat('labels that are numbers', b'{"labels":[', b'1'),
+    ]
+
+
+def unknown_control_bodies() -> list[CostlyBody]:
+    """Returns bodies whose unknown fields take much memory once parsed."""
+    kinds = {
+        'unknown field of lists': _repeated(_ROUTES + b'],"a":[', b'[]', b']}'),
+        'unknown field of objects': _repeated(
+            _ROUTES + b'],"a":[', b'{"":0}', b']}'
+        ),
+        'unknown fields': _numbered(_ROUTES + b'],', b'"a%d":0', b'}'),
+    }
+    return [
+        *_configurations(kinds),
+        _heartbeat('unknown field in a heartbeat', b'{"a":[', b'{"":0}'),
+    ]
+
+
+def _configurations(kinds: dict[str, MakeBody]) -> list[CostlyBody]:
+    return [
+        CostlyBody(name, 'PUT', '/config', make) for name, make in kinds.items()
+    ]
+
+
+def _heartbeat(name: str, start: bytes, part: bytes) -> CostlyBody:
+    make = _repeated(start, part, b']}')
+    return CostlyBody(name, 'PUT', '/instances/w-1', make)
--- a/tests/test_costly_bodies.py
+++ b/tests/test_costly_bodies.py
@@ -11,8 +11,12 @@
 
 from tests.costly_bodies import (
     CLIENT_BODY_BYTES,
+    CONTROL_BODY_BYTES,
+    HEARTBEAT_BODY_BYTES,
     CostlyBody,
+    invalid_control_bodies,
     job_bodies,
+    unknown_control_bodies,
 )
 from tests.limited_cell import (
     TARGETS,
@@ -36,6 +40,18 @@
 
 BODIES = {
     'client': ('client', job_bodies(COSTLY_JOB_PATH), CLIENT_BODY_BYTES),
+    'invalid': ('control', invalid_control_bodies(), CONTROL_BODY_BYTES),
+    'unknown': ('control', unknown_control_bodies(), CONTROL_BODY_BYTES),
+    'smaller, invalid': (
+        'control',
+        invalid_control_bodies(),
+        HEARTBEAT_BODY_BYTES,
+    ),
+    'smaller, unknown': (
+        'control',
+        unknown_control_bodies(),
+        HEARTBEAT_BODY_BYTES,
+    ),
 }
 
 
