Bound what the kernel holds for connections, also for waiting ones

What callers saw: 900 clients that connect again when they are closed left 97 to 322 MB unread in the kernel's buffers of an entry and 106 to 309 MB at its readiness address, beside 66 to 161 MB resident. Bytes that arrived and were not read count for the memory of a VM; the smallest has 160 MB.

Cause: 2,048 connections could wait to be accepted at each address, and each held up to 128 KiB.

Change: each connection has buffers of 16 KiB, which the kernel doubles, from its listening socket on. As many connections wait as fit into a sixteenth of the memory, three quarters of them at the main address.

--- a/mulberryhitch/composition.py
+++ b/mulberryhitch/composition.py
@@ -27,6 +27,7 @@
     accepted_at_once,
     connection_limit,
     machine_memory_bytes,
+    waiting_limit,
 )
 from mulberryhitch.http.open_connections import OpenConnections
 from mulberryhitch.http.server import HttpServer, bounded_protocol, listen
@@ -317,7 +318,8 @@
     def _make_server(self) -> HttpServer:
         tls = self._environment.settings.tls
         use_tls = tls is not None and tls.callers
-        limit = connection_limit(machine_memory_bytes(), tls=use_tls)
+        memory_bytes = machine_memory_bytes()
+        limit = connection_limit(memory_bytes, tls=use_tls)
         connections = OpenConnections(limit, self.node.log)
         return HttpServer(
             uvicorn.Config(
@@ -339,6 +341,7 @@
                 ssl_keyfile=tls.key if tls and use_tls else None,
             ),
             connections,
+            waiting_limit(memory_bytes),
         )
 
     async def _serve_http(
--- a/mulberryhitch/http/connection_limits.py
+++ b/mulberryhitch/http/connection_limits.py
@@ -25,6 +25,12 @@
 # that are about to be closed.
 _DESCRIPTOR_SHARE: Final = 0.5
 _LEAST_CONNECTIONS: Final = 16
+# The kernel holds up to twice as much for a connection, unread or unsent.
+SOCKET_BUFFER_BYTES: Final = 16 * 1024
+# Connections that wait to be accepted hold unread bytes only.
+_WAITING_CONNECTION_BYTES: Final = 2 * SOCKET_BUFFER_BYTES
+_WAITING_MEMORY_SHARE: Final = 1 / 16
+_LEAST_WAITING: Final = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +78,20 @@
     return max(limit, _LEAST_CONNECTIONS)
 
 
+def waiting_limit(memory_bytes: int, share: float = 1) -> int:
+    """Returns how many connections may wait to be accepted.
+
+    Args:
+        memory_bytes: Memory of the process; zero if unknown.
+        share: An address's share of the connections of the process.
+    """
+    usable_bytes = (
+        memory_bytes or _UNKNOWN_MEMORY_BYTES
+    ) * _WAITING_MEMORY_SHARE
+    limit = int(usable_bytes / _WAITING_CONNECTION_BYTES * share)
+    return max(limit, _LEAST_WAITING)
+
+
 def accepted_at_once(limit: int) -> int:
     """Returns how many connections a server accepts at once.
 
--- a/mulberryhitch/http/server.py
+++ b/mulberryhitch/http/server.py
@@ -9,11 +9,13 @@
 import uvicorn
 
 from mulberryhitch.errors import UnreachableError
+from mulberryhitch.http.connection_limits import (
+    SOCKET_BUFFER_BYTES,
+    waiting_limit,
+)
 from mulberryhitch.http.open_connections import OpenConnections
 from mulberryhitch.http.protocol import FirstRequestTimeoutProtocol
 
-# The event loop accepts fewer at once; the others wait here.
-_BACKLOG: Final = 2048
 # A tick of the server is a tenth of a second.
 _TICKS_BETWEEN_CHECKS: Final = 5
 
@@ -26,16 +28,20 @@
     Args:
         config: Options of the server.
         connections: The open connections of the process.
+        most_waiting: How many connections may wait to be accepted; by
+            default as many as fit into the smallest memory.
     """
 
     def __init__(
         self,
         config: uvicorn.Config,
         connections: OpenConnections | None = None,
+        most_waiting: int = 0,
     ) -> None:
         """Initialises the server."""
         super().__init__(config)
         self._connections = connections
+        self._most_waiting = most_waiting or waiting_limit(0)
 
     @contextmanager
     def capture_signals(self) -> Any:
@@ -43,10 +49,13 @@
         yield
 
     async def startup(self, sockets: list[socket.socket] | None = None) -> None:
-        """Begins to accept connections."""
+        """Begins to accept connections.
+
+        The event loop accepts fewer at once; the others wait.
+        """
         await super().startup(sockets)
         for listener in sockets or []:
-            listener.listen(_BACKLOG)
+            listener.listen(self._most_waiting)
 
     async def on_tick(self, counter: int) -> bool:
         """Closes overdue connections; returns whether to stop."""
@@ -97,7 +106,8 @@
     """Returns a listening TCP socket.
 
     The protocol is set to TCP explicitly: otherwise asyncio leaves Nagle's
-    algorithm enabled on accepted connections.
+    algorithm enabled on accepted connections. These inherit the sizes of the
+    kernel's buffers, also while they wait to be accepted.
 
     Raises:
         UnreachableError: The socket cannot be bound to the address.
@@ -106,8 +116,10 @@
     listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            listener.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
         listener.bind((host, port))
-        listener.listen(_BACKLOG)
+        listener.listen(waiting_limit(0))
     except OSError as error:
         listener.close()
         raise UnreachableError(str(error), where=f'{host}:{port}') from error
--- a/mulberryhitch/platform/http_servers.py
+++ b/mulberryhitch/platform/http_servers.py
@@ -9,6 +9,7 @@
     ConnectionTimeouts,
     accepted_at_once,
     connection_limit,
+    waiting_limit,
 )
 from mulberryhitch.http.open_connections import OpenConnections
 from mulberryhitch.http.server import HttpServer, bounded_protocol
@@ -28,6 +29,10 @@
 # Idle connections are closed by the limit of the configuration: uvicorn's own
 # must not come before a longer one.
 _KEEP_ALIVE_SECONDS: Final = 24 * 60 * 60
+# Of the connections that wait to be accepted. A process has one main address
+# and two others at most.
+_MAIN_SHARE: Final = 0.75
+_OTHER_SHARE: Final = 0.125
 
 
 class HttpServers:
@@ -43,11 +48,21 @@
         self, memory_bytes: int, log: Log, limits: Callable[[], Limits]
     ) -> None:
         """Initialises the limit."""
+        self._memory_bytes = memory_bytes
         self._connections = OpenConnections(connection_limit(memory_bytes), log)
         self._limits = limits
 
-    def make(self, application: AsgiApplication) -> HttpServer:
-        """Returns a server for an application."""
+    def make(
+        self, application: AsgiApplication, *, is_main: bool = False
+    ) -> HttpServer:
+        """Returns a server for an application.
+
+        Args:
+            application: What it serves.
+            is_main: Whether it serves clients, or workers and operators;
+                others need few connections.
+        """
+        share = _MAIN_SHARE if is_main else _OTHER_SHARE
         return HttpServer(
             uvicorn.Config(
                 application,
@@ -67,6 +82,7 @@
                 timeout_graceful_shutdown=LAST_ANSWER_SECONDS,
             ),
             self._connections,
+            waiting_limit(self._memory_bytes, share),
         )
 
     def _timeouts(self) -> ConnectionTimeouts:
--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -139,9 +139,11 @@
             handler, self.log, limits, self.is_stopping, self.histograms
         )
 
-    def make_server(self, application: AsgiApplication) -> HttpServer:
-        """Returns an HTTP server for an application."""
-        return self._http_servers.make(application)
+    def make_server(
+        self, application: AsgiApplication, *, is_main: bool = False
+    ) -> HttpServer:
+        """Returns an HTTP server; the main one has most connections."""
+        return self._http_servers.make(application, is_main=is_main)
 
     def limits(self) -> Limits:
         """Returns the limits of the configuration last told of."""
@@ -204,7 +206,7 @@
         settings = self._settings
         sockets = [_listen(settings.frontend_address)]
         readiness_sockets = [_listen(settings.readiness_address)]
-        server = self._shared.make_server(self._application)
+        server = self._shared.make_server(self._application, is_main=True)
         readiness_server = self._shared.make_server(self._readiness_application)
         async with anyio.create_task_group() as tasks:
             await self._shared.start_tasks(tasks)
@@ -275,7 +277,7 @@
             StorageError: The disk failed.
         """
         sockets = [_listen(self._settings.control_address)]
-        server = self._shared.make_server(self._application)
+        server = self._shared.make_server(self._application, is_main=True)
         async with anyio.create_task_group() as tasks:
             await self._shared.start_tasks(tasks)
             tasks.start_soon(self._host.run)
