Handle what connections have received in steps, in turn

What callers saw: beside 900 clients whose bodies have thousands of one-byte chunks no ordinary request was answered, nor within 30 s after they had left.

Cause: all events of a read were handled in one go. A read of 16 KiB holds 2,700 chunks, 50 ms of the event loop; 300 connections in turn left it 15 s behind, and it went on for clients that had left.

Change: a connection handles 32 events, then waits in one queue of the process, which runs one step a round of the event loop. Requests that were sent ahead wait there too. A connection that waits reads no more.

--- a/mulberryhitch/http/open_connections.py
+++ b/mulberryhitch/http/open_connections.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from typing import Final, Protocol
 
+from mulberryhitch.http.steps import StepQueue
 from mulberryhitch.observability.log import Log
 
 _REPORT_SECONDS: Final = 1.0
@@ -53,11 +54,15 @@
     Args:
         limit: Maximum number of connections.
         log: Receives counts of the connections, and why they were closed.
+
+    Attributes:
+        steps: Those with received bytes that wait for their next step.
     """
 
     def __init__(self, limit: int, log: Log | None = None) -> None:
         """Initialises the connections; there are none."""
         self.limit = limit
+        self.steps = StepQueue()
         self._log = log
         self._stages: dict[ClosableConnection, Stage] = {}
         # Each is in the order in which the connections began to wait.
--- a/mulberryhitch/http/protocol.py
+++ b/mulberryhitch/http/protocol.py
@@ -10,7 +10,11 @@
 
 import h11
 import orjson
-from uvicorn.protocols.http.flow_control import CLOSE_HEADER, FlowControl
+from uvicorn.protocols.http.flow_control import (
+    CLOSE_HEADER,
+    HIGH_WATER_LIMIT,
+    FlowControl,
+)
 from uvicorn.protocols.http.h11_impl import H11Protocol
 from uvicorn.protocols.utils import is_ssl
 
@@ -22,6 +26,7 @@
 )
 from mulberryhitch.http.connection_limits import ConnectionTimeouts
 from mulberryhitch.http.open_connections import OpenConnections, Stage
+from mulberryhitch.http.steps import SteppedConnection, StepQueue
 
 # asyncio reads 256 KiB at once by default, all of which a connection would
 # hold if its client sends requests ahead.
@@ -30,6 +35,7 @@
 _UNSENT_BYTES: Final = 16 * 1024
 # Each header takes about a hundred bytes of objects, whatever its length.
 _MAX_HEADERS: Final = 512
+_MAX_HEAD_BYTES: Final = 16 * 1024
 # Clients within the published limits send one request at a time.
 _MAX_REQUESTS_AHEAD: Final = 64
 _BEFORE_RESPONSE: Final = (h11.IDLE, h11.SEND_RESPONSE)
@@ -57,7 +63,8 @@
     is closed, also if it was pipelined behind others, up to a limit. That
     holds when the server stops, and when a client closes its sending side,
     which TLS does not allow. No more is read while a pipelined request waits
-    or while answers are unsent beyond a bound.
+    or while answers are unsent beyond a bound. What was read is handled in
+    steps; pipelined requests and the rest of a read wait for their turn.
 
     Args:
         connections: The open connections of the process.
@@ -69,6 +76,7 @@
     """
 
     first_request_timeout_seconds: float = FIRST_REQUEST_TIMEOUT_SECONDS
+    conn: SteppedConnection
 
     def __init__(
         self,
@@ -79,6 +87,11 @@
     ) -> None:
         """Initialises the protocol of one connection."""
         super().__init__(*args, **options)
+        self.conn = SteppedConnection(
+            h11.SERVER,
+            self.config.h11_max_incomplete_event_size or _MAX_HEAD_BYTES,
+        )
+        self._steps = connections.steps if connections else StepQueue()
         self._ahead = _RequestsAhead()
         # It does not refer to the protocol, so that the buffers of a closed
         # connection are freed before the next garbage collection.
@@ -116,6 +129,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the timer."""
         self._first_request_timer.cancel()
+        self._steps.remove(self)
         if self._open_connections is not None:
             self._open_connections.remove(self)
         super().connection_lost(exc)
@@ -136,12 +150,34 @@
         self._update_stage()
 
     def handle_events(self) -> None:
-        """Handles what was received, unless it has too many headers."""
+        """Handles some of what was received, and the rest in later steps.
+
+        Too many headers are refused, and a request that was sent before the
+        last answer waits for its turn.
+        """
+        if self.conn.is_suspended:
+            self._steps.add(self)
+            return
         if _has_too_many_headers(self.conn):
             error = HeadersTooLargeError(f'over {_MAX_HEADERS} headers')
             self._refuse('too many headers', error)
             return
+        self.conn.begin_step()
         super().handle_events()
+        if self.conn.is_suspended:
+            self.flow.pause_reading()
+            self._steps.add(self)
+
+    def run_step(self) -> None:
+        """Handles some more of what was received, then reads on."""
+        self.conn.is_suspended = False
+        if self._discarding or self.transport.is_closing():
+            return
+        self.handle_events()
+        if self.cycle is None or len(self.cycle.body) <= HIGH_WATER_LIMIT:
+            self.flow.resume_reading()
+        self._close_if_ending()
+        self._update_stage()
 
     def eof_received(self) -> bool:  # type: ignore[override]
         """Returns whether to keep the connection open for an answer."""
@@ -154,27 +190,27 @@
         ):
             return False
         self._sending_side_closed = True
-        self._close_after_last_answer()
+        self._close_if_ending()
         return not is_ssl(self.transport)
 
     def shutdown(self) -> None:
         """Closes the connection once all requests read are answered."""
         self._stopping = True
-        if _has_pipelined_request(self.conn):
+        if self.conn.has_pipelined_request or self.conn.is_suspended:
             return
         super().shutdown()
 
     def on_response_complete(self) -> None:
         """Starts the next pipelined request; closes if there is none."""
-        if _has_pipelined_request(self.conn):
+        if self.conn.has_pipelined_request:
             self._ahead.count += 1
+            self.conn.is_suspended = True
         else:
             self._ahead.count = 0
         super().on_response_complete()
         # The next request may have been read in part only.
         self.flow.resume_reading()
-        if self._stopping or self._sending_side_closed:
-            self._close_after_last_answer()
+        self._close_if_ending()
         self._update_stage()
 
     def pause_writing(self) -> None:
@@ -237,21 +273,31 @@
             return Stage.discarding
         cycle = self.cycle
         if cycle is None or cycle.response_complete:
-            if self.conn.their_state is h11.SEND_BODY:
-                return Stage.discarding
-            return Stage.head if self.conn.trailing_data[0] else Stage.idle
+            return self._stage_between_requests()
         if cycle.more_body:
             return Stage.body
-        is_ahead = _has_pipelined_request(self.conn)
+        is_ahead = self.conn.has_pipelined_request
         return Stage.ahead if is_ahead else Stage.answering
 
-    def _close_after_last_answer(self) -> None:
+    def _stage_between_requests(self) -> Stage:
+        if self.conn.their_state is h11.SEND_BODY:
+            return Stage.discarding
+        if self.conn.is_suspended:
+            return Stage.ahead
+        return Stage.head if self.conn.trailing_data[0] else Stage.idle
+
+    def _close_if_ending(self) -> None:
+        """Closes after the last answer if the server or client is stopping."""
         cycle = self.cycle
+        is_ending = self._stopping or self._sending_side_closed
+        has_more = self.conn.is_suspended or self.conn.has_pipelined_request
+        if not is_ending or has_more or cycle is None:
+            return
         if cycle.response_complete or (
             self._sending_side_closed and cycle.more_body
         ):
             self.transport.close()
-        elif not _has_pipelined_request(self.conn):
+        else:
             cycle.keep_alive = False
 
     def _close_if_no_request(self) -> None:
@@ -285,21 +331,22 @@
 
 
 class _PatientFlowControl(FlowControl):
-    """Does not read on while a pipelined request waits.
+    """Does not read on while received bytes or a pipelined request wait.
 
     A request that is answered without its body would otherwise let a read
     buffer grow by one read for each request taken from it.
     """
 
     def __init__(
-        self, transport: asyncio.Transport, connection: h11.Connection
+        self, transport: asyncio.Transport, connection: SteppedConnection
     ) -> None:
         super().__init__(transport)
         self._connection = connection
 
     def resume_reading(self) -> None:
-        """Reads on, unless a pipelined request waits."""
-        if not _has_pipelined_request(self._connection):
+        """Reads on, unless received bytes wait."""
+        connection = self._connection
+        if not (connection.is_suspended or connection.has_pipelined_request):
             super().resume_reading()
 
 
@@ -326,12 +373,6 @@
     }.get(stage, float('inf'))
 
 
-def _has_pipelined_request(connection: h11.Connection) -> bool:
-    """Whether bytes of another request follow the one in progress."""
-    is_read = connection.their_state is h11.DONE
-    return is_read and bool(connection.trailing_data[0])
-
-
 def _has_too_many_headers(connection: h11.Connection) -> bool:
     """Whether the next request has them, before objects are made of them."""
     if connection.their_state is not h11.IDLE:
@@ -343,15 +384,14 @@
 
 
 def _announcing_close_last(
-    application: Any, connection: h11.Connection, ahead: _RequestsAhead
+    application: Any, connection: SteppedConnection, ahead: _RequestsAhead
 ) -> Callable[..., Awaitable[None]]:
     """Returns an application whose last answer alone announces the close."""
 
     async def run(scope: Any, receive: Any, send: Any) -> None:
         async def send_message(message: Any) -> None:
-            if message[
-                'type'
-            ] == 'http.response.start' and _has_pipelined_request(connection):
+            is_start = message['type'] == 'http.response.start'
+            if is_start and connection.has_pipelined_request:
                 message['headers'] = _closing_headers(message['headers'], ahead)
             await send(message)
 
