Handle few requests at once that were sent ahead

What callers saw: beside 900 clients that send thousands of requests ahead no ordinary request was answered for 30 s: 502 and 503, as the leader "did not reply" within 1 s.

Cause: 305 such requests were handled at once. A round of the event loop took longer than the leader's reply may, so each of them searched on for a leader: 2,700 requests made 22,800 steps of that search (a profile of 6 s), while the scheduler was idle.

Change: of requests with another one behind them, eight are handled at once in a process. Clients inside the limits send one at a time and never wait here. Requests of clients that have left meanwhile are not begun.

--- a/mulberryhitch/http/open_connections.py
+++ b/mulberryhitch/http/open_connections.py
@@ -4,10 +4,14 @@
 from collections import Counter
 from typing import Final, Protocol
 
-from mulberryhitch.http.steps import StepQueue
+import anyio
+
+from mulberryhitch.http.steps import SteppedReader, StepQueue
 from mulberryhitch.observability.log import Log
 
 _REPORT_SECONDS: Final = 1.0
+# Requests of clients that do not wait for their answers, beside all others.
+_MAX_HANDLED_AHEAD: Final = 8
 
 
 class Stage(enum.Enum):
@@ -37,7 +41,7 @@
 _GIVEN_UP_LAST: Final = (Stage.idle, Stage.head, Stage.body)
 
 
-class ClosableConnection(Protocol):
+class ClosableConnection(SteppedReader, Protocol):
     """A connection that can be closed at any time."""
 
     def give_up(self) -> None:
@@ -56,13 +60,16 @@
         log: Receives counts of the connections, and why they were closed.
 
     Attributes:
+        limit: Maximum number of connections.
         steps: Those with received bytes that wait for their next step.
+        turns: Those that sent ahead and whose request is being handled.
     """
 
     def __init__(self, limit: int, log: Log | None = None) -> None:
         """Initialises the connections; there are none."""
         self.limit = limit
         self.steps = StepQueue()
+        self.turns = anyio.CapacityLimiter(_MAX_HANDLED_AHEAD)
         self._log = log
         self._stages: dict[ClosableConnection, Stage] = {}
         # Each is in the order in which the connections began to wait.
@@ -104,6 +111,7 @@
 
     def remove(self, connection: ClosableConnection) -> None:
         """Forgets a connection that is closed."""
+        self.steps.remove(connection)
         stage = self._stages.pop(connection, None)
         if stage is not None:
             self._waiting[stage].pop(connection)
--- a/mulberryhitch/http/protocol.py
+++ b/mulberryhitch/http/protocol.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
+import anyio
 import h11
 import orjson
 from uvicorn.protocols.http.flow_control import (
@@ -24,9 +25,12 @@
     InvalidInputError,
     MulberryhitchError,
 )
-from mulberryhitch.http.connection_limits import ConnectionTimeouts
+from mulberryhitch.http.connection_limits import (
+    ConnectionTimeouts,
+    connection_limit,
+)
 from mulberryhitch.http.open_connections import OpenConnections, Stage
-from mulberryhitch.http.steps import SteppedConnection, StepQueue
+from mulberryhitch.http.steps import SteppedConnection
 
 # asyncio reads 256 KiB at once by default, all of which a connection would
 # hold if its client sends requests ahead.
@@ -51,9 +55,17 @@
 
 @dataclass(slots=True)
 class _RequestsAhead:
-    """Number of requests in a row that were sent before the last answer."""
+    """Requests that a client sent before the last answer.
 
+    Attributes:
+        turns: Limits how many of all clients' are handled at once.
+        count: How many came in a row.
+        is_lost: Whether the client has left, and none is to be handled.
+    """
+
+    turns: anyio.CapacityLimiter
     count: int = 0
+    is_lost: bool = False
 
 
 class FirstRequestTimeoutProtocol(H11Protocol, asyncio.BufferedProtocol):
@@ -91,13 +103,14 @@
             h11.SERVER,
             self.config.h11_max_incomplete_event_size or _MAX_HEAD_BYTES,
         )
-        self._steps = connections.steps if connections else StepQueue()
-        self._ahead = _RequestsAhead()
+        self._open_connections = connections or OpenConnections(
+            connection_limit(0)
+        )
+        self._ahead = _RequestsAhead(self._open_connections.turns)
         # It does not refer to the protocol, so that the buffers of a closed
         # connection are freed before the next garbage collection.
-        self.app = _announcing_close_last(self.app, self.conn, self._ahead)
+        self.app = _with_requests_ahead(self.app, self.conn, self._ahead)
         self.logger = _logger
-        self._open_connections = connections
         self._timeouts = timeouts
         self._stage = Stage.idle
         self._stage_since = self.loop.time()
@@ -123,15 +136,13 @@
             ),
             self._close_if_no_request,
         )
-        if self._open_connections is not None:
-            self._open_connections.add(self, self.loop.time())
+        self._open_connections.add(self, self.loop.time())
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the timer."""
         self._first_request_timer.cancel()
-        self._steps.remove(self)
-        if self._open_connections is not None:
-            self._open_connections.remove(self)
+        self._ahead.is_lost = True
+        self._open_connections.remove(self)
         super().connection_lost(exc)
         self._unset_keepalive_if_required()
 
@@ -156,7 +167,7 @@
         last answer waits for its turn.
         """
         if self.conn.is_suspended:
-            self._steps.add(self)
+            self._open_connections.steps.add(self)
             return
         if _has_too_many_headers(self.conn):
             error = HeadersTooLargeError(f'over {_MAX_HEADERS} headers')
@@ -166,7 +177,7 @@
         super().handle_events()
         if self.conn.is_suspended:
             self.flow.pause_reading()
-            self._steps.add(self)
+            self._open_connections.steps.add(self)
 
     def run_step(self) -> None:
         """Handles some more of what was received, then reads on."""
@@ -263,8 +274,7 @@
             return
         self._stage = stage
         self._stage_since = self.loop.time()
-        if self._open_connections is not None:
-            self._open_connections.move(self, stage, self._stage_since)
+        self._open_connections.move(self, stage, self._stage_since)
 
     def _current_stage(self) -> Stage:
         if self.flow.write_paused or self.transport.is_closing():
@@ -326,8 +336,7 @@
         self.flow.resume_reading()
 
     def _count_closed(self, reason: str) -> None:
-        if self._open_connections is not None:
-            self._open_connections.closed(reason)
+        self._open_connections.closed(reason)
 
 
 class _PatientFlowControl(FlowControl):
@@ -383,10 +392,22 @@
     return head.count(b'\n') > _MAX_HEADERS
 
 
-def _announcing_close_last(
+def _with_requests_ahead(
     application: Any, connection: SteppedConnection, ahead: _RequestsAhead
 ) -> Callable[..., Awaitable[None]]:
-    """Returns an application whose last answer alone announces the close."""
+    """Returns an application for one connection.
+
+    Its last answer alone announces the close, and requests that were sent
+    ahead wait for their turn.
+    """
+
+    async def run_in_turn(scope: Any, receive: Any, send: Any) -> None:
+        if not connection.has_pipelined_request:
+            await run(scope, receive, send)
+            return
+        async with ahead.turns:
+            if not ahead.is_lost:
+                await run(scope, receive, send)
 
     async def run(scope: Any, receive: Any, send: Any) -> None:
         async def send_message(message: Any) -> None:
@@ -397,7 +418,7 @@
 
         await application(scope, receive, send_message)
 
-    return run
+    return run_in_turn
 
 
 def _closing_headers(
