Bound what peers' connections hold at the internal addresses

What callers saw: 900 clients of the internal port of a scheduler took it to 1,318 MB with frames that do not end, and to 1,133 MB with calls whose results they do not read; an entry to 1,248 MB. 913 of 1,024 descriptors were open.

Cause: no limit on connections, on frames that are being received (16 MiB each), on calls of a connection, nor on results that wait for their peer. anyio pauses reading from an accepted connection only after it has waited for bytes: if some are there before, it reads on without end, 26 MB a connection.

Change: a process accepts as many connections as fit into an eighth of its memory or a quarter of its descriptors, 64 at least. Above that it closes one that does not read its results, then one that has sent no call. The bytes of all calls that are received, served or answered are bounded by an eighth of the memory; the connection of the oldest is closed. A connection has 256 calls at once, its turn comes once a round of the event loop, and the kernel's buffers are bounded. Accepted connections are paused at once.

Evidence: tests/test_crowds.py, bounds set before the change (160 MB, 922 descriptors). Before: failed as above. After: 106 MB and 95 descriptors at most; passed three times in a row. With the limits but without the order of closing, the ordinary request failed in one of two runs: the connection of the scheduler to itself was closed again and again.

--- a/mulberryhitch/composition.py
+++ b/mulberryhitch/composition.py
@@ -51,6 +51,7 @@
 from mulberryhitch.requests.owned_servers import OwnedServerTracker
 from mulberryhitch.requests.ports import Owner
 from mulberryhitch.requests.router import Router
+from mulberryhitch.rpc.accepted import accepted_limits
 from mulberryhitch.rpc.client import PeerConnection
 from mulberryhitch.rpc.server import RpcServer
 from mulberryhitch.scheduler.host import CellService, ReplicaHost
@@ -149,7 +150,7 @@
         identity,
         ConfigurationHolder(environment.data_centre),
         peers,
-        RpcServer(log, tls.server),
+        RpcServer(log, tls.server, accepted_limits(machine_memory_bytes())),
         log,
     )
 
--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -55,6 +55,7 @@
 from mulberryhitch.replication.loading import load_state
 from mulberryhitch.replication.options import ReplicationOptions
 from mulberryhitch.replication.replica import Replica
+from mulberryhitch.rpc.accepted import accepted_limits
 from mulberryhitch.rpc.server import RpcServer
 from mulberryhitch.scheduler.host import ReplicaHost
 
@@ -99,7 +100,9 @@
         self._http_servers = HttpServers(
             settings.memory_bytes, self.log, self.limits
         )
-        self.rpc = RpcServer(self.log)
+        self.rpc = RpcServer(
+            self.log, limits=accepted_limits(settings.memory_bytes)
+        )
         self.client = PlatformClient()
         self.permit_client = PlatformPermitClient(
             self.client, settings.permit_address
--- a/mulberryhitch/rpc/frames.py
+++ b/mulberryhitch/rpc/frames.py
@@ -1,5 +1,7 @@
 """Thrift's framed transport over an anyio byte stream."""
 
+from collections.abc import Callable
+
 from anyio.abc import ByteStream
 from anyio.streams.buffered import BufferedByteReceiveStream
 
@@ -7,6 +9,7 @@
 from mulberryhitch.errors import ProtocolError
 
 _LENGTH_BYTES = 4
+_PART_BYTES = 64 * 1024
 
 
 class FrameStream:
@@ -21,9 +24,14 @@
         self._stream = stream
         self._buffered = BufferedByteReceiveStream(stream)
 
-    async def receive(self) -> bytes:
+    async def receive(
+        self, on_part: Callable[[int], None] = lambda held_bytes: None
+    ) -> bytes:
         """Reads one frame.
 
+        Args:
+            on_part: Called with the number of bytes received so far.
+
         Raises:
             ProtocolError: The frame is longer than
                 ``RPC_MAX_FRAME_BYTES``.
@@ -35,7 +43,12 @@
                 f'frame of {length} bytes exceeds the limit of '
                 f'{RPC_MAX_FRAME_BYTES} bytes'
             )
-        return await self._buffered.receive_exactly(length)
+        frame = bytearray()
+        while len(frame) < length:
+            remaining = min(length - len(frame), _PART_BYTES)
+            frame += await self._buffered.receive(remaining)
+            on_part(len(frame))
+        return bytes(frame)
 
     async def send(self, frame: bytes) -> None:
         """Writes one frame."""
--- a/mulberryhitch/rpc/server.py
+++ b/mulberryhitch/rpc/server.py
@@ -1,11 +1,17 @@
 """RPC server: one task per connection and one per call."""
 
+import socket
 import ssl
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeAlias, cast
 
 import anyio
-from anyio.abc import ByteStream, SocketListener, TaskGroup
+from anyio.abc import (
+    ByteStream,
+    SocketAttribute,
+    SocketListener,
+    TaskGroup,
+)
 from anyio.streams.tls import TLSStream
 
 from mulberryhitch.byte_budget import SMALL_BYTES, ByteBudget
@@ -24,6 +30,15 @@
     UnreachableError,
 )
 from mulberryhitch.observability.log import Log
+from mulberryhitch.rpc.accepted import (
+    BACKLOG,
+    CALL_BYTES,
+    SOCKET_BUFFER_BYTES,
+    AcceptedConnection,
+    AcceptedConnections,
+    AcceptedLimits,
+    HeldCall,
+)
 from mulberryhitch.rpc.client import TlsContextProvider
 from mulberryhitch.rpc.codec import Call, CallResult, decode_call, encode_result
 from mulberryhitch.rpc.frames import FrameStream
@@ -54,7 +69,7 @@
         self._lock = anyio.Lock()
         self._budget = ByteBudget(_LARGE_RESULTS_BYTES, 0)
 
-    async def send(self, call: Call, frame: bytes) -> None:
+    async def send(self, call: Call, frame: bytes, held: HeldCall) -> None:
         """Sends a result, or a refusal if it is large and too many wait.
 
         Only reads have large results, so nothing has run.
@@ -65,6 +80,7 @@
                     reservation.grow_to(len(frame))
                 except OverloadedError as error:
                     frame = _encode_error(call, error.problem)
+            held.hold(held.held_bytes + len(frame))
             async with self._lock:
                 await self._frames.send(frame)
 
@@ -75,13 +91,18 @@
     Args:
         log: Receives protocol errors and other unexpected errors.
         tls_context: Returns the current TLS context, or None for plain TCP.
+        limits: What it may hold for the connections of peers.
     """
 
     def __init__(
-        self, log: Log, tls_context: TlsContextProvider = lambda: None
+        self,
+        log: Log,
+        tls_context: TlsContextProvider = lambda: None,
+        limits: AcceptedLimits = AcceptedLimits(),
     ) -> None:
         """Initialises the server without handlers."""
         self._log = log
+        self._connections = AcceptedConnections(limits, log)
         self._tls_context = tls_context
         self._handlers: dict[str, Handler] = {}
         self._active_calls = 0
@@ -98,10 +119,14 @@
     async def serve(self, host: str, port: int) -> None:
         """Accepts connections until cancelled."""
         listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=port, reuse_port=False
+            local_host=host,
+            local_port=port,
+            reuse_port=False,
+            backlog=BACKLOG,
         )
         async with listener, anyio.create_task_group() as tasks:
             for part in cast('list[SocketListener]', listener.listeners):
+                _limit_buffers(part)
                 tasks.start_soon(self._accept_connections, part, tasks)
 
     async def _accept_connections(
@@ -115,12 +140,15 @@
                 self._log.problem('rpc.accept', failure.problem)
                 await anyio.sleep(_ACCEPT_RETRY_SECONDS)
             else:
+                _pause_reading(stream)
                 tasks.start_soon(self._handle_connection, stream)
 
     async def _handle_connection(self, stream: ByteStream) -> None:
         try:
             async with stream:
-                await self._serve_stream(await self._wrap_tls(stream))
+                with self._connections.admitted() as connection:
+                    secured = await self._wrap_tls(stream)
+                    await self._serve_stream(secured, connection)
         except _CONNECTION_ERRORS:
             return
         except MulberryhitchError as error:
@@ -137,34 +165,47 @@
             standard_compatible=False,
         )
 
-    async def _serve_stream(self, stream: ByteStream) -> None:
+    async def _serve_stream(
+        self, stream: ByteStream, connection: AcceptedConnection
+    ) -> None:
         frames = FrameStream(stream)
         sender = _ResultSender(frames)
         async with anyio.create_task_group() as tasks:
             try:
-                await self._read_calls(frames, sender, tasks)
+                await self._read_calls(frames, sender, tasks, connection)
             finally:
                 tasks.cancel_scope.cancel()
 
     async def _read_calls(
-        self, frames: FrameStream, sender: _ResultSender, tasks: TaskGroup
+        self,
+        frames: FrameStream,
+        sender: _ResultSender,
+        tasks: TaskGroup,
+        connection: AcceptedConnection,
     ) -> None:
-        while True:
+        while not connection.is_closed:
+            await connection.wait_for_turn()
+            held = self._connections.begin_call(connection)
             try:
-                call = decode_call(await frames.receive())
+                call = await _read_call(frames, held)
             except _CONNECTION_ERRORS:
                 return
             except ProtocolError as error:
                 self._log.problem('rpc.connection', error.problem)
                 return
-            tasks.start_soon(self._serve_call, sender, call)
+            self._connections.record_call(connection)
+            tasks.start_soon(self._serve_call, sender, call, held)
 
-    async def _serve_call(self, sender: _ResultSender, call: Call) -> None:
-        result_frame = await self._handle_call(call)
+    async def _serve_call(
+        self, sender: _ResultSender, call: Call, held: HeldCall
+    ) -> None:
         try:
-            await sender.send(call, result_frame)
+            result_frame = await self._handle_call(call)
+            await sender.send(call, result_frame, held)
         except _CONNECTION_ERRORS:
             return
+        finally:
+            held.release()
 
     async def _handle_call(self, call: Call) -> bytes:
         try:
@@ -200,6 +241,36 @@
             self._active_calls -= 1
 
 
+async def _read_call(frames: FrameStream, held: HeldCall) -> Call:
+    """Reads a call and records the bytes that it takes.
+
+    Raises:
+        ProtocolError: What was received is not a call.
+    """
+    frame = await frames.receive(
+        lambda received_bytes: held.hold(received_bytes + CALL_BYTES)
+    )
+    return decode_call(frame)
+
+
+def _limit_buffers(listener: SocketListener) -> None:
+    """Limits what the kernel holds for each connection from now on."""
+    raw_socket = listener.extra(SocketAttribute.raw_socket)
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        raw_socket.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
+
+
+def _pause_reading(stream: ByteStream) -> None:
+    """Reads no more than what is received from an accepted connection.
+
+    On asyncio anyio pauses a connection after it has waited for bytes. If
+    some are there before the first wait, it would read on without end.
+    """
+    transport = getattr(stream, '_transport', None)
+    if transport is not None:
+        transport.pause_reading()
+
+
 def _encode_error(call: Call, problem: Problem) -> bytes:
     return encode_result(
         CallResult(call.method, call.sequence_id, None, problem)
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+from mulberryhitch.rpc.codec import Call, encode_call
+from mulberryhitch.rpc.messages import CallHeader, HelloRequest
 from tests.unread_clients import (
     Address,
     Behaviour,
@@ -24,6 +26,7 @@
 _STALLED_BYTES = 1024 * 1024
 _FRAME_LENGTH = (16 * 1024 * 1024).to_bytes(4, 'big')
 _HEAD_BYTES = 30_000
+_CALLS = 200
 
 
 def http_kinds(path: str) -> list[Behaviour]:
@@ -56,12 +59,20 @@
         Behaviour(
             'unfinished frames', lambda: [_FRAME_LENGTH, b'x' * _STALLED_BYTES]
         ),
+        Behaviour('unread results', lambda: [_calls()], endless=True),
         Behaviour(
             'bytes without end', lambda: [b'\x00\x00\x00\x01x'], endless=True
         ),
     ]
 
 
+def _calls() -> bytes:
+    """Returns the frames of calls that any process answers."""
+    hello = HelloRequest('nowhere', 'replica', configured=False)
+    frame = encode_call(Call('hello', 1, CallHeader('caller', 1), hello))
+    return (len(frame).to_bytes(4, 'big') + frame) * _CALLS
+
+
 def all_kinds(path: str) -> dict[str, Behaviour]:
     """Returns all kinds of clients by name."""
     return {kind.name: kind for kind in (*http_kinds(path), *internal_kinds())}
--- a/tests/test_bounded_results.py
+++ b/tests/test_bounded_results.py
@@ -39,7 +39,7 @@
         frames = FrameStream(peer_end)  # type: ignore[arg-type]
         codes: Counter[str] = Counter()
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(server._serve_stream, server_end)
+            tasks.start_soon(server._handle_connection, server_end)
             for number in range(120):
                 group = 'large' if number < 60 else 'small'
                 request = HelloRequest(group, 'replica', configured=False)
