Read small bodies whatever other clients' bodies hold

What callers saw: 300 clients with bodies of 60,000 bytes that do not end kept each other body of that size out (503) for as long as they went on.

Cause: all bodies counted for one limit of 12 MiB, also those that the number of connections bounds already, with 64 KiB of a body each.

Change: only bodies over 64 KiB count, for the 8 MiB that they had before. Both limits are made in one place, so that the addresses of a process can share them.

Evidence: tests/test_bounded_bodies.py; the new test failed before (0 of 1 handled) and passes now, the others as they were.

--- a/mulberryhitch/byte_budget.py
+++ b/mulberryhitch/byte_budget.py
@@ -4,9 +4,15 @@
 from contextlib import contextmanager
 from typing import Final
 
+from mulberryhitch.constants import BYTES_PER_MEBIBYTE
 from mulberryhitch.errors import OverloadedError
 
 SMALL_BYTES: Final = 64 * 1024
+_LARGE_BODIES_BYTES: Final = 8 * BYTES_PER_MEBIBYTE
+_LARGE_ANSWERS_BYTES: Final = 16 * BYTES_PER_MEBIBYTE
+# A configuration takes a dozen times its size while it is validated.
+_CONTROL_BODY_MEMORY_SHARE: Final = 1 / 32
+_MOST_CONTROL_BODY_BYTES: Final = 8 * BYTES_PER_MEBIBYTE
 _RETRY_AFTER_SECONDS = 1.0
 
 
@@ -94,3 +100,31 @@
         if total_bytes > self.held_bytes:
             self._budget.admit(self.held_bytes, total_bytes)
             self.held_bytes = total_bytes
+
+
+class RequestBudgets:
+    """Limits on large bodies and answers, for all HTTP addresses of a process.
+
+    Small ones are not counted: the number of connections bounds them.
+
+    Attributes:
+        bodies: Bodies of requests that are received or handled.
+        answers: Bodies of answers that are being sent.
+    """
+
+    def __init__(self) -> None:
+        """Initialises the budgets; nothing is held."""
+        self.bodies = ByteBudget(_LARGE_BODIES_BYTES, 0)
+        self.answers = ByteBudget(_LARGE_ANSWERS_BYTES, 0)
+
+
+def control_body_limit(memory_bytes: int) -> int:
+    """Returns the largest body of a worker or an operator, in bytes.
+
+    Args:
+        memory_bytes: Memory of the process; zero if unknown.
+    """
+    share_bytes = int(memory_bytes * _CONTROL_BODY_MEMORY_SHARE)
+    return min(
+        share_bytes or _MOST_CONTROL_BODY_BYTES, _MOST_CONTROL_BODY_BYTES
+    )
--- a/mulberryhitch/platform/asgi.py
+++ b/mulberryhitch/platform/asgi.py
@@ -10,11 +10,12 @@
 import anyio
 import orjson
 
-from mulberryhitch.byte_budget import ByteBudget, Reservation
-from mulberryhitch.constants import (
-    BYTES_PER_MEBIBYTE,
-    MILLISECONDS_PER_SECOND,
+from mulberryhitch.byte_budget import (
+    SMALL_BYTES,
+    RequestBudgets,
+    Reservation,
 )
+from mulberryhitch.constants import MILLISECONDS_PER_SECOND
 from mulberryhitch.errors import (
     DeadlinePassedError,
     HeadersTooLargeError,
@@ -43,11 +44,8 @@
 )
 _BODY_IDLE_SECONDS = 15.0
 # Responses that a connection's own buffer holds are not counted.
-_RESPONSE_PART_BYTES = 64 * 1024
-_RESPONSES_BYTES = 16 * BYTES_PER_MEBIBYTE
+_RESPONSE_PART_BYTES = SMALL_BYTES
 _RESPONSE_IDLE_SECONDS = 15.0
-_BODIES_BYTES = 12 * BYTES_PER_MEBIBYTE
-_SMALL_BODIES_BYTES = 4 * BYTES_PER_MEBIBYTE
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +92,8 @@
         limits: Returns the active size limits.
         is_closing: Whether to close each connection after its response.
         histograms: Receives the response times.
+        budgets: Limits that all applications of a process share; by default
+            it has its own.
     """
 
     def __init__(
@@ -103,6 +103,7 @@
         limits: Callable[[], Limits],
         is_closing: Callable[[], bool],
         histograms: Histograms,
+        budgets: RequestBudgets | None = None,
     ) -> None:
         """Initialises the application; no request is in flight."""
         self._histograms = histograms
@@ -110,8 +111,7 @@
         self._log = log
         self._limits = limits
         self._is_closing = is_closing
-        self._bodies = ByteBudget(_BODIES_BYTES, _SMALL_BODIES_BYTES)
-        self._responses = ByteBudget(_RESPONSES_BYTES, 0)
+        self._budgets = budgets or RequestBudgets()
         self.in_flight = 0
 
     async def __call__(
@@ -124,7 +124,7 @@
         started_at = time.monotonic()
         try:
             response = await self._respond_unless_cut_off(scope, receive, send)
-            with self._responses.reservation() as reservation:
+            with self._budgets.answers.reservation() as reservation:
                 response = self._admit(response, scope, reservation)
                 self._histograms.record(
                     'answer',
@@ -155,7 +155,7 @@
 
     async def _respond(self, scope: Scope, receive: Receive) -> HttpResponse:
         try:
-            with self._bodies.reservation() as reservation:
+            with self._budgets.bodies.reservation() as reservation:
                 request = await self._read(scope, receive, reservation)
                 return await self._handler(request)
         except MulberryhitchError as error:
@@ -265,11 +265,13 @@
                 where='body',
             )
         body += message.get('body', b'')
-        if len(body) > limit_bytes:
+        total = len(body)
+        if total > limit_bytes:
             raise TooLargeError(
                 f'body is over {limit_bytes} bytes', where='body'
             )
-        reservation.grow_to(len(body))
+        if total > SMALL_BYTES:
+            reservation.grow_to(total)
         more = message.get('more_body', False)
     return bytes(body)
 
--- a/tests/test_bounded_bodies.py
+++ b/tests/test_bounded_bodies.py
@@ -108,6 +108,20 @@
     run_with_callers(script)
 
 
+def test_small_bodies_that_stop_coming_do_not_keep_others_out() -> None:
+    """As many as a process with 160 MB has connections."""
+
+    async def script(callers: Callers, tasks: Any) -> None:
+        for _ in range(300):
+            tasks.start_soon(_put, callers, Answer(), 60_000, False)
+        await anyio.sleep(1)
+        tasks.start_soon(_put, callers, Answer(), 60_000, True)
+        await anyio.sleep(1)
+        assert callers.handled == 1
+
+    run_with_callers(script)
+
+
 def test_eight_orders_of_a_mebibyte_at_once_are_read() -> None:
     async def script(callers: Callers, tasks: Any) -> None:
         answers = [Answer() for _ in range(8)]
