Let the addresses of a process share the limits on bodies

What callers saw: the readiness and the metrics address read bodies of up to 8 MiB and answered 200 or 503; each address of a process had 28 MiB of its own for bodies and answers, 84 MiB for an entry whose VM has 160 MB.

Cause: one limit for each application, and control's limit on bodies for all that are not for clients.

Change: one limit for a process; 1 KiB for a body at readiness and metrics, which have none. A body at control has 8 MiB, or a 32nd of the memory if that is less, as a valid configuration takes a dozen times its size while it is validated. A heartbeat of 4 MiB fits from 134 MB on.

Evidence: tests/test_costly_bodies.py: 413 at readiness and metrics, before 503 and 200.

--- a/mulberryhitch/platform_composition.py
+++ b/mulberryhitch/platform_composition.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from mulberryhitch.byte_budget import RequestBudgets, control_body_limit
 from mulberryhitch.clocks import suspended_seconds
 from mulberryhitch.constants import READINESS_DELAY_SECONDS
 from mulberryhitch.dispatch.access import KnownKeys
@@ -62,7 +63,8 @@
 _CALL_TIMEOUT_SECONDS = 1.0
 _ELECTION_SECONDS = 0.5
 _HEARTBEAT_SECONDS = 0.1
-_CONTROL_LIMITS = Limits(body_bytes=8 * 1024 * 1024)
+# Readiness and metrics are read without a body.
+_READ_LIMITS = Limits(body_bytes=1024)
 _SETTINGS_POLL_SECONDS = 1.0
 # Longer than the exit after the last answer takes.
 _EXIT_SECONDS = 0.5
@@ -100,6 +102,7 @@
         self._http_servers = HttpServers(
             settings.memory_bytes, self.log, self.limits
         )
+        self._budgets = RequestBudgets()
         self.rpc = RpcServer(
             self.log, limits=accepted_limits(settings.memory_bytes)
         )
@@ -135,11 +138,22 @@
     def make_application(
         self,
         handler: Handler,
-        limits: Callable[[], Limits] = lambda: _CONTROL_LIMITS,
+        limits: Callable[[], Limits] = lambda: _READ_LIMITS,
     ) -> AsgiApplication:
-        """Returns an application with this program's log and histograms."""
+        """Returns an application with this program's log and histograms.
+
+        Args:
+            handler: Handles the requests.
+            limits: Returns the size limits; by default those of an address
+                that takes no bodies.
+        """
         return AsgiApplication(
-            handler, self.log, limits, self.is_stopping, self.histograms
+            handler,
+            self.log,
+            limits,
+            self.is_stopping,
+            self.histograms,
+            self._budgets,
         )
 
     def make_server(
@@ -271,7 +285,10 @@
         self._host.add(self.service)
         self._shared.peers.use_own_replica(self.service.known_group)
         control = ControlHandler(self._shared.leader_client)
-        self._application = self._shared.make_application(control.respond)
+        limits = Limits(body_bytes=control_body_limit(settings.memory_bytes))
+        self._application = self._shared.make_application(
+            control.respond, lambda: limits
+        )
 
     async def run(self) -> None:
         """Runs the replica and serves until the program is stopped.
--- a/tests/test_costly_bodies.py
+++ b/tests/test_costly_bodies.py
@@ -109,3 +109,18 @@
                 assert not failure, failure
 
     anyio.run(main)
+
+
+@pytest.mark.parametrize('name', ['metrics', 'readiness'])
+def test_an_address_without_bodies_reads_none(
+    tmp_path: Path, name: str
+) -> None:
+    target = TARGETS[name]
+    body = CostlyBody('large body', 'GET', '/', lambda size: b'x' * size)
+
+    async def main() -> int:
+        async with running_cell(tmp_path, LIMITS) as cell:
+            content = body.make(CLIENT_BODY_BYTES)
+            return await _send(cell, target, body, content)
+
+    assert anyio.run(main) == 413
