Handle one costly job at a time at an entry

Cause: validating such a job takes 0.3 s of the event loop and 18 MB until its answer; eight at once kept the loop for seconds, so that the leader's replies came too late and each request searched on.

Change: of jobs with over 256 KiB once parsed, some thousand steps, an entry handles one at a time, then none for as long as that took. Others get 503 with Retry-After at once; nothing of them has run.

Evidence: tests/test_costly_bodies.py, crowd and bounds set before.

Not covered: what such jobs cost the leader, 0.7 s and some MB each.

--- a/mulberryhitch/json_size.py
+++ b/mulberryhitch/json_size.py
@@ -13,11 +13,23 @@
 _PARSED_LIMIT_BYTES: Final = 32 * BYTES_PER_MEBIBYTE
 
 
+def parsed_size(content: bytes) -> int:
+    """Estimates the memory of a JSON text once it is parsed, in bytes.
+
+    The estimate is from the number of values, without parsing; signs inside
+    strings count as well.
+    """
+    return (
+        content.count(b'{') * _OBJECT_BYTES
+        + content.count(b'[') * _ARRAY_BYTES
+        + content.count(b',') * _MEMBER_BYTES
+    )
+
+
 def check_parsed_size(content: bytes, name: str) -> None:
     """Refuses a JSON text that would take too much memory once parsed.
 
-    A short text may have millions of small values. The estimate is from the
-    number of values, without parsing; signs inside strings count as well.
+    A short text may have millions of small values.
 
     Args:
         content: The text.
@@ -26,11 +38,7 @@
     Raises:
         TooLargeError: It would take over 32 MiB.
     """
-    parsed_bytes = (
-        content.count(b'{') * _OBJECT_BYTES
-        + content.count(b'[') * _ARRAY_BYTES
-        + content.count(b',') * _MEMBER_BYTES
-    )
+    parsed_bytes = parsed_size(content)
     if parsed_bytes > _PARSED_LIMIT_BYTES:
         raise TooLargeError(
             f'it has so many values that it would take {parsed_bytes} bytes, '
--- a/mulberryhitch/platform/ingress.py
+++ b/mulberryhitch/platform/ingress.py
@@ -5,6 +5,8 @@
 
 import orjson
 
+from mulberryhitch.constants import BYTES_PER_MEBIBYTE
+from mulberryhitch.costly_work import CostlyWork
 from mulberryhitch.dispatch.access import KnownKeys, digest_of
 from mulberryhitch.dispatch.operations import (
     CancelJob,
@@ -18,6 +20,7 @@
     NoQuorumError,
     UnauthenticatedError,
 )
+from mulberryhitch.json_size import parsed_size
 from mulberryhitch.membership.leader_client import LeaderClient
 from mulberryhitch.platform.asgi import HttpRequest, HttpResponse
 from mulberryhitch.platform.wire import read_job
@@ -25,6 +28,8 @@
 _KEY_SCHEME = 'bearer'
 # Other kinds of space may be bytes of a key.
 _WHITESPACE = ' \t'
+# A job of over a thousand steps.
+_COSTLY_JOB_BYTES = BYTES_PER_MEBIBYTE // 4
 
 
 class IngressHandler:
@@ -46,6 +51,7 @@
         self._leader_client = leader_client
         self._known_keys = known_keys
         self._count = count
+        self._costly_jobs = CostlyWork(_COSTLY_JOB_BYTES)
 
     async def respond(self, request: HttpRequest) -> HttpResponse:
         """Handles one request.
@@ -53,8 +59,11 @@
         Raises:
             MulberryhitchError: The request is refused or has failed.
         """
+        # Bodies of other methods are not parsed.
+        size = parsed_size(request.body) if request.method == 'POST' else 0
         try:
-            return await self._forward(request, _key_digest(request))
+            with self._costly_jobs.admitted(size):
+                return await self._forward(request, _key_digest(request))
         except UnauthenticatedError:
             self._count('request.unauthenticated')
             raise
--- a/tests/costly_bodies.py
+++ b/tests/costly_bodies.py
@@ -114,3 +114,8 @@
 def _heartbeat(name: str, start: bytes, part: bytes) -> CostlyBody:
     make = _repeated(start, part, b']}')
     return CostlyBody(name, 'PUT', '/instances/w-1', make)
+
+
+def job_of_many_steps() -> bytes:
+    """Returns the job with most steps."""
+    return b'{"steps":[' + b','.join([b'{}'] * 20_000) + b']}'
--- a/tests/test_costly_bodies.py
+++ b/tests/test_costly_bodies.py
@@ -4,6 +4,8 @@
 that the process ends.
 """
 
+import dataclasses
+import itertools
 from pathlib import Path
 
 import anyio
@@ -16,6 +18,7 @@
     CostlyBody,
     invalid_control_bodies,
     job_bodies,
+    job_of_many_steps,
     unknown_control_bodies,
 )
 from tests.limited_cell import (
@@ -35,6 +38,9 @@
 LIMITS = ProcessLimits(memory_megabytes=160, descriptors=1024)
 MOST_BYTES = 160_000_000
 SENDERS = 4
+COSTLY_CLIENTS = 8
+HOLD_SECONDS = 6
+PAUSE_SECONDS = 0.05
 ANSWER_SECONDS = 30
 COSTLY_JOB_PATH = '/q/5c0e7a21d94b36f9'
 
@@ -111,6 +117,43 @@
     anyio.run(main)
 
 
+async def _submit_without_end(cell: ProcessCell, number: int) -> None:
+    """Hands in one costly job after another, each under its own id."""
+    body = CostlyBody('many steps', 'POST', '', lambda size: b'')
+    content = job_of_many_steps()
+    for job in itertools.count():
+        path = f'/q/{number:08x}{job:08x}'
+        body = dataclasses.replace(body, path=path)
+        await _send(cell, TARGETS['client'], body, content)
+        await anyio.sleep(PAUSE_SECONDS)
+
+
+def test_few_clients_with_costly_jobs_leave_others_served(
+    tmp_path: Path,
+) -> None:
+    target = TARGETS['client']
+
+    async def main() -> tuple[bool, int]:
+        async with running_cell(tmp_path, LIMITS) as cell:
+            process = process_of(cell, target)
+            address = address_of(cell, target)
+            assert process.popen is not None
+            assert await wait_answered(address, target)
+            async with anyio.create_task_group() as clients:
+                for number in range(COSTLY_CLIENTS):
+                    clients.start_soon(_submit_without_end, cell, number)
+                await anyio.sleep(HOLD_SECONDS)
+                answered = await wait_answered(address, target, ANSWER_SECONDS)
+                clients.cancel_scope.cancel()
+            assert process.popen.poll() is None
+            return answered, ProcessUsage(process.popen.pid).peak_bytes
+
+    answered, peak_bytes = anyio.run(main)
+    print(f'peak {peak_bytes / 1e6:.1f} MB, answered {answered}')
+    assert answered
+    assert peak_bytes <= MOST_BYTES
+
+
 @pytest.mark.parametrize('name', ['metrics', 'readiness'])
 def test_an_address_without_bodies_reads_none(
     tmp_path: Path, name: str
