--- a/tests/costly_bodies.py
+++ b/tests/costly_bodies.py
@@ -119,3 +119,19 @@
 def job_of_many_steps() -> bytes:
     """Returns the job with most steps."""
     return b'{"steps":[' + b','.join([b'{}'] * 20_000) + b']}'
+
+
+def configuration_of_many_routes(size: int) -> bytes:
+    """Returns a configuration whose last route has an unknown service."""
+    route = (
+        b'{"name":"r","host":"h","path_prefix":"/%08d/","timeout_ms":3000,'
+        b'"service":"s","target_duration_ms":250,"max_attempts":4}'
+    )
+    count = size // (len(route) + 6)
+    routes = [route % number for number in range(count)]
+    routes.append(route.replace(b'"s"', b'"unknown"') % count)
+    return (
+        b'{"version":2,"services":[{"name":"s"}],"routes":['
+        + b','.join(routes)
+        + b']}'
+    )
--- a/tests/test_costly_bodies.py
+++ b/tests/test_costly_bodies.py
@@ -4,8 +4,8 @@
 that the process ends.
 """
 
-import dataclasses
 import itertools
+from collections.abc import Iterator
 from pathlib import Path
 
 import anyio
@@ -16,6 +16,7 @@
     CONTROL_BODY_BYTES,
     HEARTBEAT_BODY_BYTES,
     CostlyBody,
+    configuration_of_many_routes,
     invalid_control_bodies,
     job_bodies,
     job_of_many_steps,
@@ -117,21 +118,30 @@
     anyio.run(main)
 
 
-async def _submit_without_end(cell: ProcessCell, number: int) -> None:
-    """Hands in one costly job after another, each under its own id."""
-    body = CostlyBody('many steps', 'POST', '', lambda size: b'')
-    content = job_of_many_steps()
-    for job in itertools.count():
-        path = f'/q/{number:08x}{job:08x}'
-        body = dataclasses.replace(body, path=path)
-        await _send(cell, TARGETS['client'], body, content)
+def _costly_job(number: int) -> CostlyBody:
+    path = f'/q/{number:016x}'
+    return CostlyBody('', 'POST', path, lambda size: job_of_many_steps())
+
+
+def _costly_configuration(number: int) -> CostlyBody:
+    return CostlyBody('', 'PUT', '/config', configuration_of_many_routes)
+
+
+async def _send_without_end(
+    cell: ProcessCell, name: str, numbers: Iterator[int]
+) -> None:
+    make_body = {'client': _costly_job, 'control': _costly_configuration}[name]
+    content = make_body(0).make(HEARTBEAT_BODY_BYTES)
+    for number in numbers:
+        await _send(cell, TARGETS[name], make_body(number), content)
         await anyio.sleep(PAUSE_SECONDS)
 
 
-def test_few_clients_with_costly_jobs_leave_others_served(
-    tmp_path: Path,
+@pytest.mark.parametrize('name', ['client', 'control'])
+def test_few_clients_with_costly_requests_leave_others_served(
+    tmp_path: Path, name: str
 ) -> None:
-    target = TARGETS['client']
+    target = TARGETS[name]
 
     async def main() -> tuple[bool, int]:
         async with running_cell(tmp_path, LIMITS) as cell:
@@ -140,8 +150,9 @@
             assert process.popen is not None
             assert await wait_answered(address, target)
             async with anyio.create_task_group() as clients:
-                for number in range(COSTLY_CLIENTS):
-                    clients.start_soon(_submit_without_end, cell, number)
+                numbers = itertools.count()
+                for _ in range(COSTLY_CLIENTS):
+                    clients.start_soon(_send_without_end, cell, name, numbers)
                 await anyio.sleep(HOLD_SECONDS)
                 answered = await wait_answered(address, target, ANSWER_SECONDS)
                 clients.cancel_scope.cancel()
