Give back the memory of connections that have ended

What callers saw: after all kinds of clients of tests/test_unread_answers.py a process kept 13 MB (client) to 26 MB (control) beside its rest, near or over the bound of 24 MB; an entry that had peaked at 134 MB kept most of it. The VM then has less room for the next crowd.

Cause: buffers are freed in no order, and the C library keeps the pages between them. Bodies were one buffer that was copied as it grew. Since small bodies count no more, large ones could take their whole limit beside them.

Bodies are blocks of 4 KiB and more. All bodies count again, to 10 MiB, but small ones are never refused.

--- a/mulberryhitch/byte_budget.py
+++ b/mulberryhitch/byte_budget.py
@@ -8,7 +8,8 @@
 from mulberryhitch.errors import OverloadedError
 
 SMALL_BYTES: Final = 64 * 1024
-_LARGE_BODIES_BYTES: Final = 8 * BYTES_PER_MEBIBYTE
+_BODIES_BYTES: Final = 10 * BYTES_PER_MEBIBYTE
+_SMALL_BODIES_BYTES: Final = 2 * BYTES_PER_MEBIBYTE
 _LARGE_ANSWERS_BYTES: Final = 16 * BYTES_PER_MEBIBYTE
 # A configuration takes a dozen times its size while it is validated.
 _CONTROL_BODY_MEMORY_SHARE: Final = 1 / 32
@@ -26,10 +27,19 @@
     Args:
         limit_bytes: Maximum number of bytes held.
         reserved_bytes: The part of it that only small amounts may use.
+        admits_small: Whether small amounts are never refused, because
+            something else bounds their number; they still count.
     """
 
-    def __init__(self, limit_bytes: int, reserved_bytes: int) -> None:
+    def __init__(
+        self,
+        limit_bytes: int,
+        reserved_bytes: int,
+        *,
+        admits_small: bool = False,
+    ) -> None:
         """Initialises the budget; nothing is held."""
+        self._admits_small = admits_small
         self._limit_bytes = limit_bytes
         self._reserved_bytes = reserved_bytes
         self._large_count = 0
@@ -62,7 +72,11 @@
             limit_bytes -= self._reserved_bytes
         is_only_large = is_large and self._large_count == int(was_large)
         added_bytes = total_bytes - held_bytes
-        if self._held_bytes + added_bytes > limit_bytes and not is_only_large:
+        is_over = self._held_bytes + added_bytes > limit_bytes
+        is_always_admitted = is_only_large or (
+            self._admits_small and not is_large
+        )
+        if is_over and not is_always_admitted:
             raise OverloadedError(
                 f'{self._held_bytes} bytes of other requests are held, '
                 f'the limit is {limit_bytes}',
@@ -103,18 +117,20 @@
 
 
 class RequestBudgets:
-    """Limits on large bodies and answers, for all HTTP addresses of a process.
+    """Limits on bodies and large answers, for all HTTP addresses of a process.
 
-    Small ones are not counted: the number of connections bounds them.
+    Small bodies are never refused: the number of connections bounds them.
 
     Attributes:
         bodies: Bodies of requests that are received or handled.
-        answers: Bodies of answers that are being sent.
+        answers: Large bodies of answers that are being sent.
     """
 
     def __init__(self) -> None:
         """Initialises the budgets; nothing is held."""
-        self.bodies = ByteBudget(_LARGE_BODIES_BYTES, 0)
+        self.bodies = ByteBudget(
+            _BODIES_BYTES, _SMALL_BODIES_BYTES, admits_small=True
+        )
         self.answers = ByteBudget(_LARGE_ANSWERS_BYTES, 0)
 
 
--- a/mulberryhitch/http/open_connections.py
+++ b/mulberryhitch/http/open_connections.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from mulberryhitch.freed_memory import FreedMemory
 from mulberryhitch.http.steps import SteppedReader, StepQueue
 from mulberryhitch.observability.log import Log
 
@@ -70,6 +71,7 @@
         self.limit = limit
         self.steps = StepQueue()
         self.turns = anyio.CapacityLimiter(_MAX_HANDLED_AHEAD)
+        self._freed_memory = FreedMemory()
         self._log = log
         self._stages: dict[ClosableConnection, Stage] = {}
         # Each is in the order in which the connections began to wait.
@@ -115,6 +117,7 @@
         stage = self._stages.pop(connection, None)
         if stage is not None:
             self._waiting[stage].pop(connection)
+            self._freed_memory.record_end()
             self._count('connection.ended')
 
     def closed(self, reason: str) -> None:
--- a/mulberryhitch/platform/asgi.py
+++ b/mulberryhitch/platform/asgi.py
@@ -43,6 +43,7 @@
     (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
 )
 _BODY_IDLE_SECONDS = 15.0
+_LEAST_BLOCK_BYTES = 4096
 # Responses that a connection's own buffer holds are not counted.
 _RESPONSE_PART_BYTES = SMALL_BYTES
 _RESPONSE_IDLE_SECONDS = 15.0
@@ -243,6 +244,33 @@
             )
 
 
+class _BodyBuffer:
+    """Parts of a body; small ones are put together.
+
+    Each object has an overhead of tens of bytes, and a single large buffer
+    would be copied again and again as it grows.
+
+    Attributes:
+        size: Number of bytes.
+    """
+
+    def __init__(self) -> None:
+        self.size = 0
+        self._blocks = [bytearray()]
+
+    def add(self, part: bytes) -> None:
+        """Appends a part."""
+        self.size += len(part)
+        if len(self._blocks[-1]) >= _LEAST_BLOCK_BYTES:
+            self._blocks.append(bytearray(part))
+        else:
+            self._blocks[-1] += part
+
+    def joined(self) -> bytes:
+        """Returns the whole body."""
+        return b''.join(self._blocks)
+
+
 async def _read_body(
     receive: Receive, limit_bytes: int, reservation: Reservation
 ) -> bytes:
@@ -254,26 +282,23 @@
         DeadlinePassedError: No part arrived for some time.
         InvalidInputError: The client left before the end.
     """
-    # A list of parts would take many times as much if they are small.
-    body = bytearray()
+    body = _BodyBuffer()
     more = True
     while more:
-        message = await _receive_part(receive, len(body))
+        message = await _receive_part(receive, body.size)
         if message['type'] == 'http.disconnect':
             raise InvalidInputError(
-                f'client disconnected after {len(body)} bytes of the body',
+                f'client disconnected after {body.size} bytes of the body',
                 where='body',
             )
-        body += message.get('body', b'')
-        total = len(body)
-        if total > limit_bytes:
+        body.add(message.get('body', b''))
+        if body.size > limit_bytes:
             raise TooLargeError(
                 f'body is over {limit_bytes} bytes', where='body'
             )
-        if total > SMALL_BYTES:
-            reservation.grow_to(total)
+        reservation.grow_to(body.size)
         more = message.get('more_body', False)
-    return bytes(body)
+    return body.joined()
 
 
 async def _receive_part(receive: Receive, received_bytes: int) -> Any:
