--- a/mulberryhitch/http/protocol.py
+++ b/mulberryhitch/http/protocol.py
@@ -4,11 +4,9 @@
 import logging
 import re
 import sys
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Callable
 from typing import Any, Final
 
-import anyio
 import h11
 import orjson
 from uvicorn.protocols.http.flow_control import (
@@ -30,6 +28,10 @@
     connection_limit,
 )
 from mulberryhitch.http.open_connections import OpenConnections, Stage
+from mulberryhitch.http.requests_ahead import (
+    RequestsAhead,
+    with_requests_ahead,
+)
 from mulberryhitch.http.steps import SteppedConnection
 
 # asyncio reads 256 KiB at once by default, all of which a connection would
@@ -40,8 +42,6 @@
 # Each header takes about a hundred bytes of objects, whatever its length.
 _MAX_HEADERS: Final = 512
 _MAX_HEAD_BYTES: Final = 16 * 1024
-# Clients within the published limits send one request at a time.
-_MAX_REQUESTS_AHEAD: Final = 64
 _BEFORE_RESPONSE: Final = (h11.IDLE, h11.SEND_RESPONSE)
 _END_OF_HEAD: Final = re.compile(b'\n\r?\n')
 # A process has one event loop, which reads from one connection at a time.
@@ -53,21 +53,6 @@
 _logger.setLevel(logging.ERROR)
 
 
-@dataclass(slots=True)
-class _RequestsAhead:
-    """Requests that a client sent before the last answer.
-
-    Attributes:
-        turns: Limits how many of all clients' are handled at once.
-        count: How many came in a row.
-        is_lost: Whether the client has left, and none is to be handled.
-    """
-
-    turns: anyio.CapacityLimiter
-    count: int = 0
-    is_lost: bool = False
-
-
 class FirstRequestTimeoutProtocol(H11Protocol, asyncio.BufferedProtocol):
     """Bounds the bytes and the time that each connection takes.
 
@@ -106,10 +91,10 @@
         self._open_connections = connections or OpenConnections(
             connection_limit(0)
         )
-        self._ahead = _RequestsAhead(self._open_connections.turns)
+        self._ahead = RequestsAhead(self._open_connections.turns)
         # It does not refer to the protocol, so that the buffers of a closed
         # connection are freed before the next garbage collection.
-        self.app = _with_requests_ahead(self.app, self.conn, self._ahead)
+        self.app = with_requests_ahead(self.app, self.conn, self._ahead)
         self.logger = _logger
         self._timeouts = timeouts
         self._stage = Stage.idle
@@ -390,42 +375,3 @@
     end = _END_OF_HEAD.search(received)
     head = received[: end.start()] if end else received
     return head.count(b'\n') > _MAX_HEADERS
-
-
-def _with_requests_ahead(
-    application: Any, connection: SteppedConnection, ahead: _RequestsAhead
-) -> Callable[..., Awaitable[None]]:
-    """Returns an application for one connection.
-
-    Its last answer alone announces the close, and requests that were sent
-    ahead wait for their turn.
-    """
-
-    async def run_in_turn(scope: Any, receive: Any, send: Any) -> None:
-        if not connection.has_pipelined_request:
-            await run(scope, receive, send)
-            return
-        async with ahead.turns:
-            if not ahead.is_lost:
-                await run(scope, receive, send)
-
-    async def run(scope: Any, receive: Any, send: Any) -> None:
-        async def send_message(message: Any) -> None:
-            is_start = message['type'] == 'http.response.start'
-            if is_start and connection.has_pipelined_request:
-                message['headers'] = _closing_headers(message['headers'], ahead)
-            await send(message)
-
-        await application(scope, receive, send_message)
-
-    return run_in_turn
-
-
-def _closing_headers(
-    headers: list[tuple[bytes, bytes]], ahead: _RequestsAhead
-) -> list[tuple[bytes, bytes]]:
-    """Returns the headers of an answer that another request waits for."""
-    kept = [header for header in headers if header != CLOSE_HEADER]
-    if ahead.count >= _MAX_REQUESTS_AHEAD:
-        kept.append(CLOSE_HEADER)
-    return kept
