--- a/mulberryhitch/freed_memory.py
+++ b/mulberryhitch/freed_memory.py
@@ -27,13 +27,16 @@
         self._ended_connections = 0
         self._is_scheduled = False
 
-    def record_end(self) -> None:
-        """Counts a connection that has ended; trims the heap after many."""
+    def record_end(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Counts a connection that has ended; trims the heap after many.
+
+        Args:
+            loop: The event loop of the connection.
+        """
         self._ended_connections += 1
         is_due = self._ended_connections >= _CONNECTIONS_BETWEEN_TRIMS
         if is_due and self._trim is not None and not self._is_scheduled:
             self._is_scheduled = True
-            loop = asyncio.get_running_loop()
             loop.call_later(_DELAY_SECONDS, self._give_back, self._trim)
 
     def _give_back(self, trim: Callable[[int], int]) -> None:
--- a/mulberryhitch/http/open_connections.py
+++ b/mulberryhitch/http/open_connections.py
@@ -64,6 +64,7 @@
         limit: Maximum number of connections.
         steps: Those with received bytes that wait for their next step.
         turns: Those that sent ahead and whose request is being handled.
+        freed_memory: Gives back the memory of those that have ended.
     """
 
     def __init__(self, limit: int, log: Log | None = None) -> None:
@@ -71,7 +72,7 @@
         self.limit = limit
         self.steps = StepQueue()
         self.turns = anyio.CapacityLimiter(_MAX_HANDLED_AHEAD)
-        self._freed_memory = FreedMemory()
+        self.freed_memory = FreedMemory()
         self._log = log
         self._stages: dict[ClosableConnection, Stage] = {}
         # Each is in the order in which the connections began to wait.
@@ -117,7 +118,6 @@
         stage = self._stages.pop(connection, None)
         if stage is not None:
             self._waiting[stage].pop(connection)
-            self._freed_memory.record_end()
             self._count('connection.ended')
 
     def closed(self, reason: str) -> None:
--- a/mulberryhitch/http/protocol.py
+++ b/mulberryhitch/http/protocol.py
@@ -128,6 +128,7 @@
         self._first_request_timer.cancel()
         self._ahead.is_lost = True
         self._open_connections.remove(self)
+        self._open_connections.freed_memory.record_end(self.loop)
         super().connection_lost(exc)
         self._unset_keepalive_if_required()
 
