Let large jobs wait for their turn at an entry

Callers saw: the second of two jobs of 20,000 steps that came at once got 503, also within all limits; and 300 clients with jobs of 1,000 steps (3 KB each, below the old limit) took an entry of 160 MB to 231.5 MB, while no ordinary request was answered for 30 s.

Cause: one job of over 256 KiB was handled at a time and others were refused; smaller ones were not bounded, and so many at once kept the leader from answering in time: 300 had an unknown outcome (502).

Why this works: the bytes of all jobs over 16 KiB that are handled at once are bounded, so memory and the leader's time are, whatever their number. A job waits in the order of arrival, for half of its time at most, so that enough is left to handle it; one that can expect no turn is refused at once. The pause after a costly job is gone: fewer at once leave the leader time.

--- a/mulberryhitch/costly_work.py
+++ b/mulberryhitch/costly_work.py
@@ -1,60 +1,103 @@
-"""Admits requests that take the event loop for long, one at a time."""
+"""Admits requests that take much memory and time, in turn."""
 
-import time
-from collections.abc import Iterator
-from contextlib import contextmanager
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
 from typing import Final
 
+import anyio
+
+from mulberryhitch.constants import BYTES_PER_MEBIBYTE
 from mulberryhitch.errors import OverloadedError
 
+# A request below it is never held up.
+_LEAST_BYTES: Final = 16 * 1024
+_MAX_HANDLED_BYTES: Final = BYTES_PER_MEBIBYTE
+_MAX_WAITING_BYTES: Final = 2 * BYTES_PER_MEBIBYTE
+# The rest of a request's time is for handling it.
+_WAIT_SHARE: Final = 0.5
 _RETRY_AFTER_SECONDS: Final = 1.0
-_MAX_PAUSE_SECONDS: Final = 1.0
 
 
-class CostlyWork:
-    """Leaves time and memory for ordinary requests beside costly ones.
+class _CostlyRequest:
+    """A request that waits for its turn or is handled."""
+
+    def __init__(self, size_bytes: int) -> None:
+        self.size_bytes = size_bytes
+        self.turn = anyio.Event()
 
-    One costly request is handled at a time. After it none is begun for as
-    long as it took, a second at most.
 
-    Args:
-        least_bytes: Size from which on a request is costly.
+class CostlyWork:
+    """Leaves memory and time for ordinary requests beside costly ones.
+
+    Costly requests are handled at once up to a number of bytes, a larger one
+    alone. Beyond it they wait, in the order in which they came. So many wait
+    as can be expected to get their turn in time; more are refused at once.
     """
 
-    def __init__(self, least_bytes: int) -> None:
-        """Initialises the admission; nothing is being handled."""
-        self._least_bytes = least_bytes
-        self._is_busy = False
-        self._free_at: float = 0
+    def __init__(self) -> None:
+        """Initialises the admission; nothing is handled."""
+        self._waiting: dict[_CostlyRequest, None] = {}
+        self._handled: set[_CostlyRequest] = set()
 
-    @contextmanager
-    def admitted(self, size_bytes: int) -> Iterator[None]:
-        """Admits a request until the end of the block.
+    @asynccontextmanager
+    async def admitted(
+        self, size_bytes: int, timeout_seconds: float
+    ) -> AsyncIterator[float]:
+        """Waits for a request's turn; returns the time that it has left.
 
         Args:
-            size_bytes: Size of the request, in the measure of the limit.
+            size_bytes: What the request takes once it is parsed.
+            timeout_seconds: Time limit for the request.
 
         Raises:
-            OverloadedError: The request is costly, and another is handled or
-                has just been; nothing was done.
+            OverloadedError: It would have no turn in time, or had none;
+                nothing was done.
         """
-        if size_bytes < self._least_bytes:
-            yield
+        if size_bytes < _LEAST_BYTES:
+            yield timeout_seconds
             return
-        began_at = time.monotonic()
-        if self._is_busy or began_at < self._free_at:
-            raise OverloadedError(
-                'another request of this size is being handled',
-                retry_after_seconds=_RETRY_AFTER_SECONDS,
-            )
-        self._is_busy = True
+        deadline = anyio.current_time() + timeout_seconds
+        request = self._add(size_bytes)
         try:
-            yield
+            with anyio.move_on_after(timeout_seconds * _WAIT_SHARE):
+                await request.turn.wait()
+            if not request.turn.is_set():
+                raise _refusal()
+            yield deadline - anyio.current_time()
         finally:
-            self._end(began_at)
+            self._remove(request)
+
+    def _add(self, size_bytes: int) -> _CostlyRequest:
+        waiting_bytes = _total_bytes(self._waiting)
+        if self._waiting and waiting_bytes + size_bytes > _MAX_WAITING_BYTES:
+            raise _refusal()
+        request = _CostlyRequest(size_bytes)
+        self._waiting[request] = None
+        self._give_turns()
+        return request
+
+    def _remove(self, request: _CostlyRequest) -> None:
+        self._waiting.pop(request, None)
+        self._handled.discard(request)
+        self._give_turns()
+
+    def _give_turns(self) -> None:
+        handled_bytes = _total_bytes(self._handled)
+        for request in list(self._waiting):
+            handled_bytes += request.size_bytes
+            if self._handled and handled_bytes > _MAX_HANDLED_BYTES:
+                return
+            self._waiting.pop(request)
+            self._handled.add(request)
+            request.turn.set()
+
+
+def _total_bytes(requests: Iterable[_CostlyRequest]) -> int:
+    return sum(request.size_bytes for request in requests)
+
 
-    def _end(self, began_at: float) -> None:
-        ended_at = time.monotonic()
-        pause_seconds = min(ended_at - began_at, _MAX_PAUSE_SECONDS)
-        self._free_at = ended_at + pause_seconds
-        self._is_busy = False
+def _refusal() -> OverloadedError:
+    return OverloadedError(
+        'too many large jobs are being handled',
+        retry_after_seconds=_RETRY_AFTER_SECONDS,
+    )
--- a/mulberryhitch/platform/ingress.py
+++ b/mulberryhitch/platform/ingress.py
@@ -5,7 +5,6 @@
 
 import orjson
 
-from mulberryhitch.constants import BYTES_PER_MEBIBYTE
 from mulberryhitch.costly_work import CostlyWork
 from mulberryhitch.dispatch.access import KnownKeys, digest_of
 from mulberryhitch.dispatch.operations import (
@@ -28,8 +27,6 @@
 _KEY_SCHEME = 'bearer'
 # Other kinds of space may be bytes of a key.
 _WHITESPACE = ' \t'
-# A job of over a thousand steps.
-_COSTLY_JOB_BYTES = BYTES_PER_MEBIBYTE // 4
 
 
 class IngressHandler:
@@ -51,7 +48,7 @@
         self._leader_client = leader_client
         self._known_keys = known_keys
         self._count = count
-        self._costly_jobs = CostlyWork(_COSTLY_JOB_BYTES)
+        self._costly_jobs = CostlyWork()
 
     async def respond(self, request: HttpRequest) -> HttpResponse:
         """Handles one request.
@@ -61,15 +58,18 @@
         """
         # Bodies of other methods are not parsed.
         size = parsed_size(request.body) if request.method == 'POST' else 0
+        admission = self._costly_jobs.admitted(size, request.timeout_seconds)
         try:
-            with self._costly_jobs.admitted(size):
-                return await self._forward(request, _key_digest(request))
+            async with admission as remaining_seconds:
+                return await self._forward(
+                    request, _key_digest(request), remaining_seconds
+                )
         except UnauthenticatedError:
             self._count('request.unauthenticated')
             raise
 
     async def _forward(
-        self, request: HttpRequest, key_digest: str
+        self, request: HttpRequest, key_digest: str, timeout_seconds: float
     ) -> HttpResponse:
         operation: SubmitJob | ReadJob | CancelJob
         if request.method == 'POST':
@@ -87,7 +87,7 @@
             raise InvalidInputError(
                 f'unsupported method {request.method}', where='method'
             )
-        reply = await self._execute(operation, request.timeout_seconds)
+        reply = await self._execute(operation, timeout_seconds)
         if reply.pending >= 0:
             return _json_response({'pending': reply.pending})
         if not reply.state:
--- a/tests/costly_bodies.py
+++ b/tests/costly_bodies.py
@@ -11,6 +11,7 @@
 CONTROL_BODY_BYTES = 8 * 1024 * 1024
 # The largest heartbeat of the protocol.
 HEARTBEAT_BODY_BYTES = 4 * 1024 * 1024
+MOST_STEPS = 20_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,9 +117,9 @@
     return CostlyBody(name, 'PUT', '/instances/w-1', make)
 
 
-def job_of_many_steps() -> bytes:
-    """Returns the job with most steps."""
-    return b'{"steps":[' + b','.join([b'{}'] * 20_000) + b']}'
+def job_of_steps(count: int) -> bytes:
+    """Returns a job of so many steps."""
+    return b'{"steps":[' + b','.join([b'{}'] * count) + b']}'
 
 
 def configuration_of_many_routes(size: int) -> bytes:
--- a/tests/test_costly_bodies.py
+++ b/tests/test_costly_bodies.py
@@ -5,7 +5,7 @@
 """
 
 import itertools
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import anyio
@@ -15,11 +15,12 @@
     CLIENT_BODY_BYTES,
     CONTROL_BODY_BYTES,
     HEARTBEAT_BODY_BYTES,
+    MOST_STEPS,
     CostlyBody,
     configuration_of_many_routes,
     invalid_control_bodies,
     job_bodies,
-    job_of_many_steps,
+    job_of_steps,
     unknown_control_bodies,
 )
 from tests.limited_cell import (
@@ -39,7 +40,9 @@
 LIMITS = ProcessLimits(memory_megabytes=160, descriptors=1024)
 MOST_BYTES = 160_000_000
 SENDERS = 4
-COSTLY_CLIENTS = 8
+# Clients that send at once, and the steps of their jobs.
+CROWDS = {'few': (8, MOST_STEPS), 'many': (300, 1000)}
+CONTROL_CLIENTS = 8
 HOLD_SECONDS = 6
 PAUSE_SECONDS = 0.05
 ANSWER_SECONDS = 30
@@ -118,53 +121,81 @@
     anyio.run(main)
 
 
-def _costly_job(number: int) -> CostlyBody:
-    path = f'/q/{number:016x}'
-    return CostlyBody('', 'POST', path, lambda size: job_of_many_steps())
+def _job(number: int) -> CostlyBody:
+    return CostlyBody('', 'POST', f'/q/{number:016x}', job_of_steps)
 
 
-def _costly_configuration(number: int) -> CostlyBody:
+def _configuration(number: int) -> CostlyBody:
     return CostlyBody('', 'PUT', '/config', configuration_of_many_routes)
 
 
 async def _send_without_end(
-    cell: ProcessCell, name: str, numbers: Iterator[int]
+    cell: ProcessCell,
+    target: Target,
+    make_body: Callable[[int], CostlyBody],
+    content: bytes,
+    numbers: Iterator[int],
 ) -> None:
-    make_body = {'client': _costly_job, 'control': _costly_configuration}[name]
-    content = make_body(0).make(HEARTBEAT_BODY_BYTES)
     for number in numbers:
-        await _send(cell, TARGETS[name], make_body(number), content)
+        await _send(cell, target, make_body(number), content)
         await anyio.sleep(PAUSE_SECONDS)
 
 
-@pytest.mark.parametrize('name', ['client', 'control'])
-def test_few_clients_with_costly_requests_leave_others_served(
-    tmp_path: Path, name: str
+async def _stays_within_memory_beside(
+    folder: Path,
+    target: Target,
+    client_count: int,
+    make_body: Callable[[int], CostlyBody],
+    content: bytes,
 ) -> None:
-    target = TARGETS[name]
-
-    async def main() -> tuple[bool, int]:
-        async with running_cell(tmp_path, LIMITS) as cell:
-            process = process_of(cell, target)
-            address = address_of(cell, target)
-            assert process.popen is not None
-            assert await wait_answered(address, target)
-            async with anyio.create_task_group() as clients:
-                numbers = itertools.count()
-                for _ in range(COSTLY_CLIENTS):
-                    clients.start_soon(_send_without_end, cell, name, numbers)
-                await anyio.sleep(HOLD_SECONDS)
-                answered = await wait_answered(address, target, ANSWER_SECONDS)
-                clients.cancel_scope.cancel()
-            assert process.popen.poll() is None
-            return answered, ProcessUsage(process.popen.pid).peak_bytes
-
-    answered, peak_bytes = anyio.run(main)
+    """Checks one process while clients send one body again and again."""
+    async with running_cell(folder, LIMITS) as cell:
+        process = process_of(cell, target)
+        address = address_of(cell, target)
+        assert process.popen is not None
+        assert await wait_answered(address, target)
+        async with anyio.create_task_group() as clients:
+            numbers = itertools.count()
+            for _ in range(client_count):
+                clients.start_soon(
+                    _send_without_end, cell, target, make_body, content, numbers
+                )
+            await anyio.sleep(HOLD_SECONDS)
+            answered = await wait_answered(address, target, ANSWER_SECONDS)
+            clients.cancel_scope.cancel()
+        assert process.popen.poll() is None
+        peak_bytes = ProcessUsage(process.popen.pid).peak_bytes
     print(f'peak {peak_bytes / 1e6:.1f} MB, answered {answered}')
     assert answered
     assert peak_bytes <= MOST_BYTES
 
 
+@pytest.mark.parametrize('name', sorted(CROWDS))
+def test_costly_jobs_leave_others_served(tmp_path: Path, name: str) -> None:
+    client_count, step_count = CROWDS[name]
+    content = job_of_steps(step_count)
+    anyio.run(
+        _stays_within_memory_beside,
+        tmp_path,
+        TARGETS['client'],
+        client_count,
+        _job,
+        content,
+    )
+
+
+def test_costly_configurations_leave_others_served(tmp_path: Path) -> None:
+    content = configuration_of_many_routes(HEARTBEAT_BODY_BYTES)
+    anyio.run(
+        _stays_within_memory_beside,
+        tmp_path,
+        TARGETS['control'],
+        CONTROL_CLIENTS,
+        _configuration,
+        content,
+    )
+
+
 @pytest.mark.parametrize('name', ['metrics', 'readiness'])
 def test_an_address_without_bodies_reads_none(
     tmp_path: Path, name: str
