Return large blocks to the system when they are freed

Cause: glibc raises the size from which on a block has pages of its own, up to 32 MiB, when such a block is freed. Later ones come from the heap, which stays as large as the last block in it.

Why this works: with a fixed size each large block is returned when freed.

--- a/mulberryhitch/core.py
+++ b/mulberryhitch/core.py
@@ -137,6 +137,7 @@
 
 
 async def _run_on_platform(name: str) -> None:
+    from mulberryhitch.freed_memory import return_large_blocks
     from mulberryhitch.garbage_collection import tune_garbage_collector
     from mulberryhitch.platform.settings import (
         load_platform_settings,
@@ -150,6 +151,7 @@
             f'unknown program; expected one of {sorted(PROGRAMS)}', where=name
         )
     tune_garbage_collector()
+    return_large_blocks()
     stop = anyio.Event()
     program = PROGRAMS[name](load_platform_settings(), stop)
     async with anyio.create_task_group() as tasks:
@@ -177,7 +179,9 @@
     from mulberryhitch.configuration.settings import (
         load_settings,
     )
+    from mulberryhitch.freed_memory import return_large_blocks
 
+    return_large_blocks()
     data_centre = load_settings(folder).data_centre_of(vm)
     settings = load_settings(folder, data_centre)
     if not settings.vm(vm).disk and process_type.__name__ == 'SchedulerProcess':
--- a/mulberryhitch/freed_memory.py
+++ b/mulberryhitch/freed_memory.py
@@ -4,12 +4,34 @@
 import ctypes
 import sys
 from collections.abc import Callable
-from typing import Final
+from typing import Any, Final
+
+from mulberryhitch.constants import BYTES_PER_MEBIBYTE
 
 # Fewer leave little behind, and a trim takes milliseconds.
 _CONNECTIONS_BETWEEN_TRIMS: Final = 64
 # A request that was being read ends just after its connection.
 _DELAY_SECONDS: Final = 0.02
+# Number of glibc's option for the size from which on a block has pages of its
+# own.
+_MMAP_THRESHOLD_OPTION: Final = -3
+_LARGE_BLOCK_BYTES: Final = BYTES_PER_MEBIBYTE
+
+
+def return_large_blocks() -> None:
+    """Makes the C library return each large block as soon as it is freed.
+
+    Otherwise it keeps blocks of up to 32 MiB once one of that size was freed.
+    """
+    set_option = _c_function('mallopt')
+    if set_option is not None:
+        set_option(_MMAP_THRESHOLD_OPTION, _LARGE_BLOCK_BYTES)
+
+
+def _c_function(name: str) -> Any:
+    """Returns a function of glibc, None where the C library lacks it."""
+    library = ctypes.CDLL(None) if sys.platform == 'linux' else None
+    return getattr(library, name, None)
 
 
 class FreedMemory:
@@ -21,9 +43,7 @@
 
     def __init__(self) -> None:
         """Initialises the count; no connection has ended."""
-        # Other C libraries than glibc lack it.
-        library = ctypes.CDLL(None) if sys.platform == 'linux' else None
-        self._trim = getattr(library, 'malloc_trim', None)
+        self._trim = _c_function('malloc_trim')
         self._ended_connections = 0
         self._is_scheduled = False
 
