Bound what a frame takes while it is decoded

Callers saw: one frame of 16 MiB at an internal port took an entry or a scheduler to 3.5 GB, and held its event loop for seconds.

Cause: a struct without fields is one byte in a frame, and 120 to 210 bytes once decoded; a string of two characters is six and takes 58.

The same count is part of the bytes held for a call.

--- a/mulberryhitch/rpc/codec.py
+++ b/mulberryhitch/rpc/codec.py
@@ -17,6 +17,7 @@
 from thriftpy2.thrift import TMessageType
 from thriftpy2.transport import memory
 
+from mulberryhitch.constants import BYTES_PER_MEBIBYTE
 from mulberryhitch.errors import Problem, ProtocolError
 from mulberryhitch.rpc import messages
 
@@ -25,6 +26,15 @@
 
 RecordType = typing.TypeVar('RecordType')
 
+# Each struct ends with a zero byte, and the length of each short string has
+# some: so they bound how many objects a frame becomes. A short string takes up
+# to 72 bytes and has three of them, an empty announcement takes 210.
+_BYTES_PER_ZERO_BYTE = 24
+_MOST_BYTES_PER_ZERO_BYTE = 210
+# The frame, the decoder's copy, and a string and its bytes.
+_COPIES_OF_A_FRAME = 4
+_DECODING_LIMIT_BYTES = 72 * BYTES_PER_MEBIBYTE
+
 _IDL_PATH = Path(__file__).with_name('mulberryhitch.thrift')
 _idl: Any = thriftpy2.load(str(_IDL_PATH), module_name='mulberryhitch_thrift')
 
@@ -184,12 +194,27 @@
     return typing.cast('RecordType', _from_struct(record_type, struct))
 
 
+def decoded_size(frame: bytes) -> int:
+    """Estimates the memory of a call that can be decoded, in bytes."""
+    return len(frame) + frame.count(0) * _BYTES_PER_ZERO_BYTE
+
+
 def decode_call(frame: bytes) -> Call:
     """Decodes a call.
 
     Raises:
-        ProtocolError: The frame is not a call that this version supports.
+        ProtocolError: The frame is not a call that this version supports, or
+            it has far more values than the calls of a large cell.
     """
+    most_bytes = (
+        len(frame) * _COPIES_OF_A_FRAME
+        + frame.count(0) * _MOST_BYTES_PER_ZERO_BYTE
+    )
+    if most_bytes > _DECODING_LIMIT_BYTES:
+        raise ProtocolError(
+            f'a frame that may take {most_bytes} bytes while it is decoded, '
+            f'over {_DECODING_LIMIT_BYTES}'
+        )
     return _decode(frame, _read_call)
 
 
--- a/mulberryhitch/rpc/server.py
+++ b/mulberryhitch/rpc/server.py
@@ -40,7 +40,13 @@
     HeldCall,
 )
 from mulberryhitch.rpc.client import TlsContextProvider
-from mulberryhitch.rpc.codec import Call, CallResult, decode_call, encode_result
+from mulberryhitch.rpc.codec import (
+    Call,
+    CallResult,
+    decode_call,
+    decoded_size,
+    encode_result,
+)
 from mulberryhitch.rpc.frames import FrameStream
 
 Handler: TypeAlias = Callable[[Any], Awaitable[Any]]
@@ -250,6 +256,7 @@
     frame = await frames.receive(
         lambda received_bytes: held.hold(received_bytes + CALL_BYTES)
     )
+    held.hold(decoded_size(frame) + CALL_BYTES)
     return decode_call(frame)
 
 
--- a/tests/raw_client.py
+++ b/tests/raw_client.py
@@ -7,6 +7,7 @@
 
 from tests.platform_harness import HOST
 
+_PART_BYTES = 64 * 1024
 _CONTENT_LENGTH = re.compile(rb'\r\ncontent-length: *(\d+)', re.IGNORECASE)
 
 
@@ -58,6 +59,11 @@
             raise NoCompleteAnswer(repr(error)) from error
         return int(headers.split()[1]), headers.lower()
 
+    async def wait_closed_by_peer(self) -> None:
+        """Drops what is received until the other side closes."""
+        while await self._reader.read(_PART_BYTES):
+            pass
+
     def end_sending(self) -> None:
         """Closes this side of the connection; answers can still be read."""
         self._writer.write_eof()
