--- a/mulberryhitch/constants.py
+++ b/mulberryhitch/constants.py
@@ -5,6 +5,8 @@
 MILLISECONDS_PER_SECOND: Final = 1000
 MICROSECONDS_PER_SECOND: Final = 1_000_000
 BYTES_PER_MEBIBYTE: Final = 1024 * 1024
+# Assumed where the settings give no memory.
+SMALLEST_MEMORY_BYTES: Final = 160_000_000
 
 HEARTBEAT_INTERVAL_SECONDS: Final = 1.0
 MEMBER_TIMEOUT_SECONDS: Final = 3.0
--- a/mulberryhitch/http/connection_limits.py
+++ b/mulberryhitch/http/connection_limits.py
@@ -5,15 +5,15 @@
 from dataclasses import dataclass
 from typing import Final
 
-from mulberryhitch.constants import FIRST_REQUEST_TIMEOUT_SECONDS
+from mulberryhitch.constants import (
+    FIRST_REQUEST_TIMEOUT_SECONDS,
+    SMALLEST_MEMORY_BYTES,
+)
 
 # A connection is closed four rounds of the event loop after it was accepted,
-# so that four times as many are open beside the limit. With a quarter of the
-# limit at once, 237 of 256 descriptors were open.
+# so that four times as many are open beside the limit.
 _ACCEPTED_SHARE: Final = 0.1
 _LEAST_ACCEPTED: Final = 4
-# Memory of the smallest VM with a known limit is 160 MB.
-_UNKNOWN_MEMORY_BYTES: Final = 160_000_000
 # A request head and a read beyond it, 64 KiB of a body or of an answer, and
 # the objects of the connection and its request.
 _CONNECTION_BYTES: Final = 128 * 1024
@@ -71,7 +71,7 @@
     connection_bytes = _CONNECTION_BYTES
     if tls:
         connection_bytes += _TLS_BYTES
-    usable_bytes = (memory_bytes or _UNKNOWN_MEMORY_BYTES) * _MEMORY_SHARE
+    usable_bytes = (memory_bytes or SMALLEST_MEMORY_BYTES) * _MEMORY_SHARE
     limit = int(usable_bytes / connection_bytes)
     if descriptors != resource.RLIM_INFINITY:
         limit = min(limit, int(descriptors * _DESCRIPTOR_SHARE))
@@ -85,9 +85,8 @@
         memory_bytes: Memory of the process; zero if unknown.
         share: An address's share of the connections of the process.
     """
-    usable_bytes = (
-        memory_bytes or _UNKNOWN_MEMORY_BYTES
-    ) * _WAITING_MEMORY_SHARE
+    memory_bytes = memory_bytes or SMALLEST_MEMORY_BYTES
+    usable_bytes = memory_bytes * _WAITING_MEMORY_SHARE
     limit = int(usable_bytes / _WAITING_CONNECTION_BYTES * share)
     return max(limit, _LEAST_WAITING)
 
--- a/mulberryhitch/http/open_connections.py
+++ b/mulberryhitch/http/open_connections.py
@@ -63,7 +63,7 @@
     Attributes:
         limit: Maximum number of connections.
         steps: Those with received bytes that wait for their next step.
-        turns: Those that sent ahead and whose request is being handled.
+        ahead_limiter: Those that sent ahead and whose request is handled.
         freed_memory: Gives back the memory of those that have ended.
     """
 
@@ -71,7 +71,7 @@
         """Initialises the connections; there are none."""
         self.limit = limit
         self.steps = StepQueue()
-        self.turns = anyio.CapacityLimiter(_MAX_HANDLED_AHEAD)
+        self.ahead_limiter = anyio.CapacityLimiter(_MAX_HANDLED_AHEAD)
         self.freed_memory = FreedMemory()
         self._log = log
         self._stages: dict[ClosableConnection, Stage] = {}
--- a/mulberryhitch/http/protocol.py
+++ b/mulberryhitch/http/protocol.py
@@ -91,7 +91,7 @@
         self._open_connections = connections or OpenConnections(
             connection_limit(0)
         )
-        self._ahead = RequestsAhead(self._open_connections.turns)
+        self._ahead = RequestsAhead(self._open_connections.ahead_limiter)
         # It does not refer to the protocol, so that the buffers of a closed
         # connection are freed before the next garbage collection.
         self.app = with_requests_ahead(self.app, self.conn, self._ahead)
--- a/mulberryhitch/http/requests_ahead.py
+++ b/mulberryhitch/http/requests_ahead.py
@@ -17,15 +17,15 @@
     """Requests that a client sent before the last answer.
 
     Args:
-        turns: Limits how many of all clients' are handled at once.
+        limiter: Limits how many of all clients' are handled at once.
 
     Attributes:
         count: How many came in a row.
     """
 
-    def __init__(self, turns: anyio.CapacityLimiter) -> None:
+    def __init__(self, limiter: anyio.CapacityLimiter) -> None:
         """Initialises the connection; its client has sent nothing ahead."""
-        self._turns = turns
+        self._limiter = limiter
         self._is_lost = False
         self._waiting: anyio.CancelScope | None = None
         self.count = 0
@@ -41,7 +41,7 @@
         """Waits for a turn; returns whether the request is to be handled."""
         with anyio.CancelScope() as scope:
             self._waiting = scope
-            await self._turns.acquire()
+            await self._limiter.acquire()
         self._waiting = None
         if scope.cancelled_caught:
             yield False
@@ -49,7 +49,7 @@
         try:
             yield not self._is_lost
         finally:
-            self._turns.release()
+            self._limiter.release()
 
 
 def with_requests_ahead(
--- a/mulberryhitch/rpc/accepted.py
+++ b/mulberryhitch/rpc/accepted.py
@@ -13,7 +13,11 @@
 import anyio
 from anyio import lowlevel
 
-from mulberryhitch.constants import BYTES_PER_MEBIBYTE, RPC_MAX_FRAME_BYTES
+from mulberryhitch.constants import (
+    BYTES_PER_MEBIBYTE,
+    RPC_MAX_FRAME_BYTES,
+    SMALLEST_MEMORY_BYTES,
+)
 from mulberryhitch.observability.log import Log
 
 # The kernel holds up to twice as much for a connection, unread or unsent.
@@ -22,7 +26,6 @@
 BACKLOG: Final = 32
 # The task of a call and its objects, beside the bytes of its frames.
 CALL_BYTES: Final = 8 * 1024
-_UNKNOWN_MEMORY_BYTES: Final = 160_000_000
 # Buffers of the kernel and one read from them.
 _CONNECTION_BYTES: Final = 4 * SOCKET_BUFFER_BYTES
 _CONNECTIONS_MEMORY_SHARE: Final = 0.25
@@ -55,7 +58,7 @@
     Args:
         memory_bytes: Memory of the process; zero if unknown.
     """
-    memory_bytes = memory_bytes or _UNKNOWN_MEMORY_BYTES
+    memory_bytes = memory_bytes or SMALLEST_MEMORY_BYTES
     usable_bytes = memory_bytes * _CONNECTIONS_MEMORY_SHARE
     connections = int(usable_bytes / _CONNECTION_BYTES)
     descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
