Let jobs of some steps pass beside the largest ones

Callers saw, since large jobs wait for their turn: a job of 100 steps waited for the end of a job of 20,000 that another client sent, and got 503 after half of its time.

Cause: one queue for all jobs over 16 KiB, in which one larger than 1 MiB is handled alone.

Evidence: test_smaller_jobs_do_not_wait_for_the_largest fails before with 100 and with 4,000 steps.

Why this works: those over 1 MiB have turns of their own, one at a time.

--- a/mulberryhitch/costly_work.py
+++ b/mulberryhitch/costly_work.py
@@ -26,18 +26,58 @@
         self.turn = anyio.Event()
 
 
+class _Turns:
+    """Requests that wait, in the order in which they came, or are handled.
+
+    So many wait as can be expected to get their turn in time.
+    """
+
+    def __init__(self) -> None:
+        self._waiting: dict[_CostlyRequest, None] = {}
+        self._handled: set[_CostlyRequest] = set()
+
+    def add(self, size_bytes: int) -> _CostlyRequest:
+        """Adds a request that waits for its turn.
+
+        Raises:
+            OverloadedError: Too many wait.
+        """
+        waiting_bytes = _total_bytes(self._waiting)
+        if self._waiting and waiting_bytes + size_bytes > _MAX_WAITING_BYTES:
+            raise _refusal()
+        request = _CostlyRequest(size_bytes)
+        self._waiting[request] = None
+        self._give_turns()
+        return request
+
+    def remove(self, request: _CostlyRequest) -> None:
+        """Removes a request that was handled or waits no longer."""
+        self._waiting.pop(request, None)
+        self._handled.discard(request)
+        self._give_turns()
+
+    def _give_turns(self) -> None:
+        handled_bytes = _total_bytes(self._handled)
+        for request in list(self._waiting):
+            handled_bytes += request.size_bytes
+            if self._handled and handled_bytes > _MAX_HANDLED_BYTES:
+                return
+            self._waiting.pop(request)
+            self._handled.add(request)
+            request.turn.set()
+
+
 class CostlyWork:
     """Leaves memory and time for ordinary requests beside costly ones.
 
-    Costly requests are handled at once up to a number of bytes, a larger one
-    alone. Beyond it they wait, in the order in which they came. So many wait
-    as can be expected to get their turn in time; more are refused at once.
+    Costly requests are handled at once up to a number of bytes. Beside them
+    one larger request is handled at a time.
     """
 
     def __init__(self) -> None:
         """Initialises the admission; nothing is handled."""
-        self._waiting: dict[_CostlyRequest, None] = {}
-        self._handled: set[_CostlyRequest] = set()
+        self._costly = _Turns()
+        self._largest = _Turns()
 
     @asynccontextmanager
     async def admitted(
@@ -56,8 +96,10 @@
         if size_bytes < _LEAST_BYTES:
             yield timeout_seconds
             return
+        is_largest = size_bytes > _MAX_HANDLED_BYTES
+        turns = self._largest if is_largest else self._costly
         deadline = anyio.current_time() + timeout_seconds
-        request = self._add(size_bytes)
+        request = turns.add(size_bytes)
         try:
             with anyio.move_on_after(timeout_seconds * _WAIT_SHARE):
                 await request.turn.wait()
@@ -65,31 +107,7 @@
                 raise _refusal()
             yield deadline - anyio.current_time()
         finally:
-            self._remove(request)
-
-    def _add(self, size_bytes: int) -> _CostlyRequest:
-        waiting_bytes = _total_bytes(self._waiting)
-        if self._waiting and waiting_bytes + size_bytes > _MAX_WAITING_BYTES:
-            raise _refusal()
-        request = _CostlyRequest(size_bytes)
-        self._waiting[request] = None
-        self._give_turns()
-        return request
-
-    def _remove(self, request: _CostlyRequest) -> None:
-        self._waiting.pop(request, None)
-        self._handled.discard(request)
-        self._give_turns()
-
-    def _give_turns(self) -> None:
-        handled_bytes = _total_bytes(self._handled)
-        for request in list(self._waiting):
-            handled_bytes += request.size_bytes
-            if self._handled and handled_bytes > _MAX_HANDLED_BYTES:
-                return
-            self._waiting.pop(request)
-            self._handled.add(request)
-            request.turn.set()
+            turns.remove(request)
 
 
 def _total_bytes(requests: Iterable[_CostlyRequest]) -> int:
