--- a/tests/costly_frames.py
+++ b/tests/costly_frames.py
@@ -5,12 +5,19 @@
 
 MEBIBYTE = 1024 * 1024
 FRAME_BYTES = 16 * MEBIBYTE
+# Types of fields in Thrift's binary protocol.
+_I64 = 10
 _STRING = 11
 _STRUCT = 12
 _LIST = 15
 _CALL = 0x80010001
 _STOP = b'\0'
+# Numbers of fields.
 _REQUEST = 2
+_ENTRIES = 8
+_ANNOUNCEMENTS = 11
+_SILENT_IDS = 5
+_UNKNOWN = 99
 
 
 def _begin(method: bytes) -> bytes:
@@ -24,7 +31,7 @@
 def _request_with_list(
     method: bytes, field_number: int, kind: int, item: bytes
 ) -> bytes:
-    """Returns a call whose request has one list, and the end missing."""
+    """Returns the largest call without a header whose request is a list."""
     head = (
         _begin(method)
         + _field(_STRUCT, _REQUEST)
@@ -36,20 +43,20 @@
 
 
 def _empty_entries() -> bytes:
-    return _request_with_list(b'append', 8, _STRUCT, _STOP)
+    return _request_with_list(b'append', _ENTRIES, _STRUCT, _STOP)
 
 
 def _entries_with_an_index() -> bytes:
-    entry = _field(10, 1) + struct.pack('>Q', 2**60 + 1) + _STOP
-    return _request_with_list(b'append', 8, _STRUCT, entry)
+    entry = _field(_I64, 1) + struct.pack('>Q', 2**60 + 1) + _STOP
+    return _request_with_list(b'append', _ENTRIES, _STRUCT, entry)
 
 
 def _short_strings() -> bytes:
-    return _request_with_list(b'hello', 5, _STRING, b'\0\0\0\2ab')
+    return _request_with_list(b'hello', _SILENT_IDS, _STRING, b'\0\0\0\2ab')
 
 
 def _empty_announcements() -> bytes:
-    return _request_with_list(b'exchange', 11, _STRUCT, _STOP)
+    return _request_with_list(b'exchange', _ANNOUNCEMENTS, _STRUCT, _STOP)
 
 
 def _announcements_and_a_string(count: int, length: int) -> bytes:
@@ -60,14 +67,16 @@
         + _field(_STRING, 1)
         + struct.pack('>I', length)
         + b'x' * length
-        + _field(_LIST, 11)
+        + _field(_LIST, _ANNOUNCEMENTS)
         + struct.pack('>BI', _STRUCT, count)
         + _STOP * (count + 2)
     )
 
 
 def _nested_unknown_fields() -> bytes:
-    return _begin(b'hello') + _field(_STRUCT, 99) * (FRAME_BYTES // 3 - 10)
+    return _begin(b'hello') + _field(_STRUCT, _UNKNOWN) * (
+        FRAME_BYTES // 3 - 10
+    )
 
 
 FRAMES: dict[str, Callable[[], bytes]] = {
