Test disks: what a killed process waits for never takes place

Cause, the same in the three traces: the test kills vm-2, whose descriptor 12 is closed; vm-3, the leader, opens its new log, which gets the number 12; then the storage of the killed vm-2, which still waited for its disk in a shielded scope, rewrites its log and closes 12 once more, now the leader's log. A killed process does nothing of that kind: the test's stand-in was wrong, not the storage.

Why this works: an operation that a killed process waits for is left out, and its task goes no further.

--- a/tests/bounded_disks.py
+++ b/tests/bounded_disks.py
@@ -46,6 +46,36 @@
         self.values = dict(line.split('=', 1) for line in lines)
 
 
+class KillableStorage(FileStorage):
+    """Stores files for a process that may be killed at any moment.
+
+    An operation that a killed process waits for never takes place: another
+    process may have opened a file with the same descriptor since.
+    """
+
+    def __init__(self, folder: Path, vm: str) -> None:
+        super().__init__(folder, vm)
+        self._is_killed = False
+
+    def kill(self) -> None:
+        """Closes the files, as the end of a process does."""
+        self._is_killed = True
+        self.close()
+
+    async def _run_in_thread(
+        self, function: Callable[..., object], *args: object
+    ) -> None:
+        await super()._run_in_thread(self._run_unless_killed, function, *args)
+        if self._is_killed:
+            await anyio.sleep_forever()
+
+    def _run_unless_killed(
+        self, function: Callable[..., object], *args: object
+    ) -> None:
+        if not self._is_killed:
+            function(*args)
+
+
 class BoundedDisk:
     """The disk of one VM: a folder of real files whose bytes are limited.
 
@@ -59,7 +89,7 @@
         self.capacity_bytes = capacity_bytes
         self.foreign_bytes = 0
         self.most_used_bytes = 0
-        self._storage: FileStorage | None = None
+        self._storage: KillableStorage | None = None
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._storage, name)
@@ -81,13 +111,13 @@
         self.foreign_bytes += max(0, self.free_bytes)
 
     def load(self) -> StoredState:
-        self._storage = FileStorage(self.folder, self.vm)
+        self._storage = KillableStorage(self.folder, self.vm)
         return self._storage.load()
 
     def crash(self) -> None:
         """Closes the files of a process that was killed."""
         if self._storage is not None:
-            self._storage.close()
+            self._storage.kill()
 
     def write_file(self, descriptor: int, content: bytes) -> None:
         """Writes what fits, and refuses the rest as a full disk does."""
