Hold workers for a gang only until its expected start

A gang wider than half of the workers never started beside a stream of small jobs, and half of the workers were idle all that time.

Cause: a gang that fits nowhere soon kept up to half of the workers, whole and without a limit in time. It did so also if the runs in its way had no end, and if the other half, which it needs too, never got free.

Change: a gang that waits has an expected start, from the ends of the runs by their pace or estimate (EASY backfilling). Without one it keeps nothing. With one it may keep all workers that it needs, for no longer than it has waited, 10 s at least; steps that end before use the room, and so does what fits beside it. A hold that leads to no start ends, and a pause as long follows. Steps that last, and ones that waited 8 s while most of the service is free, get past a hold that has more than 2 s to go. Stops that take over 3 s are not waited for.

tests/test_worker_choice.py: a worker without room is one that is held, as `allocate_all` is gone.

--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -18,6 +18,7 @@
     PreemptionCandidates,
 )
 from mulberryhitch.dispatch.placement.tenant_caps import TenantCaps
+from mulberryhitch.dispatch.placement.uncommitted import UncommittedPlacements
 from mulberryhitch.dispatch.reports.status_report import StatusReporter
 from mulberryhitch.dispatch.retention import Retention
 from mulberryhitch.dispatch.runs.run_controller import RunController
@@ -26,7 +27,7 @@
 from mulberryhitch.dispatch.term import Term
 from mulberryhitch.errors import MulberryhitchError
 from mulberryhitch.jobs import changes
-from mulberryhitch.jobs.model import Resources, StepKey, TaskKey
+from mulberryhitch.jobs.model import StepKey, TaskKey
 from mulberryhitch.jobs.state import Job, JobState, StepExecution
 
 _CLIENT_SILENCE_SECONDS = 2.5
@@ -50,8 +51,7 @@
         """Creates the parts of the dispatcher and connects them."""
         self._term = term
         self._retention = Retention(term)
-        self._uncommitted: dict[str, Resources] = {}
-        self._uncommitted_of_tenants: dict[str, Resources] = {}
+        self._uncommitted = UncommittedPlacements()
         self._committing_steps: set[StepKey] = set()
         self._estimates = EstimateCache()
         self._last_plan = Plan()
@@ -183,6 +183,7 @@
     def _make_plan(self, *, only_urgent: bool) -> Plan:
         self._planned_requests = self._term.round_requests
         now = anyio.current_time()
+        wall_time = self._term.wall_time()
         usable = [
             worker
             for worker in self._term.tracked_workers.values()
@@ -191,24 +192,29 @@
         planner = Planner(
             self._term.job_store,
             usable,
-            self._uncommitted,
+            self._uncommitted.of_workers,
             self.permit_manager,
             self._estimates,
             self._term.options.permit_margin_seconds,
             Round(
                 self._rounds,
                 now,
-                self._term.wall_time(),
+                wall_time,
                 self._last_plan.reservations,
                 self._status_reporter.wants_reasons and not only_urgent,
                 only_urgent,
             ),
             TenantCaps(
-                self._term.job_store, self._uncommitted_of_tenants, self._rounds
+                self._term.job_store,
+                self._uncommitted.of_tenants,
+                self._rounds,
             ),
         )
         candidates = PreemptionCandidates(
-            self._term.tracked_workers, self._term.options, now
+            self._term.tracked_workers,
+            self._term.options,
+            now,
+            self._uncommitted.worker_releases,
         )
         return planner.run(self._committing_steps, candidates)
 
@@ -222,7 +228,7 @@
             self._committing_steps |= steps
             self.admission.record_starts({step.job_id for step in steps})
             for placement in plan.placements:
-                self._adjust_uncommitted(placement, 1)
+                self._record_uncommitted(placement)
             self._term.start_soon(self._grant, plan.placements, steps)
 
     def _record_plan(self, plan: Plan, seconds: float) -> None:
@@ -230,15 +236,13 @@
         self._status_reporter.record_round(plan, seconds)
         self.admission.record_round()
 
-    def _adjust_uncommitted(self, placement: Placement, sign: int) -> None:
-        execution = self._term.job_store.step_execution(placement.unit.step_key)
-        if execution is None:
-            return
-        resources = execution.resources.times(sign)
-        _add_resources(self._uncommitted, placement.worker_id, resources)
-        tenant = self._term.job_store.jobs[execution.key.job_id].tenant
-        if tenant:
-            _add_resources(self._uncommitted_of_tenants, tenant, resources)
+    def _record_uncommitted(self, placement: Placement) -> None:
+        job_store = self._term.job_store
+        execution = job_store.step_execution(placement.unit.step_key)
+        if execution is not None:
+            tenant = job_store.jobs[execution.key.job_id].tenant
+            now = anyio.current_time()
+            self._uncommitted.add(placement, execution, tenant, now)
 
     async def _grant(
         self, placements: list[Placement], steps: set[StepKey]
@@ -277,7 +281,7 @@
     ) -> None:
         self._committing_steps -= steps
         for placement in placements:
-            self._adjust_uncommitted(placement, -1)
+            self._uncommitted.remove(placement)
         self.request_round()
 
     async def _run_maintenance(self) -> None:
@@ -304,9 +308,3 @@
         ]
         if batch:
             await self._term.commit_or_log(batch)
-
-
-def _add_resources(
-    amounts: dict[str, Resources], name: str, resources: Resources
-) -> None:
-    amounts[name] = amounts.get(name, Resources()).plus(resources)
--- a/mulberryhitch/dispatch/placement/free_capacity.py
+++ b/mulberryhitch/dispatch/placement/free_capacity.py
@@ -1,7 +1,9 @@
 """Free resources of the workers during a placement round."""
 
 from collections.abc import Container, Iterable, Iterator, Mapping
+from dataclasses import dataclass
 
+from mulberryhitch.dispatch.placement.gang_holds import StepTimes
 from mulberryhitch.dispatch.placement.speed_order import SpeedOrder
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
 from mulberryhitch.jobs.model import Resources
@@ -33,11 +35,28 @@
     return min(fitting, maximum) if maximum else fitting
 
 
+@dataclass(slots=True)
+class _Held:
+    """A worker that is held for a gang.
+
+    Attributes:
+        until: When the gang is expected to start.
+        spare: What the gang leaves free then.
+        may_start_sooner: Whether it may, so that no step is known to end before.
+    """
+
+    until: float
+    spare: Resources
+    may_start_sooner: bool
+
+
 class FreeCapacity:
     """The free resources of each worker that may receive new runs.
 
     Runs that may still be running and placements that are not yet committed
-    count as used. A worker's free resources are computed on first use.
+    count as used. A worker's free resources are computed on first use. On a
+    worker that is held for a gang, a step that would not end before the gang
+    starts has only what the gang leaves: see :meth:`consider`.
 
     Args:
         job_store: The committed state.
@@ -58,8 +77,11 @@
         self._job_store = job_store
         self._uncommitted = uncommitted
         self._free: dict[str, Resources] = {}
+        self._held: dict[str, _Held] = {}
+        self._times = StepTimes()
         self._reserved = reserved
         self._promised: dict[str, Resources] = {}
+        self._mostly_free: dict[str, bool] = {}
         self._order: dict[tuple[str, SpeedOrder], list[_FreeProcessors]] = {}
         self.workers = {worker.record.worker_id: worker for worker in workers}
 
@@ -90,25 +112,71 @@
                 if free.processors >= minimum_processors:
                     yield worker
 
+    def consider(self, times: StepTimes) -> None:
+        """Sets the times of the step that the next calls are made for."""
+        self._times = times
+
     def of_worker(self, worker_id: str) -> Resources:
-        """Returns the free resources of a worker."""
-        free = self._free.get(worker_id)
-        if free is None:
-            free = self.workers[worker_id].capacity.minus(
-                self._job_store.used_resources(worker_id)
+        """Returns the free resources of a worker for the present step."""
+        free = self._unheld(worker_id)
+        held = self._held.get(worker_id)
+        if held is None or self._passes(held):
+            return free
+        return Resources(*map(min, free, held.spare))
+
+    def is_held(self, worker_id: str) -> bool:
+        """Whether a worker is held for a gang that comes before."""
+        return worker_id in self._held
+
+    def hold(
+        self,
+        worker_id: str,
+        until: float,
+        spare: Resources,
+        *,
+        may_start_sooner: bool = False,
+    ) -> None:
+        """Holds a worker for a gang from the steps that come after it.
+
+        Args:
+            worker_id: The worker.
+            until: When the gang is expected to start, seconds on the local
+                clock.
+            spare: What the gang leaves free then.
+            may_start_sooner: Whether it may start before.
+        """
+        self._held[worker_id] = _Held(until, spare, may_start_sooner)
+
+    def is_mostly_free(self, service: str) -> bool:
+        """Whether under half of a service's processors were in use.
+
+        It is computed by the first call; later allocations do not change it.
+        """
+        is_free = self._mostly_free.get(service)
+        if is_free is None:
+            of_service = [
+                worker
+                for worker in self.workers.values()
+                if worker.record.service == service
+            ]
+            whole = sum(worker.capacity.processors for worker in of_service)
+            free = sum(
+                self._unheld(worker.record.worker_id).processors
+                for worker in of_service
             )
-            planned = self._uncommitted.get(worker_id)
-            if planned is not None:
-                free = free.minus(planned)
-            self._free[worker_id] = free
-        return free
+            is_free = free * 2 > whole
+            self._mostly_free[service] = is_free
+        return is_free
 
     def allocate(
         self, worker_id: str, resources: Resources, copies: int = 1
     ) -> None:
         """Allocates resources of a worker to a number of tasks of one size."""
-        free = self.of_worker(worker_id)
-        self._free[worker_id] = free.minus(resources.times(copies))
+        taken = resources.times(copies)
+        self._free[worker_id] = self._unheld(worker_id).minus(taken)
+        held = self._held.get(worker_id)
+        if held is not None and self._times.ends_at > held.until:
+            held.spare = held.spare.minus(taken)
 
     def promise(
         self, worker_id: str, resources: Resources, copies: int
@@ -126,10 +194,6 @@
         promised = self._promised.get(worker_id, Resources())
         return self.of_worker(worker_id).minus(promised)
 
-    def allocate_all(self, worker_id: str) -> None:
-        """Allocates a worker's free resources, so that later steps get none."""
-        self._free[worker_id] = Resources()
-
     def copies(
         self, worker_id: str, resources: Resources, maximum: int = 0
     ) -> int:
@@ -142,6 +206,24 @@
         """
         return copies_that_fit(resources, self.of_worker(worker_id), maximum)
 
+    def _passes(self, held: _Held) -> bool:
+        """Whether the present step may use all that is free on a worker."""
+        if self._times.ignores(held.until):
+            return True
+        return not held.may_start_sooner and self._times.ends_by(held.until)
+
+    def _unheld(self, worker_id: str) -> Resources:
+        free = self._free.get(worker_id)
+        if free is None:
+            free = self.workers[worker_id].capacity.minus(
+                self._job_store.used_resources(worker_id)
+            )
+            planned = self._uncommitted.get(worker_id)
+            if planned is not None:
+                free = free.minus(planned)
+            self._free[worker_id] = free
+        return free
+
     def _ordered(
         self, service: str, speed_order: SpeedOrder
     ) -> list[_FreeProcessors]:
@@ -155,7 +237,7 @@
             groups: dict[tuple[bool, float], _FreeProcessors] = {}
             for worker_id, worker in self.workers.items():
                 if worker.record.service == service:
-                    processors = self.of_worker(worker_id).processors
+                    processors = self._unheld(worker_id).processors
                     reserved = worker_id in self._reserved
                     group = (reserved, speed_order.rank(worker))
                     groups.setdefault(group, []).append((processors, worker))
@@ -166,4 +248,4 @@
         return order
 
     def _free_in_row(self, row: tuple[int, TrackedWorker]) -> Resources:
-        return self.of_worker(row[1].record.worker_id)
+        return self._unheld(row[1].record.worker_id)
--- /dev/null
+++ b/mulberryhitch/dispatch/placement/gang_holds.py
@@ -0,0 +1,108 @@
+"""How long room is kept free for a gang that can't start yet."""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from itertools import chain
+
+from mulberryhitch.jobs.model import Resources
+
+# A gang that has just come may keep room for so long ahead.
+_MIN_AHEAD_SECONDS = 10.0
+# What a start may be late, beside the time that the hold was to take: permits
+# and the runs in the way may take longer than expected.
+_LATE_SECONDS = 10.0
+# Estimates are off by up to 90%.
+_ESTIMATE_FACTOR = 1.9
+# Steps that can't wait respect only a hold whose gang is to start as soon.
+_PATIENCE_SECONDS = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class StepTimes:
+    """What decides whether a step may use room that is held for a gang.
+
+    Attributes:
+        now: Seconds on the local clock.
+        ends_at: When its tasks would end if they started now; infinite if
+            nothing tells. Seconds on the local clock.
+        is_patient: Whether it can wait until a gang has started.
+    """
+
+    now: float = 0
+    ends_at: float = math.inf
+    is_patient: bool = True
+
+    def ends_by(self, time: float) -> bool:
+        """Whether its tasks should have ended by then, if they start now."""
+        seconds = self.ends_at - self.now
+        return self.now + seconds * _ESTIMATE_FACTOR <= time
+
+    def ignores(self, until: float) -> bool:
+        """Whether it may use room held for a gang that is to start then."""
+        if self.is_patient:
+            return False
+        return abs(until - self.now) > _PATIENCE_SECONDS
+
+
+@dataclass(frozen=True, slots=True)
+class GangHold:
+    """Workers kept free for a gang, or a pause in which none are.
+
+    A hold that has not led to a start by twice its planned time ends. It is
+    followed by a pause of the same length, so that wrong estimates keep room
+    from other steps for half of the time at most.
+
+    Attributes:
+        workers: Ids of the workers; empty in a pause.
+        began_at: When the hold or the pause began, seconds on the local clock.
+        starts_by: When the gang was first expected to start; for a pause, its
+            end. Seconds on the local clock.
+    """
+
+    workers: tuple[str, ...]
+    began_at: float
+    starts_by: float
+
+    @property
+    def is_pause(self) -> bool:
+        """Whether the gang may keep nothing now."""
+        return not self.workers
+
+    @property
+    def ends_at(self) -> float:
+        """When it ends at the latest, seconds on the local clock."""
+        if self.is_pause:
+            return self.starts_by
+        return 2 * self.starts_by - self.began_at + _LATE_SECONDS
+
+    def at(self, now: float) -> 'GangHold | None':
+        """Returns what holds at a time: this, a pause after it, or nothing."""
+        if now < self.ends_at:
+            return self
+        if self.is_pause:
+            return None
+        pause = GangHold((), now, now + (now - self.began_at))
+        return pause if now < pause.ends_at else None
+
+
+Release = tuple[float, Resources]
+"""When resources are expected to be released, seconds on the local clock."""
+
+
+def may_wait_until(starts_at: float, now: float, waited: float) -> bool:
+    """Whether room may be kept for a step that is expected to start then.
+
+    It may be kept for no longer than the step has waited itself.
+
+    Args:
+        starts_at: When it is expected to start; infinite if nothing tells.
+        now: The time now, on the same clock.
+        waited: Seconds for which the step has waited.
+    """
+    return starts_at - now <= max(waited, _MIN_AHEAD_SECONDS)
+
+
+def workers_of(holds: Iterable[GangHold]) -> set[str]:
+    """Returns the ids of all workers that are kept free."""
+    return set(chain.from_iterable(hold.workers for hold in holds))
--- a/mulberryhitch/dispatch/placement/planner.py
+++ b/mulberryhitch/dispatch/placement/planner.py
@@ -3,12 +3,13 @@
 The planner has no side effects: it leaves the job store and workers unchanged.
 """
 
+import math
 from collections.abc import Iterable, Mapping
-from itertools import chain
 
 from mulberryhitch.dispatch.permits.manager import PermitManager
 from mulberryhitch.dispatch.permits.planning import PermitPlanner
 from mulberryhitch.dispatch.placement.free_capacity import FreeCapacity
+from mulberryhitch.dispatch.placement.gang_holds import StepTimes, workers_of
 from mulberryhitch.dispatch.placement.plans import (
     MOST_URGENT,
     EstimateCache,
@@ -42,6 +43,9 @@
 from mulberryhitch.jobs.state import Job, StepExecution
 from mulberryhitch.jobs.store import JobStore
 
+# A job that has waited for so long is not kept out of free workers any more.
+_LONG_WAIT_SECONDS = 8.0
+
 
 class Planner:
     """Plans one placement round.
@@ -73,8 +77,8 @@
         self._job_store = job_store
         self._round = current
         self._tenant_caps = tenant_caps
-        self._earlier_reserved = set(
-            chain.from_iterable(current.earlier_reservations.values())
+        self._earlier_reserved = workers_of(
+            current.earlier_reservations.values()
         )
         self._free_capacity = FreeCapacity(
             job_store, workers, uncommitted, self._earlier_reserved
@@ -118,10 +122,12 @@
             self._rank_of,
             self._round.earlier_reservations,
             self._round.now,
+            self._round.wall_time,
         )
         waiting_steps = self._waiting_steps(committing_steps)
         selection = self._step_selector.select(waiting_steps, self._tenant_caps)
         for considered in selection.considered:
+            self._free_capacity.consider(considered.times)
             waiting = self._tenant_caps.limited(considered)
             if waiting is None:
                 selection.capped.append(considered)
@@ -156,6 +162,27 @@
         found.sort(key=lambda waiting: waiting.sort_key)
         return found
 
+    def _times_of(
+        self, execution: StepExecution, queue: Queue, due: float
+    ) -> StepTimes:
+        """Returns what decides whether a step may use room held for a gang.
+
+        A step that lasts would be kept out until its gang has started, and a
+        gang may be late. One that has waited for long gets past a hold if most
+        of its service is free.
+        """
+        step = execution.step
+        has_waited = self._round.wall_time - due > _LONG_WAIT_SECONDS
+        is_patient = not step.long_running and not (
+            has_waited and self._free_capacity.is_mostly_free(queue.service)
+        )
+        seconds = step.estimate_seconds or math.inf
+        if step.long_running:
+            seconds = math.inf
+        return StepTimes(
+            self._round.now, self._round.now + seconds, is_patient=is_patient
+        )
+
     def _is_prepared(self, waiting: WaitingStep) -> bool:
         """Whether a step holds permits or workers, or has asked for permits."""
         if waiting.execution.key in self._round.earlier_reservations:
@@ -186,6 +213,7 @@
             rank.spare_seconds,
             rank.over_share,
             self._speed_order(job, execution, queue),
+            self._times_of(execution, queue, due),
         )
 
     def _speed_order(
@@ -287,7 +315,8 @@
             self._explain(waiting, eligible, waiting.tasks_left)
             self._unplaced_gangs.append(waiting)
             self._reserve_for_gang(waiting, eligible, preemption)
-            if waiting.execution.key in self.plan.reservations:
+            hold = self.plan.reservations.get(waiting.execution.key)
+            if hold is not None and not hold.is_pause:
                 self._tenant_caps.keep_for(waiting)
             return
         for index, worker in enumerate(chosen):
@@ -306,6 +335,9 @@
         which no permit can be requested now are not reserved: they would be
         idle until it is.
         """
+        pause = preemption.pause_of(waiting)
+        if pause is not None:
+            self.plan.reservations[waiting.execution.key] = pause
         reservation = preemption.select_for_gang(
             waiting,
             eligible,
--- a/mulberryhitch/dispatch/placement/plans.py
+++ b/mulberryhitch/dispatch/placement/plans.py
@@ -3,10 +3,14 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from itertools import chain
 
 from mulberryhitch.dispatch.permits.manager import PermitRequest, StepPermits
 from mulberryhitch.dispatch.placement.free_capacity import copies_that_fit
+from mulberryhitch.dispatch.placement.gang_holds import (
+    GangHold,
+    StepTimes,
+    workers_of,
+)
 from mulberryhitch.dispatch.placement.speed_order import SpeedOrder
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
 from mulberryhitch.jobs.model import JobSpec, Queue, StepKey, TaskKey
@@ -56,7 +60,8 @@
         number: Number of rounds before it.
         now: Seconds on the local clock.
         wall_time: Seconds since 1970.
-        earlier_reservations: The workers reserved for gangs in the last round.
+        earlier_reservations: The workers that the last round reserved for
+            gangs, and its pauses.
         explains: Whether to find out what each step waits for.
         only_urgent: Whether to place only the most urgent steps that are not
             too late.
@@ -65,7 +70,7 @@
     number: int
     now: float
     wall_time: float
-    earlier_reservations: Mapping[StepKey, tuple[str, ...]] = field(
+    earlier_reservations: Mapping[StepKey, GangHold] = field(
         default_factory=dict
     )
     explains: bool = False
@@ -80,7 +85,8 @@
         preempted: The runs to stop.
         blocked: Waiting tasks that were considered but not placed, by queue
             name and reason; only of a round that explains.
-        reservations: The workers reserved for each gang that waits.
+        reservations: The workers reserved for each gang that waits, and the
+            pauses in which none may be.
         capped: Number of steps that their tenant's cap holds back, by tenant.
         tenants_over: Names of the tenants over their share.
     """
@@ -89,14 +95,14 @@
     permit_requests: list[PermitRequest] = field(default_factory=list)
     preempted: list[Preemption] = field(default_factory=list)
     blocked: Counter[tuple[str, str]] = field(default_factory=Counter)
-    reservations: dict[StepKey, tuple[str, ...]] = field(default_factory=dict)
+    reservations: dict[StepKey, GangHold] = field(default_factory=dict)
     capped: Counter[str] = field(default_factory=Counter)
     tenants_over: frozenset[str] = frozenset()
 
     @property
     def reserved_workers(self) -> set[str]:
         """All workers that are reserved."""
-        return set(chain.from_iterable(self.reservations.values()))
+        return workers_of(self.reservations.values())
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +120,7 @@
             objective; negative if it can do neither.
         over_share: Whether its tenant uses clearly more than its share.
         speed_order: Which workers it should get.
+        times: Whether it may use room that is held for a gang.
         startable: Number of tasks that its tenant's cap lets start; None for
             all.
     """
@@ -126,6 +133,7 @@
     spare_seconds: float = 0
     over_share: bool = False
     speed_order: SpeedOrder = SpeedOrder.any
+    times: StepTimes = StepTimes()
     startable: int | None = None
 
     @property
@@ -138,6 +146,11 @@
         """Whether its job can't be in time any more, by its estimates."""
         return bool(self.sort_key[3])
 
+    @property
+    def due(self) -> float:
+        """When it was due, seconds since 1970."""
+        return self.job.due_at(self.execution.key.occurrence)
+
     @property
     def comes_first(self) -> bool:
         """Whether it is as urgent as can be and not too late."""
--- a/mulberryhitch/dispatch/placement/preemption.py
+++ b/mulberryhitch/dispatch/placement/preemption.py
@@ -1,13 +1,19 @@
 """Reserves workers and selects runs to preempt for steps that do not fit."""
 
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
-from itertools import chain
+import math
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, replace
 
 from mulberryhitch.dispatch.placement.free_capacity import (
     FreeCapacity,
     copies_that_fit,
 )
+from mulberryhitch.dispatch.placement.gang_holds import (
+    GangHold,
+    Release,
+    may_wait_until,
+    workers_of,
+)
 from mulberryhitch.dispatch.placement.plans import (
     Plan,
     Preemption,
@@ -23,6 +29,10 @@
     may_be_stopped_for,
     needs_stops,
 )
+from mulberryhitch.dispatch.placement.projected_start import (
+    free_at,
+    projected_start,
+)
 from mulberryhitch.dispatch.placement.step_order import StepRank
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedWorker
 from mulberryhitch.jobs.model import Resources, StepKey
@@ -49,14 +59,16 @@
 
     Attributes:
         workers: How many of its tasks will fit, and the worker.
-        held: Number of workers, the first ones, that are kept free for it.
+        starts_at: When it is expected to start, seconds on the local clock.
         fits_soon: Whether it fits once runs that end soon have ended and less
             urgent ones on the held workers are preempted.
+        is_held: Whether the workers are kept free for it.
     """
 
     workers: _WorkerCopies
-    held: int
-    fits_soon: bool
+    starts_at: float
+    fits_soon: bool = True
+    is_held: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +96,7 @@
         rank_of: Returns where a step stands, waiting or not.
         earlier_reservations: The reservations of the last round.
         now: Seconds on the local clock.
+        wall_time: Seconds since 1970.
     """
 
     def __init__(  # noqa: WPS211
@@ -92,22 +105,22 @@
         free_capacity: FreeCapacity,
         candidates: PreemptionCandidates,
         rank_of: Callable[[StepExecution], StepRank],
-        earlier_reservations: Mapping[StepKey, tuple[str, ...]],
+        earlier_reservations: Mapping[StepKey, GangHold],
         now: float,
+        wall_time: float,
     ) -> None:
         """Initialises the planner with no worker reserved."""
         self._now = now
+        self._wall_time = wall_time
         self._rank_of = rank_of
         self._earlier_reservations = earlier_reservations
-        self._earlier_reserved = set(
-            chain.from_iterable(earlier_reservations.values())
-        )
+        self._earlier_reserved = workers_of(earlier_reservations.values())
         self._cached_gains: dict[str, dict[_GainKey, _Gain]] = {}
         self._plan = plan
         self._free_capacity = free_capacity
         self._candidates = candidates
         workers = len(free_capacity.workers)
-        self._reservable_workers = int(workers * _MAX_RESERVED_SHARE)
+        self._reservable_workers = max(1, int(workers * _MAX_RESERVED_SHARE))
         self._drainable_workers = max(1, int(workers * _MAX_DRAINED_SHARE))
 
     def select_for_gang(
@@ -122,8 +135,9 @@
         Otherwise workers are selected on which it fits now, or else those on
         which it fits soon, once less urgent runs that can resume elsewhere are
         preempted. If there are none, it has to wait for other runs to end, and
-        the workers on which most of it will fit are selected. A gang that may
-        not reserve workers gets those that are free now, if it fits.
+        the workers on which it will fit are selected, if the ends of these runs
+        tell when. A gang that may not reserve workers gets those that are free
+        now, if it fits.
 
         Args:
             waiting: The gang.
@@ -134,14 +148,15 @@
             None if no selection helps now.
         """
         needed = waiting.execution.step.count
-        # Steps that are far behind their objective reserve none.
-        if waiting.is_too_late or self._reservable_workers <= 0:
+        earlier = self._current_hold(waiting)
+        is_paused = earlier is not None and earlier.is_pause
+        if is_paused or self._reservable_workers <= 0:
             free = self._rank(waiting, eligible, self._free_capacity.of_worker)
             selected = _first_that_fit(free, needed)
             if not selected:
                 return None
-            return GangReservation(selected, 0, fits_soon=True)
-        kept = self._earlier_reservations.get(waiting.execution.key, ())
+            return GangReservation(selected, self._now, is_held=False)
+        kept = earlier.workers if earlier else ()
         # Runs may end later than projected, and a stop loses work, so that
         # workers on which it fits now come first.
         selected = self._select_kept(
@@ -162,32 +177,48 @@
                 waiting, _first_that_fit(ranked, needed)
             )
         if selected:
-            held = min(len(selected), self._reservable_workers)
-            return GangReservation(selected, held, fits_soon=True)
+            return GangReservation(
+                selected, self._now + self._seconds_to_start(waiting, selected)
+            )
         if waiting.capacity_when_empty(eligible) < needed:
             return None
-        return self._select_to_drain(waiting, ranked)
+        return self._select_to_drain(
+            waiting,
+            eligible,
+            lambda worker: self._preference(worker, kept, is_covered),
+        )
 
     def reserve(
         self, waiting: WaitingStep, reservation: GangReservation
     ) -> None:
-        """Keeps workers free: no later step is placed there in this round."""
-        needed = waiting.execution.step.count
-        self._plan.reservations[waiting.execution.key] = tuple(
-            worker.record.worker_id
-            for _, worker in reservation.workers[: reservation.held]
-        )
-        self._reservable_workers -= reservation.held
+        """Keeps workers free for a gang.
+
+        Later steps use only what it leaves free, or end before it starts. A
+        gang that fits soon may start at any moment, and leaves them nothing.
+        """
+        if not reservation.is_held:
+            return
+        self._reservable_workers -= len(reservation.workers)
         if not reservation.fits_soon:
-            self._drainable_workers -= reservation.held
-        for copies, worker in reservation.workers[: reservation.held]:
+            self._drainable_workers -= len(reservation.workers)
+        until = self._record_hold(waiting, reservation)
+        needed = waiting.execution.step.count
+        for copies, worker in reservation.workers:
             worker_id = worker.record.worker_id
+            taken = min(copies, needed)
+            needed -= taken
+            spare = Resources()
             if reservation.fits_soon:
-                self._allocate_with_preemption(
-                    waiting, worker_id, min(copies, needed)
-                )
-                needed -= copies
-            self._free_capacity.allocate_all(worker_id)
+                self._preempt(waiting, worker_id, taken)
+            else:
+                free = self._free_at(worker_id, reservation.starts_at)
+                spare = free.minus(waiting.execution.resources.times(taken))
+            self._free_capacity.hold(
+                worker_id,
+                until,
+                spare,
+                may_start_sooner=reservation.fits_soon,
+            )
 
     def preempt_for_tasks(
         self,
@@ -219,6 +250,49 @@
                 unplaced -= 1
         return awaiting_ends
 
+    def pause_of(self, waiting: WaitingStep) -> GangHold | None:
+        """Returns the pause in which a gang may keep nothing, if it is in one."""
+        hold = self._current_hold(waiting)
+        return hold if hold is not None and hold.is_pause else None
+
+    def _current_hold(self, waiting: WaitingStep) -> GangHold | None:
+        earlier = self._earlier_reservations.get(waiting.execution.key)
+        return earlier.at(self._now) if earlier else None
+
+    def _record_hold(
+        self, waiting: WaitingStep, reservation: GangReservation
+    ) -> float:
+        """Records the reserved workers; returns until when they are held.
+
+        A hold that goes on keeps its times, so that it ends when it was to.
+        """
+        hold = GangHold(
+            tuple(worker.record.worker_id for _, worker in reservation.workers),
+            self._now,
+            reservation.starts_at,
+        )
+        earlier = self._current_hold(waiting)
+        if earlier is not None:
+            hold = replace(
+                hold, began_at=earlier.began_at, starts_by=earlier.starts_by
+            )
+        self._plan.reservations[waiting.execution.key] = hold
+        return min(hold.starts_by, reservation.starts_at)
+
+    def _seconds_to_start(
+        self, waiting: WaitingStep, selected: _WorkerCopies
+    ) -> float:
+        """Returns how long a gang that fits soon should still wait."""
+        policy = waiting.queue.permits
+        naming_seconds = policy.each_seconds * len(selected) if policy else 0
+        return self._seconds_worth_waiting(waiting) + naming_seconds
+
+    def _seconds_worth_waiting(self, waiting: WaitingStep) -> float:
+        """Returns how soon a run has to end so that it is waited for."""
+        policy = waiting.queue.permits
+        request_seconds = policy.decide_seconds if policy else 0
+        return max(request_seconds, _ENDING_SOON_SECONDS)
+
     def _select_kept(
         self,
         waiting: WaitingStep,
@@ -345,25 +419,72 @@
         return ranked
 
     def _select_to_drain(
-        self, waiting: WaitingStep, ranked: _WorkerCopies
+        self,
+        waiting: WaitingStep,
+        eligible: Iterable[TrackedWorker],
+        preference: Callable[[TrackedWorker], int],
     ) -> GangReservation | None:
-        """Selects workers to keep free of new runs until a gang fits.
+        """Selects workers to keep for a gang until the runs there have ended.
 
-        The first gang of a round may take all workers that can be reserved,
-        later ones only a small share of them.
+        The first gang of a round may take as many as it needs, later ones
+        only while a small share of the workers is not taken. Returns None if
+        the runs end too far ahead. If nothing tells when, only what is held
+        already is held on.
         """
         if self._drainable_workers <= 0:
             return None
-        needed = waiting.execution.step.count
-        taken: _WorkerCopies = []
-        for copies, worker in ranked:
-            if needed <= 0:
-                break
-            taken.append((copies, worker))
-            needed -= waiting.capacity_when_empty((worker,))
-        return GangReservation(
-            taken, min(len(taken), self._reservable_workers), fits_soon=False
+        unheld = [
+            worker
+            for worker in eligible
+            if not self._free_capacity.is_held(worker.record.worker_id)
+        ]
+        starts_at = projected_start(
+            waiting, unheld, self._free_capacity, self._releases
+        )
+        if starts_at == math.inf:
+            return self._keep_hold(waiting, unheld)
+        waited = self._wall_time - waiting.due
+        if not may_wait_until(starts_at, self._now, waited):
+            return None
+        ranked = self._rank(
+            waiting,
+            unheld,
+            lambda worker_id: self._free_at(worker_id, starts_at),
         )
+        ranked.sort(key=lambda row: preference(row[1]), reverse=True)
+        selected = _first_that_fit(ranked, waiting.execution.step.count)
+        return GangReservation(selected, starts_at, fits_soon=False)
+
+    def _keep_hold(
+        self, waiting: WaitingStep, unheld: Iterable[TrackedWorker]
+    ) -> GangReservation | None:
+        """Holds the workers of the last round on, until their hold ends.
+
+        A projection may be missing for a moment.
+        """
+        earlier = self._current_hold(waiting)
+        if earlier is None:
+            return None
+        kept = [
+            (waiting.capacity_when_empty((worker,)), worker)
+            for worker in unheld
+            if worker.record.worker_id in earlier.workers
+        ]
+        selected = _first_that_fit(kept, waiting.execution.step.count)
+        if not selected:
+            return None
+        return GangReservation(selected, earlier.starts_by, fits_soon=False)
+
+    def _free_at(self, worker_id: str, time: float) -> Resources:
+        """Returns what should be free on a worker by a time."""
+        return free_at(
+            self._free_capacity.of_worker(worker_id),
+            self._releases(worker_id),
+            time,
+        )
+
+    def _releases(self, worker_id: str) -> Sequence[Release]:
+        return self._candidates.of_worker(worker_id).releases
 
     def _ends_soon(self, waiting: WaitingStep, ends_at: float) -> bool:
         """Whether the end of a run is waited for, rather than preempting it.
@@ -371,10 +492,8 @@
         The step could not start earlier if the run was preempted, or while
         permits are requested for it.
         """
-        policy = waiting.queue.permits
-        request_seconds = policy.decide_seconds if policy else 0
         remaining = ends_at - self._now
-        latest = max(request_seconds, _ENDING_SOON_SECONDS)
+        latest = self._seconds_worth_waiting(waiting)
         return -_OVERDUE_SECONDS <= remaining <= latest
 
     def _free_soon(self, waiting: WaitingStep, worker_id: str) -> Resources:
@@ -390,7 +509,12 @@
         return self._free_capacity.of_worker(worker_id).plus(gain.most)
 
     def _gain(self, waiting: WaitingStep, worker_id: str) -> _Gain:
-        """Returns what a worker can release to a step; cached."""
+        """Returns what a worker can release to a step; cached.
+
+        One that is held for an earlier gang releases nothing to it.
+        """
+        if self._free_capacity.is_held(worker_id):
+            return _Gain(Resources(), Resources(), [])
         cached = self._cached_gains.setdefault(worker_id, {})
         may_stop = needs_stops(waiting)
         only_of = waiting.job.tenant if waiting.over_share else ''
@@ -443,6 +567,15 @@
         self, waiting: WaitingStep, worker_id: str, copies: int
     ) -> None:
         """Allocates resources to the tasks, preempting runs as needed."""
+        self._preempt(waiting, worker_id, copies)
+        self._free_capacity.allocate(
+            worker_id, waiting.execution.resources, copies
+        )
+
+    def _preempt(
+        self, waiting: WaitingStep, worker_id: str, copies: int
+    ) -> None:
+        """Stops the runs in the way of some tasks."""
         for victim in self._victims_for(waiting, worker_id, copies):
             self._candidates.of_worker(worker_id).victims.remove(victim)
             self._plan.preempted.append(
@@ -455,9 +588,6 @@
                 )
             )
         self._cached_gains.pop(worker_id, None)
-        self._free_capacity.allocate(
-            worker_id, waiting.execution.resources, copies
-        )
 
 
 def _first_that_fit(ranked: _WorkerCopies, needed: int) -> _WorkerCopies:
--- a/mulberryhitch/dispatch/placement/preemption_candidates.py
+++ b/mulberryhitch/dispatch/placement/preemption_candidates.py
@@ -1,14 +1,19 @@
 """The runs of each worker that may be preempted, or that free resources soon."""
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from mulberryhitch.dispatch.options import DispatchOptions
+from mulberryhitch.dispatch.placement.gang_holds import Release
 from mulberryhitch.dispatch.placement.stop_loss import stop_loss
 from mulberryhitch.dispatch.runs.tracked_worker import TrackedRun, TrackedWorker
 from mulberryhitch.jobs.model import Resources, TaskKey
 from mulberryhitch.jobs.state import StepExecution
 
+# A stop that takes longer is not waited for: nothing tells when it ends.
+_STOP_LIMIT_SECONDS = 3.0
+
 
 @dataclass(frozen=True, slots=True)
 class Victim:
@@ -36,11 +41,15 @@
         releasing: Resources held by runs that are being stopped.
         ending: When the other runs are projected to end, in seconds on the
             local clock, and their resources.
+        releases: When runs are expected to end and starts that are not yet
+            committed as well, the first one first, and their resources. What
+            has no expected end is left out.
     """
 
     victims: list[Victim] = field(default_factory=list)
     releasing: Resources = field(default_factory=Resources)
     ending: list[tuple[float, Resources]] = field(default_factory=list)
+    releases: list[Release] = field(default_factory=list)
 
 
 class PreemptionCandidates:
@@ -50,6 +59,8 @@
         workers: The workers, by id.
         options: Options of the dispatcher.
         now: Seconds on the local clock.
+        uncommitted: When the placements that are not yet committed are
+            expected to end, and their resources, by worker id and task.
     """
 
     def __init__(
@@ -57,11 +68,14 @@
         workers: Mapping[str, TrackedWorker],
         options: DispatchOptions,
         now: float,
+        uncommitted: Mapping[str, Mapping[TaskKey, Release]],
     ) -> None:
         """Initialises the candidates; no worker has been looked at."""
         self._workers = workers
         self._maximum_run = options.maximum_preempted_run
         self._confirmed_before = now - options.preemption_grace_seconds
+        self._now = now
+        self._uncommitted = uncommitted
         self._by_worker: dict[str, WorkerCandidates] = {}
 
     def of_worker(self, worker_id: str) -> WorkerCandidates:
@@ -74,14 +88,20 @@
 
     def _read(self, worker: TrackedWorker) -> WorkerCandidates:
         candidates = WorkerCandidates()
+        starting = self._uncommitted.get(worker.record.worker_id, {})
+        releases = list(starting.values())
         for task, tracked in worker.tracked_runs.items():
             execution = tracked.execution
             if execution is None:
                 continue
             resources = execution.resources
             if tracked.stopping:
-                candidates.releasing = candidates.releasing.plus(resources)
+                stopped_by = tracked.stopping_at + _STOP_LIMIT_SECONDS
+                if self._now <= stopped_by:
+                    candidates.releasing = candidates.releasing.plus(resources)
+                    releases.append((self._now, resources))
                 continue
+            releases.append((tracked.expected_end(self._now), resources))
             ends_at = tracked.projected_end()
             candidates.ending.append((ends_at, resources))
             if self._is_preemptible(execution, tracked):
@@ -94,6 +114,9 @@
                         stop_loss(resources),
                     )
                 )
+        candidates.releases = sorted(
+            release for release in releases if release[0] < math.inf
+        )
         return candidates
 
     def _is_preemptible(
--- a/mulberryhitch/dispatch/runs/tracked_worker.py
+++ b/mulberryhitch/dispatch/runs/tracked_worker.py
@@ -22,6 +22,8 @@
 _SLOW_PAUSE_SECONDS = 1.5
 _MIN_RUN_SECONDS = 0.4
 _STALLED_SECONDS = 2.5
+# A run that is this late against its projection may have stalled.
+_OVERDUE_SECONDS = 0.5
 # Longer than a worker takes for a heartbeat and a second attempt.
 _SILENT_SECONDS = 3.0
 # Long enough for a next run, whose polls acknowledge the ends as well.
@@ -97,6 +99,22 @@
         pace = (self.progressed_at - self.first_percent_at) / risen
         return self.progressed_at + pace * (_WHOLE_PERCENT - self.percent)
 
+    def expected_end(self, now: float) -> float:
+        """Returns when the run should end; infinite if nothing tells.
+
+        By its pace so far, or else by its estimate. A run that lasts, that is
+        late against this or that makes no more progress has no expected end.
+        In seconds on the local clock.
+        """
+        if self.execution is None or self.execution.step.long_running:
+            return math.inf
+        ends_at = self.projected_end()
+        if ends_at == math.inf:
+            ends_at = self._estimated_end(now)
+        elif self._misses_progress(now):
+            return math.inf
+        return ends_at if ends_at >= now - _OVERDUE_SECONDS else math.inf
+
     def stalled(self, now: float) -> bool:
         """Whether the run has made no progress for too long."""
         since = max(self.progressed_at, self.confirmed_at)
@@ -145,6 +163,21 @@
             self.percent = percent
             self.progressed_at = now
 
+    def _estimated_end(self, now: float) -> float:
+        if not self.estimate_seconds:
+            return math.inf
+        if self.first_percent >= 0:
+            left = (_WHOLE_PERCENT - self.first_percent) / _WHOLE_PERCENT
+            return self.first_percent_at + left * self.estimate_seconds
+        began_at = self.confirmed_at if self.confirmed else now
+        return began_at + self.estimate_seconds
+
+    def _misses_progress(self, now: float) -> bool:
+        """Whether the next percent should have been listed long ago."""
+        risen = self.percent - self.first_percent
+        pace = (self.progressed_at - self.first_percent_at) / risen
+        return now - self.progressed_at > 2 * pace + _STALLED_SECONDS
+
 
 @dataclass(slots=True)
 class TrackedWorker:
--- a/mulberryhitch/dispatch/runs/worker_monitor.py
+++ b/mulberryhitch/dispatch/runs/worker_monitor.py
@@ -80,12 +80,16 @@
         open_runs = self._term.job_store.open_runs.get(record.worker_id, {})
         for task, run in open_runs.items():
             step_key = StepKey(*task[:3])
+            execution = self._term.job_store.step_execution(step_key)
             worker.tracked_runs[task] = TrackedRun(
                 run,
                 confirmed=True,
                 progressed_at=now,
                 inherited=True,
-                execution=self._term.job_store.step_execution(step_key),
+                estimate_seconds=(
+                    execution.step.estimate_seconds if execution else 0
+                ),
+                execution=execution,
             )
         self._term.start_soon(self._watch, worker)
         return worker
--- a/tests/test_worker_choice.py
+++ b/tests/test_worker_choice.py
@@ -180,7 +180,7 @@
 def test_a_fast_worker_without_room_hides_no_slow_one() -> None:
     slow, fast = make_worker('slow', speed=SLOW), make_worker('fast')
     free_capacity = make_free_capacity(slow, fast)
-    free_capacity.allocate_all('fast')
+    free_capacity.hold('fast', 0, Resources())
     ordered = free_capacity.emptiest_first(
         'svc', 1000, SpeedOrder.fastest_first
     )
