Keep a part of a tenant's cap only until its expected use

What callers saw: the steps of a tenant did not start beside free room in its cap, as a gang of the same tenant waited for a run that is not to end for hours.

The first step that a cap holds back had its part kept free for as long as it waited; only long-running steps were taken for runs that don't end.

Change: the part is kept only if the ends of the tenant's runs tell when the step can start, and for no longer than it has waited, 10 s at least. Steps that end before use it.

Evidence: in tests/test_gang_holds.py, the play with a run of 9999 s and the one with steps that end before fail on the code before; the play with a run without an estimate held before too.

--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -17,7 +17,11 @@
 from mulberryhitch.dispatch.placement.preemption_candidates import (
     PreemptionCandidates,
 )
-from mulberryhitch.dispatch.placement.tenant_caps import TenantCaps
+from mulberryhitch.dispatch.placement.tenant_caps import (
+    CapOutlook,
+    TenantCaps,
+)
+from mulberryhitch.dispatch.placement.tenant_releases import TenantReleases
 from mulberryhitch.dispatch.placement.uncommitted import UncommittedPlacements
 from mulberryhitch.dispatch.reports.status_report import StatusReporter
 from mulberryhitch.dispatch.retention import Retention
@@ -189,6 +193,12 @@
             for worker in self._term.tracked_workers.values()
             if worker.usable(now)
         ]
+        tenant_releases = TenantReleases(
+            self._term.job_store.jobs,
+            self._term.tracked_workers.values(),
+            self._uncommitted.tenant_releases,
+            now,
+        )
         planner = Planner(
             self._term.job_store,
             usable,
@@ -208,6 +218,7 @@
                 self._term.job_store,
                 self._uncommitted.of_tenants,
                 self._rounds,
+                CapOutlook(now, wall_time, tenant_releases.of_tenant),
             ),
         )
         candidates = PreemptionCandidates(
--- a/mulberryhitch/dispatch/placement/planner.py
+++ b/mulberryhitch/dispatch/placement/planner.py
@@ -317,7 +317,7 @@
             self._reserve_for_gang(waiting, eligible, preemption)
             hold = self.plan.reservations.get(waiting.execution.key)
             if hold is not None and not hold.is_pause:
-                self._tenant_caps.keep_for(waiting)
+                self._tenant_caps.keep_for(waiting, hold.starts_by)
             return
         for index, worker in enumerate(chosen):
             self._place(waiting, index, worker)
--- a/mulberryhitch/dispatch/placement/tenant_caps.py
+++ b/mulberryhitch/dispatch/placement/tenant_caps.py
@@ -4,8 +4,9 @@
 of its steps could not start even on idle workers.
 """
 
+import math
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 
 from mulberryhitch.dispatch.placement.cap_rules import (
@@ -13,6 +14,7 @@
     is_single,
     limits_of,
 )
+from mulberryhitch.dispatch.placement.gang_holds import Release, may_wait_until
 from mulberryhitch.dispatch.placement.plans import WaitingStep
 from mulberryhitch.jobs.model import Resources
 from mulberryhitch.jobs.store import JobStore
@@ -31,6 +33,44 @@
     held_back: list[WaitingStep] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class CapOutlook:
+    """What tells when a step that a cap holds back can start.
+
+    Attributes:
+        now: Seconds on the local clock.
+        wall_time: Seconds since 1970.
+        releases_of: Returns what the runs of a tenant are expected to release.
+    """
+
+    now: float = 0
+    wall_time: float = 0
+    releases_of: Callable[[str], Sequence[Release]] = lambda tenant: ()
+
+
+@dataclass(frozen=True, slots=True)
+class _Kept:
+    """What is kept free for a step.
+
+    Attributes:
+        position: The place of the step in the order; only steps behind it are
+            held back.
+        until: When it is expected to start, seconds on the local clock.
+    """
+
+    position: tuple[float, ...]
+    resources: Resources
+    until: float
+
+    def holds_back(self, waiting: WaitingStep) -> bool:
+        """Whether a step may not use what is kept."""
+        is_behind = self.position < waiting.sort_key
+        times = waiting.times
+        return is_behind and not (
+            times.ends_by(self.until) or times.ignores(self.until)
+        )
+
+
 class _Room:
     """What a tenant's cap leaves in a round.
 
@@ -38,6 +78,9 @@
         limits: The cap, without parts of zero.
         used: Resources of open runs and uncommitted placements.
         lasting: The part of them that does not end.
+        outlook: The time.
+        read_releases: Returns what the runs are expected to release, the first
+            one first.
 
     Attributes:
         unwanted: What is left by these and the steps that the round considers.
@@ -46,7 +89,12 @@
     """
 
     def __init__(
-        self, limits: Resources, used: Resources, lasting: Resources
+        self,
+        limits: Resources,
+        used: Resources,
+        lasting: Resources,
+        outlook: CapOutlook,
+        read_releases: Callable[[], Sequence[Release]],
     ) -> None:
         """Initialises the room; nothing is kept free."""
         free = limits.minus(used)
@@ -54,22 +102,26 @@
         self._free = free
         # What is left once all runs have ended that do end.
         self._most_free = limits.minus(lasting)
-        # What is kept free, and the place in the order of the step that it is
-        # kept for; only steps behind it are held back.
-        self._kept: list[tuple[tuple[float, ...], Resources]] = []
+        self._outlook = outlook
+        self._read_releases = read_releases
+        self._kept: list[_Kept] = []
         self._unkept = Allowance(limits, free)
+        # What is left to steps that end before those that something is kept
+        # for can start.
+        self._unwanted_before = Allowance(limits, free)
         self.unwanted = Allowance(limits, free)
         self.has_waiting = False
 
     def startable(self, waiting: WaitingStep) -> int:
         """Returns how many tasks of a step may start now.
 
-        What is kept for a step before it is not free.
+        What is kept for a step before it is not free, unless it ends before
+        that step can start.
         """
         free = self._free
-        for position, kept in self._kept:
-            if position < waiting.sort_key:
-                free = free.minus(kept)
+        for kept in self._kept:
+            if kept.holds_back(waiting):
+                free = free.minus(kept.resources)
         allowance = Allowance(self._limits, free)
         execution = waiting.execution
         return allowance.startable(execution.step, execution.resources)
@@ -77,11 +129,15 @@
     def want(self, waiting: WaitingStep) -> bool:
         """Whether a step can start beside those before it; counts its tasks."""
         execution = waiting.execution
-        tasks = self.unwanted.startable(execution.step, execution.resources)
+        passes = not any(kept.holds_back(waiting) for kept in self._kept)
+        allowance = self._unwanted_before if passes else self.unwanted
+        tasks = allowance.startable(execution.step, execution.resources)
         if not tasks:
             return False
         wanted = min(tasks, waiting.tasks_left)
-        self.unwanted.take(execution.resources, wanted)
+        self._unwanted_before.take(execution.resources, wanted)
+        if self.unwanted.startable(execution.step, execution.resources):
+            self.unwanted.take(execution.resources, wanted)
         return True
 
     def can_start_alone(self, waiting: WaitingStep) -> bool:
@@ -91,31 +147,57 @@
         """
         execution = waiting.execution
         step = execution.step
-        return self._unkept.startable(step, execution.resources) > 0
+        allowance = self._unkept
+        if not any(kept.holds_back(waiting) for kept in self._kept):
+            allowance = Allowance(self._limits, self._free)
+        return allowance.startable(step, execution.resources) > 0
 
-    def keep(self, waiting: WaitingStep) -> bool:
-        """Keeps what a step needs to start; returns whether it ever can.
+    def keep_until_start(self, waiting: WaitingStep) -> bool:
+        """Keeps what a step needs; returns whether it is known when it starts.
 
-        It can't if long-running steps leave too little: nothing is kept then,
-        as no step behind it would start as long as these run.
+        Nothing is kept for a step that waits for runs without an expected end,
+        or for long: the steps behind it would wait as well.
         """
-        execution = waiting.execution
-        step, need = execution.step, execution.resources
-        if not Allowance(self._limits, self._most_free).startable(step, need):
+        starts_at = self._expected_start(waiting)
+        waited = self._outlook.wall_time - waiting.due
+        if not may_wait_until(starts_at, self._outlook.now, waited):
             return False
+        self.keep(waiting, starts_at)
+        return True
+
+    def keep(self, waiting: WaitingStep, until: float) -> None:
+        """Keeps what a step needs until it is expected to start."""
+        step, need = waiting.execution.step, waiting.execution.resources
         if is_single(step):
-            need = Resources(*map(min, need, self._most_free))
+            need = Resources(*map(min, need, self._limits))
         else:
             need = need.times(step.count)
-        self._kept.append((waiting.sort_key, need))
+        self._kept.append(_Kept(waiting.sort_key, need, until))
         self._unkept.take(need)
         self.unwanted.take(need)
-        return True
 
     def take(self, resources: Resources) -> None:
         """Records that tasks were placed, or soon will be."""
         self._free = self._free.minus(resources)
 
+    def _expected_start(self, waiting: WaitingStep) -> float:
+        """Returns when a step is expected to fit; infinite if never."""
+        if not self._fits(waiting, self._most_free):
+            return math.inf
+        free = self._free
+        if self._fits(waiting, free):
+            return self._outlook.now
+        for ends_at, released in self._read_releases():
+            free = free.plus(released)
+            if self._fits(waiting, free):
+                return ends_at
+        return math.inf
+
+    def _fits(self, waiting: WaitingStep, free: Resources) -> bool:
+        execution = waiting.execution
+        allowance = Allowance(self._limits, free)
+        return allowance.startable(execution.step, execution.resources) > 0
+
 
 class TenantCaps:
     """The room that the caps leave in a round.
@@ -128,6 +210,7 @@
         uncommitted: Resources of placements that are not yet committed, by
             tenant.
         round_number: Number of the round.
+        outlook: When steps that the caps hold back can start.
 
     Attributes:
         held_back: Number of steps that only their tenant's cap holds back, by
@@ -139,11 +222,13 @@
         job_store: JobStore,
         uncommitted: Mapping[str, Resources],
         round_number: int,
+        outlook: CapOutlook | None = None,
     ) -> None:
         """Initialises the caps; no tenant has been looked at."""
         self._job_store = job_store
         self._uncommitted = uncommitted
         self._round_number = round_number
+        self._outlook = outlook or CapOutlook()
         self._rooms: dict[str, _Room | None] = {}
         self.held_back: Counter[str] = Counter()
 
@@ -201,11 +286,16 @@
             return waiting
         return replace(waiting, startable=startable)
 
-    def keep_for(self, waiting: WaitingStep) -> None:
-        """Keeps the part of a gang free for which workers are kept free."""
+    def keep_for(self, waiting: WaitingStep, until: float) -> None:
+        """Keeps the part of a gang free for which workers are kept free.
+
+        Args:
+            waiting: The gang.
+            until: When it is expected to start, seconds on the local clock.
+        """
         room = self._room_of(waiting)
         if room is not None:
-            room.keep(waiting)
+            room.keep(waiting, until)
 
     def record_start(self, waiting: WaitingStep, tasks: int = 1) -> None:
         """Records that tasks of a step were placed, or soon will be.
@@ -232,8 +322,13 @@
         limits = limits_of(tenant.cap)
         used = self._job_store.tenant_usage(name)
         uncommitted = self._uncommitted.get(name, Resources())
-        lasting = self._job_store.lasting_usage(name)
-        return _Room(limits, used.plus(uncommitted), lasting)
+        return _Room(
+            limits,
+            used.plus(uncommitted),
+            self._job_store.lasting_usage(name),
+            self._outlook,
+            lambda: self._outlook.releases_of(name),
+        )
 
     def _hold_back(self, room: _Room, waiting: WaitingStep) -> None:
         """Counts a step that waits for the cap, and keeps its part free.
@@ -243,7 +338,7 @@
         """
         self.held_back[waiting.job.tenant] += 1
         if not room.has_waiting:
-            room.has_waiting = room.keep(waiting)
+            room.has_waiting = room.keep_until_start(waiting)
 
     def _turn(self, count: int) -> tuple[int, int]:
         """Returns the first and the end of the steps that have a turn."""
--- a/tests/test_gang_holds.py
+++ b/tests/test_gang_holds.py
@@ -10,6 +10,7 @@
 from mulberryhitch.jobs.state import JobState
 from tests.fake_workers import DispatcherHarness, FakeRun
 from tests.replica_group import run_with_mock_clock
+from tests.tenant_data import make_tenant
 
 CORES = 8000
 WIDE_GANG = Step(6, 7500, 10, estimate_seconds=12, gang=True)
@@ -202,3 +203,45 @@
             await harness.wait(f'gang{number}', JobState.completed, 16)
 
     play(body)
+
+
+@pytest.mark.parametrize('seconds', [0, 9999])
+def test_a_gang_within_a_cap_that_waits_for_long_keeps_nothing(
+    seconds: float,
+) -> None:
+    """Guards against a cap whose free part a gang keeps for a run's whole time.
+
+    The run has no estimate, or is not to end for hours.
+    """
+
+    async def body(harness: DispatcherHarness) -> None:
+        harness.set_tenants(make_tenant('mill', processors=4000))
+        await harness.submit('run', small(seconds, 1), tenant='mill')
+        await harness.wait_for_starts('run', 1)
+        for run in runs_of(harness, 'run'):
+            run.ends_at = anyio.current_time() + 9999
+        gang = Step(4, 1000, 10, estimate_seconds=1, gang=True)
+        await harness.submit('gang', gang, tenant='mill')
+        await anyio.sleep(0.5)
+        await harness.submit('j', small(20), tenant='mill', queue='small')
+        await harness.wait_for_starts('j', 2, 1)
+
+    play(body)
+
+
+def test_a_step_that_ends_before_a_gang_starts_uses_its_part_of_a_cap() -> None:
+    """Guards against a part of a cap that is idle until a gang starts."""
+
+    async def body(harness: DispatcherHarness) -> None:
+        harness.set_tenants(make_tenant('mill', processors=4000))
+        await harness.submit('run', small(6, 1), tenant='mill')
+        await harness.wait_for_starts('run', 1)
+        gang = Step(4, 1000, 10, estimate_seconds=1, gang=True)
+        await harness.submit('gang', gang, tenant='mill')
+        await harness.submit('long', small(9), tenant='mill', queue='small')
+        await harness.submit('short', small(2), tenant='mill', queue='small')
+        await harness.wait_for_starts('short', 2, 1)
+        await harness.wait_for_starts('gang', 4, 6.5)
+        assert not harness.start_count('long')
+
+    play(body)
