Open due occurrences as there is room, and forget those that are over

Cause: the leader committed all due occurrences in one entry, and each replica created their tasks at once. To find what is due it walked every number of every job each 0.25 s on the event loop.

An occurrence that is over is forgotten: the store knows how many have become due, and which of these are open. Only the next number of a job is looked at.

A log in which a former leader opened all at once is read: beyond 65,536 units the store postpones them until room comes or until that leader starts one.

--- a/mulberryhitch/dispatch/admission/backlog_reader.py
+++ b/mulberryhitch/dispatch/admission/backlog_reader.py
@@ -70,7 +70,7 @@
         work = step_work(execution.step).times(share)
         if execution.key.step:
             return work
-        for other in self.job.occurrences[execution.key.occurrence]:
+        for other in self.job.occurrences.get(execution.key.occurrence, ()):
             if not other.ready:
                 work = work.plus(step_work(other.step))
         return work
--- a/mulberryhitch/dispatch/dispatcher.py
+++ b/mulberryhitch/dispatch/dispatcher.py
@@ -6,6 +6,7 @@
 
 from mulberryhitch.dispatch.admission.assembly import make_admission
 from mulberryhitch.dispatch.admission.ports import SharesOfLastRound
+from mulberryhitch.dispatch.due_occurrences import DueOccurrences
 from mulberryhitch.dispatch.permits.manager import PermitManager
 from mulberryhitch.dispatch.placement.planner import Planner
 from mulberryhitch.dispatch.placement.plans import (
@@ -55,6 +56,7 @@
         """Creates the parts of the dispatcher and connects them."""
         self._term = term
         self._retention = Retention(term)
+        self._due_occurrences = DueOccurrences(term)
         self._uncommitted = UncommittedPlacements()
         self._committing_steps: set[StepKey] = set()
         self._estimates = EstimateCache()
@@ -125,16 +127,25 @@
         self._term.accounting.record_job(job.queue.name, job.state)
         self.admission.job_ended(job)
         self._estimates.remove_job(job.job_id)
+        is_completed = job.state is JobState.completed
         for executions in job.occurrences.values():
+            self._remove_steps(executions, is_completed=is_completed)
             for execution in executions:
-                self.permit_manager.remove_step(execution.key)
-                self.workers.monitor.remove_step(
-                    execution.key, job.state is JobState.completed
-                )
                 if job.cancelled or job.failed:
                     for unit in execution.units:
                         self._run_controller.stop_unit(unit, 'job ended')
 
+    def occurrence_ended(self, executions: list[StepExecution]) -> None:
+        """Discards the permits of an occurrence that is over."""
+        self._remove_steps(executions, is_completed=True)
+
+    def _remove_steps(
+        self, executions: list[StepExecution], *, is_completed: bool
+    ) -> None:
+        for execution in executions:
+            self.permit_manager.remove_step(execution.key)
+            self.workers.monitor.remove_step(execution.key, is_completed)
+
     async def _run_rounds(self) -> None:
         while True:
             await self._term.round_due.wait()
@@ -303,19 +314,7 @@
             self.workers.monitor.update_speeds()
             if not self._term.may_act():
                 continue
-            await self._start_due_occurrences()
+            await self._due_occurrences.open_with_room()
             await self.workers.remove_expired()
             await self._retention.enforce()
             self.request_round()
-
-    async def _start_due_occurrences(self) -> None:
-        wall_time = self._term.wall_time()
-        batch = [
-            changes.start_occurrence(job.job_id, number)
-            for job in self._term.job_store.jobs.values()
-            if job.spec.repeat_count and job.active
-            for number in range(job.spec.repeat_count)
-            if number not in job.occurrences and job.due_at(number) <= wall_time
-        ]
-        if batch:
-            await self._term.commit_or_log(batch)
--- a/mulberryhitch/jobs/sizes.py
+++ b/mulberryhitch/jobs/sizes.py
@@ -1,9 +1,10 @@
 """Estimates of how many bytes jobs and tables take in a snapshot."""
 
+from collections.abc import Iterable
 from itertools import chain
 
 from mulberryhitch.jobs.model import JobSpec, QueueTable, Step, Tenant
-from mulberryhitch.jobs.state import Job
+from mulberryhitch.jobs.state import Job, StepExecution
 
 _JOB_BYTES = 420
 _STEP_BYTES = 360
@@ -21,20 +22,39 @@
 
 def occurrence_bytes(spec: JobSpec) -> int:
     """Returns about how many bytes an occurrence takes, without checkpoints."""
-    units = sum(1 if step.gang else step.count for step in spec.steps)
-    return units * _UNIT_BYTES
+    return unit_count(spec) * _UNIT_BYTES
+
+
+def unit_count(spec: JobSpec) -> int:
+    """Returns how many units an occurrence has: gangs and single tasks."""
+    return sum(1 if step.gang else step.count for step in spec.steps)
 
 
 def job_bytes(job: Job) -> int:
     """Returns about how many bytes a job takes with all that belongs to it."""
     executions = chain.from_iterable(job.occurrences.values())
-    checkpoints = sum(
+    checkpoints = checkpoint_bytes(executions)
+    occurrences = counted_occurrences(job) * occurrence_bytes(job.spec)
+    return spec_bytes(job.job_id, job.spec) + occurrences + checkpoints
+
+
+def counted_occurrences(job: Job) -> int:
+    """Returns how many occurrences of a job count.
+
+    A scheduled job that is active has at least one, so that its next one finds
+    room whatever else is accepted meanwhile.
+    """
+    is_waiting = job.is_scheduled and job.active
+    return max(len(job.occurrences), int(is_waiting))
+
+
+def checkpoint_bytes(executions: Iterable[StepExecution]) -> int:
+    """Returns how many bytes the checkpoints of some steps take."""
+    return sum(
         _text_bytes(unit.checkpoint)
         for execution in executions
         for unit in execution.units
     )
-    occurrences = len(job.occurrences) * occurrence_bytes(job.spec)
-    return spec_bytes(job.job_id, job.spec) + occurrences + checkpoints
 
 
 def checkpoint_growth_bytes(former: str, checkpoint: str) -> int:
--- a/mulberryhitch/jobs/snapshots.py
+++ b/mulberryhitch/jobs/snapshots.py
@@ -1,8 +1,14 @@
-"""Encoding of jobs as snapshot rows."""
+"""Encoding of jobs as snapshot rows.
+
+A row of a scheduled job that is active names its open occurrences otherwise
+than the rows of former versions, which kept all: these would take those that
+are left out for not yet due and run them again. They can't read such a row.
+"""
 
 from typing import Any
 
 from mulberryhitch.jobs.changes import decode_queue, decode_spec
+from mulberryhitch.jobs.number_ranges import NumberRanges
 from mulberryhitch.jobs.state import (
     Job,
     StepExecution,
@@ -10,6 +16,8 @@
     create_step_executions,
 )
 
+_OPEN = 'open_occurrences'
+
 
 def decode_job(row: dict[str, Any]) -> Job:
     """Builds a job from its snapshot row."""
@@ -26,16 +34,27 @@
         # Snapshots of earlier versions do not have it.
         tenant=row.get('tenant', ''),
     )
-    for occurrence, steps in row['occurrences'].items():
+    open_rows = row.get(_OPEN) or row.get('occurrences', {})
+    for occurrence, steps in open_rows.items():
         executions = create_step_executions(
             job.job_id, int(occurrence), job.spec
         )
         job.occurrences[int(occurrence)] = executions
         for execution, step_row in zip(executions, steps, strict=True):
             _restore_step(job, execution, step_row)
+    if job.is_scheduled:
+        # Former versions kept all occurrences.
+        kept = max(job.occurrences, default=-1) + 1
+        job.known_occurrences = row.get('known_occurrences', kept)
+        job.postponed = NumberRanges(row.get('postponed', ()))
     return job
 
 
+def is_former_row(row: dict[str, Any]) -> bool:
+    """Whether a former version wrote the row of a scheduled job."""
+    return 'known_occurrences' not in row
+
+
 def _restore_step(
     job: Job, execution: StepExecution, row: dict[str, Any]
 ) -> None:
@@ -66,7 +85,8 @@
         'finished': job.finished,
         'ended_at': job.ended_at,
         'tenant': job.tenant,
-        'occurrences': {
+        **_encode_schedule(job),
+        _OPEN if job.is_scheduled and job.active else 'occurrences': {
             str(occurrence): [
                 _encode_step(execution) for execution in executions
             ]
@@ -75,6 +95,16 @@
     }
 
 
+def _encode_schedule(job: Job) -> dict[str, Any]:
+    """Returns what tells which occurrences are not open."""
+    if not job.is_scheduled:
+        return {}
+    return {
+        'known_occurrences': job.known_occurrences,
+        'postponed': job.postponed.ranges,
+    }
+
+
 def _encode_step(execution: StepExecution) -> dict[str, Any]:
     return {
         'ready': execution.ready,
--- a/mulberryhitch/jobs/state.py
+++ b/mulberryhitch/jobs/state.py
@@ -1,5 +1,6 @@
 """Execution state of jobs, their steps and their units."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 from enum import Enum
 from itertools import chain
@@ -12,6 +13,7 @@
     StepKey,
     TaskKey,
 )
+from mulberryhitch.jobs.number_ranges import NumberRanges
 
 
 class UnitState(str, Enum):  # noqa: WPS600
@@ -126,7 +128,12 @@
     Attributes:
         accepted_at: Seconds since 1970, by the leader's clock.
         begun: Whether any task was ever granted to a worker.
-        occurrences: Steps of each occurrence that has become due.
+        occurrences: Steps of each open occurrence: it has become due, and its
+            tasks are not done.
+        known_occurrences: Number of occurrences that have become due; those
+            that are neither open nor postponed are done.
+        postponed: Occurrences that have become due and are not open yet, as
+            there was no room.
         finished: Number of occurrences that are done.
         ended_at: Seconds since 1970; zero while the job is active.
         tenant: The client account that submitted it; empty if none did.
@@ -140,6 +147,8 @@
     cancelled: bool = False
     failed: bool = False
     occurrences: dict[int, list[StepExecution]] = field(default_factory=dict)
+    known_occurrences: int = 0
+    postponed: NumberRanges = field(default_factory=NumberRanges)
     finished: int = 0
     ended_at: float = 0
     tenant: str = ''
@@ -160,6 +169,17 @@
         """Whether tasks of the job may still start."""
         return self.ended_at == 0
 
+    @property
+    def is_scheduled(self) -> bool:
+        """Whether its occurrences have times of their own."""
+        return self.spec.repeat_count > 0
+
+    @property
+    def unopened(self) -> Iterator[int]:
+        """The occurrences that have not been opened, the first one first."""
+        known = range(self.known_occurrences, self.spec.repeat_count)
+        return chain(self.postponed, known)
+
     @property
     def has_open_runs(self) -> bool:
         """Whether a run of one of its tasks may still be executing."""
@@ -177,6 +197,7 @@
     def shrink(self) -> None:
         """Removes all but what tells how the job ended."""
         self.occurrences.clear()
+        self.postponed = NumberRanges()
         self.spec = replace(self.spec, argument='', steps=())
 
     def due_at(self, occurrence: int) -> float:
@@ -187,6 +208,20 @@
         return self.accepted_at
 
 
+def is_over(executions: list[StepExecution]) -> bool:
+    """Whether all tasks of an occurrence are done and none may still run."""
+    return not any(
+        execution.unfinished_units for execution in executions
+    ) and not any(
+        unit.holders for execution in executions for unit in execution.units
+    )
+
+
+def has_begun(executions: list[StepExecution]) -> bool:
+    """Whether a task of an occurrence was ever granted to a worker."""
+    return any(unit.run for execution in executions for unit in execution.units)
+
+
 def create_step_executions(
     job_id: str, occurrence: int, spec: JobSpec
 ) -> list[StepExecution]:
--- a/mulberryhitch/jobs/store.py
+++ b/mulberryhitch/jobs/store.py
@@ -33,12 +33,14 @@
 )
 from mulberryhitch.jobs.sizes import (
     checkpoint_growth_bytes,
+    checkpoint_bytes,
+    counted_occurrences,
     job_bytes,
     occurrence_bytes,
-    spec_bytes,
     table_bytes,
+    unit_count,
 )
-from mulberryhitch.jobs.snapshots import decode_job, encode_job
+from mulberryhitch.jobs.snapshots import decode_job, encode_job, is_former_row
 from mulberryhitch.jobs.state import (
     Job,
     JobState,
@@ -47,12 +49,17 @@
     Unit,
     UnitState,
     create_step_executions,
+    has_begun,
+    is_over,
 )
 from mulberryhitch.rpc.messages import LogEntry
 
 _ChangeHandler = Callable[..., Any]
 _change_handlers: dict[str, _ChangeHandler] = {}
 
+# Units of the open occurrences of all scheduled jobs, beside one of each.
+_MAX_OPEN_UNITS = 65_536
+
 EMPTY_QUEUE_TABLE = QueueTable(-1, '', ())
 
 
@@ -75,6 +82,9 @@
     def run_ended(self, task: TaskKey, run: int, worker_id: str) -> None:
         """Called when an open run has ended."""
 
+    def occurrence_ended(self, executions: list[StepExecution]) -> None:
+        """Called when all tasks of a scheduled job's occurrence are done."""
+
     def job_ended(self, job: Job) -> None:
         """Called when a job was cancelled, failed or completed."""
 
@@ -83,12 +93,14 @@
     """State machine replicated by the group of schedulers.
 
     Attributes:
+        scheduled_jobs: The active jobs whose occurrences have times.
         latest_time: The latest time of a change, seconds since 1970.
     """
 
     def __init__(self) -> None:
         """Initialises an empty store."""
         self.jobs: dict[str, Job] = {}
+        self.scheduled_jobs: dict[str, Job] = {}
         self.workers: dict[str, WorkerRecord] = {}
         self.queue_table: QueueTable = EMPTY_QUEUE_TABLE
         self.ready_steps: dict[StepKey, StepExecution] = {}
@@ -103,6 +115,7 @@
         self._services: frozenset[str] = frozenset()
         self._queued_jobs: Counter[str] = Counter()
         self._jobs_bytes = 0
+        self._open_units = 0
         self._table_bytes = 0
 
     def apply(self, entry: LogEntry) -> list[Any]:
@@ -147,7 +160,7 @@
         return execution.unit_of(task.number) if execution else None
 
     def step_execution(self, key: StepKey) -> StepExecution | None:
-        """Returns a step of an occurrence that has become due."""
+        """Returns a step of an open occurrence."""
         job = self.jobs.get(key.job_id)
         executions = job.occurrences.get(key.occurrence) if job else None
         if executions is None or not 0 <= key.step < len(executions):
@@ -194,6 +207,7 @@
         for row in content['jobs']:
             job = decode_job(row)
             self.jobs[job.job_id] = job
+            self._restore_occurrences(job, is_former=is_former_row(row))
             self._jobs_bytes += job_bytes(job)
             self._record_time(max(job.accepted_at, job.ended_at))
             self._index_job(job)
@@ -222,18 +236,24 @@
         self._record_time(now)
         job = Job(job_id, queue, decode_spec(fields), now, tenant=tenant)
         self.jobs[job_id] = job
-        self._jobs_bytes += spec_bytes(job_id, job.spec)
+        self._jobs_bytes += job_bytes(job)
         self._adjust_queued_jobs(job, 1)
-        if not job.spec.repeat_count:
-            self._create_occurrence(job, 0)
+        if job.is_scheduled:
+            self.scheduled_jobs[job_id] = job
+        else:
+            self._open_occurrence(job, 0)
         return True
 
     @change_handler('occur')
     def _start_occurrence(self, job_id: str, occurrence: int) -> None:
         job = self.jobs.get(job_id)
-        if job is None or not job.active or occurrence in job.occurrences:
+        if job is None or not job.active:
             return
-        self._create_occurrence(job, occurrence)
+        if occurrence >= job.known_occurrences:
+            job.known_occurrences = occurrence + 1
+            job.postponed.append(occurrence)
+        if occurrence in job.postponed and self._has_room_for(job):
+            self._open_occurrence(job, occurrence)
 
     @change_handler('cancel')
     def _cancel_job(self, job_id: str, now: float) -> bool:
@@ -256,9 +276,12 @@
         worker_id: str,
     ) -> bool:
         task = TaskKey(job_id, occurrence, step, index)
+        job = self.jobs.get(job_id)
+        if job is not None and job.active and occurrence in job.postponed:
+            # A leader of a former version opens all that are due.
+            self._open_occurrence(job, occurrence)
         execution = self.step_execution(StepKey(job_id, occurrence, step))
         unit = execution.unit_of(index) if execution else None
-        job = self.jobs.get(job_id)
         if execution is None or unit is None or job is None or not job.active:
             return False
         if not execution.ready or worker_id not in self.workers:
@@ -305,6 +328,7 @@
         if run == unit.run:
             self._remove_run(unit, index, execution)
         if unit.state in {UnitState.done, UnitState.failed}:
+            self._close_if_over(execution)
             return
         if checkpoint and execution.step.checkpointing:
             self._jobs_bytes += checkpoint_growth_bytes(
@@ -312,6 +336,7 @@
             )
             unit.checkpoint = checkpoint
         self._record_outcome(execution, unit, run, RunOutcome(outcome), now)
+        self._close_if_over(execution)
 
     @change_handler('worker')
     def _register_worker(self, fields: dict[str, Any]) -> bool:
@@ -369,13 +394,72 @@
     def _record_time(self, now: float) -> None:
         self.latest_time = max(self.latest_time, now)
 
-    def _create_occurrence(self, job: Job, occurrence: int) -> None:
+    def _has_room_for(self, job: Job) -> bool:
+        """Whether another occurrence of a scheduled job may be opened.
+
+        The same on all replicas, whatever their settings: a leader opens fewer,
+        but one of a former version names all that are due.
+        """
+        units = self._open_units + unit_count(job.spec)
+        return not job.occurrences or units <= _MAX_OPEN_UNITS
+
+    def _open_occurrence(self, job: Job, occurrence: int) -> None:
+        counted = counted_occurrences(job)
+        job.postponed.discard(occurrence)
         job.occurrences[occurrence] = create_step_executions(
             job.job_id, occurrence, job.spec
         )
-        self._jobs_bytes += occurrence_bytes(job.spec)
+        self._adjust_counted(job, counted)
+        if job.is_scheduled:
+            self._open_units += unit_count(job.spec)
         self._mark_ready_steps(job.occurrences[occurrence])
 
+    def _close_if_over(self, execution: StepExecution) -> None:
+        """Forgets an occurrence of a scheduled job once it is over."""
+        job = self.jobs[execution.key.job_id]
+        if execution.unfinished_units or not job.is_scheduled or not job.active:
+            return
+        executions = job.occurrences[execution.key.occurrence]
+        if not is_over(executions):
+            return
+        counted = counted_occurrences(job)
+        job.occurrences.pop(execution.key.occurrence)
+        self._jobs_bytes -= checkpoint_bytes(executions)
+        self._adjust_counted(job, counted)
+        self._open_units -= unit_count(job.spec)
+        if self.listener is not None:
+            self.listener.occurrence_ended(executions)
+
+    def _adjust_counted(self, job: Job, before: int) -> None:
+        """Adjusts the size after the number of occurrences has changed."""
+        change = counted_occurrences(job) - before
+        self._jobs_bytes += change * occurrence_bytes(job.spec)
+
+    def _restore_occurrences(self, job: Job, *, is_former: bool) -> None:
+        """Counts the open occurrences of a scheduled job that was read.
+
+        A former version kept those that are over as well, and opened all that
+        were due.
+        """
+        if not job.is_scheduled or not job.active:
+            return
+        self.scheduled_jobs[job.job_id] = job
+        if is_former:
+            self._close_and_postpone(job)
+        self._open_units += len(job.occurrences) * unit_count(job.spec)
+
+    def _close_and_postpone(self, job: Job) -> None:
+        found = job.occurrences
+        job.occurrences = {}
+        most = max(1, _MAX_OPEN_UNITS // unit_count(job.spec))
+        for number, executions in sorted(found.items()):
+            if is_over(executions):
+                continue
+            if has_begun(executions) or len(job.occurrences) < most:
+                job.occurrences[number] = executions
+            else:
+                job.postponed.append(number)
+
     def _mark_ready_steps(self, executions: list[StepExecution]) -> None:
         for execution in executions:
             is_blocked = any(
@@ -476,7 +560,11 @@
             self._end_job(job, now)
 
     def _end_job(self, job: Job, now: float) -> None:
+        counted = counted_occurrences(job)
         job.ended_at = now
+        self._adjust_counted(job, counted)
+        if self.scheduled_jobs.pop(job.job_id, None) is not None:
+            self._open_units -= len(job.occurrences) * unit_count(job.spec)
         if not job.begun:
             self._adjust_queued_jobs(job, -1)
         for executions in job.occurrences.values():
