Refuse a job for good that never fits into the state

What callers saw: a job larger than the whole room of the jobs was refused with 503 and a Retry-After of 1 s, each time that it was handed in.

Cause: the check looked at what was free just then, not at the size of the room.

Change: such a job gets 413, as a configuration that is too large does.

Evidence: test_a_job_that_never_fits_is_refused_for_good and test_a_new_job_is_refused_for_lack_of_room. The latter asked for a 503 from a room of one byte, which promised in vain; it now asks for 503 where the job may fit later and for 413 where it never does.

--- a/mulberryhitch/dispatch/intake.py
+++ b/mulberryhitch/dispatch/intake.py
@@ -55,11 +55,19 @@
     def check_job(self, job_id: str, spec: JobSpec) -> None:
         """Checks that there is room for a job.
 
+        A scheduled job takes room for one of its occurrences.
+
         Raises:
-            OverloadedError: There is none.
+            OverloadedError: There is none now.
+            TooLargeError: There never is.
         """
         stored_bytes = self._job_store.stored_bytes
         added_bytes = spec_bytes(job_id, spec) + occurrence_bytes(spec)
+        if added_bytes > self._max_bytes:
+            raise TooLargeError(
+                f'the job takes {added_bytes} bytes as stored, more than '
+                f'{self._max_bytes}'
+            )
         if stored_bytes + added_bytes > self._max_bytes:
             raise OverloadedError(
                 f'the jobs and queues take {stored_bytes} of '
--- a/tests/test_due_occurrences.py
+++ b/tests/test_due_occurrences.py
@@ -8,7 +8,9 @@
 import orjson
 import pytest
 
+from mulberryhitch.dispatch.intake import StateRoom
 from mulberryhitch.dispatch.options import DispatchOptions
+from mulberryhitch.errors import TooLargeError
 from mulberryhitch.jobs import changes
 from mulberryhitch.jobs.model import JobSpec, QueueTable, Step, TaskKey
 from mulberryhitch.jobs.state import JobState, RunOutcome
@@ -248,6 +250,14 @@
     assert 'occurrences' not in row
 
 
+def test_a_job_that_never_fits_is_refused_for_good() -> None:
+    """Guards against a refusal that tells the caller to come back in vain."""
+    room = StateRoom(JobStore(), 100_000)
+    spec = JobSpec('', (Step(2000, 500, 10),), 10)
+    with pytest.raises(TooLargeError):
+        room.check_job('often', spec)
+
+
 def test_room_for_one_occurrence_of_each_job_is_kept_until_it_is_due() -> None:
     """Guards against jobs that are accepted and don't fit once they are due."""
     store = make_store(JobSpec('', (Step(100, 500, 10),), 3, 10**10))
--- a/tests/test_job_intake.py
+++ b/tests/test_job_intake.py
@@ -16,6 +16,7 @@
     OutcomeUnknownError,
     OverloadedError,
     OverQuotaError,
+    TooLargeError,
 )
 from mulberryhitch.jobs import changes
 from mulberryhitch.jobs.model import JobSpec, Queue, QueueTable
@@ -123,13 +124,22 @@
     run(main)
 
 
-def test_a_new_job_is_refused_for_lack_of_room() -> None:
-    """Guards against a state that grows without bound."""
+@pytest.mark.parametrize(
+    ('room_bytes', 'error'), [(1000, OverloadedError), (1, TooLargeError)]
+)
+def test_a_new_job_is_refused_for_lack_of_room(
+    room_bytes: int, error: type[MulberryhitchError]
+) -> None:
+    """Guards against a state that grows without bound.
+
+    The job takes 881 bytes: it may fit later into the larger room, and never
+    into the smaller one.
+    """
 
     async def main() -> None:
         intake = Intake()
-        intake.room._max_bytes = 1
-        with pytest.raises(OverloadedError):
+        intake.room._max_bytes = room_bytes
+        with pytest.raises(error):
             await intake.accept(refusing=False)
         assert not intake.commits
 
