--- a/mulberryhitch/placement/engine.py
+++ b/mulberryhitch/placement/engine.py
@@ -350,6 +350,10 @@
         placed = self._place(workload)
         if placed is not None:
             return [placed]
+        if self._reservation.is_over(now):
+            workload.reserves_from = self._reservation.pause_until(now)
+            self._release_holds(workload.spec.workload_id)
+            return []
         victims = [
             task
             for task in self._reservation.victims()
@@ -371,7 +375,7 @@
             if self._may_preempt(workload, waited_seconds, now):
                 return self._preempt_for(workload, now)
             if waited_seconds >= self._options.reserve_after_seconds:
-                self._reserve(workload)
+                self._reserve(workload, now)
         return []
 
     def _is_still_waiting(self, workload: WaitingWorkload) -> bool:
@@ -405,12 +409,14 @@
         ).held_for = workload.spec.workload_id
         return [self._preempt(task, workload) for task in victims]
 
-    def _reserve(self, workload: WaitingWorkload) -> None:
-        if self._reservation is not None:
+    def _reserve(self, workload: WaitingWorkload, now: float) -> None:
+        if self._reservation is not None or now < workload.reserves_from:
             return
         if not self._skipped.needs_reservation(workload, self._placed_count):
             return
-        reservation = Reservation(workload, self._pool, self._running_by_worker)
+        reservation = Reservation(
+            workload, self._pool, self._running_by_worker, now
+        )
         if not reservation.is_empty:
             self._reservation = reservation
             self._workloads_with_holds.add(workload.spec.workload_id)
--- a/mulberryhitch/placement/model.py
+++ b/mulberryhitch/placement/model.py
@@ -16,12 +16,14 @@
     Attributes:
         waiting_since: When it began to wait, in seconds.
         avoided_workers: Workers on which a task of it failed.
+        reserves_from: No workers are reserved for it before, in seconds.
     """
 
     spec: WorkloadSpec
     task_numbers: deque[int]
     waiting_since: float
     avoided_workers: set[str] = field(default_factory=set)
+    reserves_from: float = 0
 
     @classmethod
     def create(
--- a/mulberryhitch/placement/reservations.py
+++ b/mulberryhitch/placement/reservations.py
@@ -4,6 +4,10 @@
 hold half of what the other needs. On reserved workers only preemptible tasks
 are started as backfill. They are preempted as soon as that is enough to start
 the workload, so backfill can't delay it.
+
+Nothing tells when the other tasks there end. So a reservation that has led to no
+start ends, and workers are reserved for the workload again only after a pause of
+the same length.
 """
 
 from collections.abc import Iterable
@@ -16,6 +20,8 @@
 from mulberryhitch.placement.pool import PoolWorker, WorkerPool
 from mulberryhitch.workloads.model import Kind, Size
 
+_MIN_RESERVED_SECONDS = 60.0
+
 
 class Reservation:
     """Workers reserved for one workload.
@@ -24,6 +30,7 @@
         workload: The workload.
         pool: Workers to choose from.
         running_by_worker: Tasks that hold resources now, by worker.
+        now: Current time in seconds.
     """
 
     def __init__(
@@ -31,10 +38,14 @@
         workload: WaitingWorkload,
         pool: WorkerPool,
         running_by_worker: RunningTasksByWorker,
+        now: float,
     ) -> None:
         """Reserves enough workers, those with the most free cores first."""
         self.workload = workload
         self._pool = pool
+        self._began_at = now
+        waited = now - workload.waiting_since
+        self._ends_at = now + max(waited, _MIN_RESERVED_SECONDS)
         self._running_by_worker = running_by_worker
         self._workers = self._choose_workers()
         for worker in self._workers:
@@ -48,6 +59,14 @@
         """
         return not self._workers
 
+    def is_over(self, now: float) -> bool:
+        """Whether it has led to no start in as long as the workload waited."""
+        return now >= self._ends_at
+
+    def pause_until(self, now: float) -> float:
+        """Returns the end of the pause that follows if it ends now."""
+        return now + (now - self._began_at)
+
     def stop_backfill(self) -> None:
         """Prevents more backfill, as the workload is about to start."""
         for worker in self._workers:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -136,6 +136,31 @@
     assert 'home.3' not in running
 
 
+def test_a_gang_that_waits_for_a_task_without_an_end_is_no_lasting_block() -> (
+    None
+):
+    """Guards against a worker that a gang keeps idle for as long as a task runs.
+
+    The gang starts all the same once that task has ended.
+    """
+    engine = make_engine(workers=2, reserve_after_seconds=1)
+    enqueue(engine, 1, size=Size(4000, 1))
+    engine.decide(10, 0)
+    enqueue(engine, 2, kind=Kind.gang, task_count=2, size=Size(4000, 1), now=0)
+    started: dict[str, int] = {}
+    for second in range(1, 400):
+        enqueue(engine, second + 2, second, tenant='small', size=Size(1000, 1))
+        for task in list(engine.running):
+            is_small = engine.running[task].spec.tenant == 'small'
+            if is_small or second == 300:
+                engine.release(task)
+        for task, _ in placed(engine.decide(10, second)):
+            started.setdefault(task.workload_id, second)
+    # A minute, and what it has waited before.
+    assert started['home.12'] <= 75
+    assert 300 <= started['home.2'] < 400
+
+
 def test_urgent_work_preempts_only_restartable_tasks() -> None:
     engine = make_engine(workers=2)
     enqueue(engine, 1, task_count=4)
