--- a/mulberryhitch/jobs/store.py
+++ b/mulberryhitch/jobs/store.py
@@ -249,9 +249,9 @@
         job = self.jobs.get(job_id)
         if job is None or not job.active:
             return
-        if occurrence >= job.known_occurrences:
-            job.known_occurrences = occurrence + 1
-            job.postponed.append(occurrence)
+        for number in range(job.known_occurrences, occurrence + 1):
+            job.postponed.append(number)
+        job.known_occurrences = max(job.known_occurrences, occurrence + 1)
         if occurrence in job.postponed and self._has_room_for(job):
             self._open_occurrence(job, occurrence)
 
