Let go of held workers once nothing tells when the gang starts

Cause: a hold whose gang lost its expected start, as a service took its room, went on to its end, up to 10 s and twice its planned time.

Change: it goes on for 2 s past the expected start at most, and only if the gang fits once all runs have ended that do end.

Evidence: the last part of test_a_lasting_step_does_not_wait_for_a_gang_that_starts_late failed before.

--- a/mulberryhitch/dispatch/placement/gang_holds.py
+++ b/mulberryhitch/dispatch/placement/gang_holds.py
@@ -12,6 +12,9 @@
 # What a start may be late, beside the time that the hold was to take: permits
 # and the runs in the way may take longer than expected.
 _LATE_SECONDS = 10.0
+# How long past the expected start workers are held on while nothing tells when
+# the gang starts: a run may just be late.
+_BLIND_SECONDS = 2.0
 # Estimates are off by up to 90%.
 _ESTIMATE_FACTOR = 1.9
 # Steps that can't wait respect only a hold whose gang is to start as soon.
@@ -76,6 +79,10 @@
             return self.starts_by
         return 2 * self.starts_by - self.began_at + _LATE_SECONDS
 
+    def goes_on_blindly(self, now: float) -> bool:
+        """Whether it goes on while nothing tells when the gang starts."""
+        return now < self.starts_by + _BLIND_SECONDS
+
     def at(self, now: float) -> 'GangHold | None':
         """Returns what holds at a time: this, a pause after it, or nothing."""
         if now < self.ends_at:
--- a/mulberryhitch/dispatch/placement/preemption.py
+++ b/mulberryhitch/dispatch/placement/preemption.py
@@ -439,7 +439,7 @@
             if not self._free_capacity.is_held(worker.record.worker_id)
         ]
         starts_at = projected_start(
-            waiting, unheld, self._free_capacity, self._releases
+            waiting, unheld, self._free_capacity, self._releases, self._now
         )
         if starts_at == math.inf:
             return self._keep_hold(waiting, unheld)
@@ -458,23 +458,28 @@
     def _keep_hold(
         self, waiting: WaitingStep, unheld: Iterable[TrackedWorker]
     ) -> GangReservation | None:
-        """Holds the workers of the last round on, until their hold ends.
+        """Holds the workers of the last round on for a moment.
 
-        A projection may be missing for a moment.
+        Only if the gang will fit there once all runs have ended that do end.
         """
         earlier = self._current_hold(waiting)
-        if earlier is None:
+        if earlier is None or not earlier.goes_on_blindly(self._now):
             return None
         kept = [
-            (waiting.capacity_when_empty((worker,)), worker)
+            worker
             for worker in unheld
             if worker.record.worker_id in earlier.workers
         ]
-        selected = _first_that_fit(kept, waiting.execution.step.count)
+        ranked = self._rank(waiting, kept, self._free_without_ending_runs)
+        selected = _first_that_fit(ranked, waiting.execution.step.count)
         if not selected:
             return None
         return GangReservation(selected, earlier.starts_by, fits_soon=False)
 
+    def _free_without_ending_runs(self, worker_id: str) -> Resources:
+        lasting = self._candidates.of_worker(worker_id).lasting
+        return self._free_capacity.workers[worker_id].capacity.minus(lasting)
+
     def _free_at(self, worker_id: str, time: float) -> Resources:
         """Returns what should be free on a worker by a time."""
         return free_at(
--- a/mulberryhitch/dispatch/placement/preemption_candidates.py
+++ b/mulberryhitch/dispatch/placement/preemption_candidates.py
@@ -39,6 +39,7 @@
     Attributes:
         victims: Runs that may be preempted.
         releasing: Resources held by runs that are being stopped.
+        lasting: Resources held by the other runs that do not end.
         ending: When the other runs are projected to end, in seconds on the
             local clock, and their resources.
         releases: When runs are expected to end and starts that are not yet
@@ -48,6 +49,7 @@
 
     victims: list[Victim] = field(default_factory=list)
     releasing: Resources = field(default_factory=Resources)
+    lasting: Resources = field(default_factory=Resources)
     ending: list[tuple[float, Resources]] = field(default_factory=list)
     releases: list[Release] = field(default_factory=list)
 
@@ -101,6 +103,8 @@
                     candidates.releasing = candidates.releasing.plus(resources)
                     releases.append((self._now, resources))
                 continue
+            if execution.step.long_running:
+                candidates.lasting = candidates.lasting.plus(resources)
             releases.append((tracked.expected_end(self._now), resources))
             ends_at = tracked.projected_end()
             candidates.ending.append((ends_at, resources))
--- a/mulberryhitch/dispatch/placement/projected_start.py
+++ b/mulberryhitch/dispatch/placement/projected_start.py
@@ -28,6 +28,7 @@
     workers: Iterable[TrackedWorker],
     free_capacity: FreeCapacity,
     releases_of: Callable[[str], Sequence[Release]],
+    now: float,
 ) -> float:
     """Returns when a whole step is expected to fit; infinite if never.
 
@@ -37,6 +38,7 @@
         free_capacity: Free resources of each worker.
         releases_of: Returns what a worker is expected to release, the first
             one first.
+        now: Seconds on the local clock.
     """
     missing = waiting.tasks_left
     gains: list[tuple[float, int]] = []
@@ -51,6 +53,8 @@
             if more > 0:
                 gains.append((ends_at, more))
                 copies += more
+    if missing <= 0:
+        return now
     for ends_at, more in sorted(gains):
         missing -= more
         if missing <= 0:
--- a/tests/test_gang_holds.py
+++ b/tests/test_gang_holds.py
@@ -176,9 +176,12 @@
         await occupy(harness, 3, estimate_seconds=8)
         await harness.submit('gang', WIDE_GANG)
         await anyio.sleep(0.1)
-        lasting = small(0, long_running=True)
+        lasting = small(9999, long_running=True)
         await harness.submit('lasting', lasting, queue='small')
         await harness.wait_for_starts('lasting', 2, 0.2)
+        # Where it runs the gang no longer fits.
+        await harness.submit('long', small(30), queue='small')
+        await harness.wait_for_starts('long', 2, 0.2)
 
     play(body)
 
