--- a/mulberryhitch/jobs/store.py
+++ b/mulberryhitch/jobs/store.py
@@ -33,8 +33,8 @@
 )
 from mulberryhitch.jobs.open_occurrences import OpenOccurrences
 from mulberryhitch.jobs.sizes import (
-    checkpoint_growth_bytes,
     checkpoint_bytes,
+    checkpoint_growth_bytes,
     counted_occurrences,
     job_bytes,
     occurrence_bytes,
@@ -55,9 +55,6 @@
 _ChangeHandler = Callable[..., Any]
 _change_handlers: dict[str, _ChangeHandler] = {}
 
-# Units of the open occurrences of all scheduled jobs, beside one of each.
-_MAX_OPEN_UNITS = 65_536
-
 EMPTY_QUEUE_TABLE = QueueTable(-1, '', ())
 
 
