--- a/mulberryhitch/dispatch/placement/gang_holds.py
+++ b/mulberryhitch/dispatch/placement/gang_holds.py
@@ -53,8 +53,8 @@
     """Workers kept free for a gang, or a pause in which none are.
 
     A hold that has not led to a start by twice its planned time ends. It is
-    followed by a pause of the same length, so that wrong estimates keep room
-    from other steps for half of the time at most.
+    followed by a pause of the same length. One that is let go before, as
+    nothing tells any more when the gang starts, is followed by none.
 
     Attributes:
         workers: Ids of the workers; empty in a pause.
